--- /dev/null
+++ b/crates/tanager-command/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command.
--- /dev/null
+++ b/crates/tanager-command/src/main.rs
@@ -0,0 +1,2 @@
+//! The operator command.
+fn main() {}
--- /dev/null
+++ b/crates/tanager-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Folds the change log into the fleet state and validates proposed changes.
--- /dev/null
+++ b/crates/tanager-http/src/client.rs
@@ -0,0 +1,205 @@
+//! One client connection that carries one request at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+
+use crate::message::HttpRequest;
+use crate::message::HttpResponse;
+
+/// An open connection to a server. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct ClientConnection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    last_used: Instant,
+    keep_alive: bool,
+}
+
+impl ClientConnection {
+    /// Connects to a server.
+    ///
+    /// # Errors
+    ///
+    /// Every error has kind [`ErrorKind::NotSent`].
+    pub async fn open(address: SocketAddr, timeout: Duration) -> TanagerResult<Self> {
+        let not_sent = |step, message: String| {
+            TanagerError::new(ErrorKind::NotSent, step, address.to_string(), message)
+        };
+        let stream = match time::timeout(timeout, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(not_sent("connect", error.to_string())),
+            Err(_) => return Err(not_sent("connect", format!("timeout after {timeout:?}"))),
+        };
+        stream
+            .set_nodelay(true)
+            .map_err(|error| not_sent("connect", error.to_string()))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_sent("handshake", error.to_string()))?;
+        let driver = tokio::spawn(async move {
+            // The error is also reported to the pending request.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            address,
+            sender,
+            driver,
+            last_used: Instant::now(),
+            keep_alive: true,
+        })
+    }
+
+    /// Returns whether the connection may carry another request.
+    pub fn is_reusable(&self, max_idle: Duration) -> bool {
+        self.keep_alive && !self.sender.is_closed() && self.last_used.elapsed() < max_idle
+    }
+
+    /// Sends a request and reads the whole response, all within `timeout`.
+    ///
+    /// After an error the connection is never reused, so that a late response cannot be matched
+    /// to another request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotSent`] when no byte of the request left this process;
+    /// [`ErrorKind::Timeout`] or [`ErrorKind::Unknown`] when it may have taken effect.
+    pub async fn exchange(
+        &mut self,
+        request: HttpRequest,
+        timeout: Duration,
+        max_body: usize,
+    ) -> TanagerResult<HttpResponse> {
+        self.keep_alive = false;
+        let address = self.address;
+        let head = request.method == Method::HEAD;
+        let work = async {
+            let outgoing = build_request(address, request)?;
+            self.sender.ready().await.map_err(|error| {
+                TanagerError::new(ErrorKind::NotSent, "send", address.to_string(), error)
+            })?;
+            let response = send_request(&mut self.sender, address, outgoing).await?;
+            read_response(address, response, head, max_body).await
+        };
+        let result = match time::timeout(timeout, work).await {
+            Ok(result) => result,
+            Err(_) => Err(TanagerError::new(
+                ErrorKind::Timeout,
+                "exchange",
+                address.to_string(),
+                format!("no whole response within {timeout:?}"),
+            )),
+        };
+        let (response, keep_alive) = result?;
+        self.keep_alive = keep_alive;
+        self.last_used = Instant::now();
+        Ok(response)
+    }
+}
+
+impl Drop for ClientConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn build_request(address: SocketAddr, request: HttpRequest) -> TanagerResult<Request<Full<Bytes>>> {
+    let invalid = |error: http::Error| {
+        TanagerError::new(ErrorKind::NotSent, "encode", address.to_string(), error)
+    };
+    let mut outgoing = Request::builder()
+        .method(request.method)
+        .uri(request.path)
+        .body(Full::new(request.body))
+        .map_err(invalid)?;
+    *outgoing.headers_mut() = request.headers;
+    let host = HeaderValue::from_str(&address.to_string())
+        .map_err(|error| invalid(http::Error::from(error)))?;
+    outgoing.headers_mut().insert(header::HOST, host);
+    Ok(outgoing)
+}
+
+async fn send_request(
+    sender: &mut SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    outgoing: Request<Full<Bytes>>,
+) -> TanagerResult<Response<Incoming>> {
+    sender
+        .try_send_request(outgoing)
+        .await
+        .map_err(|mut error| {
+            // hyper returns the request only if it wrote none of it.
+            let kind = match error.take_message() {
+                Some(_) => ErrorKind::NotSent,
+                None => ErrorKind::Unknown,
+            };
+            TanagerError::new(kind, "send", address.to_string(), error.into_error())
+        })
+}
+
+/// Reads the whole body; returns the response and whether the connection may be reused.
+async fn read_response(
+    address: SocketAddr,
+    response: Response<Incoming>,
+    head: bool,
+    max_body: usize,
+) -> TanagerResult<(HttpResponse, bool)> {
+    let unknown = |message: String| {
+        TanagerError::new(ErrorKind::Unknown, "read", address.to_string(), message)
+    };
+    let (parts, body) = response.into_parts();
+    let bodiless =
+        head || parts.status == StatusCode::NO_CONTENT || parts.status == StatusCode::NOT_MODIFIED;
+    let framed = parts.headers.contains_key(header::CONTENT_LENGTH)
+        || parts.headers.contains_key(header::TRANSFER_ENCODING);
+    if !bodiless && !framed && !body.is_end_stream() {
+        // The end of such a body cannot be told from a lost connection.
+        return Err(unknown(
+            "the response body is delimited by connection close".to_owned(),
+        ));
+    }
+    let body = Limited::new(body, max_body)
+        .collect()
+        .await
+        .map_err(|error| unknown(format!("incomplete response body: {error}")))?
+        .to_bytes();
+    let close = parts
+        .headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .any(|value| {
+            value
+                .to_str()
+                .is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
+        });
+    let response = HttpResponse {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    };
+    Ok((response, !close))
+}
--- /dev/null
+++ b/crates/tanager-http/src/pool.rs
@@ -0,0 +1,131 @@
+//! Reusable connections to one server.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerResult;
+
+use crate::client::ClientConnection;
+use crate::message::HttpRequest;
+use crate::message::HttpResponse;
+
+/// Limits of a [`ClientPool`].
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Time to establish a connection.
+    pub connect_timeout: Duration,
+    /// A connection idle for longer is closed. Devices between the two ends drop idle
+    /// connections without a sign, and a request sent into one has an unknown outcome.
+    pub max_idle: Duration,
+    /// Idle connections kept.
+    pub max_connections: usize,
+    /// Largest accepted response body, in bytes.
+    pub max_body: usize,
+}
+
+impl Default for PoolLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            max_idle: Duration::from_secs(5),
+            max_connections: 64,
+            max_body: 4 << 20,
+        }
+    }
+}
+
+/// Connections to one server.
+#[derive(Debug)]
+pub struct ClientPool {
+    address: SocketAddr,
+    limits: PoolLimits,
+    idle: Mutex<Vec<ClientConnection>>,
+}
+
+impl ClientPool {
+    /// Creates a pool without connections.
+    pub fn new(address: SocketAddr, limits: PoolLimits) -> Self {
+        Self {
+            address,
+            limits,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Address of the server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
+    }
+
+    /// Sends a request on an idle or a new connection, within `timeout` in all.
+    ///
+    /// A request that an idle connection did not send is sent on a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`ClientConnection::open`] and [`ClientConnection::exchange`].
+    pub async fn exchange(
+        &self,
+        request: &HttpRequest,
+        timeout: Duration,
+    ) -> TanagerResult<HttpResponse> {
+        let start = Instant::now();
+        if let Some(connection) = self.take() {
+            let result = self.exchange_on(connection, request.clone(), timeout).await;
+            match result {
+                Err(error) if error.kind == ErrorKind::NotSent => {}
+                result => return result,
+            }
+        }
+        let left = timeout.saturating_sub(start.elapsed());
+        let connect_timeout = self.limits.connect_timeout.min(left);
+        let connection = ClientConnection::open(self.address, connect_timeout).await?;
+        let left = timeout.saturating_sub(start.elapsed());
+        self.exchange_on(connection, request.clone(), left).await
+    }
+
+    async fn exchange_on(
+        &self,
+        mut connection: ClientConnection,
+        request: HttpRequest,
+        timeout: Duration,
+    ) -> TanagerResult<HttpResponse> {
+        let response = connection
+            .exchange(request, timeout, self.limits.max_body)
+            .await?;
+        self.put(connection);
+        Ok(response)
+    }
+
+    fn take(&self) -> Option<ClientConnection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some(connection) = idle.pop() {
+            if connection.is_reusable(self.limits.max_idle) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn put(&self, connection: ClientConnection) {
+        if !connection.is_reusable(self.limits.max_idle) {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < self.limits.max_connections {
+            idle.push(connection);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanager-http/src/server.rs
@@ -0,0 +1,248 @@
+//! HTTP/1 server with a graceful stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+
+use crate::message::HttpRequest;
+use crate::message::HttpResponse;
+
+/// Future returned by a [`RequestHandler`].
+pub type ResponseFuture = Pin<Box<dyn Future<Output = HttpResponse> + Send>>;
+/// Handles one request. The future is dropped when the client closes the connection.
+pub type RequestHandler = Arc<dyn Fn(HttpRequest) -> ResponseFuture + Send + Sync>;
+/// Builds the response to a request whose body could not be read.
+pub type RejectHandler = Arc<dyn Fn(RejectReason) -> HttpResponse + Send + Sync>;
+
+/// Why a request was rejected before it reached the handler.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RejectReason {
+    /// The body exceeds the limit: 413.
+    BodyTooLarge,
+    /// The body was not received within the read timeout: 408.
+    BodyTimeout,
+    /// The body is malformed: 400.
+    BadBody,
+}
+
+impl RejectReason {
+    /// Status code of the response.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::BadBody => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Largest accepted request body, in bytes.
+    pub max_body: usize,
+    /// Time to receive the headers, and again the body, of a request. Also closes connections
+    /// that are idle for as long.
+    pub read_timeout: Duration,
+    /// Open connections; further ones wait to be accepted.
+    pub max_connections: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            max_body: 4 << 20,
+            read_timeout: Duration::from_secs(30),
+            max_connections: 4_096,
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct HttpServer {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    acceptor: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Binds a server whose rejections have empty bodies.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] when the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        limits: ServerLimits,
+        handler: RequestHandler,
+    ) -> TanagerResult<Self> {
+        let reject: RejectHandler = Arc::new(|reason| HttpResponse::new(reason.status(), ""));
+        Self::bind_with_reject(address, limits, handler, reject).await
+    }
+
+    /// Binds a server.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Invalid`] when the address cannot be bound.
+    pub async fn bind_with_reject(
+        address: SocketAddr,
+        limits: ServerLimits,
+        handler: RequestHandler,
+        reject: RejectHandler,
+    ) -> TanagerResult<Self> {
+        let failed = |error: std::io::Error| {
+            TanagerError::new(ErrorKind::Invalid, "bind", address.to_string(), error)
+        };
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let (stop, stopped) = watch::channel(false);
+        let acceptor = tokio::spawn(accept_loop(listener, limits, handler, reject, stopped));
+        Ok(Self {
+            address,
+            stop,
+            acceptor,
+        })
+    }
+
+    /// Bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, finishes requests in progress and closes all connections.
+    pub async fn stop(self) {
+        self.stop.send_replace(true);
+        // The acceptor ends only after its connections; a panic there was already reported.
+        let _ = self.acceptor.await;
+    }
+}
+
+async fn accept_loop(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: RequestHandler,
+    reject: RejectHandler,
+    mut stopped: watch::Receiver<bool>,
+) {
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            break;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Accept fails when file descriptors run out; retry when some were closed.
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let handler = Arc::clone(&handler);
+        let reject = Arc::clone(&reject);
+        let stopped = stopped.clone();
+        connections.spawn(async move {
+            serve_connection(stream, limits, handler, reject, stopped).await;
+            drop(permit);
+        });
+        while connections.try_join_next().is_some() {}
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    limits: ServerLimits,
+    handler: RequestHandler,
+    reject: RejectHandler,
+    mut stopped: watch::Receiver<bool>,
+) {
+    // Without it a small response waits for the delayed acknowledgement of the client.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handler = Arc::clone(&handler);
+        let reject = Arc::clone(&reject);
+        async move {
+            let response = match read_request(request, limits).await {
+                Ok(request) => handler(request).await,
+                Err(reason) => reject(reason),
+            };
+            Ok::<_, Infallible>(build_response(response))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_timeout)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopped.wait_for(|stopped| *stopped) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn read_request(
+    request: Request<Incoming>,
+    limits: ServerLimits,
+) -> Result<HttpRequest, RejectReason> {
+    let (parts, body) = request.into_parts();
+    let collected = Limited::new(body, limits.max_body).collect();
+    let body = match time::timeout(limits.read_timeout, collected).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(RejectReason::BodyTooLarge);
+        }
+        Ok(Err(_)) => return Err(RejectReason::BadBody),
+        Err(_) => return Err(RejectReason::BodyTimeout),
+    };
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| parts.uri.path().to_owned(), ToString::to_string);
+    Ok(HttpRequest {
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        body,
+    })
+}
+
+fn build_response(response: HttpResponse) -> Response<Full<Bytes>> {
+    let mut outgoing = Response::new(Full::new(response.body));
+    *outgoing.status_mut() = response.status;
+    *outgoing.headers_mut() = response.headers;
+    outgoing
+}
--- /dev/null
+++ b/crates/tanager-kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service registry, start and stop order and state dump of one process.
--- /dev/null
+++ b/crates/tanager-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node: caller face, endpoint client, peer link, dispatch and administration API.
--- /dev/null
+++ b/crates/tanager-node/src/main.rs
@@ -0,0 +1,2 @@
+//! The node process.
+fn main() {}
--- /dev/null
+++ b/crates/tanager-protocol/tests/names.rs
@@ -0,0 +1,25 @@
+//! Guards against identifiers that could not be part of a table key or a header.
+
+use tanager_protocol::ids::check_name;
+
+macro_rules! name_cases {
+    ($($case:ident: $name:expr => $valid:expr;)*) => {
+        $(#[test]
+        fn $case() {
+            assert_eq!(check_name($name), $valid, "{:?}", $name);
+        })*
+    };
+}
+
+name_cases! {
+    plain: "diary-intake" => true;
+    dotted: "vm-1.rack_2" => true;
+    digit_first: "3rd" => true;
+    empty: "" => false;
+    upper_case: "Pool" => false;
+    slash: "a/b" => false;
+    leading_dash: "-a" => false;
+    non_ascii: "lärm" => false;
+    longest: &"a".repeat(64) => true;
+    too_long: &"a".repeat(65) => false;
+}
--- /dev/null
+++ b/crates/tanager-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked INI settings of the node.
