--- a/crates/tanager-settings/src/lib.rs
+++ b/crates/tanager-settings/src/lib.rs
@@ -1,1 +1,122 @@
 //! Checked INI settings of the node.
+//!
+//! Every problem is one error that names the file, the section, the key and the accepted form.
+
+mod reader;
+mod value;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::ids::ZoneId;
+
+use crate::reader::SettingsReader;
+
+/// Settings of one node.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeSettings {
+    /// `[node] name`: name of the entry VM in the platform's list.
+    pub name: NodeId,
+    /// `[node] region`.
+    pub region: String,
+    /// `[node] zone`: availability zone of the node.
+    pub zone: ZoneId,
+    /// `[node] caller_address`: where callers connect.
+    pub caller_address: SocketAddr,
+    /// `[node] peer_address`: where other nodes connect.
+    pub peer_address: SocketAddr,
+    /// `[node] admin_address`: administration API, metrics and readiness.
+    pub admin_address: SocketAddr,
+    /// `[node] stop_delay`: time between not ready and the end of accepting, for the balancer.
+    pub stop_delay: Duration,
+    /// `[platform] address`: the platform's service.
+    pub platform_address: SocketAddr,
+    /// `[platform] timeout`: limit for one call to the platform.
+    pub platform_timeout: Duration,
+    /// `[peers] seeds`: peer addresses to start from when the platform is out.
+    pub seeds: Vec<SocketAddr>,
+    /// `[limits] max_body`: largest body in either direction, in bytes.
+    pub max_body: usize,
+    /// `[limits] default_timeout`: time for a request whose caller names none.
+    pub default_timeout: Duration,
+    /// `[limits] probe_interval`: time between probes of one idle worker.
+    pub probe_interval: Duration,
+    /// `[admin] root_token`: bearer token that may do everything.
+    pub root_token: String,
+}
+
+/// Largest accepted `max_body`; a forwarded body must fit one message between nodes.
+const MAX_BODY_LIMIT: usize = 64 << 20;
+/// Shortest accepted root token, so that it cannot be guessed by trial.
+const MIN_TOKEN_BYTES: usize = 16;
+
+impl NodeSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Kind `Invalid`: the file cannot be read, or one line naming section, key and accepted
+    /// form.
+    pub fn open(path: &Path) -> TanagerResult<Self> {
+        Self::from_reader(SettingsReader::open(path)?)
+    }
+
+    /// Checks settings given as text; `name` stands for the file in errors.
+    ///
+    /// # Errors
+    ///
+    /// As [`NodeSettings::open`].
+    pub fn parse(name: &str, text: &str) -> TanagerResult<Self> {
+        Self::from_reader(SettingsReader::parse(name, text)?)
+    }
+
+    fn from_reader(mut reader: SettingsReader) -> TanagerResult<Self> {
+        let settings = Self {
+            name: reader.required("node", "name", value::name)?,
+            region: reader.required("node", "region", value::name)?,
+            zone: reader.required("node", "zone", value::name)?,
+            caller_address: reader.required("node", "caller_address", value::address)?,
+            peer_address: reader.required("node", "peer_address", value::address)?,
+            admin_address: reader.required("node", "admin_address", value::address)?,
+            stop_delay: reader.optional("node", "stop_delay", value::duration, "5s")?,
+            platform_address: reader.required("platform", "address", value::address)?,
+            platform_timeout: reader.optional("platform", "timeout", value::duration, "500ms")?,
+            seeds: reader.optional("peers", "seeds", value::addresses, "")?,
+            max_body: reader.optional("limits", "max_body", max_body, "4MiB")?,
+            default_timeout: reader.optional("limits", "default_timeout", positive, "30s")?,
+            probe_interval: reader.optional("limits", "probe_interval", positive, "1s")?,
+            root_token: reader.required("admin", "root_token", token)?,
+        };
+        reader.finish()?;
+        Ok(settings)
+    }
+}
+
+fn max_body(text: &str) -> Result<usize, String> {
+    let size = value::size(text)?;
+    if size > MAX_BODY_LIMIT {
+        return Err("a size of at most 64MiB".to_owned());
+    }
+    Ok(size)
+}
+
+fn positive(text: &str) -> Result<Duration, String> {
+    let duration = value::duration(text)?;
+    if duration.is_zero() {
+        return Err("a time above 0, such as 500ms or 30s".to_owned());
+    }
+    Ok(duration)
+}
+
+fn token(text: &str) -> Result<String, String> {
+    let graphic = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if text.len() < MIN_TOKEN_BYTES || !graphic {
+        return Err(format!(
+            "at least {MIN_TOKEN_BYTES} visible ASCII characters"
+        ));
+    }
+    Ok(text.to_owned())
+}
