--- /dev/null
+++ b/crates/tanager-control/src/settings.rs
@@ -0,0 +1,59 @@
+//! Settings of the control service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tanager_protocol::fleet::NodeRecord;
+use tanager_protocol::ids::NodeId;
+
+/// Settings of the control service of one node.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Name of the node, which is also the name of its VM in the platform's list.
+    pub node: NodeId,
+    /// Record with which the node registers: incarnation, zone and addresses.
+    pub record: NodeRecord,
+    /// Peer addresses of other nodes that are contacted before any node is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Periods and limits.
+    pub timing: ControlTiming,
+}
+
+/// Periods and limits of the control service. Tests shorten them.
+#[derive(Clone, Copy, Debug)]
+pub struct ControlTiming {
+    /// Period of reads of `head` and of the platform's VM list.
+    pub poll_interval: Duration,
+    /// Period of gossip with each registered node and seed.
+    pub gossip_interval: Duration,
+    /// Period of the coordinators.
+    pub coordinate_interval: Duration,
+    /// A node without contact for this time is not considered as a home.
+    pub contact_timeout: Duration,
+    /// A node without store and peers for this time is not ready.
+    pub isolation_timeout: Duration,
+    /// Longest gossip or fetch call.
+    pub peer_timeout: Duration,
+    /// A VM that was never seen to be down after its reboot counts as back after this time.
+    pub reboot_settle: Duration,
+    /// A wave is paused when a VM is not back this long after its reboot.
+    pub reboot_timeout: Duration,
+    /// Entries between two snapshots.
+    pub snapshot_interval: u64,
+}
+
+impl Default for ControlTiming {
+    fn default() -> Self {
+        Self {
+            poll_interval: Duration::from_secs(1),
+            gossip_interval: Duration::from_secs(1),
+            coordinate_interval: Duration::from_millis(250),
+            contact_timeout: Duration::from_secs(3),
+            isolation_timeout: Duration::from_secs(4),
+            peer_timeout: Duration::from_secs(2),
+            reboot_settle: Duration::from_secs(30),
+            reboot_timeout: Duration::from_secs(600),
+            snapshot_interval: 200,
+        }
+    }
+}
