--- /dev/null
+++ b/crates/tanager-fleet/tests/rules.rs
@@ -0,0 +1,242 @@
+//! Single transitions, each with the rule that allows or refuses it.
+
+use std::collections::BTreeSet;
+
+use tanager_fleet::CheckContext;
+use tanager_fleet::MAX_FINISHED_WAVES;
+use tanager_fleet::apply_entry;
+use tanager_fleet::check_change;
+use tanager_protocol::change::ChangeEntry;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::config::ConfigDocument;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::ids::LogVersion;
+
+/// Pool a: v0 to v3 in two racks, floor 2. Pool b: empty, floor 0.
+fn document() -> ConfigDocument {
+    let text = r#"{"site":"s","teams":{},"pools":{"a":{"floor":2},"b":{}},"vms":{
+        "v0":{"address":"10.0.0.1:1","pool":"a","zone":"z1","rack":"r2","slots":8},
+        "v1":{"address":"10.0.0.2:1","pool":"a","zone":"z1","rack":"r2","slots":8},
+        "v2":{"address":"10.0.0.3:1","pool":"a","zone":"z1","rack":"r1","slots":8},
+        "v3":{"address":"10.0.0.4:1","pool":"a","zone":"z0","rack":"r9","slots":8}}}"#;
+    serde_json::from_str(text).expect("valid document")
+}
+
+fn append(state: &mut FleetState, change: FleetChange) -> TanagerResult<()> {
+    check_change(state, &change, &CheckContext::default())?;
+    let entry = ChangeEntry {
+        version: state.version + 1,
+        author: "operator".to_owned(),
+        token: String::new(),
+        change,
+    };
+    apply_entry(state, &entry)
+}
+
+/// A change in its serialised form, as the log holds it.
+fn change(text: &str) -> FleetChange {
+    serde_json::from_str(text).expect("valid change")
+}
+
+fn configured() -> FleetState {
+    let mut state = FleetState::default();
+    let document = document();
+    append(&mut state, FleetChange::Configure { document }).expect("first configuration");
+    state
+}
+
+macro_rules! refusal_cases {
+    ($($case:ident: [$($before:expr),*], $last:expr => $kind:ident, $words:expr;)*) => {
+        $(#[test]
+        fn $case() {
+            let mut state = configured();
+            for before in [$($before),*] as [&str; _] {
+                append(&mut state, change(before)).expect(before);
+            }
+            let error = append(&mut state, change($last)).expect_err("must be refused");
+            assert_eq!(error.kind, ErrorKind::$kind, "{error}");
+            assert!(error.message.contains($words), "{error}");
+        })*
+    };
+}
+
+const MOVE_V0: &str = r#"{"start_move":{"vm":"v0","to":"b"}}"#;
+const DRAIN_V0: &str = r#"{"start_drain":{"vm":"v0","reason":"disk"}}"#;
+const DRAIN_V1: &str = r#"{"start_drain":{"vm":"v1","reason":"disk"}}"#;
+const DRAIN_V2: &str = r#"{"start_drain":{"vm":"v2","reason":"disk"}}"#;
+const WAVE: &str = r#"{"start_wave":{"wave":"w","pool":"a"}}"#;
+const WAVE_V3: &str = r#"{"step_wave":{"wave":"w","vm":"v3","step":"drain"}}"#;
+const DOWN_V3: &str = r#"{"report_vm":{"vm":"v3","health":"down"}}"#;
+
+refusal_cases! {
+    move_while_draining: [DRAIN_V0], MOVE_V0 => Refused, "draining: disk";
+    drain_while_moving: [MOVE_V0], DRAIN_V0 => Refused, "moving to pool b";
+    commit_without_start: [], r#"{"commit_move":{"vm":"v0"}}"# => Refused, "not moving";
+    move_to_own_pool: [], r#"{"start_move":{"vm":"v0","to":"a"}}"# => Refused, "already";
+    move_to_unknown_pool: [], r#"{"start_move":{"vm":"v0","to":"c"}}"# => NotFound, "pool";
+    move_of_unknown_vm: [], r#"{"start_move":{"vm":"v9","to":"b"}}"# => NotFound, "VM";
+    drain_below_floor: [DRAIN_V0, DRAIN_V1], DRAIN_V2 => Refused, "floor is 2";
+    drain_after_failure: [DOWN_V3, DRAIN_V0], DRAIN_V1 => Refused, "floor is 2";
+    wave_below_floor: [WAVE, DRAIN_V0, DRAIN_V1], WAVE_V3 => Refused, "floor is 2";
+    second_wave_of_pool: [WAVE], r#"{"start_wave":{"wave":"x","pool":"a"}}"# => Refused, "wave w";
+    wave_over_empty_pool: [], r#"{"start_wave":{"wave":"x","pool":"b"}}"# => Refused, "no VM";
+    wave_in_second_rack: [WAVE, WAVE_V3],
+        r#"{"step_wave":{"wave":"w","vm":"v2","step":"drain"}}"# => Refused, "another rack";
+    wave_skips_reboot: [WAVE, WAVE_V3],
+        r#"{"step_wave":{"wave":"w","vm":"v3","step":"return"}}"# => Refused, "does not follow";
+    wave_step_while_paused: [WAVE, r#"{"pause_wave":{"wave":"w","reason":"x"}}"#],
+        WAVE_V3 => Refused, "not running";
+    undrain_of_wave_vm: [WAVE, WAVE_V3], r#"{"end_drain":{"vm":"v3"}}"# => Refused, "wave w";
+    finish_before_end: [WAVE], r#"{"finish_wave":{"wave":"w"}}"# => Refused, "not maintained";
+    leave_of_unknown_node: [],
+        r#"{"leave_node":{"node":"n","incarnation":1}}"# => NotFound, "registered";
+}
+
+macro_rules! configure_cases {
+    ($($case:ident: [$($before:expr),*], $edit:expr => $result:expr;)*) => {
+        $(#[test]
+        fn $case() {
+            let mut state = configured();
+            for before in [$($before),*] as [&str; _] {
+                append(&mut state, change(before)).expect(before);
+            }
+            let mut document = state.document.clone();
+            let edit: fn(&mut ConfigDocument) = $edit;
+            edit(&mut document);
+            let expected: Result<(), &str> = $result;
+            match (append(&mut state, FleetChange::Configure { document }), expected) {
+                (Ok(()), Ok(())) => {}
+                (Err(error), Err(words)) => assert!(error.message.contains(words), "{error}"),
+                (result, _) => panic!("{result:?}"),
+            }
+        })*
+    };
+}
+
+fn reassign(document: &mut ConfigDocument, vm: &str, pool: &str) {
+    document.vms.get_mut(vm).expect("configured").pool = pool.to_owned();
+}
+
+fn set_floor(document: &mut ConfigDocument, floor: u32) {
+    document.pools.get_mut("a").expect("configured").floor = floor;
+}
+
+const COMMIT_V0: &str = r#"{"commit_move":{"vm":"v0"}}"#;
+
+configure_cases! {
+    changed_pool: [], |document| reassign(document, "v0", "b") => Err("use a move");
+    old_pool_after_move: [MOVE_V0, COMMIT_V0], |_| {} => Ok(());
+    new_pool_after_move: [MOVE_V0, COMMIT_V0], |document| reassign(document, "v0", "b") => Ok(());
+    removed_moving_vm: [MOVE_V0],
+        |document| { document.vms.remove("v0"); } => Err("moving to pool b");
+    removed_draining_vm: [DRAIN_V0], |document| { document.vms.remove("v0"); } => Err("draining");
+    removed_wave_vm: [WAVE], |document| { document.vms.remove("v0"); } => Err("in wave w");
+    removed_target_pool: [MOVE_V0], |document| { document.pools.remove("b"); } => Err("assigned");
+    removed_moved_pool: [MOVE_V0, COMMIT_V0],
+        |document| { document.pools.remove("b"); } => Err("assigned");
+    removed_empty_pool: [], |document| { document.pools.remove("b"); } => Ok(());
+    removed_too_many: [],
+        |document| document.vms.retain(|vm, _| vm == "v0") => Err("floor is 2");
+    removed_idle_vm: [], |document| { document.vms.remove("v0"); } => Ok(());
+    floor_above_planned: [DRAIN_V0], |document| set_floor(document, 4) => Err("floor is 4");
+    floor_without_planned: [], |document| set_floor(document, 9) => Ok(());
+    invalid_document: [], |document| reassign(document, "v0", "nowhere") => Err("not configured");
+}
+
+/// Guards against an operator's change that is based on an older state, and checks that the
+/// author of the change in between is named.
+#[test]
+fn stale_configuration_names_the_author() {
+    let state = configured();
+    let conflict = |change: &FleetChange, expected: LogVersion| {
+        let context = CheckContext {
+            expected: Some(expected),
+            suspects: BTreeSet::new(),
+        };
+        check_change(&state, change, &context)
+    };
+    let configure = FleetChange::Configure {
+        document: document(),
+    };
+    let error = conflict(&configure, 0).expect_err("stale");
+    assert_eq!(error.kind, ErrorKind::Conflict);
+    assert!(error.message.contains("version 1 by operator"), "{error}");
+    assert_eq!(conflict(&configure, 1), Ok(()));
+    let error = conflict(&change(MOVE_V0), 7).expect_err("stale");
+    assert_eq!(error.kind, ErrorKind::Conflict);
+}
+
+/// Guards the promise that suspicions of the proposer count against the floor.
+#[test]
+fn suspected_vms_count_as_unavailable() {
+    let state = configured();
+    let context = CheckContext {
+        expected: None,
+        suspects: BTreeSet::from(["v2".to_owned(), "v3".to_owned()]),
+    };
+    let error = check_change(&state, &change(DRAIN_V0), &context).expect_err("below the floor");
+    assert_eq!(error.kind, ErrorKind::Refused);
+}
+
+/// Guards against an entry that its proposer accepts because of its suspicions, while replicas
+/// without them would ignore it.
+#[test]
+fn suspicion_does_not_excuse_a_removal() {
+    let state = configured();
+    let suspects = ["v1", "v2", "v3"].map(str::to_owned);
+    let mut document = state.document.clone();
+    document.vms.retain(|vm, _| vm == "v0");
+    let context = CheckContext {
+        expected: None,
+        suspects: BTreeSet::from(suspects),
+    };
+    let change = FleetChange::Configure { document };
+    assert!(check_change(&state, &change, &context).is_err());
+}
+
+/// Guards the order of a wave and the bound on finished waves, without which the state grows
+/// with every wave.
+#[test]
+fn waves_run_in_order_and_old_ones_are_dropped() {
+    let mut state = configured();
+    let total = MAX_FINISHED_WAVES + 5;
+    for index in 0..total {
+        let wave = format!("w{index}");
+        let start = FleetChange::StartWave {
+            wave: wave.clone(),
+            pool: "a".to_owned(),
+        };
+        append(&mut state, start).expect("start");
+        assert_eq!(state.waves[&wave].waiting, ["v3", "v2", "v0", "v1"]);
+        for vm in ["v3", "v2", "v0", "v1"] {
+            for step in ["drain", "reboot", "return"] {
+                let text =
+                    format!(r#"{{"step_wave":{{"wave":"{wave}","vm":"{vm}","step":"{step}"}}}}"#);
+                append(&mut state, change(&text)).expect(&text);
+            }
+        }
+        append(&mut state, FleetChange::FinishWave { wave }).expect("finish");
+    }
+    assert_eq!(state.waves.len(), MAX_FINISHED_WAVES);
+    assert!(state.waves.contains_key(&format!("w{}", total - 1)));
+    assert!(!state.waves.contains_key("w0"));
+}
+
+/// Guards against a gap or a repetition in the log.
+#[test]
+fn versions_must_be_consecutive() {
+    let mut state = configured();
+    for version in [0, 1, 3, LogVersion::MAX] {
+        let entry = ChangeEntry {
+            version,
+            author: String::new(),
+            token: String::new(),
+            change: change(MOVE_V0),
+        };
+        let before = state.clone();
+        assert!(apply_entry(&mut state, &entry).is_err());
+        assert_eq!(state, before);
+    }
+}
