Add the dispatch state machine

Change: DispatchCore with start-time fair queueing in slot-seconds, bounded queues, quotas, adaptive worker limits, ejection, retry budget, claims, cancellation and probes. set_homes is an addition to the planned interface: the fleet state does not say which pools this node is home to.

No test has run yet.

--- /dev/null
+++ b/crates/tanager-dispatch/src/action.rs
@@ -0,0 +1,108 @@
+//! What the state machine asks its owner to do, and what the owner reports back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::new_key_type;
+
+use tanager_protocol::ids::VmId;
+use tanager_protocol::outcome::NotRunReason;
+
+new_key_type! {
+    /// Names one submitted request. Never reused within a process.
+    pub struct RequestKey;
+}
+
+/// One action for the owner of the state machine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DispatchAction {
+    /// Write the claim of the request, then report with `claim_finished`.
+    Claim {
+        /// The request.
+        key: RequestKey,
+        /// Worker that is intended to serve it; the later `Send` may name another one.
+        vm: VmId,
+    },
+    /// Send the request to a worker, then report with `send_finished`.
+    Send {
+        /// The request.
+        key: RequestKey,
+        /// The worker.
+        vm: VmId,
+        /// Address of its endpoint.
+        address: SocketAddr,
+        /// Number of the attempt, from 1.
+        attempt: u32,
+        /// Time until the deadline of the whole request.
+        time_left: Duration,
+    },
+    /// Final: no byte of the request left on any attempt.
+    Refuse {
+        /// The request.
+        key: RequestKey,
+        /// Why it is not run.
+        reason: NotRunReason,
+        /// Explanation for the caller.
+        message: String,
+        /// When a retry may succeed; `None` when it cannot.
+        retry_after: Option<Duration>,
+    },
+    /// Final: the outcome is the last report other than `NotSent`. Without a report the outcome is
+    /// unknown: a claim was still being written (key history), or the deadline passed or the
+    /// caller cancelled after the request was sent. The connection of a request that is still
+    /// being sent must be dropped.
+    Finish {
+        /// The request.
+        key: RequestKey,
+    },
+    /// Send a GET to a worker, then report with `probe_finished`.
+    Probe {
+        /// The worker.
+        vm: VmId,
+        /// Address of its endpoint.
+        address: SocketAddr,
+        /// Path to read.
+        path: String,
+    },
+}
+
+/// Result of writing a claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimVerdict {
+    /// The claim is ours; the request may be sent.
+    Granted,
+    /// The owner has the final outcome: a recorded response, a joined request, or unknown.
+    Resolved,
+}
+
+/// Result of one attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendReport {
+    /// Complete response with a status below 500.
+    Answered {
+        /// Time from sending to the complete response.
+        latency: Duration,
+    },
+    /// Complete response with a status of 500 or above. It is an answer and is not retried.
+    Failed {
+        /// Time from sending to the complete response.
+        latency: Duration,
+        /// Whether the endpoint announced that it leaves (503 with `Connection: close`).
+        leaving: bool,
+    },
+    /// No byte of the request was sent.
+    NotSent,
+    /// The request may have run.
+    Unknown,
+}
+
+/// Result of one probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeReport {
+    /// The endpoint serves requests.
+    Up,
+    /// The endpoint answered 503: it leaves.
+    Leaving,
+    /// No usable answer within the probe timeout.
+    Failed,
+}
--- /dev/null
+++ b/crates/tanager-dispatch/src/core.rs
@@ -0,0 +1,275 @@
+//! The state machine of a node's dispatch thread.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slotmap::SlotMap;
+
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::ids::LogVersion;
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::outcome::NotRunReason;
+use tanager_protocol::request::RequestPriority;
+use tanager_protocol::request::RequestSummary;
+
+use crate::action::ClaimVerdict;
+use crate::action::DispatchAction;
+use crate::action::ProbeReport;
+use crate::action::RequestKey;
+use crate::action::SendReport;
+use crate::counters::DispatchCounters;
+use crate::dump::DispatchDump;
+use crate::dump::PoolDump;
+use crate::dump::WorkerDump;
+use crate::pool::PoolState;
+use crate::probing::ProbeBudget;
+use crate::request::RequestEntry;
+use crate::request::RequestState;
+use crate::select;
+use crate::settings::DispatchSettings;
+use crate::settings::class_index;
+use crate::timer::DeadlineHeap;
+use crate::worker::WorkerTable;
+
+/// Queues, worker table and limits of the pools for which a node is home.
+///
+/// Every call first ends the requests whose time is over, so a deadline that falls between two
+/// calls is never overtaken by a later event.
+#[derive(Debug)]
+pub struct DispatchCore {
+    pub(crate) settings: DispatchSettings,
+    pub(crate) version: LogVersion,
+    pub(crate) requests: SlotMap<RequestKey, RequestEntry>,
+    pub(crate) pools: BTreeMap<PoolId, PoolState>,
+    pub(crate) workers: WorkerTable,
+    pub(crate) timers: DeadlineHeap,
+    pub(crate) homes: Option<BTreeSet<PoolId>>,
+    pub(crate) probe_budget: ProbeBudget,
+    /// Time of the next probe or trial.
+    pub(crate) wake: Duration,
+    pub(crate) random: StdRng,
+    /// Pools in which a request may have become able to start.
+    pub(crate) touched: BTreeSet<PoolId>,
+}
+
+impl DispatchCore {
+    /// Creates a state machine without pools. `seed` decides ties among equally loaded workers.
+    pub fn new(settings: DispatchSettings, seed: u64) -> Self {
+        let probe_budget = ProbeBudget::new(settings.probe_bytes_per_second);
+        Self {
+            settings,
+            version: 0,
+            requests: SlotMap::with_key(),
+            pools: BTreeMap::new(),
+            workers: WorkerTable::default(),
+            timers: DeadlineHeap::default(),
+            homes: None,
+            probe_budget,
+            wake: Duration::ZERO,
+            random: StdRng::seed_from_u64(seed),
+            touched: BTreeSet::new(),
+        }
+    }
+
+    /// Limits probing to these pools; `None`, the initial state, probes all. Requests of other
+    /// pools are still served, because two nodes may be home for a moment.
+    pub fn set_homes(&mut self, now: Duration, homes: Option<BTreeSet<PoolId>>) {
+        self.homes = homes;
+        self.wake = now;
+    }
+
+    /// Applies a fleet state. A state older than the one in use is ignored.
+    pub fn update_view(&mut self, now: Duration, state: &FleetState) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        if state.version >= self.version {
+            self.version = state.version;
+            self.apply_view(now, state, &mut actions);
+        }
+        self.wake = now;
+        self.settle(now, actions)
+    }
+
+    /// Accepts a request. A refusal is among the returned actions.
+    pub fn submit(
+        &mut self,
+        now: Duration,
+        request: RequestSummary,
+    ) -> (RequestKey, Vec<DispatchAction>) {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        let key = self.admit(now, request, &mut actions);
+        (key, self.settle(now, actions))
+    }
+
+    /// Takes the result of a `Claim` action. Ignored for a request that has ended.
+    pub fn claim_finished(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        verdict: ClaimVerdict,
+    ) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        self.apply_claim(now, key, verdict, &mut actions);
+        self.settle(now, actions)
+    }
+
+    /// Takes the result of a `Send` action. Ignored for a request that has ended.
+    pub fn send_finished(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        report: SendReport,
+    ) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        // A report that arrives with the deadline still counts, so it is applied first.
+        self.apply_send(now, key, report, &mut actions);
+        self.expire(now, &mut actions);
+        self.settle(now, actions)
+    }
+
+    /// Ends a request whose caller has gone. O(1) on average. Ignored for a request that has ended.
+    pub fn cancel(&mut self, now: Duration, key: RequestKey) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        self.apply_cancel(now, key, &mut actions);
+        self.settle(now, actions)
+    }
+
+    /// Takes the result of a `Probe` action.
+    pub fn probe_finished(
+        &mut self,
+        now: Duration,
+        vm: &str,
+        report: ProbeReport,
+    ) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        if let Some(key) = self.workers.names.get(vm).copied() {
+            if report == ProbeReport::Failed {
+                self.record_probe_failure(now, key);
+            } else if let Some(worker) = self.workers.entries.get_mut(key) {
+                worker.probing = None;
+                worker.assessed = now;
+                worker.failed_probes = 0;
+                worker.suspended = false;
+                worker.leaving = report == ProbeReport::Leaving;
+                self.touched.insert(worker.pool.clone());
+            }
+        }
+        self.settle(now, actions)
+    }
+
+    /// Ends requests whose time is over and starts probes and trials that are due.
+    pub fn tick(&mut self, now: Duration) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        if self.wake <= now {
+            self.start_probes(now, &mut actions);
+            // A trial may have become due in any pool.
+            self.touched.extend(self.pools.keys().cloned());
+        }
+        self.settle(now, actions)
+    }
+
+    /// Time at which `tick` must be called at the latest. May be earlier than needed.
+    pub fn next_deadline(&self) -> Option<Duration> {
+        let wake = (!self.workers.entries.is_empty()).then_some(self.wake);
+        match (self.timers.next(), wake) {
+            (Some(timer), Some(wake)) => Some(timer.min(wake)),
+            (timer, wake) => timer.or(wake),
+        }
+    }
+
+    /// Requests that occupy a VM, including those whose claim is being written for it.
+    pub fn in_flight(&self, vm: &str) -> u32 {
+        self.workers.by_name(vm).map_or(0, |worker| worker.requests)
+    }
+
+    /// Version of the fleet state in use.
+    pub fn applied_version(&self) -> LogVersion {
+        self.version
+    }
+
+    /// VMs that this node counts as unavailable: ejected, failing probes, or leaving.
+    pub fn suspects(&self) -> BTreeSet<VmId> {
+        self.workers
+            .entries
+            .values()
+            .filter(|worker| !worker.gone)
+            .filter(|worker| worker.is_failing() || worker.unreachable() || worker.leaving)
+            .map(|worker| worker.vm.clone())
+            .collect()
+    }
+
+    /// Counters by pool and priority.
+    pub fn counters(&self) -> impl Iterator<Item = (&PoolId, RequestPriority, &DispatchCounters)> {
+        self.pools.iter().flat_map(|(pool, state)| {
+            RequestPriority::ALL
+                .into_iter()
+                .map(move |priority| (pool, priority, &state.counters[class_index(priority)]))
+        })
+    }
+
+    /// Summary of the present state.
+    pub fn dump(&self) -> DispatchDump {
+        let pools = self.pools.iter().map(|(pool, state)| {
+            let dump = PoolDump {
+                queued: RequestPriority::ALL.map(|priority| state.queue.live(priority)),
+                slots_in_use: RequestPriority::ALL.map(|priority| state.queue.in_use(priority)),
+                capacity: select::capacity(state, &self.workers),
+                parked_claims: state.parked,
+            };
+            (pool.clone(), dump)
+        });
+        let workers = self.workers.entries.values().map(|worker| {
+            let dump = WorkerDump {
+                pool: worker.pool.clone(),
+                rack: worker.rack.clone(),
+                zone: worker.zone.clone(),
+                used: worker.used,
+                limit: worker.limit.current(),
+                declared: worker.limit.declared(),
+                receives: worker.is_member(),
+                ejected: worker.ejection.is_out(),
+                suspended: worker.suspended,
+            };
+            (worker.vm.clone(), dump)
+        });
+        DispatchDump {
+            version: self.version,
+            open: self.requests.len(),
+            pools: pools.collect(),
+            workers: workers.collect(),
+        }
+    }
+
+    /// Starts what can start and drops ended deadlines.
+    fn settle(&mut self, now: Duration, mut actions: Vec<DispatchAction>) -> Vec<DispatchAction> {
+        while let Some(pool) = self.touched.pop_first() {
+            self.dispatch_pool(now, &pool, &mut actions);
+        }
+        let requests = &self.requests;
+        self.timers
+            .prune(requests.len(), |key| requests.contains_key(key));
+        actions
+    }
+
+    fn apply_cancel(&mut self, now: Duration, key: RequestKey, actions: &mut Vec<DispatchAction>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        match request.state {
+            RequestState::Queued if !request.may_have_run => {
+                let message = "cancelled by the caller".to_owned();
+                self.refuse(now, key, NotRunReason::Cancelled, message, None, actions);
+            }
+            _ => self.finish(now, key, actions),
+        }
+    }
+}
--- a/crates/tanager-dispatch/src/lib.rs
+++ b/crates/tanager-dispatch/src/lib.rs
@@ -1,1 +1,31 @@
 //! Queueing, fairness, admission, worker limits and other decisions as pure functions.
+//!
+//! Nothing here does I/O or reads a clock. `now` is always the time since the start of the process,
+//! from one monotonic clock, and must not decrease between calls.
+
+pub mod action;
+pub mod core;
+pub mod counters;
+pub mod dump;
+mod ejection;
+mod lifecycle;
+mod limit;
+mod pool;
+mod probing;
+mod queue;
+mod quota;
+mod request;
+mod retry;
+mod select;
+pub mod settings;
+mod timer;
+mod view;
+mod worker;
+
+pub use crate::action::ClaimVerdict;
+pub use crate::action::DispatchAction;
+pub use crate::action::ProbeReport;
+pub use crate::action::RequestKey;
+pub use crate::action::SendReport;
+pub use crate::core::DispatchCore;
+pub use crate::settings::DispatchSettings;
--- /dev/null
+++ b/crates/tanager-dispatch/src/pool.rs
@@ -0,0 +1,70 @@
+//! State of one pool.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tanager_protocol::config::PoolConfig;
+use tanager_protocol::ids::TeamId;
+
+use crate::counters::DispatchCounters;
+use crate::queue::PoolQueue;
+use crate::quota::TokenBucket;
+use crate::retry::RetryBudget;
+use crate::worker::WorkerKey;
+
+/// One pool: configuration, queue, quotas and retry budget.
+#[derive(Debug)]
+pub(crate) struct PoolState {
+    pub(crate) config: PoolConfig,
+    /// Part of the configuration; otherwise kept until its requests have ended.
+    pub(crate) present: bool,
+    pub(crate) queue: PoolQueue,
+    pub(crate) quotas: BTreeMap<TeamId, TokenBucket>,
+    pub(crate) budget: RetryBudget,
+    /// By priority, most urgent first.
+    pub(crate) counters: [DispatchCounters; 3],
+    pub(crate) workers: Vec<WorkerKey>,
+    /// Slots of the largest worker, whatever its state.
+    pub(crate) largest: u32,
+    /// Requests without a final action.
+    pub(crate) open: usize,
+    /// Claims being written that hold no slot, because the store is slow.
+    pub(crate) parked: usize,
+}
+
+impl PoolState {
+    pub(crate) fn new(weights: [u32; 3]) -> Self {
+        Self {
+            config: PoolConfig::default(),
+            present: true,
+            queue: PoolQueue::new(weights),
+            quotas: BTreeMap::new(),
+            budget: RetryBudget::default(),
+            counters: [DispatchCounters::default(); 3],
+            workers: Vec::new(),
+            largest: 0,
+            open: 0,
+            parked: 0,
+        }
+    }
+
+    pub(crate) fn configure(&mut self, config: &PoolConfig, now: Duration) {
+        self.present = true;
+        self.quotas
+            .retain(|team, _| config.quotas.contains_key(team));
+        for (team, quota) in &config.quotas {
+            self.queue.set_weight(team, quota.weight);
+            self.quotas
+                .entry(team.clone())
+                .and_modify(|bucket| bucket.reconfigure(*quota, now))
+                .or_insert_with(|| TokenBucket::new(*quota, now));
+        }
+        if self.config != *config {
+            self.config = config.clone();
+        }
+    }
+
+    pub(crate) fn weight(&self, team: &str) -> u32 {
+        self.config.quotas.get(team).map_or(1, |quota| quota.weight)
+    }
+}
--- /dev/null
+++ b/crates/tanager-dispatch/src/request.rs
@@ -0,0 +1,77 @@
+//! A submitted request.
+
+use std::time::Duration;
+
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::TeamId;
+use tanager_protocol::request::RequestPriority;
+use tanager_protocol::request::RequestSummary;
+
+use crate::worker::WorkerKey;
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum RequestState {
+    Queued,
+    /// A claim is being written; it holds a slot of `worker` until `hold_until`.
+    Claiming {
+        worker: Option<WorkerKey>,
+        hold_until: Duration,
+    },
+    Sent {
+        worker: WorkerKey,
+        since: Duration,
+    },
+}
+
+/// A request that has not had its final action.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestEntry {
+    pub(crate) pool: PoolId,
+    pub(crate) team: TeamId,
+    pub(crate) priority: RequestPriority,
+    pub(crate) idempotent: bool,
+    pub(crate) needs_claim: bool,
+    pub(crate) slots: u32,
+    /// Time by which it must be sent or refused.
+    pub(crate) queue_deadline: Duration,
+    /// Time by which it must have ended.
+    pub(crate) deadline: Duration,
+    pub(crate) state: RequestState,
+    pub(crate) attempts: u32,
+    pub(crate) tried: Vec<WorkerKey>,
+    /// An attempt ended unknown: the request must not be refused any more.
+    pub(crate) may_have_run: bool,
+    /// Slot-seconds charged to the flow when a slot was taken.
+    pub(crate) charged: f64,
+}
+
+impl RequestEntry {
+    pub(crate) fn new(request: RequestSummary, now: Duration, queue_limit: Duration) -> Self {
+        let deadline = now.saturating_add(request.timeout);
+        Self {
+            pool: request.pool,
+            team: request.team,
+            priority: request.priority,
+            idempotent: request.idempotent,
+            needs_claim: request.needs_claim,
+            slots: request.slots.max(1),
+            queue_deadline: now.saturating_add(queue_limit).min(deadline),
+            deadline,
+            state: RequestState::Queued,
+            attempts: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+            charged: 0.0,
+        }
+    }
+
+    /// Time at which the request is given up in its present state.
+    pub(crate) fn expiry(&self) -> Duration {
+        match self.state {
+            RequestState::Sent { .. } => self.deadline,
+            RequestState::Queued if self.may_have_run => self.deadline,
+            RequestState::Queued | RequestState::Claiming { .. } => self.queue_deadline,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanager-dispatch/src/view.rs
@@ -0,0 +1,195 @@
+//! Application of a fleet state to pools and workers.
+
+use std::time::Duration;
+
+use tanager_protocol::config::VmConfig;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::fleet::VmHealth;
+use tanager_protocol::fleet::VmRecord;
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::outcome::NotRunReason;
+
+use crate::action::DispatchAction;
+use crate::action::RequestKey;
+use crate::core::DispatchCore;
+use crate::ejection::EjectionState;
+use crate::limit::AdaptiveLimit;
+use crate::pool::PoolState;
+use crate::request::RequestState;
+use crate::worker::WorkerEntry;
+use crate::worker::WorkerKey;
+
+impl DispatchCore {
+    pub(crate) fn apply_view(
+        &mut self,
+        now: Duration,
+        state: &FleetState,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        for (name, config) in &state.document.pools {
+            let weights = self.settings.weights;
+            let pool = self
+                .pools
+                .entry(name.clone())
+                .or_insert_with(|| PoolState::new(weights));
+            pool.configure(config, now);
+        }
+        for (name, pool) in &mut self.pools {
+            pool.present = state.document.pools.contains_key(name);
+            pool.workers.clear();
+            pool.largest = 0;
+        }
+        let removed: Vec<WorkerKey> = self
+            .workers
+            .entries
+            .iter()
+            .filter(|(_, worker)| !state.vms.contains_key(&worker.vm))
+            .map(|(key, _)| key)
+            .collect();
+        for key in removed {
+            if let Some(worker) = self.workers.entries.get_mut(key) {
+                worker.gone = true;
+                worker.receives = false;
+            }
+            self.workers.remove_if_idle(key);
+        }
+        for (vm, record) in &state.vms {
+            if let Some(config) = state.document.vms.get(vm) {
+                self.apply_vm(now, vm, record, config);
+            }
+        }
+        self.refuse_removed_pools(now, actions);
+        let names: Vec<PoolId> = self.pools.keys().cloned().collect();
+        for name in &names {
+            self.limit_exclusions(name);
+        }
+        self.touched.extend(names);
+    }
+
+    fn apply_vm(&mut self, now: Duration, vm: &VmId, record: &VmRecord, config: &VmConfig) {
+        let key = match self.workers.names.get(vm) {
+            Some(key) => *key,
+            None => self.workers.insert(WorkerEntry {
+                vm: vm.clone(),
+                pool: record.pool.clone(),
+                address: config.address,
+                rack: config.rack.clone(),
+                zone: config.zone.clone(),
+                receives: false,
+                healthy: true,
+                probed: true,
+                leaving: false,
+                failed_probes: 0,
+                suspended: false,
+                gone: false,
+                limit: AdaptiveLimit::new(config.slots),
+                ejection: EjectionState::new(),
+                used: 0,
+                requests: 0,
+                reserved: None,
+                assessed: now,
+                probing: None,
+            }),
+        };
+        let Some(worker) = self.workers.entries.get_mut(key) else {
+            return;
+        };
+        let replaced = worker.address != config.address || worker.pool != record.pool;
+        let up = record.health == VmHealth::Up;
+        if replaced || (up && !worker.healthy) {
+            // Observations of the earlier endpoint say nothing about this one.
+            worker.ejection = EjectionState::new();
+            worker.limit = AdaptiveLimit::new(config.slots);
+            worker.leaving = false;
+            worker.failed_probes = 0;
+            worker.suspended = false;
+        }
+        worker.gone = false;
+        worker.healthy = up;
+        worker.pool.clone_from(&record.pool);
+        worker.address = config.address;
+        worker.rack.clone_from(&config.rack);
+        worker.zone.clone_from(&config.zone);
+        worker.limit.set_declared(config.slots);
+        worker.receives = up && record.activity == VmActivity::Active;
+        worker.probed = record.health != VmHealth::Gone;
+        if let Some(pool) = self.pools.get_mut(&record.pool) {
+            pool.workers.push(key);
+            pool.largest = pool.largest.max(config.slots);
+        }
+    }
+
+    /// Refuses the waiting requests of pools that are no longer configured.
+    fn refuse_removed_pools(&mut self, now: Duration, actions: &mut Vec<DispatchAction>) {
+        if self.pools.values().all(|pool| pool.present) {
+            return;
+        }
+        let orphans: Vec<(RequestKey, bool)> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.state == RequestState::Queued)
+            .filter(|(_, request)| {
+                self.pools
+                    .get(&request.pool)
+                    .is_none_or(|pool| !pool.present)
+            })
+            .map(|(key, request)| (key, request.may_have_run))
+            .collect();
+        for (key, may_have_run) in orphans {
+            if may_have_run {
+                self.finish(now, key, actions);
+            } else {
+                let message = "the pool was removed from the configuration".to_owned();
+                self.refuse(now, key, NotRunReason::UnknownPool, message, None, actions);
+            }
+        }
+        self.pools.retain(|_, pool| pool.present || pool.open > 0);
+    }
+
+    /// Whether one more worker of the pool may be taken out because of failures.
+    pub(crate) fn may_exclude_one_more(&self, pool: &str) -> bool {
+        let (members, excluded) = self.exclusions(pool);
+        (excluded + 1) * 2 <= members
+    }
+
+    fn exclusions(&self, pool: &str) -> (usize, usize) {
+        let Some(pool) = self.pools.get(pool) else {
+            return (0, 0);
+        };
+        let members = pool
+            .workers
+            .iter()
+            .filter_map(|key| self.workers.entries.get(*key))
+            .filter(|worker| worker.is_member());
+        let excluded = members.clone().filter(|worker| worker.is_failing());
+        (members.count(), excluded.count())
+    }
+
+    /// Returns failing workers to service while more than half of a pool is out, which happens
+    /// when healthy members leave.
+    pub(crate) fn limit_exclusions(&mut self, pool: &str) {
+        loop {
+            let (members, excluded) = self.exclusions(pool);
+            if excluded * 2 <= members {
+                return;
+            }
+            let Some(state) = self.pools.get(pool) else {
+                return;
+            };
+            let earliest = state
+                .workers
+                .iter()
+                .filter_map(|key| self.workers.entries.get(*key).map(|worker| (key, worker)))
+                .filter(|(_, worker)| worker.is_member() && worker.is_failing())
+                .min_by_key(|(_, worker)| (worker.suspended, worker.ejection.until()))
+                .map(|(key, _)| *key);
+            let Some(worker) = earliest.and_then(|key| self.workers.entries.get_mut(key)) else {
+                return;
+            };
+            worker.ejection.readmit();
+            worker.suspended = false;
+        }
+    }
+}
