Add the platform and endpoint stand-ins as a library

Cause: the control, node and platform crates need a table service, an object store, a VM list and endpoints with faults to be tested against.

Change: tanager-standin with PlatformStandin (conditional transactions, scan, objects, lagging VM list, reboot; delay, outage, lost answers, frozen list, statistics) and EndpointStandin (8 slots each, run record, control address, faults from leaving to crossed answers, graceful restart), both on plain TCP, since an HTTP library cannot produce their faults.

Conclusion: other crates can use both stand-ins in process.

--- /dev/null
+++ b/crates/tanager-standin/src/endpoint.rs
@@ -0,0 +1,304 @@
+//! Stand-in of the endpoints: many endpoints in one process, each on its own port.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::port::ConnectionHandler;
+use crate::port::WirePort;
+use crate::port::wait_stop;
+use crate::record::EndpointRun;
+use crate::record::RunRecord;
+use crate::wire::WireConnection;
+use crate::wire::WireRequest;
+use crate::wire::WireResponse;
+use crate::worker::EndpointWorker;
+
+/// Header of a response to a request that was rejected because all slots were in use.
+pub const REJECTED_HEADER: &str = "x-endpoint-rejected";
+
+/// Options of an [`EndpointStandin`].
+#[derive(Clone, Debug)]
+pub struct EndpointOptions {
+    /// Endpoints.
+    pub count: usize,
+    /// Address of the endpoints and of the control listener. Port 0 selects free ports; another
+    /// port is that of the control listener, and the endpoints use the ports that follow it.
+    pub address: SocketAddr,
+    /// File of the record.
+    pub record: Option<PathBuf>,
+    /// Start of the endpoint names, which end in a number from 1.
+    pub prefix: String,
+    /// Slots of each endpoint.
+    pub slots: usize,
+}
+
+impl Default for EndpointOptions {
+    fn default() -> Self {
+        Self {
+            count: 1,
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            record: None,
+            prefix: "vm-".to_owned(),
+            slots: 8,
+        }
+    }
+}
+
+/// Faults of one endpoint.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EndpointFaults {
+    /// `/health` answers 503, and every response closes its connection.
+    pub leaving: bool,
+    /// The endpoint does not listen. Requests in progress finish.
+    pub refuse: bool,
+    /// Requests are accepted, not run and never answered.
+    pub silent: bool,
+    /// Every request is answered 500 without service time. It counts as run.
+    pub fail_all: bool,
+    /// Factor of the service time.
+    pub slow_factor: f64,
+    /// Responses are sent one byte at a time with pauses.
+    pub trickle: bool,
+    /// The connection is closed within the response.
+    pub truncate: bool,
+    /// Responses have no length; the end of the connection ends them.
+    pub close_delimited: bool,
+    /// The endpoint's previous response is sent, with its request id.
+    pub crossed: bool,
+}
+
+impl Default for EndpointFaults {
+    fn default() -> Self {
+        Self {
+            leaving: false,
+            refuse: false,
+            silent: false,
+            fail_all: false,
+            slow_factor: 1.0,
+            trickle: false,
+            truncate: false,
+            close_delimited: false,
+            crossed: false,
+        }
+    }
+}
+
+/// Running endpoints. Dropping it stops them.
+pub struct EndpointStandin {
+    shared: Arc<EndpointShared>,
+    control: WirePort,
+}
+
+struct EndpointShared {
+    record: Arc<RunRecord>,
+    endpoints: Vec<EndpointEntry>,
+}
+
+struct EndpointEntry {
+    worker: Arc<EndpointWorker>,
+    port: WirePort,
+}
+
+impl EndpointStandin {
+    /// Binds the endpoints; it must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Errors of binding the addresses and of creating the file of the record.
+    pub fn bind(options: &EndpointOptions) -> io::Result<Self> {
+        let record = Arc::new(RunRecord::open(options.record.as_deref())?);
+        let mut endpoints = Vec::new();
+        for number in 1..=options.count {
+            let name = format!("{}{number}", options.prefix);
+            let worker = EndpointWorker::new(name, options.slots, Arc::clone(&record));
+            let worker = Arc::new(worker);
+            let port = match options.address.port() {
+                0 => 0,
+                first => u16::try_from(usize::from(first) + number).map_err(io::Error::other)?,
+            };
+            let address = SocketAddr::new(options.address.ip(), port);
+            let port = WirePort::bind(address, worker_handler(Arc::clone(&worker)))?;
+            endpoints.push(EndpointEntry { worker, port });
+        }
+        let shared = Arc::new(EndpointShared { record, endpoints });
+        let control = WirePort::bind(options.address, control_handler(Arc::downgrade(&shared)))?;
+        Ok(Self { shared, control })
+    }
+
+    /// Names and addresses of the endpoints.
+    pub fn endpoints(&self) -> Vec<(String, SocketAddr)> {
+        self.shared.list()
+    }
+
+    /// Control address.
+    pub fn control(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Copies the record, runs in progress included.
+    pub fn runs(&self) -> Vec<EndpointRun> {
+        self.shared.record.runs()
+    }
+
+    /// Takes an order number of the record, to relate another event to the runs.
+    pub fn mark(&self) -> u64 {
+        self.shared.record.mark()
+    }
+
+    /// Sets the faults of an endpoint; returns when they are in force.
+    ///
+    /// # Errors
+    ///
+    /// An unknown name, and errors of closing or opening its port.
+    pub async fn set_faults(&self, name: &str, faults: EndpointFaults) -> io::Result<()> {
+        let entry = self.shared.find(name).ok_or(io::ErrorKind::NotFound)?;
+        entry.set_faults(faults).await
+    }
+
+    /// Restarts an endpoint: requests in progress finish, connections close, and after `down` it
+    /// listens again without faults.
+    ///
+    /// # Errors
+    ///
+    /// An unknown name, and errors of closing or opening its port.
+    pub async fn restart(&self, name: &str, down: Duration) -> io::Result<()> {
+        let entry = self.shared.find(name).ok_or(io::ErrorKind::NotFound)?;
+        entry.restart(down).await
+    }
+}
+
+impl EndpointEntry {
+    async fn set_faults(&self, faults: EndpointFaults) -> io::Result<()> {
+        let refuse = faults.refuse;
+        *self.worker.faults() = faults;
+        if refuse {
+            self.port.close().await
+        } else {
+            self.port.open().await
+        }
+    }
+
+    async fn restart(&self, down: Duration) -> io::Result<()> {
+        self.worker.faults().leaving = true;
+        self.port.close().await?;
+        time::sleep(down).await;
+        self.set_faults(EndpointFaults::default()).await
+    }
+}
+
+impl EndpointShared {
+    fn list(&self) -> Vec<(String, SocketAddr)> {
+        let entries = self.endpoints.iter();
+        entries
+            .map(|entry| (entry.worker.name().to_owned(), entry.port.address()))
+            .collect()
+    }
+
+    fn find(&self, name: &str) -> Option<&EndpointEntry> {
+        let mut entries = self.endpoints.iter();
+        entries.find(|entry| entry.worker.name() == name)
+    }
+
+    async fn answer_control(&self, request: &WireRequest) -> WireResponse {
+        let segments: Vec<&str> = request.path().split('/').skip(1).collect();
+        let result = match (request.method.as_str(), segments.as_slice()) {
+            ("GET", ["record"]) => Ok(json!(self.record.runs())),
+            ("GET", ["endpoints"]) => Ok(json!(self.list())),
+            ("POST", ["faults"]) => self.change_faults(self.endpoints.iter(), request).await,
+            ("POST", ["endpoints", name, action]) => match (self.find(name), *action) {
+                (Some(entry), "faults") => self.change_faults([entry].into_iter(), request).await,
+                (Some(entry), "restart") => self.control_restart(entry, request).await,
+                _ => return WireResponse::new(404, ""),
+            },
+            _ => return WireResponse::new(404, ""),
+        };
+        match result {
+            Ok(value) => WireResponse::json(200, &value),
+            Err(error) => WireResponse::new(400, error.to_string()),
+        }
+    }
+
+    /// Sets the named faults and keeps the others; answers an order number of the record that
+    /// is later than every run that started before.
+    async fn change_faults(
+        &self,
+        entries: impl Iterator<Item = &EndpointEntry>,
+        request: &WireRequest,
+    ) -> io::Result<Value> {
+        let changes: serde_json::Map<String, Value> = serde_json::from_slice(&request.body)?;
+        for entry in entries {
+            let mut faults = serde_json::to_value(&*entry.worker.faults())?;
+            for (name, value) in &changes {
+                faults[name] = value.clone();
+            }
+            entry.set_faults(serde_json::from_value(faults)?).await?;
+        }
+        Ok(json!({ "order": self.record.mark() }))
+    }
+
+    async fn control_restart(
+        &self,
+        entry: &EndpointEntry,
+        request: &WireRequest,
+    ) -> io::Result<Value> {
+        let options: RestartOptions = serde_json::from_slice(&request.body)?;
+        let down = Duration::from_millis(options.down_ms);
+        entry.restart(down).await?;
+        Ok(json!({ "order": self.record.mark() }))
+    }
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct RestartOptions {
+    down_ms: u64,
+}
+
+fn worker_handler(worker: Arc<EndpointWorker>) -> ConnectionHandler {
+    Arc::new(move |connection, stopped| {
+        let worker = Arc::clone(&worker);
+        Box::pin(async move { worker.serve(connection, stopped).await })
+    })
+}
+
+fn control_handler(shared: Weak<EndpointShared>) -> ConnectionHandler {
+    Arc::new(move |connection, stopped| {
+        let shared = Weak::clone(&shared);
+        Box::pin(serve_control(shared, connection, stopped))
+    })
+}
+
+async fn serve_control(
+    shared: Weak<EndpointShared>,
+    mut connection: WireConnection,
+    mut stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let request = tokio::select! {
+            biased;
+            request = connection.read_request() => request,
+            () = wait_stop(&mut stopped) => return,
+        };
+        let Ok(Some(request)) = request else { return };
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let response = shared.answer_control(&request).await;
+        let encoded = response.encode(true, request.method != "HEAD");
+        if connection.write(&encoded).await.is_err() || request.wants_close() {
+            return;
+        }
+    }
+}
--- a/crates/tanager-standin/src/lib.rs
+++ b/crates/tanager-standin/src/lib.rs
@@ -1,1 +1,23 @@
 //! Stand-ins of the platform and of endpoints, and the load tool. Not shipped.
+//!
+//! The servers are written on plain TCP, because their faults (truncated, trickled, crossed and
+//! lost responses) cannot be produced through an HTTP library.
+
+pub mod endpoint;
+pub mod platform;
+pub mod port;
+pub mod record;
+pub mod table;
+pub mod vms;
+pub mod wire;
+
+mod platform_state;
+mod worker;
+
+pub use endpoint::EndpointOptions;
+pub use endpoint::EndpointStandin;
+pub use platform::PlatformFaults;
+pub use platform::PlatformOptions;
+pub use platform::PlatformStandin;
+pub use platform_state::PlatformStats;
+pub use record::EndpointRun;
--- /dev/null
+++ b/crates/tanager-standin/src/platform.rs
@@ -0,0 +1,358 @@
+//! Stand-in of the platform: table service, object store and VM list.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time;
+
+use tanager_platform::ListedState;
+
+use crate::platform_state::PlatformState;
+use crate::platform_state::PlatformStats;
+use crate::platform_state::ServiceReply;
+use crate::port::ConnectionHandler;
+use crate::port::WirePort;
+use crate::port::wait_stop;
+use crate::wire::WireConnection;
+use crate::wire::WireRequest;
+use crate::wire::WireResponse;
+
+/// Options of a [`PlatformStandin`].
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformOptions {
+    /// Address of the service; port 0 selects a free port.
+    pub address: SocketAddr,
+    /// Address of a second listener for faults, statistics and VM states, which stays open while
+    /// the service refuses connections.
+    pub control: Option<SocketAddr>,
+    /// Time after which the VM list shows a change.
+    pub list_lag: Duration,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            control: None,
+            list_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// How an outage shows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutageMode {
+    /// No outage.
+    #[default]
+    None,
+    /// Requests are accepted and never answered; they have no effect.
+    Hang,
+    /// Connections are refused.
+    Refuse,
+}
+
+/// Which answers to writes are lost: the write takes effect, and the connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum LostAnswers {
+    /// The answers to the next writes, this many.
+    Count(u64),
+    /// Each answer with this probability.
+    Chance {
+        /// Probability from 0 to 1.
+        probability: f64,
+        /// Seed of the choice.
+        seed: u64,
+    },
+}
+
+/// Faults to set; fields that are `None` keep their setting.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Delay of each request in milliseconds, half before and half after its effect.
+    pub delay_ms: Option<u64>,
+    /// Outage; in JSON also `true` for `"hang"` and `false` for `"none"`.
+    #[serde(deserialize_with = "read_outage")]
+    pub outage: Option<OutageMode>,
+    /// Lost answers; `Count(0)` ends them.
+    pub lose_answers: Option<LostAnswers>,
+    /// Whether the VM list is frozen.
+    pub freeze_list: Option<bool>,
+    /// Time in milliseconds after which the VM list shows a change.
+    pub list_lag_ms: Option<u64>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum OutageSetting {
+    Flag(bool),
+    Mode(OutageMode),
+}
+
+fn read_outage<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<OutageMode>, D::Error> {
+    let setting = Option::<OutageSetting>::deserialize(deserializer)?;
+    Ok(setting.map(|setting| match setting {
+        OutageSetting::Flag(true) => OutageMode::Hang,
+        OutageSetting::Flag(false) => OutageMode::None,
+        OutageSetting::Mode(mode) => mode,
+    }))
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VmSetting {
+    state: Option<ListedState>,
+    control: Option<SocketAddr>,
+}
+
+/// A running stand-in of the platform. Dropping it stops it.
+pub struct PlatformStandin {
+    shared: Arc<PlatformShared>,
+    service: Arc<WirePort>,
+    control: Option<WirePort>,
+}
+
+struct PlatformShared {
+    state: Mutex<PlatformState>,
+}
+
+impl PlatformShared {
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PlatformStandin {
+    /// Binds the stand-in; it must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Errors of binding the addresses.
+    pub fn bind(options: PlatformOptions) -> io::Result<Self> {
+        let shared = Arc::new(PlatformShared {
+            state: Mutex::new(PlatformState::new(options.list_lag)),
+        });
+        let service = WirePort::bind(options.address, service_handler(Arc::clone(&shared)))?;
+        let service = Arc::new(service);
+        let control = options.control.map(|address| {
+            let handler = control_handler(Arc::clone(&shared), Arc::downgrade(&service));
+            WirePort::bind(address, handler)
+        });
+        Ok(Self {
+            control: control.transpose()?,
+            shared,
+            service,
+        })
+    }
+
+    /// Address of the service.
+    pub fn address(&self) -> SocketAddr {
+        self.service.address()
+    }
+
+    /// Address of the control listener, if one was asked for.
+    pub fn control(&self) -> Option<SocketAddr> {
+        self.control.as_ref().map(WirePort::address)
+    }
+
+    /// Sets faults; returns when they are in force.
+    ///
+    /// # Errors
+    ///
+    /// Errors of closing or opening the port.
+    pub async fn set_faults(&self, faults: PlatformFaults) -> io::Result<()> {
+        apply_faults(&self.shared, &self.service, faults).await
+    }
+
+    /// Sets the true state of a VM, which the list shows after the lag.
+    pub fn set_vm(&self, vm: &str, state: ListedState) {
+        self.shared.lock().vms.set_state(vm, state, Instant::now());
+    }
+
+    /// Registers the endpoint control address that a reboot of the VM asks to restart.
+    pub fn register_control(&self, vm: &str, control: SocketAddr) {
+        self.shared.lock().vms.set_control(vm, control);
+    }
+
+    /// VMs that were rebooted, in order.
+    pub fn reboots(&self) -> Vec<String> {
+        self.shared.lock().vms.reboots().to_vec()
+    }
+
+    /// Counts of requests so far.
+    pub fn stats(&self) -> PlatformStats {
+        self.shared.lock().stats.clone()
+    }
+}
+
+async fn apply_faults(
+    shared: &PlatformShared,
+    service: &WirePort,
+    faults: PlatformFaults,
+) -> io::Result<()> {
+    shared.lock().set_faults(faults, Instant::now());
+    match faults.outage {
+        Some(OutageMode::Refuse) => service.close().await,
+        Some(OutageMode::None | OutageMode::Hang) => service.open().await,
+        None => Ok(()),
+    }
+}
+
+fn service_handler(shared: Arc<PlatformShared>) -> ConnectionHandler {
+    Arc::new(move |connection, stopped| {
+        let shared = Arc::clone(&shared);
+        Box::pin(serve(shared, None, connection, stopped))
+    })
+}
+
+fn control_handler(shared: Arc<PlatformShared>, service: Weak<WirePort>) -> ConnectionHandler {
+    Arc::new(move |connection, stopped| {
+        let shared = Arc::clone(&shared);
+        Box::pin(serve(shared, Some(service.clone()), connection, stopped))
+    })
+}
+
+/// Serves one connection of the service, or of the control listener when `control` is given.
+async fn serve(
+    shared: Arc<PlatformShared>,
+    control: Option<Weak<WirePort>>,
+    mut connection: WireConnection,
+    mut stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let request = tokio::select! {
+            biased;
+            request = connection.read_request() => request,
+            () = wait_stop(&mut stopped) => return,
+        };
+        let Ok(Some(request)) = request else { return };
+        let response = match answer_admin(&shared, control.as_ref(), &request).await {
+            Some(response) => Some(response),
+            None if control.is_some() => Some(WireResponse::new(404, "")),
+            None if shared.lock().outage() != OutageMode::None => {
+                tokio::select! {
+                    () = connection.closed() => {}
+                    () = wait_stop(&mut stopped) => {}
+                }
+                return;
+            }
+            // A write that is delayed takes effect even when the client has disconnected.
+            None => answer_service(&shared, &request).await,
+        };
+        let Some(response) = response else { return };
+        let encoded = response.encode(true, request.method != "HEAD");
+        if connection.write(&encoded).await.is_err() || request.wants_close() {
+            return;
+        }
+    }
+}
+
+/// Answers the requests that faults do not concern; `None` for any other request.
+async fn answer_admin(
+    shared: &PlatformShared,
+    control: Option<&Weak<WirePort>>,
+    request: &WireRequest,
+) -> Option<WireResponse> {
+    let segments: Vec<&str> = request.path().split('/').skip(1).collect();
+    let response = match (request.method.as_str(), segments.as_slice()) {
+        ("GET", ["stats"]) => WireResponse::json(200, &json!(shared.lock().stats)),
+        ("POST", ["faults"]) => match serde_json::from_slice(&request.body) {
+            Ok(faults) => admin_faults(shared, control, faults).await,
+            Err(error) => WireResponse::new(400, error.to_string()),
+        },
+        ("POST", ["vms", vm, "state"]) => {
+            let setting = serde_json::from_slice::<VmSetting>(&request.body);
+            match (setting, crate::wire::decode_key(vm)) {
+                (Ok(setting), Some(vm)) => {
+                    let mut state = shared.lock();
+                    if let Some(listed) = setting.state {
+                        state.vms.set_state(&vm, listed, Instant::now());
+                    }
+                    if let Some(control) = setting.control {
+                        state.vms.set_control(&vm, control);
+                    }
+                    WireResponse::json(200, &json!({}))
+                }
+                _ => WireResponse::new(400, "expected {\"state\",\"control\"}"),
+            }
+        }
+        _ => return None,
+    };
+    Some(response)
+}
+
+async fn admin_faults(
+    shared: &PlatformShared,
+    control: Option<&Weak<WirePort>>,
+    faults: PlatformFaults,
+) -> WireResponse {
+    let result = match control.and_then(Weak::upgrade) {
+        Some(service) => apply_faults(shared, &service, faults).await,
+        None if faults.outage == Some(OutageMode::Refuse) => {
+            // The port would wait for this connection, and could not be opened again.
+            return WireResponse::new(400, "refuse is set through the control address");
+        }
+        None => {
+            shared.lock().set_faults(faults, Instant::now());
+            Ok(())
+        }
+    };
+    match result {
+        Ok(()) => WireResponse::json(200, &json!({})),
+        Err(error) => WireResponse::new(500, error.to_string()),
+    }
+}
+
+/// Runs a request of the service with its delay; `None` when the answer is lost.
+async fn answer_service(
+    shared: &Arc<PlatformShared>,
+    request: &WireRequest,
+) -> Option<WireResponse> {
+    let delay = shared.lock().delay();
+    time::sleep(delay / 2).await;
+    let reply = shared.lock().run(request, Instant::now());
+    let response = match reply {
+        ServiceReply::Answer(response) => Some(response),
+        ServiceReply::Lost => None,
+        ServiceReply::Reboot { vm, control, lost } => {
+            tokio::spawn(reboot(Arc::clone(shared), vm, control));
+            (!lost).then(|| WireResponse::json(202, &json!({})))
+        }
+    };
+    time::sleep(delay / 2).await;
+    response
+}
+
+/// Restarts the endpoint of a VM, which the list shows as leaving in the meantime.
+async fn reboot(shared: Arc<PlatformShared>, vm: String, control: SocketAddr) {
+    shared
+        .lock()
+        .vms
+        .set_state(&vm, ListedState::Leaving, Instant::now());
+    let pool = tanager_http::ClientPool::new(control, tanager_http::pool::PoolLimits::default());
+    let path = format!("/endpoints/{vm}/restart");
+    let request = tanager_http::HttpRequest::new(http::Method::POST, path, "{}");
+    // A VM whose restart fails stays in the state leaving.
+    let restarted = pool.exchange(&request, Duration::from_secs(600)).await;
+    if restarted.is_ok_and(|response| response.status.is_success()) {
+        shared
+            .lock()
+            .vms
+            .set_state(&vm, ListedState::Live, Instant::now());
+    }
+}
