Add the request path modules of the node

Cause: the node has no request path yet, and the lead needs its signatures. Conclusion: the signatures can be wired; tests follow.

--- /dev/null
+++ b/crates/tanager-node/src/claims/mod.rs
@@ -0,0 +1,219 @@
+//! Claims of keyed non-idempotent requests, so that each runs at most once across the site.
+
+pub mod record;
+mod unsent;
+mod worker;
+mod write;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time;
+
+use tanager_platform::PlatformClient;
+use tanager_platform::RowVersion;
+use tanager_protocol::ids::Incarnation;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::outcome::EndpointAnswer;
+
+use crate::claims::record::ClaimRow;
+use crate::claims::worker::ClaimWorker;
+
+/// Claims that wait for the store; further ones are unavailable at once.
+const MAX_WAITING_CLAIMS: usize = 4_096;
+/// Bytes of completion records that wait for the store; further records are dropped, and a retry
+/// of their requests is answered unknown.
+const MAX_RECORD_BYTES: u32 = 16 << 20;
+/// Bytes of a completion record besides headers and body.
+const RECORD_OVERHEAD: usize = 512;
+
+/// Result of a claim.
+#[derive(Debug)]
+pub enum ClaimResult {
+    /// The request may be sent; pass the ticket to [`ClaimService::complete`] or
+    /// [`ClaimService::release`]. A ticket that is dropped leaves the claim started, which is
+    /// right for a request whose outcome is unknown.
+    Granted(ClaimTicket),
+    /// The request ran; this is its response.
+    Recorded(EndpointAnswer),
+    /// The request may have run: another claim holds the key, or no response is recorded.
+    Held,
+    /// The store did not answer in time.
+    Unavailable,
+}
+
+/// The right to send one request.
+#[derive(Debug)]
+pub struct ClaimTicket {
+    row_key: String,
+    token: String,
+    version: RowVersion,
+    /// A write of the claim has an unknown outcome and may take effect again later.
+    maybe_written: bool,
+}
+
+/// Counters of a [`ClaimService`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ClaimCounters {
+    /// Rows written.
+    pub writes: u64,
+    /// Transactions sent.
+    pub batches: u64,
+    /// Conditions that failed.
+    pub conflicts: u64,
+    /// Transactions whose outcome was unknown.
+    pub lost_responses: u64,
+    /// Completion records that were dropped.
+    pub dropped_records: u64,
+}
+
+#[derive(Debug, Default)]
+struct ClaimStats {
+    writes: AtomicU64,
+    batches: AtomicU64,
+    conflicts: AtomicU64,
+    lost_responses: AtomicU64,
+    dropped_records: AtomicU64,
+}
+
+enum ClaimCommand {
+    Claim {
+        row_key: String,
+        reply: oneshot::Sender<ClaimDelivery>,
+        permit: OwnedSemaphorePermit,
+    },
+    Complete {
+        ticket: ClaimTicket,
+        row: Box<ClaimRow>,
+        permit: OwnedSemaphorePermit,
+    },
+    Release(ClaimTicket),
+    Flush(oneshot::Sender<()>),
+}
+
+/// A result on its way to the claimer. A grant that nobody takes is released, because its request
+/// is not sent.
+struct ClaimDelivery {
+    result: Option<ClaimResult>,
+    commands: mpsc::WeakUnboundedSender<ClaimCommand>,
+}
+
+impl Drop for ClaimDelivery {
+    fn drop(&mut self) {
+        if let Some(ClaimResult::Granted(ticket)) = self.result.take()
+            && let Some(commands) = self.commands.upgrade()
+        {
+            // Fails only when the worker has ended.
+            let _ = commands.send(ClaimCommand::Release(ticket));
+        }
+    }
+}
+
+/// Writes claims in batches. The writer ends when the service is dropped; call
+/// [`ClaimService::flush`] first.
+pub struct ClaimService {
+    owner: ClaimRow,
+    commands: mpsc::UnboundedSender<ClaimCommand>,
+    waiting: Arc<Semaphore>,
+    record_bytes: Arc<Semaphore>,
+    stats: Arc<ClaimStats>,
+}
+
+impl ClaimService {
+    /// Starts the writer of claims; needs a tokio runtime.
+    pub fn spawn(platform: Arc<PlatformClient>, node: NodeId, incarnation: Incarnation) -> Self {
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let stats = Arc::new(ClaimStats::default());
+        let owner = ClaimRow::started(String::new(), node, incarnation);
+        let worker = ClaimWorker::new(
+            platform,
+            owner.clone(),
+            commands.downgrade(),
+            receiver,
+            Arc::clone(&stats),
+        );
+        tokio::spawn(worker.run());
+        Self {
+            owner,
+            commands,
+            waiting: Arc::new(Semaphore::new(MAX_WAITING_CLAIMS)),
+            record_bytes: Arc::new(Semaphore::new(MAX_RECORD_BYTES as usize)),
+            stats,
+        }
+    }
+
+    /// Claims a key before its request is sent. Returns at the deadline at the latest.
+    pub async fn claim(&self, pool: &str, key: &str, deadline: Instant) -> ClaimResult {
+        let Ok(permit) = Arc::clone(&self.waiting).try_acquire_owned() else {
+            return ClaimResult::Unavailable;
+        };
+        let (reply, result) = oneshot::channel();
+        let command = ClaimCommand::Claim {
+            row_key: format!("claim/{pool}/{key}"),
+            reply,
+            permit,
+        };
+        if self.commands.send(command).is_err() {
+            return ClaimResult::Unavailable;
+        }
+        match time::timeout_at(deadline.into(), result).await {
+            Ok(Ok(mut delivery)) => delivery.result.take().unwrap_or(ClaimResult::Unavailable),
+            _ => ClaimResult::Unavailable,
+        }
+    }
+
+    /// Records the response of a claimed request in a later batch. A record that does not fit into
+    /// the waiting queue is dropped; a retry is then answered unknown.
+    pub fn complete(&self, ticket: ClaimTicket, answer: &EndpointAnswer) {
+        let row = ClaimRow {
+            token: ticket.token.clone(),
+            ..self.owner.clone()
+        };
+        let row = Box::new(row.done(answer));
+        let bytes = u32::try_from(row.bytes() + RECORD_OVERHEAD).unwrap_or(MAX_RECORD_BYTES);
+        let Ok(permit) = Arc::clone(&self.record_bytes).try_acquire_many_owned(bytes) else {
+            self.stats.dropped_records.fetch_add(1, Ordering::Relaxed);
+            return;
+        };
+        // Fails only when the worker has ended.
+        let _ = self.commands.send(ClaimCommand::Complete {
+            ticket,
+            row,
+            permit,
+        });
+    }
+
+    /// Removes the claim of a request of which no byte was sent.
+    pub fn release(&self, ticket: ClaimTicket) {
+        // Fails only when the worker has ended.
+        let _ = self.commands.send(ClaimCommand::Release(ticket));
+    }
+
+    /// Waits until no claim, record or release waits to be written. An outage prolongs it, so
+    /// callers bound it with a timeout.
+    pub async fn flush(&self) {
+        let (reply, done) = oneshot::channel();
+        if self.commands.send(ClaimCommand::Flush(reply)).is_ok() {
+            // Fails only when the worker has ended.
+            let _ = done.await;
+        }
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> ClaimCounters {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        ClaimCounters {
+            writes: read(&self.stats.writes),
+            batches: read(&self.stats.batches),
+            conflicts: read(&self.stats.conflicts),
+            lost_responses: read(&self.stats.lost_responses),
+            dropped_records: read(&self.stats.dropped_records),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanager-node/src/endpoint.rs
@@ -0,0 +1,292 @@
+//! Client of the endpoints: sends requests and classifies every failure as not sent or unknown.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::header;
+
+use tanager_http::ClientConnection;
+use tanager_http::HttpRequest;
+use tanager_http::HttpResponse;
+use tanager_http::message::is_hop_header;
+use tanager_http::pool::PoolLimits;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::outcome::EndpointAnswer;
+use tanager_protocol::outcome::REQUEST_ID_HEADER;
+use tanager_protocol::outcome::UnknownReason;
+use tanager_protocol::peer::ForwardRequest;
+
+/// Called with the address of an endpoint that signals in a response that it is leaving.
+pub type LeavingListener = Arc<dyn Fn(SocketAddr) + Send + Sync>;
+
+/// Whether a failed request may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendFailureKind {
+    /// No byte of the request was sent; another worker may be tried.
+    NotSent,
+    /// The request may have run.
+    Unknown(UnknownReason),
+}
+
+/// A request without a complete response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SendFailure {
+    /// Whether the request may have run.
+    pub kind: SendFailureKind,
+    /// Explanation with the step and the endpoint.
+    pub message: String,
+}
+
+impl From<TanagerError> for SendFailure {
+    fn from(error: TanagerError) -> Self {
+        let kind = match (error.kind, error.step) {
+            (ErrorKind::NotSent, _) => SendFailureKind::NotSent,
+            (ErrorKind::Timeout, _) => SendFailureKind::Unknown(UnknownReason::Timeout),
+            (_, "read" | "match") => SendFailureKind::Unknown(UnknownReason::BadAnswer),
+            _ => SendFailureKind::Unknown(UnknownReason::ConnectionLost),
+        };
+        let message = error.to_string();
+        Self { kind, message }
+    }
+}
+
+/// Result of a probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeOutcome {
+    /// The endpoint serves requests.
+    Up,
+    /// The endpoint answered 503: it is leaving.
+    Leaving,
+    /// The endpoint did not answer, or answered with another error.
+    Down,
+}
+
+type IdleConnections = Arc<Mutex<Vec<ClientConnection>>>;
+
+/// Client of all endpoints, with reusable connections per address.
+///
+/// It does not use `ClientPool`, which makes a connection reusable before the request id of the
+/// response can be compared; a crossed connection could then carry one more request.
+pub struct EndpointClient {
+    limits: PoolLimits,
+    on_leaving: LeavingListener,
+    pools: Mutex<HashMap<SocketAddr, IdleConnections>>,
+}
+
+impl EndpointClient {
+    /// Creates a client; it connects when it is first used.
+    pub fn new(limits: PoolLimits, on_leaving: LeavingListener) -> Self {
+        Self {
+            limits,
+            on_leaving,
+            pools: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and returns the complete response, within `timeout` in all.
+    ///
+    /// # Errors
+    ///
+    /// A [`SendFailure`] that tells whether the request may have run.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: &ForwardRequest,
+        timeout: Duration,
+    ) -> Result<EndpointAnswer, SendFailure> {
+        let outgoing = build_request(address, request)?;
+        let id = &request.request_id;
+        let response = self.exchange(address, &outgoing, id, timeout).await?;
+        let closes = connection_options(&response.headers).any(|option| option == "close");
+        if response.status == StatusCode::SERVICE_UNAVAILABLE && closes {
+            (self.on_leaving)(address);
+        }
+        let headers = end_to_end_headers(&response.headers);
+        let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
+        Ok(EndpointAnswer {
+            status: response.status.as_u16(),
+            headers: headers.collect(),
+            body: response.body.to_vec(),
+        })
+    }
+
+    /// Asks an endpoint for its state with GET. Any status below 500 means that it is up.
+    pub async fn probe(&self, address: SocketAddr, path: &str, timeout: Duration) -> ProbeOutcome {
+        let request = HttpRequest::new(Method::GET, path, "");
+        match self.exchange(address, &request, "", timeout).await {
+            Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
+                ProbeOutcome::Leaving
+            }
+            Ok(response) if !response.status.is_server_error() => ProbeOutcome::Up,
+            _ => ProbeOutcome::Down,
+        }
+    }
+
+    /// Forgets the connections to addresses that are not in the fleet.
+    pub fn retain(&self, addresses: &BTreeSet<SocketAddr>) {
+        self.lock().retain(|address, _| addresses.contains(address));
+    }
+
+    /// Number of addresses with a pool of connections.
+    pub fn pool_count(&self) -> usize {
+        self.lock().len()
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &HttpRequest,
+        id: &str,
+        timeout: Duration,
+    ) -> TanagerResult<HttpResponse> {
+        let start = Instant::now();
+        let idle = Arc::clone(self.lock().entry(address).or_default());
+        if let Some(connection) = take_connection(&idle, self.limits.max_idle) {
+            let attempt = self.attempt(&idle, connection, (address, request, id), timeout);
+            match attempt.await {
+                Err(error) if error.kind == ErrorKind::NotSent => {}
+                result => return result,
+            }
+        }
+        let left = timeout.saturating_sub(start.elapsed());
+        let connect_timeout = self.limits.connect_timeout.min(left);
+        let connection = match ClientConnection::open(address, connect_timeout).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                lock_connections(&idle).clear();
+                return Err(error);
+            }
+        };
+        let left = timeout.saturating_sub(start.elapsed());
+        if left.is_zero() {
+            return Err(TanagerError::new(
+                ErrorKind::NotSent,
+                "send",
+                address.to_string(),
+                "no time left after connecting",
+            ));
+        }
+        self.attempt(&idle, connection, (address, request, id), left)
+            .await
+    }
+
+    async fn attempt(
+        &self,
+        idle: &IdleConnections,
+        mut connection: ClientConnection,
+        (address, request, id): (SocketAddr, &HttpRequest, &str),
+        timeout: Duration,
+    ) -> TanagerResult<HttpResponse> {
+        let exchange = connection.exchange(request.clone(), timeout, self.limits.max_body);
+        let result = exchange.await.and_then(|response| {
+            check_response(address, &response, id)?;
+            Ok(response)
+        });
+        match &result {
+            Ok(_) if connection.is_reusable(self.limits.max_idle) => {
+                let mut connections = lock_connections(idle);
+                if connections.len() < self.limits.max_connections {
+                    connections.push(connection);
+                }
+            }
+            Ok(_) => {}
+            // A path that went silent takes all connections on it along.
+            Err(error) if error.kind != ErrorKind::NotSent => lock_connections(idle).clear(),
+            Err(_) => {}
+        }
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, IdleConnections>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn lock_connections(idle: &IdleConnections) -> MutexGuard<'_, Vec<ClientConnection>> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn take_connection(idle: &IdleConnections, max_idle: Duration) -> Option<ClientConnection> {
+    let mut connections = lock_connections(idle);
+    while let Some(connection) = connections.pop() {
+        if connection.is_reusable(max_idle) {
+            return Some(connection);
+        }
+    }
+    None
+}
+
+fn build_request(address: SocketAddr, request: &ForwardRequest) -> TanagerResult<HttpRequest> {
+    let invalid = |message: String| {
+        TanagerError::new(ErrorKind::NotSent, "encode", address.to_string(), message)
+    };
+    let method = Method::from_bytes(request.method.as_bytes())
+        .map_err(|error| invalid(error.to_string()))?;
+    let mut headers = HeaderMap::new();
+    for header in &request.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes())
+            .map_err(|error| invalid(error.to_string()))?;
+        let value =
+            HeaderValue::from_bytes(&header.value).map_err(|error| invalid(error.to_string()))?;
+        headers.append(name, value);
+    }
+    let mut outgoing = HttpRequest::new(method, request.path.clone(), request.body.clone());
+    for (name, value) in end_to_end_headers(&headers) {
+        outgoing.headers.append(name.clone(), value.clone());
+    }
+    let id =
+        HeaderValue::from_str(&request.request_id).map_err(|error| invalid(error.to_string()))?;
+    outgoing.headers.insert(REQUEST_ID_HEADER, id);
+    Ok(outgoing)
+}
+
+fn check_response(address: SocketAddr, response: &HttpResponse, id: &str) -> TanagerResult<()> {
+    let bad = |message: String| {
+        TanagerError::new(ErrorKind::Unknown, "match", address.to_string(), message)
+    };
+    if response.status.is_informational() {
+        return Err(bad(format!("unexpected status {}", response.status)));
+    }
+    let mut ids = response.headers.get_all(REQUEST_ID_HEADER).iter();
+    match ids.find(|value| value.as_bytes() != id.as_bytes()) {
+        Some(other) if !id.is_empty() => Err(bad(format!(
+            "response to request {other:?} instead of {id:?}"
+        ))),
+        _ => Ok(()),
+    }
+}
+
+/// Returns the headers that are passed on: all but hop-by-hop headers and those that the
+/// `Connection` header names.
+pub(crate) fn end_to_end_headers(
+    headers: &HeaderMap,
+) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
+    let named: BTreeSet<String> = connection_options(headers).collect();
+    headers
+        .iter()
+        .filter(move |(name, _)| !is_hop_header(name.as_str()) && !named.contains(name.as_str()))
+}
+
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = String> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| {
+            text.split(',')
+                .map(|option| option.trim().to_ascii_lowercase())
+        })
+}
--- /dev/null
+++ b/crates/tanager-node/src/tickets.rs
@@ -0,0 +1,236 @@
+//! Idempotency keys that this process issues and runs from its own memory, without the store.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tanager_protocol::ids::Incarnation;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::check_name;
+use tanager_protocol::outcome::EndpointAnswer;
+
+const KEY_PREFIX: &str = "ticket-";
+
+/// Parts of a ticket key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TicketKey {
+    /// Node that issued the ticket.
+    pub node: NodeId,
+    /// Incarnation of that node.
+    pub incarnation: Incarnation,
+    /// Number of the ticket in that incarnation.
+    pub number: u64,
+}
+
+impl TicketKey {
+    /// Parses `ticket-{node}-{incarnation}-{n}`; any other text is an ordinary key.
+    pub fn parse(key: &str) -> Option<Self> {
+        let mut parts = key.strip_prefix(KEY_PREFIX)?.rsplitn(3, '-');
+        let number = parts.next()?.parse().ok()?;
+        let incarnation = parts.next()?.parse().ok()?;
+        let node = parts.next()?.to_owned();
+        let parsed = Self {
+            node,
+            incarnation,
+            number,
+        };
+        // Two spellings of one number would be two keys of one ticket.
+        (check_name(&parsed.node) && parsed.format() == key).then_some(parsed)
+    }
+
+    /// Writes the key.
+    pub fn format(&self) -> String {
+        format!(
+            "{KEY_PREFIX}{}-{}-{}",
+            self.node, self.incarnation, self.number
+        )
+    }
+}
+
+/// Bounds of a [`TicketTable`].
+#[derive(Clone, Copy, Debug)]
+pub struct TicketLimits {
+    /// Remembered tickets.
+    pub max_tickets: usize,
+    /// Remembered bytes of answers.
+    pub max_bytes: usize,
+}
+
+impl Default for TicketLimits {
+    fn default() -> Self {
+        Self {
+            max_tickets: 16_384,
+            max_bytes: 16 << 20,
+        }
+    }
+}
+
+/// What a request with a ticket may do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TicketStart {
+    /// The ticket is now in progress; report its end with [`TicketTable::finish`].
+    Begun,
+    /// Another request with this ticket is in progress.
+    InProgress,
+    /// The request ran; this is its response.
+    Finished(EndpointAnswer),
+    /// The request may have run.
+    Unknown,
+}
+
+/// How a request with a ticket ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TicketEnd {
+    /// No byte was sent; the ticket may begin again.
+    NotSent,
+    /// The response of the request.
+    Answered(EndpointAnswer),
+    /// The request may have run.
+    Unknown,
+}
+
+#[derive(Debug)]
+enum TicketState {
+    Issued,
+    InProgress {
+        pool: PoolId,
+    },
+    Finished {
+        pool: PoolId,
+        answer: EndpointAnswer,
+    },
+    Unknown,
+}
+
+#[derive(Debug, Default)]
+struct TicketRecords {
+    next: u64,
+    bytes: usize,
+    states: BTreeMap<u64, TicketState>,
+}
+
+/// Tickets of this process.
+#[derive(Debug)]
+pub struct TicketTable {
+    node: NodeId,
+    incarnation: Incarnation,
+    limits: TicketLimits,
+    records: Mutex<TicketRecords>,
+}
+
+impl TicketTable {
+    /// Creates an empty table.
+    pub fn new(node: NodeId, incarnation: Incarnation, limits: TicketLimits) -> Self {
+        Self {
+            node,
+            incarnation,
+            limits,
+            records: Mutex::default(),
+        }
+    }
+
+    /// Issues a ticket and returns its key. The oldest ticket is forgotten when the table is full.
+    pub fn issue(&self) -> String {
+        let mut records = self.lock();
+        let number = records.next;
+        records.next += 1;
+        records.states.insert(number, TicketState::Issued);
+        records.trim(self.limits);
+        drop(records);
+        TicketKey {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            number,
+        }
+        .format()
+    }
+
+    /// Returns whether this process issued the ticket.
+    pub fn is_own(&self, key: &TicketKey) -> bool {
+        key.node == self.node && key.incarnation == self.incarnation
+    }
+
+    /// Begins a request. A ticket that is forgotten or was never issued is unknown, because it
+    /// cannot be told from one that ran. So is a ticket that was used for another pool.
+    pub fn begin(&self, key: &TicketKey, pool: &str) -> TicketStart {
+        if !self.is_own(key) {
+            return TicketStart::Unknown;
+        }
+        let mut records = self.lock();
+        let Some(state) = records.states.get_mut(&key.number) else {
+            return TicketStart::Unknown;
+        };
+        match state {
+            TicketState::Issued => {
+                let pool = pool.to_owned();
+                *state = TicketState::InProgress { pool };
+                TicketStart::Begun
+            }
+            TicketState::InProgress { pool: own } if own == pool => TicketStart::InProgress,
+            TicketState::Finished { pool: own, answer } if own == pool => {
+                TicketStart::Finished(answer.clone())
+            }
+            _ => TicketStart::Unknown,
+        }
+    }
+
+    /// Records the end of a request that [`Self::begin`] let begin.
+    pub fn finish(&self, key: &TicketKey, end: TicketEnd) {
+        if !self.is_own(key) {
+            return;
+        }
+        let mut records = self.lock();
+        let records = &mut *records;
+        let Some(state) = records.states.get_mut(&key.number) else {
+            return;
+        };
+        let TicketState::InProgress { pool } = state else {
+            return;
+        };
+        *state = match end {
+            TicketEnd::NotSent => TicketState::Issued,
+            TicketEnd::Unknown => TicketState::Unknown,
+            TicketEnd::Answered(answer) => {
+                records.bytes += answer_bytes(&answer);
+                let pool = std::mem::take(pool);
+                TicketState::Finished { pool, answer }
+            }
+        };
+        records.trim(self.limits);
+    }
+
+    /// Number of remembered tickets.
+    pub fn len(&self) -> usize {
+        self.lock().states.len()
+    }
+
+    /// Returns whether no ticket is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TicketRecords> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TicketRecords {
+    fn trim(&mut self, limits: TicketLimits) {
+        while self.states.len() > limits.max_tickets || self.bytes > limits.max_bytes {
+            let Some((_, state)) = self.states.pop_first() else {
+                return;
+            };
+            if let TicketState::Finished { answer, .. } = state {
+                self.bytes -= answer_bytes(&answer);
+            }
+        }
+    }
+}
+
+fn answer_bytes(answer: &EndpointAnswer) -> usize {
+    let headers = answer.headers.iter();
+    let headers: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+    answer.body.len() + headers
+}
