Add the administration API of the node

Change: tanager-node::admin serves the API on tanager-http over a struct of closures. The root token may do everything, a team token reads everything and changes only pools it owns. Ownership of a VM follows its record, not the document, because moves do not edit the document. Proposals run in a task of their own, so a client that disconnects does not interrupt one. GET /v1/nodes is new. History omits documents, which are large.

Conclusion: done for this API; the closures are still to be connected to the control crate.

--- /dev/null
+++ b/crates/tanager-node/tests/admin.rs
@@ -0,0 +1,209 @@
+//! Guards the routes, roles and status codes of the administration API.
+
+#[path = "support/mod.rs"]
+mod support;
+
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+use serde_json::json;
+
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
+
+use support::CLINIC;
+use support::ProposeMode;
+use support::ROOT;
+use support::TestServer;
+use support::example_document;
+
+fn config_body(expected: u64, edit: impl FnOnce(&mut Value)) -> Vec<u8> {
+    let mut document = example_document();
+    edit(&mut document);
+    json!({"expected": expected, "document": document})
+        .to_string()
+        .into_bytes()
+}
+
+/// Guards against a route that stops answering, and against a failed read by a team.
+#[test]
+fn both_tokens_read_everything() {
+    let server = TestServer::start();
+    for token in [ROOT, CLINIC] {
+        for path in [
+            "/v1/config",
+            "/v1/history",
+            "/v1/history?limit=1",
+            "/v1/pools",
+            "/v1/vms",
+            "/v1/waves",
+            "/v1/quotas",
+            "/v1/nodes",
+            "/v1/snapshot",
+            "/dump",
+        ] {
+            let (status, body) = server.call(token, "GET", path, b"");
+            assert_eq!(status, 200, "{path}: {body}");
+        }
+    }
+    let (_, pools) = server.call(ROOT, "GET", "/v1/pools", b"");
+    assert_eq!(pools["pools"][1]["available"], 2, "{pools}");
+    server.stop();
+}
+
+/// Guards against a load balancer or scraper that has no token being shut out.
+#[test]
+fn probes_need_no_token_and_the_rest_does() {
+    let server = TestServer::start();
+    for path in ["/live", "/ready", "/metrics"] {
+        assert_eq!(server.call("", "GET", path, b"").0, 200, "{path}");
+    }
+    *server.fleet.ready.lock().unwrap() = Err("no store and no peers for 4 s".to_owned());
+    let (status, body) = server.call("", "GET", "/ready", b"");
+    assert_eq!(status, 503);
+    assert_eq!(body["error"]["message"], "no store and no peers for 4 s");
+    for token in ["", "wrong", "root-toke", "root-token2"] {
+        let (status, body) = server.call(token, "GET", "/v1/config", b"");
+        assert_eq!(status, 401, "{token}");
+        assert_eq!(body["error"]["code"], "unauthorized");
+    }
+    let basic = "Authorization: Basic root-token\r\n";
+    assert_eq!(server.call_with(basic, "GET", "/dump", b"").0, 401);
+    server.stop();
+}
+
+macro_rules! team_cases {
+    ($($case:ident: $method:literal $path:literal $body:expr => $status:literal;)*) => {
+        $(#[test]
+        fn $case() {
+            let server = TestServer::start();
+            let body: Vec<u8> = $body;
+            let (status, reply) = server.call(CLINIC, $method, $path, &body);
+            assert_eq!(status, $status, "{reply}");
+            assert_eq!(server.proposals(), usize::from($status == 200), "{reply}");
+            assert_eq!(server.fleet.restores.load(Ordering::SeqCst), 0);
+            // The root token may do the same.
+            if $status == 403 && $path != "/v1/snapshot" {
+                assert_eq!(server.call(ROOT, $method, $path, &body).0, 200);
+            }
+            server.stop();
+        })*
+    };
+}
+
+// Guards against a team that changes what it does not own.
+team_cases! {
+    team_moves_between_own_pools: "POST" "/v1/vms/vm-0/move"
+        br#"{"to":"files","expected":1}"#.to_vec() => 200;
+    team_moves_to_another_pool: "POST" "/v1/vms/vm-0/move"
+        br#"{"to":"spare","expected":1}"#.to_vec() => 403;
+    team_moves_from_another_pool: "POST" "/v1/vms/vm-4/move"
+        br#"{"to":"files","expected":1}"#.to_vec() => 403;
+    team_drains_own_vm: "POST" "/v1/vms/vm-0/drain" Vec::new() => 200;
+    team_drains_other_vm: "POST" "/v1/vms/vm-4/drain" Vec::new() => 403;
+    team_undrains_other_vm: "POST" "/v1/vms/vm-4/undrain" Vec::new() => 403;
+    team_starts_own_wave: "POST" "/v1/waves" br#"{"pool":"intake"}"#.to_vec() => 200;
+    team_starts_other_wave: "POST" "/v1/waves" br#"{"pool":"spare"}"#.to_vec() => 403;
+    team_configures_own_floor: "PUT" "/v1/config"
+        config_body(1, |document| document["pools"]["intake"]["floor"] = json!(2)) => 200;
+    team_configures_other_floor: "PUT" "/v1/config"
+        config_body(1, |document| document["pools"]["spare"]["floor"] = json!(1)) => 403;
+    team_takes_a_pool: "PUT" "/v1/config"
+        config_body(1, |document| document["pools"]["spare"]["owner"] = json!("clinic")) => 403;
+    team_gives_a_pool_away: "PUT" "/v1/config"
+        config_body(1, |document| document["pools"]["files"]["owner"] = json!("other")) => 403;
+    team_adds_a_pool: "PUT" "/v1/config"
+        config_body(1, |document| document["pools"]["new"] = json!({"owner": "clinic"})) => 403;
+    team_changes_the_site: "PUT" "/v1/config"
+        config_body(1, |document| document["site"] = json!("elsewhere")) => 403;
+    team_changes_a_token: "PUT" "/v1/config"
+        config_body(1, |document| document["teams"]["other"] = json!({"token_sha256": "a".repeat(64)})) => 403;
+    team_changes_own_vm: "PUT" "/v1/config"
+        config_body(1, |document| document["vms"]["vm-0"]["slots"] = json!(4)) => 200;
+    team_changes_other_vm: "PUT" "/v1/config"
+        config_body(1, |document| document["vms"]["vm-4"]["slots"] = json!(4)) => 403;
+    team_takes_a_vm: "PUT" "/v1/config"
+        config_body(1, |document| document["vms"]["vm-4"]["pool"] = json!("files")) => 403;
+    team_removes_other_vm: "PUT" "/v1/config"
+        config_body(1, |document| { document["vms"].as_object_mut().unwrap().remove("vm-4"); }) => 403;
+    team_restores: "PUT" "/v1/snapshot" b"{}".to_vec() => 403;
+}
+
+/// Guards against ownership by the document's first pool instead of the current one.
+#[test]
+fn a_moved_vm_belongs_to_its_new_pool() {
+    let server = TestServer::start();
+    let (vm, to) = ("vm-0".to_owned(), "spare".to_owned());
+    server
+        .fleet
+        .change(FleetChange::StartMove { vm: vm.clone(), to });
+    server.fleet.change(FleetChange::CommitMove { vm });
+    let (status, _) = server.call(CLINIC, "POST", "/v1/vms/vm-0/drain", b"");
+    assert_eq!(status, 403);
+    let body = config_body(1, |document| document["vms"]["vm-0"]["slots"] = json!(4));
+    assert_eq!(server.call(CLINIC, "PUT", "/v1/config", &body).0, 403);
+    server.stop();
+}
+
+/// Guards against error kinds that an operator cannot tell apart.
+#[test]
+fn error_kinds_map_to_status_codes() {
+    let server = TestServer::start();
+    let cases = [
+        (ErrorKind::Invalid, 400),
+        (ErrorKind::Forbidden, 403),
+        (ErrorKind::NotFound, 404),
+        (ErrorKind::Conflict, 409),
+        (ErrorKind::Refused, 409),
+        (ErrorKind::NotReady, 503),
+        (ErrorKind::NotSent, 503),
+        (ErrorKind::Timeout, 504),
+        (ErrorKind::Unknown, 504),
+        (ErrorKind::Internal, 500),
+    ];
+    for (kind, expected) in cases {
+        server.set_mode(ProposeMode::Fail(kind));
+        let (status, body) = server.call(ROOT, "POST", "/v1/vms/vm-0/drain", b"");
+        assert_eq!(status, expected, "{kind:?}");
+        assert_eq!(body["error"]["code"], kind.as_str());
+        assert_eq!(body["error"]["step"], "commit");
+        assert_eq!(body["error"]["peer"], "store");
+        let message = body["error"]["message"].as_str().unwrap();
+        assert_eq!(message.contains("may have taken effect"), expected == 504);
+    }
+    server.stop();
+}
+
+/// Guards against a history that does not say who made a change.
+#[test]
+fn author_is_the_role_and_the_operator() {
+    let server = TestServer::start();
+    for (token, operator, author) in [
+        (ROOT, "", "root"),
+        (CLINIC, "", "clinic"),
+        (CLINIC, "Tanager-Operator: ana#1f\r\n", "clinic/ana#1f"),
+    ] {
+        let headers = format!("Authorization: Bearer {token}\r\n{operator}");
+        let (status, body) = server.call_with(&headers, "POST", "/v1/vms/vm-0/undrain", b"");
+        assert_eq!((status, &body["author"]), (200, &json!(author)));
+    }
+    let headers = format!("Authorization: Bearer {ROOT}\r\nTanager-Operator: a b\r\n");
+    let (status, _) = server.call_with(&headers, "POST", "/v1/vms/vm-0/undrain", b"");
+    assert_eq!((status, server.proposals()), (400, 3));
+    let (_, body) = server.call(ROOT, "GET", "/v1/history?limit=1", b"");
+    assert_eq!(body["entries"][0]["author"], "clinic/ana#1f");
+    server.stop();
+}
+
+/// Guards against a restore over an existing fleet, and against one that loses state.
+#[test]
+fn snapshot_restores_only_into_an_empty_store() {
+    let server = TestServer::start();
+    let (_, snapshot) = server.call(ROOT, "GET", "/v1/snapshot", b"");
+    let body = snapshot.to_string().into_bytes();
+    assert_eq!(server.call(ROOT, "PUT", "/v1/snapshot", &body).0, 409);
+    *server.fleet.state.lock().unwrap() = std::sync::Arc::default();
+    assert_eq!(server.call(ROOT, "PUT", "/v1/snapshot", &body).0, 200);
+    assert_eq!(server.call(ROOT, "GET", "/v1/snapshot", b"").1, snapshot);
+    server.stop();
+}
--- /dev/null
+++ b/crates/tanager-node/tests/support/mod.rs
@@ -0,0 +1,410 @@
+//! An administration API over a fleet state in memory, also used by the tests of
+//! `tanager-command`.
+
+#![allow(
+    dead_code,
+    missing_docs,
+    unreachable_pub,
+    reason = "each test uses a part"
+)]
+
+use std::collections::BTreeMap;
+use std::future::pending;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::runtime::Runtime;
+
+use tanager_node::admin::AdminBackend;
+use tanager_node::admin::AdminServer;
+use tanager_node::admin::AdminSettings;
+use tanager_node::admin::Proposal;
+use tanager_protocol::change::ChangeEntry;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::NodeRecord;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::fleet::VmHealth;
+use tanager_protocol::fleet::VmRecord;
+use tanager_protocol::fleet::WaveRecord;
+use tanager_protocol::fleet::WaveStatus;
+
+pub const ROOT: &str = "root-token";
+/// Token of team `clinic`, which owns the pools `intake` and `files`.
+pub const CLINIC: &str = "clinic-token";
+
+/// What the fake backend does with a proposal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ProposeMode {
+    Accept,
+    /// Commits, then fails with `Unknown`.
+    LoseAnswer,
+    /// Commits, then never answers.
+    NeverAnswer,
+    /// Fails with `Unknown` without committing.
+    LoseProposal,
+    Fail(ErrorKind),
+}
+
+pub struct FakeFleet {
+    pub state: Mutex<Arc<FleetState>>,
+    pub log: Mutex<Vec<ChangeEntry>>,
+    pub proposals: AtomicUsize,
+    pub restores: AtomicUsize,
+    pub mode: Mutex<ProposeMode>,
+    pub ready: Mutex<Result<(), String>>,
+}
+
+impl FakeFleet {
+    pub fn current(&self) -> FleetState {
+        FleetState::clone(&self.state.lock().unwrap())
+    }
+
+    pub fn change(&self, change: FleetChange) -> ChangeEntry {
+        let proposal = Proposal {
+            author: "node-1".to_owned(),
+            change,
+            expected: None,
+        };
+        self.commit(proposal).unwrap()
+    }
+
+    pub fn propose(&self, proposal: Proposal) -> (ProposeMode, TanagerResult<ChangeEntry>) {
+        self.proposals.fetch_add(1, Ordering::SeqCst);
+        let mode = *self.mode.lock().unwrap();
+        let lost = || TanagerError::new(ErrorKind::Unknown, "commit", "store", "no answer");
+        let result = match mode {
+            ProposeMode::Accept | ProposeMode::NeverAnswer => self.commit(proposal),
+            ProposeMode::LoseAnswer => self.commit(proposal).and_then(|_| Err(lost())),
+            ProposeMode::LoseProposal => Err(lost()),
+            ProposeMode::Fail(kind) => Err(TanagerError::new(kind, "commit", "store", "failed")),
+        };
+        (mode, result)
+    }
+
+    fn commit(&self, proposal: Proposal) -> TanagerResult<ChangeEntry> {
+        let mut guard = self.state.lock().unwrap();
+        let mut state = FleetState::clone(&guard);
+        let (author, change) = (proposal.author, proposal.change);
+        let seen = object_version(&state, &change);
+        if proposal.expected.is_some_and(|expected| seen > expected) {
+            let author = state.configured_author.clone();
+            let message = format!("changed at version {seen} by {author}");
+            return Err(TanagerError::new(
+                ErrorKind::Conflict,
+                "validate",
+                "",
+                message,
+            ));
+        }
+        let version = state.version + 1;
+        apply(&mut state, version, &author, &change)?;
+        let entry = ChangeEntry {
+            version,
+            author,
+            token: format!("token-{version}"),
+            change,
+        };
+        self.log.lock().unwrap().push(entry.clone());
+        *guard = Arc::new(state);
+        Ok(entry)
+    }
+}
+
+fn object_version(state: &FleetState, change: &FleetChange) -> u64 {
+    match change {
+        FleetChange::Configure { .. } => state.configured_version,
+        FleetChange::StartMove { vm, .. }
+        | FleetChange::StartDrain { vm, .. }
+        | FleetChange::EndDrain { vm } => state.vms[vm].version,
+        FleetChange::PauseWave { wave, .. } | FleetChange::ResumeWave { wave } => {
+            state.waves[wave].version
+        }
+        _ => 0,
+    }
+}
+
+/// A reduced fold: enough to answer an operator.
+fn apply(
+    state: &mut FleetState,
+    version: u64,
+    author: &str,
+    change: &FleetChange,
+) -> TanagerResult<()> {
+    let refused = |message: &str| TanagerError::new(ErrorKind::Refused, "validate", "", message);
+    state.version = version;
+    let set_vm = |state: &mut FleetState, vm: &str, activity: VmActivity| {
+        let record = state.vms.get_mut(vm).unwrap();
+        record.activity = activity;
+        record.version = version;
+    };
+    match change {
+        FleetChange::Configure { document } => {
+            let records = document.vms.iter().map(|(vm, config)| {
+                let new = VmRecord {
+                    pool: config.pool.clone(),
+                    activity: VmActivity::Active,
+                    health: VmHealth::Up,
+                    version,
+                };
+                (vm.clone(), state.vms.get(vm).cloned().unwrap_or(new))
+            });
+            state.vms = records.collect();
+            state.document = document.clone();
+            state.configured_version = version;
+            state.configured_author = author.to_owned();
+        }
+        FleetChange::StartMove { vm, to } => {
+            if state.vms[vm].activity != VmActivity::Active {
+                return Err(refused("the VM is not active"));
+            }
+            let (to, since) = (to.clone(), version);
+            set_vm(state, vm, VmActivity::Moving { to, since });
+        }
+        FleetChange::CommitMove { vm } => {
+            if let VmActivity::Moving { to, .. } = state.vms[vm].activity.clone() {
+                state.vms.get_mut(vm).unwrap().pool = to;
+            }
+            set_vm(state, vm, VmActivity::Active);
+        }
+        FleetChange::StartDrain { vm, reason } => {
+            let (reason, since) = (reason.clone(), version);
+            set_vm(state, vm, VmActivity::Draining { reason, since });
+        }
+        FleetChange::EndDrain { vm } => set_vm(state, vm, VmActivity::Active),
+        FleetChange::StartWave { wave, pool } => {
+            if state.waves.values().any(|wave| wave.pool == *pool) {
+                return Err(refused("a wave of this pool is running"));
+            }
+            let waiting = state.vms.iter().filter(|(_, record)| record.pool == *pool);
+            let record = WaveRecord {
+                pool: pool.clone(),
+                status: WaveStatus::Running,
+                waiting: waiting.map(|(vm, _)| vm.clone()).collect(),
+                running: Vec::new(),
+                finished: Vec::new(),
+                version,
+            };
+            state.waves.insert(wave.clone(), record);
+        }
+        FleetChange::PauseWave { wave, reason } => {
+            let reason = reason.clone();
+            state.waves.get_mut(wave).unwrap().status = WaveStatus::Paused { reason };
+        }
+        FleetChange::ResumeWave { wave } => {
+            state.waves.get_mut(wave).unwrap().status = WaveStatus::Running;
+        }
+        FleetChange::FinishWave { wave } => {
+            let record = state.waves.get_mut(wave).unwrap();
+            record.status = WaveStatus::Finished;
+            record.finished = std::mem::take(&mut record.waiting);
+        }
+        FleetChange::JoinNode { node, record } => {
+            state.nodes.insert(node.clone(), record.clone());
+        }
+        _ => return Err(refused("not supported by the fake fleet")),
+    }
+    Ok(())
+}
+
+/// A fleet with the pools `intake` and `files` of team `clinic` and `spare` of the operators.
+pub fn example_document() -> Value {
+    let mut vms = BTreeMap::new();
+    for (index, pool) in ["intake", "intake", "files", "files", "spare"]
+        .iter()
+        .enumerate()
+    {
+        vms.insert(
+            format!("vm-{index}"),
+            json!({
+                "address": format!("127.0.0.1:{}", 9_000 + index), "pool": pool,
+                "zone": "zone-a", "rack": "rack-1", "slots": 8,
+            }),
+        );
+    }
+    json!({
+        "site": "test",
+        "pools": {
+            "intake": {"owner": "clinic", "floor": 1,
+                "quotas": {"clinic": {"rate": 10, "burst": 20, "weight": 1}}},
+            "files": {"owner": "clinic", "floor": 1},
+            "spare": {},
+        },
+        "vms": vms,
+        "teams": {"clinic": {"token_sha256": clinic_digest()}, "other": {}},
+    })
+}
+
+fn clinic_digest() -> String {
+    use sha2::Digest;
+    let digest = sha2::Sha256::digest(CLINIC.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// A running administration API over a [`FakeFleet`].
+pub struct TestServer {
+    pub fleet: Arc<FakeFleet>,
+    pub address: SocketAddr,
+    server: Option<AdminServer>,
+    runtime: Runtime,
+}
+
+impl TestServer {
+    /// Starts with the example document at version 1.
+    pub fn start() -> Self {
+        let fleet = Arc::new(FakeFleet {
+            state: Mutex::default(),
+            log: Mutex::default(),
+            proposals: AtomicUsize::new(0),
+            restores: AtomicUsize::new(0),
+            mode: Mutex::new(ProposeMode::Accept),
+            ready: Mutex::new(Ok(())),
+        });
+        let document = serde_json::from_value(example_document()).unwrap();
+        fleet.change(FleetChange::Configure { document });
+        Self::over(fleet)
+    }
+
+    /// Starts a further node of the same fleet.
+    pub fn over(fleet: Arc<FakeFleet>) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let settings = AdminSettings {
+            root_token: ROOT.to_owned(),
+        };
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let bind = AdminServer::bind(address, settings, backend(&fleet));
+        let server = runtime.block_on(bind).unwrap();
+        Self {
+            fleet,
+            address: server.address(),
+            server: Some(server),
+            runtime,
+        }
+    }
+
+    /// Registers a node with this address of the administration API.
+    pub fn register(&self, node: &str) {
+        let record = NodeRecord {
+            incarnation: 1,
+            zone: "zone-a".to_owned(),
+            caller_address: self.address,
+            peer_address: self.address,
+            admin_address: self.address,
+            since: 0,
+        };
+        let node = node.to_owned();
+        self.fleet.change(FleetChange::JoinNode { node, record });
+    }
+
+    pub fn proposals(&self) -> usize {
+        self.fleet.proposals.load(Ordering::SeqCst)
+    }
+
+    pub fn set_mode(&self, mode: ProposeMode) {
+        *self.fleet.mode.lock().unwrap() = mode;
+    }
+
+    pub fn stop(mut self) {
+        let server = self.server.take().unwrap();
+        self.runtime.block_on(server.stop());
+    }
+
+    /// Sends a request with the given token and returns the status and the body.
+    pub fn call(&self, token: &str, method: &str, path: &str, body: &[u8]) -> (u16, Value) {
+        let authorization = if token.is_empty() {
+            String::new()
+        } else {
+            format!("Authorization: Bearer {token}\r\n")
+        };
+        self.call_with(&authorization, method, path, body)
+    }
+
+    pub fn call_with(&self, headers: &str, method: &str, path: &str, body: &[u8]) -> (u16, Value) {
+        let mut request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: node\r\nConnection: close\r\n{headers}\
+             Content-Length: {}\r\n\r\n",
+            body.len()
+        )
+        .into_bytes();
+        request.extend_from_slice(body);
+        let response = exchange(self.address, &request);
+        let text = String::from_utf8(response).unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").expect("a response");
+        let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+        let body = serde_json::from_str(body).unwrap_or_else(|_| Value::from(body));
+        (status, body)
+    }
+}
+
+/// Sends bytes, then reads the whole response.
+pub fn exchange(address: SocketAddr, request: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    // The server may refuse a large body before it has read all of it.
+    let _ = stream.write_all(request);
+    let mut response = Vec::new();
+    let _ = stream.read_to_end(&mut response);
+    response
+}
+
+fn backend(fleet: &Arc<FakeFleet>) -> AdminBackend {
+    let state = Arc::clone(fleet);
+    let propose = Arc::clone(fleet);
+    let history = Arc::clone(fleet);
+    let snapshot = Arc::clone(fleet);
+    let restore = Arc::clone(fleet);
+    let ready = Arc::clone(fleet);
+    AdminBackend {
+        state: Arc::new(move || Arc::clone(&state.state.lock().unwrap())),
+        propose: Arc::new(move |proposal| {
+            let fleet = Arc::clone(&propose);
+            Box::pin(async move {
+                let (mode, result) = fleet.propose(proposal);
+                if mode == ProposeMode::NeverAnswer {
+                    pending::<()>().await;
+                }
+                result
+            })
+        }),
+        history: Arc::new(move |limit| {
+            let log = history.log.lock().unwrap();
+            let entries = log.iter().rev().take(limit).cloned().collect();
+            Box::pin(async move { Ok(entries) })
+        }),
+        snapshot: Arc::new(move |()| {
+            let state = snapshot.current();
+            Box::pin(async move { Ok(state) })
+        }),
+        restore: Arc::new(move |new| {
+            let fleet = Arc::clone(&restore);
+            Box::pin(async move {
+                fleet.restores.fetch_add(1, Ordering::SeqCst);
+                let mut state = fleet.state.lock().unwrap();
+                if state.version > 0 {
+                    let message = "the store is not empty";
+                    return Err(TanagerError::new(
+                        ErrorKind::Refused,
+                        "restore",
+                        "",
+                        message,
+                    ));
+                }
+                *state = Arc::new(new);
+                Ok(())
+            })
+        }),
+        dump: Arc::new(|| json!({"services": {"dispatch": {"queued": 3}}})),
+        ready: Arc::new(move || ready.ready.lock().unwrap().clone()),
+        metrics: Arc::new(|| "# EOF\n".to_owned()),
+    }
+}
