Wire the node: dispatch thread, request serving, metrics and process

Cause: the parts of the request path existed without a process that runs them.

A sent request that is not idempotent runs to its end when its caller disconnects, so that its result is recorded for the retry with its key.

Nothing is served yet, because the control service is still a skeleton.

--- a/crates/tanager-dispatch/src/lib.rs
+++ b/crates/tanager-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod dump;
 mod ejection;
+pub mod home;
 mod lifecycle;
 mod limit;
 mod pool;
--- /dev/null
+++ b/crates/tanager-node/src/dispatcher/event.rs
@@ -0,0 +1,62 @@
+//! Events of the dispatch thread.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crossbeam::channel::Sender;
+use tokio::sync::oneshot;
+
+use tanager_dispatch::RequestKey;
+use tanager_dispatch::SendReport;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::peer::ForwardRequest;
+
+use crate::claims::ClaimResult;
+use crate::dispatcher::CounterRow;
+use crate::endpoint::ProbeOutcome;
+
+/// Names one waiting caller within the process.
+pub(crate) type ReplyId = u64;
+/// Where the outcome of a request goes.
+pub(crate) type OutcomeSender = oneshot::Sender<RequestOutcome>;
+
+/// An event of the dispatch thread.
+pub(crate) enum DispatchEvent {
+    /// A request arrived.
+    Submit {
+        id: ReplyId,
+        request: Arc<ForwardRequest>,
+        reply: OutcomeSender,
+    },
+    /// The caller no longer waits.
+    Cancel(ReplyId),
+    /// A claim was written, found or given up.
+    Claimed {
+        key: RequestKey,
+        result: ClaimResult,
+    },
+    /// An attempt ended; `outcome` is the outcome if it is the last one.
+    Sent {
+        key: RequestKey,
+        report: SendReport,
+        outcome: RequestOutcome,
+    },
+    /// A probe ended.
+    Probed { vm: VmId, outcome: ProbeOutcome },
+    /// A response announced that the endpoint is leaving.
+    Leaving(SocketAddr),
+    /// A newer fleet state.
+    View(Arc<FleetState>),
+    /// The pools whose workers this node probes.
+    Homes(BTreeSet<PoolId>),
+    /// Asks for the counters.
+    Counters(Sender<Vec<CounterRow>>),
+    /// Asks for the state.
+    Dump(Sender<serde_json::Value>),
+    /// Ends the thread.
+    Stop,
+}
--- /dev/null
+++ b/crates/tanager-node/src/dispatcher/mod.rs
@@ -0,0 +1,223 @@
+//! The dispatch service: one thread that owns the queues of all pools and carries out the
+//! decisions of [`DispatchCore`].
+
+mod event;
+mod pending;
+mod thread;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+
+use crossbeam::channel;
+use crossbeam::channel::Sender;
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+
+use tanager_control::NodeProgress;
+use tanager_dispatch::DispatchCore;
+use tanager_dispatch::DispatchSettings;
+use tanager_dispatch::counters::DispatchCounters;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::outcome::NotRunOutcome;
+use tanager_protocol::outcome::NotRunReason;
+use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::peer::ForwardRequest;
+use tanager_protocol::request::RequestPriority;
+
+use crate::claims::ClaimService;
+use crate::dispatcher::event::DispatchEvent;
+use crate::dispatcher::event::ReplyId;
+use crate::dispatcher::thread::DispatchThread;
+use crate::endpoint::EndpointClient;
+
+/// What the dispatch thread needs of the node.
+#[derive(Clone)]
+pub struct DispatchBackend {
+    /// Writes claims of keyed requests.
+    pub claims: Arc<ClaimService>,
+    /// Sends requests and probes.
+    pub endpoint: Arc<EndpointClient>,
+    /// Runtime on which claims, requests and probes run.
+    pub runtime: Handle,
+}
+
+/// Counters of one pool and priority.
+pub type CounterRow = (PoolId, RequestPriority, DispatchCounters);
+
+/// What the dispatch thread publishes after each event. One lock, so that the version and the
+/// requests in flight belong to the same moment.
+#[derive(Debug, Default)]
+struct DispatchReport {
+    progress: NodeProgress,
+    suspects: BTreeSet<VmId>,
+    open: usize,
+}
+
+/// A running dispatch service.
+pub struct DispatchService {
+    events: Sender<DispatchEvent>,
+    report: Arc<Mutex<DispatchReport>>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+    next_reply: AtomicU64,
+}
+
+impl DispatchService {
+    /// Starts the dispatch thread. `seed` decides ties among equally loaded workers.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` when the thread cannot be started.
+    pub fn spawn(
+        settings: DispatchSettings,
+        seed: u64,
+        backend: DispatchBackend,
+    ) -> TanagerResult<Self> {
+        let (events, receiver) = channel::unbounded();
+        let report = Arc::new(Mutex::new(DispatchReport::default()));
+        let core = DispatchCore::new(settings, seed);
+        let thread =
+            DispatchThread::new(core, backend, receiver, events.clone(), Arc::clone(&report));
+        let thread = std::thread::Builder::new()
+            .name("dispatch".to_owned())
+            .spawn(move || thread.run())
+            .map_err(|error| TanagerError::new(ErrorKind::Internal, "spawn", "dispatch", error))?;
+        Ok(Self {
+            events,
+            report,
+            thread: Mutex::new(Some(thread)),
+            next_reply: AtomicU64::new(0),
+        })
+    }
+
+    /// Queues a request and returns its outcome. Dropping the future cancels the request unless
+    /// it was sent and is not idempotent.
+    pub async fn submit(&self, request: ForwardRequest) -> RequestOutcome {
+        let id = self.next_reply.fetch_add(1, Ordering::Relaxed);
+        let (reply, outcome) = oneshot::channel();
+        let request = Arc::new(request);
+        let mut guard = CancelGuard {
+            id,
+            events: Some(&self.events),
+        };
+        if self
+            .events
+            .send(DispatchEvent::Submit { id, request, reply })
+            .is_err()
+        {
+            return stopped();
+        }
+        let result = outcome.await;
+        guard.events = None;
+        result.unwrap_or_else(|_| stopped())
+    }
+
+    /// Applies a fleet state.
+    pub fn update_view(&self, state: Arc<FleetState>) {
+        self.send(DispatchEvent::View(state));
+    }
+
+    /// Sets the pools whose workers this node probes.
+    pub fn set_homes(&self, homes: BTreeSet<PoolId>) {
+        self.send(DispatchEvent::Homes(homes));
+    }
+
+    /// Records that the endpoint at an address announced that it is leaving.
+    pub fn report_leaving(&self, address: SocketAddr) {
+        self.send(DispatchEvent::Leaving(address));
+    }
+
+    /// Version applied by the dispatch thread and requests in flight on VMs that are draining or
+    /// moving, of one moment.
+    pub fn progress(&self) -> NodeProgress {
+        self.report
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .progress
+            .clone()
+    }
+
+    /// VMs that the dispatch thread counts as unavailable.
+    pub fn suspects(&self) -> BTreeSet<VmId> {
+        self.report
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .suspects
+            .clone()
+    }
+
+    /// Requests without an outcome.
+    pub fn open_requests(&self) -> usize {
+        self.report
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .open
+    }
+
+    /// Counters by pool and priority.
+    pub fn counters(&self) -> Vec<CounterRow> {
+        let (reply, rows) = channel::bounded(1);
+        self.send(DispatchEvent::Counters(reply));
+        rows.recv().unwrap_or_default()
+    }
+
+    /// State of the queues and workers.
+    pub fn dump(&self) -> serde_json::Value {
+        let (reply, dump) = channel::bounded(1);
+        self.send(DispatchEvent::Dump(reply));
+        dump.recv().unwrap_or_default()
+    }
+
+    /// Ends the thread. Requests that are still open get the outcome that is true for them.
+    pub fn stop(&self) {
+        self.send(DispatchEvent::Stop);
+        let thread = self
+            .thread
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(thread) = thread {
+            // A panic of the thread was already printed.
+            let _ = thread.join();
+        }
+    }
+
+    fn send(&self, event: DispatchEvent) {
+        // Fails only after the thread has ended.
+        let _ = self.events.send(event);
+    }
+}
+
+/// Cancels a request when its future is dropped before the outcome.
+struct CancelGuard<'a> {
+    id: ReplyId,
+    /// `None` once the outcome is known.
+    events: Option<&'a Sender<DispatchEvent>>,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(events) = self.events {
+            // Fails only after the thread has ended.
+            let _ = events.send(DispatchEvent::Cancel(self.id));
+        }
+    }
+}
+
+fn stopped() -> RequestOutcome {
+    RequestOutcome::NotRun(NotRunOutcome {
+        reason: NotRunReason::NotReady,
+        message: "the node has stopped".to_owned(),
+        retry_after: None,
+    })
+}
--- /dev/null
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -0,0 +1,514 @@
+//! The loop of the dispatch thread.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+
+use tanager_control::NodeProgress;
+use tanager_dispatch::ClaimVerdict;
+use tanager_dispatch::DispatchAction;
+use tanager_dispatch::DispatchCore;
+use tanager_dispatch::ProbeReport;
+use tanager_dispatch::RequestKey;
+use tanager_dispatch::SendReport;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::outcome::NotRunOutcome;
+use tanager_protocol::outcome::NotRunReason;
+use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::outcome::UnknownOutcome;
+use tanager_protocol::outcome::UnknownReason;
+use tanager_protocol::peer::ForwardRequest;
+use tanager_protocol::request::RequestPriority;
+use tanager_protocol::request::RequestSummary;
+use tanager_protocol::request::is_idempotent_method;
+
+use crate::claims::ClaimResult;
+use crate::dispatcher::DispatchBackend;
+use crate::dispatcher::DispatchReport;
+use crate::dispatcher::event::DispatchEvent;
+use crate::dispatcher::event::OutcomeSender;
+use crate::dispatcher::event::ReplyId;
+use crate::dispatcher::pending::PendingRequest;
+use crate::dispatcher::pending::PendingTable;
+use crate::endpoint::ProbeOutcome;
+use crate::endpoint::SendFailure;
+use crate::endpoint::SendFailureKind;
+
+/// Longest wait for an event.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+/// Period of the report while events arrive. Publishing after each event would walk all workers
+/// for each request. A report that is late only delays moves: after a view is applied, the
+/// requests in flight on a draining VM only decrease.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
+/// Events handled before the report is published again.
+const MAX_BATCH: usize = 256;
+/// Time after which a request with unknown outcome may be retried where that is safe.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// State of the dispatch thread.
+pub(crate) struct DispatchThread {
+    core: DispatchCore,
+    backend: DispatchBackend,
+    receiver: Receiver<DispatchEvent>,
+    events: Sender<DispatchEvent>,
+    report: Arc<Mutex<DispatchReport>>,
+    pending: PendingTable,
+    view: Arc<FleetState>,
+    vms_by_address: BTreeMap<SocketAddr, VmId>,
+    probe_timeout: Duration,
+    start: Instant,
+    /// Time of the newest report; `None` when a new one is due at once.
+    published: Option<Duration>,
+}
+
+impl DispatchThread {
+    pub(crate) fn new(
+        core: DispatchCore,
+        backend: DispatchBackend,
+        receiver: Receiver<DispatchEvent>,
+        events: Sender<DispatchEvent>,
+        report: Arc<Mutex<DispatchReport>>,
+    ) -> Self {
+        Self {
+            core,
+            backend,
+            receiver,
+            events,
+            report,
+            pending: PendingTable::default(),
+            view: Arc::default(),
+            vms_by_address: BTreeMap::new(),
+            probe_timeout: tanager_dispatch::DispatchSettings::default().probe_timeout,
+            start: Instant::now(),
+            published: None,
+        }
+    }
+
+    /// Handles events until the stop.
+    pub(crate) fn run(mut self) {
+        loop {
+            let deadline = self.core.next_deadline().unwrap_or(Duration::MAX);
+            let publish = self
+                .published
+                .map_or(Duration::ZERO, |time| time + PUBLISH_INTERVAL);
+            let limit = if self.pending.len() > 0 {
+                publish
+            } else {
+                Duration::MAX
+            };
+            let wait = deadline.min(limit).saturating_sub(self.now()).min(MAX_WAIT);
+            match self.receiver.recv_timeout(wait) {
+                Ok(event) => {
+                    if !self.handle_batch(event) {
+                        break;
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            let actions = self.core.tick(self.now());
+            self.execute(actions);
+            if self
+                .published
+                .is_none_or(|time| self.now() >= time + PUBLISH_INTERVAL)
+            {
+                self.publish();
+            }
+        }
+        self.finish_all();
+    }
+
+    /// Handles an event and those that wait behind it; returns false at the stop.
+    fn handle_batch(&mut self, first: DispatchEvent) -> bool {
+        let mut next = Some(first);
+        for _ in 0..MAX_BATCH {
+            match next {
+                Some(DispatchEvent::Stop) => return false,
+                Some(event) => self.handle(event),
+                None => return true,
+            }
+            next = self.receiver.try_recv().ok();
+        }
+        match next {
+            Some(DispatchEvent::Stop) => false,
+            Some(event) => {
+                self.handle(event);
+                true
+            }
+            None => true,
+        }
+    }
+
+    fn handle(&mut self, event: DispatchEvent) {
+        let now = self.now();
+        let actions = match event {
+            DispatchEvent::Submit { id, request, reply } => {
+                self.submit(now, id, request, reply);
+                return;
+            }
+            DispatchEvent::Cancel(id) => self.cancel(now, id),
+            DispatchEvent::Claimed { key, result } => self.apply_claim(now, key, result),
+            DispatchEvent::Sent {
+                key,
+                report,
+                outcome,
+            } => {
+                if let Some(pending) = self.pending.get_mut(key) {
+                    pending.attempt = None;
+                    if report != SendReport::NotSent {
+                        pending.outcome = Some(outcome);
+                    }
+                }
+                self.core.send_finished(now, key, report)
+            }
+            DispatchEvent::Probed { vm, outcome } => {
+                let report = match outcome {
+                    ProbeOutcome::Up => ProbeReport::Up,
+                    ProbeOutcome::Leaving => ProbeReport::Leaving,
+                    ProbeOutcome::Down => ProbeReport::Failed,
+                };
+                self.core.probe_finished(now, &vm, report)
+            }
+            DispatchEvent::Leaving(address) => match self.vms_by_address.get(&address) {
+                Some(vm) => self.core.probe_finished(now, vm, ProbeReport::Leaving),
+                None => Vec::new(),
+            },
+            DispatchEvent::View(state) => self.apply_view(now, state),
+            DispatchEvent::Homes(homes) => {
+                self.core.set_homes(now, Some(homes));
+                Vec::new()
+            }
+            DispatchEvent::Counters(reply) => {
+                let rows = self.core.counters();
+                let rows = rows.map(|(pool, priority, row)| (pool.clone(), priority, *row));
+                // The asking thread may have given up.
+                let _ = reply.send(rows.collect());
+                Vec::new()
+            }
+            DispatchEvent::Dump(reply) => {
+                let dump = serde_json::to_value(self.core.dump()).unwrap_or_default();
+                let _ = reply.send(dump);
+                Vec::new()
+            }
+            DispatchEvent::Stop => Vec::new(),
+        };
+        self.execute(actions);
+    }
+
+    fn submit(
+        &mut self,
+        now: Duration,
+        id: ReplyId,
+        request: Arc<ForwardRequest>,
+        reply: OutcomeSender,
+    ) {
+        let idempotent = is_idempotent_method(&request.method);
+        let needs_claim = !idempotent && !request.idempotency_key.is_empty();
+        let join = needs_claim.then(|| (request.pool.clone(), request.idempotency_key.clone()));
+        if let Some(join) = &join
+            && let Some((key, _)) = self.pending.find_join(join)
+        {
+            self.pending.wait(key, id, reply);
+            return;
+        }
+        let summary = RequestSummary {
+            pool: request.pool.clone(),
+            team: request.team.clone(),
+            priority: RequestPriority::parse(&request.priority).unwrap_or_default(),
+            timeout: Duration::from_millis(request.timeout_ms),
+            idempotent,
+            needs_claim,
+            slots: request.slots.max(1),
+        };
+        let pending = PendingRequest {
+            request,
+            idempotent,
+            join,
+            waiting: vec![(id, reply)],
+            claim: None,
+            sent: false,
+            attempt: None,
+            outcome: None,
+        };
+        let (key, actions) = self.core.submit(now, summary);
+        self.pending.insert(key, pending);
+        self.execute(actions);
+    }
+
+    /// A sent request that is not idempotent runs to its end, so that its result is recorded for
+    /// a retry with the same key.
+    fn cancel(&mut self, now: Duration, id: ReplyId) -> Vec<DispatchAction> {
+        match self.pending.leave(id) {
+            Some((key, pending)) if pending.idempotent || !pending.sent => {
+                self.core.cancel(now, key)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn apply_claim(
+        &mut self,
+        now: Duration,
+        key: RequestKey,
+        result: ClaimResult,
+    ) -> Vec<DispatchAction> {
+        let Some(pending) = self.pending.get_mut(key) else {
+            // The request ended while its claim was being written.
+            if let ClaimResult::Granted(ticket) = result {
+                self.backend.claims.release(ticket);
+            }
+            return Vec::new();
+        };
+        let verdict = match result {
+            ClaimResult::Granted(ticket) => {
+                pending.claim = Some(ticket);
+                ClaimVerdict::Granted
+            }
+            ClaimResult::Recorded(answer) => {
+                pending.outcome = Some(RequestOutcome::Answered(answer));
+                ClaimVerdict::Resolved
+            }
+            ClaimResult::Held => {
+                let message = "an earlier request with this key may have run";
+                pending.outcome = Some(unknown(UnknownReason::KeyHistory, message, true));
+                ClaimVerdict::Resolved
+            }
+            ClaimResult::Unavailable => {
+                let message = "the history of this key cannot be read now";
+                pending.outcome = Some(unknown(UnknownReason::KeyHistory, message, true));
+                ClaimVerdict::Resolved
+            }
+        };
+        self.core.claim_finished(now, key, verdict)
+    }
+
+    fn apply_view(&mut self, now: Duration, state: Arc<FleetState>) -> Vec<DispatchAction> {
+        let actions = self.core.update_view(now, &state);
+        let vms = state.document.vms.iter();
+        self.vms_by_address = vms
+            .map(|(vm, config)| (config.address, vm.clone()))
+            .collect();
+        let addresses: BTreeSet<SocketAddr> = self.vms_by_address.keys().copied().collect();
+        self.backend.endpoint.retain(&addresses);
+        self.view = state;
+        self.published = None;
+        actions
+    }
+
+    fn execute(&mut self, actions: Vec<DispatchAction>) {
+        for action in actions {
+            match action {
+                DispatchAction::Claim { key, .. } => self.start_claim(key),
+                DispatchAction::Send {
+                    key,
+                    address,
+                    time_left,
+                    ..
+                } => {
+                    self.start_send(key, address, time_left);
+                }
+                DispatchAction::Refuse {
+                    key,
+                    reason,
+                    message,
+                    retry_after,
+                } => {
+                    self.refuse(key, reason, message, retry_after);
+                }
+                DispatchAction::Finish { key } => self.finish(key),
+                DispatchAction::Probe { vm, address, path } => {
+                    self.start_probe(vm, address, path);
+                }
+            }
+        }
+    }
+
+    fn start_claim(&mut self, key: RequestKey) {
+        let Some(pending) = self.pending.get_mut(key) else {
+            return;
+        };
+        let request = Arc::clone(&pending.request);
+        let claims = Arc::clone(&self.backend.claims);
+        let events = self.events.clone();
+        let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
+        self.backend.runtime.spawn(async move {
+            let result = claims
+                .claim(&request.pool, &request.idempotency_key, deadline)
+                .await;
+            // Fails only after the thread has ended.
+            let _ = events.send(DispatchEvent::Claimed { key, result });
+        });
+    }
+
+    fn start_send(&mut self, key: RequestKey, address: SocketAddr, time_left: Duration) {
+        let Some(pending) = self.pending.get_mut(key) else {
+            return;
+        };
+        pending.sent = true;
+        let request = Arc::clone(&pending.request);
+        let retry_is_safe = pending.idempotent || pending.join.is_some();
+        let endpoint = Arc::clone(&self.backend.endpoint);
+        let events = self.events.clone();
+        let task = self.backend.runtime.spawn(async move {
+            let start = Instant::now();
+            let result = endpoint.send(address, &request, time_left).await;
+            let latency = start.elapsed();
+            let (report, outcome) = match result {
+                Ok(answer) if answer.status < 500 => (
+                    SendReport::Answered { latency },
+                    RequestOutcome::Answered(answer),
+                ),
+                Ok(answer) => (
+                    SendReport::Failed {
+                        latency,
+                        leaving: false,
+                    },
+                    RequestOutcome::Answered(answer),
+                ),
+                Err(failure) => failed_attempt(failure, retry_is_safe),
+            };
+            let _ = events.send(DispatchEvent::Sent {
+                key,
+                report,
+                outcome,
+            });
+        });
+        pending.attempt = Some(task.abort_handle());
+    }
+
+    fn start_probe(&self, vm: VmId, address: SocketAddr, path: String) {
+        let endpoint = Arc::clone(&self.backend.endpoint);
+        let events = self.events.clone();
+        let timeout = self.probe_timeout;
+        self.backend.runtime.spawn(async move {
+            let outcome = endpoint.probe(address, &path, timeout).await;
+            let _ = events.send(DispatchEvent::Probed { vm, outcome });
+        });
+    }
+
+    fn refuse(
+        &mut self,
+        key: RequestKey,
+        reason: NotRunReason,
+        message: String,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(mut pending) = self.pending.remove(key) else {
+            return;
+        };
+        if let Some(ticket) = pending.claim.take() {
+            self.backend.claims.release(ticket);
+        }
+        let outcome = NotRunOutcome {
+            reason,
+            message,
+            retry_after,
+        };
+        answer(pending, &RequestOutcome::NotRun(outcome));
+    }
+
+    fn finish(&mut self, key: RequestKey) {
+        let Some(mut pending) = self.pending.remove(key) else {
+            return;
+        };
+        if let Some(attempt) = pending.attempt.take() {
+            attempt.abort();
+        }
+        let retry_is_safe = pending.idempotent || pending.join.is_some();
+        let outcome = pending.outcome.take().unwrap_or_else(|| {
+            if pending.sent {
+                unknown(UnknownReason::Timeout, "no response in time", retry_is_safe)
+            } else {
+                let message = "the history of this key could not be read in time";
+                unknown(UnknownReason::KeyHistory, message, retry_is_safe)
+            }
+        });
+        if let (Some(ticket), RequestOutcome::Answered(answer)) = (pending.claim.take(), &outcome) {
+            self.backend.claims.complete(ticket, answer);
+        }
+        answer(pending, &outcome);
+    }
+
+    /// Gives every open request the outcome that is true for it.
+    fn finish_all(&mut self) {
+        for key in self.pending.keys() {
+            let unsent = self
+                .pending
+                .get_mut(key)
+                .is_some_and(|pending| !pending.sent);
+            if unsent {
+                let message = "the node is stopping".to_owned();
+                self.refuse(key, NotRunReason::NotReady, message, Some(RETRY_AFTER));
+            } else {
+                self.finish(key);
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        self.published = Some(self.now());
+        let draining = self
+            .view
+            .vms
+            .iter()
+            .filter(|(_, record)| record.activity != VmActivity::Active)
+            .map(|(vm, _)| (vm.clone(), self.core.in_flight(vm)))
+            .filter(|(_, requests)| *requests > 0);
+        let progress = NodeProgress {
+            version: self.core.applied_version(),
+            in_flight: draining.collect(),
+        };
+        let suspects = self.core.suspects();
+        let mut report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.progress = progress;
+        report.suspects = suspects;
+        report.open = self.pending.len();
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+fn answer(pending: PendingRequest, outcome: &RequestOutcome) {
+    for (_, reply) in pending.waiting {
+        // The caller may have disconnected.
+        let _ = reply.send(outcome.clone());
+    }
+}
+
+fn failed_attempt(failure: SendFailure, retry_is_safe: bool) -> (SendReport, RequestOutcome) {
+    match failure.kind {
+        SendFailureKind::NotSent => {
+            let outcome = NotRunOutcome {
+                reason: NotRunReason::NoWorker,
+                message: failure.message,
+                retry_after: Some(RETRY_AFTER),
+            };
+            (SendReport::NotSent, RequestOutcome::NotRun(outcome))
+        }
+        SendFailureKind::Unknown(reason) => (
+            SendReport::Unknown,
+            unknown(reason, &failure.message, retry_is_safe),
+        ),
+    }
+}
+
+fn unknown(reason: UnknownReason, message: &str, retry_is_safe: bool) -> RequestOutcome {
+    RequestOutcome::Unknown(UnknownOutcome {
+        reason,
+        message: message.to_owned(),
+        retry_after: retry_is_safe.then_some(RETRY_AFTER),
+    })
+}
--- a/crates/tanager-node/src/main.rs
+++ b/crates/tanager-node/src/main.rs
@@ -1,2 +1,125 @@
-//! The node process.
-fn main() {}
+//! `tanagerladderd`: one node of tanagerladder.
+
+#![allow(clippy::print_stderr, reason = "usage errors go to standard error")]
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use tanager_node::node::NodeHandle;
+use tanager_settings::NodeSettings;
+
+const HELP: &str = "\
+tanagerladderd runs one node of tanagerladder.
+
+Usage: tanagerladderd --config FILE
+
+Options:
+  --config FILE  settings in INI format, see docs/operating.md
+  --check        check the settings and exit
+  --help         print this help
+  --version      print the version
+
+Signals: SIGTERM and SIGINT stop the node gracefully.
+Environment: RUST_LOG sets the log level (default info).
+Exit codes: 0 stopped gracefully, 1 failed, 2 invalid arguments or settings.
+";
+
+/// Threads for sockets. The entry VMs are small, and the dispatch thread has one of its own.
+const IO_THREADS: usize = 2;
+
+struct NodeArguments {
+    config: PathBuf,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let arguments = match parse_arguments(Parser::from_env()) {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tanagerladderd: {error}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    let settings = match NodeSettings::open(&arguments.config) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("tanagerladderd: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tanagerladderd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn parse_arguments(mut parser: Parser) -> Result<Option<NodeArguments>, lexopt::Error> {
+    let mut config = None;
+    let mut check = false;
+    let mut output = std::io::stdout();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("config") => config = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("check") => check = true,
+            Arg::Short('h') | Arg::Long("help") => {
+                // Nothing is lost when the reader of the help has gone.
+                let _ = output.write_all(HELP.as_bytes());
+                return Ok(None);
+            }
+            Arg::Short('V') | Arg::Long("version") => {
+                let _ = writeln!(output, "tanagerladderd {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            Arg::Value(value) => {
+                return Err(lexopt::Error::UnexpectedArgument(value.string()?.into()));
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    let config = config.ok_or(lexopt::Error::MissingValue {
+        option: Some("--config".into()),
+    })?;
+    Ok(Some(NodeArguments { config, check }))
+}
+
+fn run(settings: NodeSettings) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(IO_THREADS)
+        .thread_name("io")
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let node = NodeHandle::spawn(settings).await?;
+        let addresses = node.addresses();
+        let mut output = std::io::stdout();
+        writeln!(
+            output,
+            "listening caller={} peer={} admin={}",
+            addresses.caller, addresses.peer, addresses.admin
+        )?;
+        output.flush()?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        node.stop().await;
+        Ok(())
+    })
+}
--- a/crates/tanager-node/src/metrics.rs
+++ b/crates/tanager-node/src/metrics.rs
@@ -25,7 +25,10 @@
 impl MetricSample {
     /// A value without labels.
     pub fn plain(value: f64) -> Vec<Self> {
-        vec![Self { labels: Vec::new(), value }]
+        vec![Self {
+            labels: Vec::new(),
+            value,
+        }]
     }
 }
 
@@ -52,7 +55,10 @@
 
 impl fmt::Debug for MetricSource {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("MetricSource").field("name", &self.name).finish_non_exhaustive()
+        formatter
+            .debug_struct("MetricSource")
+            .field("name", &self.name)
+            .finish_non_exhaustive()
     }
 }
 
--- /dev/null
+++ b/crates/tanager-node/src/node_metrics.rs
@@ -0,0 +1,195 @@
+//! The metrics of a node, each read from the service that owns it.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+
+use tanager_control::ControlService;
+use tanager_dispatch::counters::DispatchCounters;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+
+use crate::caller::CallerCounters;
+use crate::claims::ClaimCounters;
+use crate::claims::ClaimService;
+use crate::dispatcher::DispatchService;
+use crate::metrics::MetricKind;
+use crate::metrics::MetricSample;
+use crate::metrics::MetricSource;
+
+/// Error of a call that arrives before the control service runs.
+pub(crate) fn starting() -> TanagerError {
+    TanagerError::new(ErrorKind::NotReady, "control", "", "the node is starting")
+}
+
+/// Returns all metrics of the node.
+pub(crate) fn sources(
+    control: &Arc<OnceLock<Arc<ControlService>>>,
+    caller: &Arc<CallerCounters>,
+    dispatch: &Arc<DispatchService>,
+    claims: &Arc<ClaimService>,
+) -> Vec<MetricSource> {
+    let mut sources = vec![caller_source(caller), open_source(dispatch)];
+    sources.extend(dispatch_sources(dispatch));
+    sources.extend(claim_sources(claims));
+    sources.extend(control_sources(control));
+    sources
+}
+
+fn caller_source(caller: &Arc<CallerCounters>) -> MetricSource {
+    let counters = Arc::clone(caller);
+    MetricSource {
+        name: "requests",
+        help: "Requests of callers at this node by outcome and reason",
+        kind: MetricKind::Counter,
+        read: Box::new(move || {
+            let counts = counters.snapshot().into_iter();
+            let samples = counts.map(|((outcome, reason), count)| MetricSample {
+                labels: vec![
+                    ("outcome", outcome.to_owned()),
+                    ("reason", reason.to_owned()),
+                ],
+                value: count as f64,
+            });
+            samples.collect()
+        }),
+    }
+}
+
+fn open_source(dispatch: &Arc<DispatchService>) -> MetricSource {
+    let dispatch = Arc::clone(dispatch);
+    MetricSource {
+        name: "open_requests",
+        help: "Requests that this node holds as home and that have no outcome yet",
+        kind: MetricKind::Gauge,
+        read: Box::new(move || MetricSample::plain(dispatch.open_requests() as f64)),
+    }
+}
+
+/// Name, help and value of one counter of a pool and priority.
+type DispatchColumn = (&'static str, &'static str, fn(&DispatchCounters) -> u64);
+
+const DISPATCH_COLUMNS: [DispatchColumn; 8] = [
+    (
+        "dispatch_submitted",
+        "Requests submitted to the queues of this home",
+        |row| row.submitted,
+    ),
+    ("dispatch_sent", "Attempts sent to workers", |row| row.sent),
+    ("dispatch_retried", "Attempts after the first", |row| {
+        row.retried
+    }),
+    (
+        "dispatch_not_sent",
+        "Attempts of which no byte was sent",
+        |row| row.not_sent,
+    ),
+    (
+        "dispatch_unknown",
+        "Attempts that may have run without a response",
+        |row| row.unknown,
+    ),
+    (
+        "dispatch_refused_full",
+        "Requests refused by estimated wait",
+        |row| row.refused_full,
+    ),
+    (
+        "dispatch_refused_timeout",
+        "Requests that reached their queue limit",
+        |row| row.refused_timeout,
+    ),
+    (
+        "dispatch_refused_quota",
+        "Requests refused by the quota of their team",
+        |row| row.refused_quota,
+    ),
+];
+
+fn dispatch_sources(dispatch: &Arc<DispatchService>) -> Vec<MetricSource> {
+    let sources = DISPATCH_COLUMNS.iter().map(|(name, help, column)| {
+        let dispatch = Arc::clone(dispatch);
+        MetricSource {
+            name,
+            help,
+            kind: MetricKind::Counter,
+            read: Box::new(move || {
+                let rows = dispatch.counters().into_iter();
+                let samples = rows.map(|(pool, priority, row)| MetricSample {
+                    labels: vec![("pool", pool), ("priority", priority.as_str().to_owned())],
+                    value: column(&row) as f64,
+                });
+                samples.collect()
+            }),
+        }
+    });
+    sources.collect()
+}
+
+/// Name, help and value of one counter of the claim service.
+type ClaimColumn = (&'static str, &'static str, fn(&ClaimCounters) -> u64);
+
+const CLAIM_COLUMNS: [ClaimColumn; 5] = [
+    ("claim_rows", "Claim rows written", |row| row.writes),
+    ("claim_batches", "Transactions of claims", |row| row.batches),
+    ("claim_conflicts", "Claim conditions that failed", |row| {
+        row.conflicts
+    }),
+    (
+        "claim_lost_responses",
+        "Claim transactions with unknown outcome",
+        |row| row.lost_responses,
+    ),
+    (
+        "claim_dropped_records",
+        "Completion records dropped for lack of space",
+        |row| row.dropped_records,
+    ),
+];
+
+fn claim_sources(claims: &Arc<ClaimService>) -> Vec<MetricSource> {
+    let sources = CLAIM_COLUMNS.iter().map(|(name, help, column)| {
+        let claims = Arc::clone(claims);
+        MetricSource {
+            name,
+            help,
+            kind: MetricKind::Counter,
+            read: Box::new(move || MetricSample::plain(column(&claims.counters()) as f64)),
+        }
+    });
+    sources.collect()
+}
+
+fn control_sources(control: &Arc<OnceLock<Arc<ControlService>>>) -> Vec<MetricSource> {
+    let version = Arc::clone(control);
+    let live = Arc::clone(control);
+    let ready = Arc::clone(control);
+    vec![
+        MetricSource {
+            name: "log_version",
+            help: "Newest applied version of the change log",
+            kind: MetricKind::Gauge,
+            read: Box::new(move || match version.get() {
+                Some(control) => MetricSample::plain(control.state().version as f64),
+                None => Vec::new(),
+            }),
+        },
+        MetricSource {
+            name: "live_nodes",
+            help: "Nodes with recent contact, including this one",
+            kind: MetricKind::Gauge,
+            read: Box::new(move || match live.get() {
+                Some(control) => MetricSample::plain(control.live_nodes().len() as f64),
+                None => Vec::new(),
+            }),
+        },
+        MetricSource {
+            name: "ready",
+            help: "1 when the node may serve callers, otherwise 0",
+            kind: MetricKind::Gauge,
+            read: Box::new(move || {
+                let ready = ready.get().is_some_and(|control| control.ready().is_ok());
+                MetricSample::plain(if ready { 1.0 } else { 0.0 })
+            }),
+        },
+    ]
+}
--- /dev/null
+++ b/crates/tanager-node/src/serving.rs
@@ -0,0 +1,219 @@
+//! Serves requests: routes those of callers, and handles those for which this node is home or
+//! ticket issuer.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use tanager_control::ControlService;
+use tanager_dispatch::home::home_order;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::outcome::NotRunOutcome;
+use tanager_protocol::outcome::NotRunReason;
+use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::outcome::UnknownOutcome;
+use tanager_protocol::outcome::UnknownReason;
+use tanager_protocol::peer::ForwardRequest;
+use tanager_protocol::request::is_idempotent_method;
+
+use crate::dispatcher::DispatchService;
+use crate::peer::PeerClient;
+use crate::router::HomeTarget;
+use crate::router::RequestRouter;
+use crate::router::RouterHandlers;
+use crate::tickets::TicketEnd;
+use crate::tickets::TicketKey;
+use crate::tickets::TicketStart;
+use crate::tickets::TicketTable;
+
+/// Time to retry after while the node starts or the first request with a ticket runs.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+type ControlCell = Arc<OnceLock<Arc<ControlService>>>;
+
+/// Serves the requests of one node.
+pub struct RequestService {
+    node: NodeId,
+    control: ControlCell,
+    dispatch: Arc<DispatchService>,
+    peers: Arc<PeerClient>,
+    tickets: Arc<TicketTable>,
+}
+
+impl RequestService {
+    /// Creates the service.
+    pub fn new(
+        node: NodeId,
+        control: ControlCell,
+        dispatch: Arc<DispatchService>,
+        peers: Arc<PeerClient>,
+        tickets: Arc<TicketTable>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            node,
+            control,
+            dispatch,
+            peers,
+            tickets,
+        })
+    }
+
+    /// Returns the outcome of a caller's request.
+    pub async fn route(self: &Arc<Self>, request: ForwardRequest) -> RequestOutcome {
+        let Some(control) = self
+            .control
+            .get()
+            .filter(|control| control.state().version > 0)
+        else {
+            return not_run(NotRunReason::NotReady, "the node has no configuration yet");
+        };
+        let state = control.state();
+        let Some(pool) = state.document.pools.get(&request.pool) else {
+            return not_run(NotRunReason::UnknownPool, "no such pool");
+        };
+        let keyless = !is_idempotent_method(&request.method) && request.idempotency_key.is_empty();
+        if pool.require_key && keyless {
+            let message = "this pool requires an Idempotency-Key for POST and PATCH";
+            return not_run(NotRunReason::BadRequest, message);
+        }
+        RequestRouter::new(self.handlers()).route(request).await
+    }
+
+    /// Returns the outcome of a request for which this node is home, or whose ticket it issued.
+    pub async fn handle_local(self: &Arc<Self>, request: ForwardRequest) -> RequestOutcome {
+        let ticket = TicketKey::parse(&request.idempotency_key)
+            .filter(|_| !is_idempotent_method(&request.method));
+        if let Some(ticket) = ticket {
+            return self.handle_ticket(ticket, request).await;
+        }
+        let may_dispatch = self
+            .control
+            .get()
+            .is_some_and(|control| control.may_dispatch());
+        if !may_dispatch {
+            return not_run(
+                NotRunReason::NotReady,
+                "the home of the pool is not registered",
+            );
+        }
+        self.dispatch.submit(request).await
+    }
+
+    /// Runs a ticketed request once. The run goes on when the caller disconnects, so that its
+    /// result is there for the retry.
+    async fn handle_ticket(
+        self: &Arc<Self>,
+        ticket: TicketKey,
+        mut request: ForwardRequest,
+    ) -> RequestOutcome {
+        match self.tickets.begin(&ticket, &request.pool) {
+            TicketStart::Begun => {}
+            TicketStart::Finished(answer) => return RequestOutcome::Answered(answer),
+            TicketStart::InProgress => {
+                return key_history("a request with this ticket is in progress");
+            }
+            TicketStart::Unknown => {
+                return key_history("an earlier request with this ticket may have run");
+            }
+        }
+        // Without a key the home sends the request at most once; this table is its history.
+        request.idempotency_key.clear();
+        let service = Arc::clone(self);
+        let run = tokio::spawn(async move {
+            let outcome = RequestRouter::new(service.handlers()).route(request).await;
+            let end = match &outcome {
+                RequestOutcome::Answered(answer) => TicketEnd::Answered(answer.clone()),
+                RequestOutcome::NotRun(_) => TicketEnd::NotSent,
+                RequestOutcome::Unknown(_) => TicketEnd::Unknown,
+            };
+            service.tickets.finish(&ticket, end);
+            outcome
+        });
+        match run.await {
+            Ok(RequestOutcome::Unknown(outcome)) => RequestOutcome::Unknown(UnknownOutcome {
+                // A retry with the ticket never runs the request again.
+                retry_after: outcome.retry_after.or(Some(RETRY_AFTER)),
+                ..outcome
+            }),
+            Ok(outcome) => outcome,
+            Err(_) => key_history("the request was lost"),
+        }
+    }
+
+    fn handlers(self: &Arc<Self>) -> RouterHandlers {
+        let homes = Arc::clone(self);
+        let issuer = Arc::clone(self);
+        let local = Arc::clone(self);
+        let peers = Arc::clone(&self.peers);
+        RouterHandlers {
+            homes: Arc::new(move |pool| homes.homes(pool)),
+            issuer: Arc::new(move |ticket| issuer.issuer(ticket)),
+            local: Arc::new(move |request| {
+                let service = Arc::clone(&local);
+                Box::pin(async move { service.handle_local(request).await })
+            }),
+            remote: Arc::new(move |address, request, limit| {
+                let peers = Arc::clone(&peers);
+                Box::pin(async move { peers.forward(address, request, limit).await })
+            }),
+        }
+    }
+
+    fn homes(&self, pool: &str) -> Vec<HomeTarget> {
+        let Some(control) = self.control.get() else {
+            return Vec::new();
+        };
+        let live = control.live_nodes();
+        let order = home_order(pool, live.iter().map(String::as_str));
+        order
+            .into_iter()
+            .filter_map(|node| self.target(control, node))
+            .collect()
+    }
+
+    /// The issuer counts as gone when another incarnation runs under its name.
+    fn issuer(&self, ticket: &TicketKey) -> Option<HomeTarget> {
+        if self.tickets.is_own(ticket) {
+            return Some(HomeTarget::Local);
+        }
+        let control = self.control.get()?;
+        let state = control.state();
+        let record = state.nodes.get(&ticket.node)?;
+        (record.incarnation == ticket.incarnation && ticket.node != self.node).then(|| {
+            HomeTarget::Remote {
+                node: ticket.node.clone(),
+                address: record.peer_address,
+            }
+        })
+    }
+
+    fn target(&self, control: &ControlService, node: &str) -> Option<HomeTarget> {
+        if node == self.node {
+            return Some(HomeTarget::Local);
+        }
+        let state = control.state();
+        let record = state.nodes.get(node)?;
+        Some(HomeTarget::Remote {
+            node: node.to_owned(),
+            address: record.peer_address,
+        })
+    }
+}
+
+fn not_run(reason: NotRunReason, message: &str) -> RequestOutcome {
+    let retry_after = (reason == NotRunReason::NotReady).then_some(RETRY_AFTER);
+    let message = message.to_owned();
+    RequestOutcome::NotRun(NotRunOutcome {
+        reason,
+        message,
+        retry_after,
+    })
+}
+
+fn key_history(message: &str) -> RequestOutcome {
+    RequestOutcome::Unknown(UnknownOutcome {
+        reason: UnknownReason::KeyHistory,
+        message: message.to_owned(),
+        retry_after: Some(RETRY_AFTER),
+    })
+}
