--- /dev/null
+++ b/crates/tanager-control/src/core.rs
@@ -0,0 +1,289 @@
+//! State shared by the handle and the tasks of the control service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use tanager_platform::RowVersion;
+use tanager_protocol::change::ChangeEntry;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::ids::LogVersion;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::peer::FetchReply;
+use tanager_protocol::peer::NodeStatus;
+use tanager_protocol::peer::VmLoad;
+
+use crate::backend::ControlBackend;
+use crate::home::rendezvous_home;
+use crate::peers::PeerTable;
+use crate::replica::ReplicaLog;
+use crate::replica::decode;
+use crate::settings::ControlSettings;
+
+#[derive(Debug)]
+pub(crate) struct ControlCore {
+    pub(crate) settings: ControlSettings,
+    pub(crate) backend: ControlBackend,
+    pub(crate) log: Mutex<ReplicaLog>,
+    pub(crate) sender: watch::Sender<Arc<FleetState>>,
+    pub(crate) peers: Mutex<PeerTable>,
+    pub(crate) status: Mutex<CoreStatus>,
+    /// When this node first saw each VM out of service, with the version at which that began.
+    pub(crate) drains: Mutex<BTreeMap<VmId, (LogVersion, Instant)>>,
+    /// One proposal at a time: proposals of one node would only conflict with each other.
+    pub(crate) proposing: tokio::sync::Mutex<()>,
+    /// Excludes a registration that would follow the node's departure.
+    pub(crate) registering: tokio::sync::Mutex<()>,
+    pub(crate) gossip_now: Notify,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct CoreStatus {
+    /// Whether the newest store call failed; `None` before the first one ended.
+    pub(crate) store_failed: Option<bool>,
+    pub(crate) store_contact: Option<Instant>,
+    pub(crate) peer_contact: Option<Instant>,
+    /// Whether the state is one from which a node may serve.
+    pub(crate) synced: bool,
+    pub(crate) head: HeadRow,
+    /// Newest version known to have a snapshot in the store.
+    pub(crate) snapshot: LogVersion,
+    pub(crate) joined: bool,
+    pub(crate) superseded: bool,
+    pub(crate) leaving: bool,
+    pub(crate) left: bool,
+    pub(crate) counters: ControlCounters,
+}
+
+/// The newest known value of the row `head` and the version of the row itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct HeadRow {
+    pub(crate) version: LogVersion,
+    pub(crate) row_version: RowVersion,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ControlCounters {
+    pub(crate) proposals: u64,
+    pub(crate) conflicts: u64,
+    pub(crate) lost_responses: u64,
+    pub(crate) store_failures: u64,
+    pub(crate) peer_fetches: u64,
+    pub(crate) snapshots: u64,
+}
+
+impl ControlCore {
+    pub(crate) fn new(settings: ControlSettings, backend: ControlBackend) -> Self {
+        let (sender, _) = watch::channel(Arc::default());
+        Self {
+            settings,
+            backend,
+            log: Mutex::default(),
+            sender,
+            peers: Mutex::default(),
+            status: Mutex::default(),
+            drains: Mutex::default(),
+            proposing: tokio::sync::Mutex::default(),
+            registering: tokio::sync::Mutex::default(),
+            gossip_now: Notify::new(),
+        }
+    }
+
+    pub(crate) fn state(&self) -> Arc<FleetState> {
+        Arc::clone(lock(&self.log).state())
+    }
+
+    pub(crate) fn status(&self) -> MutexGuard<'_, CoreStatus> {
+        lock(&self.status)
+    }
+
+    /// Applies entries that the store accepted.
+    pub(crate) fn apply(&self, entries: &[ChangeEntry]) -> TanagerResult<()> {
+        let mut log = lock(&self.log);
+        let before = log.state().version;
+        let result = log.apply(entries);
+        if log.state().version > before {
+            self.publish(&log);
+        }
+        result
+    }
+
+    /// Installs a state that is newer than the local one; an older one is ignored.
+    pub(crate) fn install(&self, state: FleetState) {
+        let mut log = lock(&self.log);
+        if log.install(state) {
+            self.publish(&log);
+        }
+    }
+
+    /// Applies a peer's answer to `Fetch`.
+    pub(crate) fn apply_reply(&self, reply: &FetchReply) -> TanagerResult<()> {
+        if !reply.snapshot.is_empty() {
+            self.install(decode(&reply.snapshot)?);
+        }
+        let entries: TanagerResult<Vec<ChangeEntry>> =
+            reply.entries.iter().map(|entry| decode(entry)).collect();
+        self.apply(&entries?)
+    }
+
+    /// Called with the log locked, so that observers see versions in order.
+    fn publish(&self, log: &ReplicaLog) {
+        let state = Arc::clone(log.state());
+        self.note_drains(&state);
+        self.sender.send_replace(state);
+    }
+
+    fn note_drains(&self, state: &FleetState) {
+        let now = Instant::now();
+        let mut drains = lock(&self.drains);
+        drains.retain(|vm, (since, _)| out_of_service(state, vm) == Some(*since));
+        for vm in state.vms.keys() {
+            if let Some(since) = out_of_service(state, vm) {
+                drains.entry(vm.clone()).or_insert((since, now));
+            }
+        }
+    }
+
+    /// Whether no registered node has work left on a VM that is moving or draining.
+    pub(crate) fn is_drained(&self, vm: &str) -> bool {
+        let state = self.state();
+        let Some((since, seen)) = lock(&self.drains).get(vm).copied() else {
+            return false;
+        };
+        let progress = (self.backend.progress)();
+        let peers = lock(&self.peers);
+        state.nodes.iter().all(|(node, record)| {
+            if *node == self.settings.node && record.incarnation == self.settings.record.incarnation
+            {
+                let requests = progress.in_flight.get(vm).copied().unwrap_or(0);
+                return progress.version >= since && requests == 0;
+            }
+            peers.has_released(node, record, vm, since, seen)
+        })
+    }
+
+    pub(crate) fn is_registered(&self, state: &FleetState) -> bool {
+        let record = state.nodes.get(&self.settings.node);
+        record.is_some_and(|record| record.incarnation == self.settings.record.incarnation)
+    }
+
+    pub(crate) fn may_dispatch(&self) -> bool {
+        let state = self.state();
+        let status = self.status();
+        status.synced && !status.left && self.is_registered(&state)
+    }
+
+    pub(crate) fn live_nodes(&self) -> Vec<NodeId> {
+        let state = self.state();
+        let leaving = self.status().leaving;
+        let now = Instant::now();
+        let timeout = self.settings.timing.contact_timeout;
+        let peers = lock(&self.peers);
+        let live = state.nodes.iter().filter(|(node, record)| {
+            if **node == self.settings.node {
+                return !leaving && record.incarnation == self.settings.record.incarnation;
+            }
+            peers.is_live(node, record, now, timeout)
+        });
+        live.map(|(node, _)| node.clone()).collect()
+    }
+
+    pub(crate) fn home_of(&self, name: &str) -> Option<NodeId> {
+        rendezvous_home(name, &self.live_nodes()).cloned()
+    }
+
+    pub(crate) fn is_home(&self, name: &str) -> bool {
+        self.home_of(name).as_ref() == Some(&self.settings.node)
+    }
+
+    /// This node's status for gossip.
+    pub(crate) fn own_status(&self) -> NodeStatus {
+        let progress = (self.backend.progress)();
+        let loads = progress.in_flight.into_iter();
+        NodeStatus {
+            node: self.settings.node.clone(),
+            incarnation: self.settings.record.incarnation,
+            version: progress.version,
+            leaving: self.status().leaving,
+            in_flight: loads
+                .filter(|(_, requests)| *requests > 0)
+                .map(|(vm, requests)| VmLoad { vm, requests })
+                .collect(),
+            peer_address: self.settings.record.peer_address.to_string(),
+        }
+    }
+
+    pub(crate) fn record_status(&self, status: NodeStatus) {
+        if status.node == self.settings.node
+            && status.incarnation == self.settings.record.incarnation
+        {
+            return;
+        }
+        let now = Instant::now();
+        lock(&self.peers).record(status, now);
+        self.status().peer_contact = Some(now);
+    }
+
+    /// Records whether a store call succeeded.
+    pub(crate) fn note_store(&self, failed: bool) {
+        let mut status = self.status();
+        if failed {
+            status.counters.store_failures += 1;
+        } else {
+            status.store_contact = Some(Instant::now());
+        }
+        if status.store_failed.replace(failed) != Some(failed) {
+            let reach = if failed { "cannot reach" } else { "reaches" };
+            log::info!("{} {reach} the store", self.settings.node);
+        }
+    }
+
+    pub(crate) fn ready(&self) -> Result<(), String> {
+        let state = self.state();
+        let status = self.status();
+        if status.leaving {
+            return Err("the node is stopping".to_owned());
+        }
+        if status.superseded {
+            return Err("another run of this node is registered".to_owned());
+        }
+        if !status.synced {
+            return Err("no state from the store or from peers yet".to_owned());
+        }
+        let newest = status.store_contact.max(status.peer_contact);
+        let silence = newest.map_or(Duration::MAX, |contact| contact.elapsed());
+        if silence >= self.settings.timing.isolation_timeout {
+            return Err(format!(
+                "no contact with the store or peers for {silence:.1?}"
+            ));
+        }
+        if self.is_registered(&state) || status.store_failed == Some(true) {
+            return Ok(());
+        }
+        Err("the node is not registered yet".to_owned())
+    }
+}
+
+/// Version at which planned work took a VM out of service.
+fn out_of_service(state: &FleetState, vm: &str) -> Option<LogVersion> {
+    match state.vms.get(vm)?.activity {
+        VmActivity::Active => None,
+        VmActivity::Moving { since, .. } | VmActivity::Draining { since, .. } => Some(since),
+    }
+}
+
+/// Locks a mutex; its content is consistent after every statement, so a panic of another holder
+/// does not invalidate it.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/tanager-control/src/lib.rs
+++ b/crates/tanager-control/src/lib.rs
@@ -1,9 +1,23 @@
 //! Replicates the change log, proposes changes and runs moves, drains and waves.
+//!
+//! The decisions of the coordinators ([`health`], [`moves`], [`waves`]) take the time as an
+//! argument and perform no I/O; the service calls them and carries out what they return.
 
 mod backend;
+mod core;
 mod home;
+mod peers;
+mod propose;
+mod replica;
+mod restore;
 mod service;
 mod settings;
+mod store;
+mod tasks;
+
+pub mod health;
+pub mod moves;
+pub mod waves;
 
 pub use backend::BoxFuture;
 pub use backend::ControlBackend;
--- /dev/null
+++ b/crates/tanager-control/src/peers.rs
@@ -0,0 +1,105 @@
+//! Newest statuses of the other nodes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use tanager_protocol::fleet::NodeRecord;
+use tanager_protocol::ids::Incarnation;
+use tanager_protocol::ids::LogVersion;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::peer::NodeStatus;
+
+/// A run of a node without contact for this long is forgotten. Bounds the table when nodes are
+/// replaced under new names.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// Newest status of each run of each node.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    contacts: BTreeMap<(NodeId, Incarnation), PeerContact>,
+}
+
+/// A status and when it was received.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerContact {
+    pub(crate) status: NodeStatus,
+    pub(crate) received: Instant,
+}
+
+impl PeerTable {
+    /// Records a status.
+    ///
+    /// Statuses may arrive out of order: one with an older version is dropped, and a node that
+    /// said it is leaving stays so. Among statuses of one version the order does not matter to
+    /// moves, because the work on a draining VM only decreases at that version.
+    pub(crate) fn record(&mut self, mut status: NodeStatus, now: Instant) {
+        let key = (status.node.clone(), status.incarnation);
+        if let Some(known) = self.contacts.get_mut(&key) {
+            if status.version < known.status.version {
+                known.status.leaving |= status.leaving;
+                return;
+            }
+            status.leaving |= known.status.leaving;
+        }
+        let received = now;
+        self.contacts.insert(key, PeerContact { status, received });
+        self.contacts
+            .retain(|_, contact| now.saturating_duration_since(contact.received) < FORGET_AFTER);
+    }
+
+    /// Newest status of the registered run of a node.
+    pub(crate) fn find(&self, node: &str, record: &NodeRecord) -> Option<&PeerContact> {
+        self.contacts.get(&(node.to_owned(), record.incarnation))
+    }
+
+    /// Whether the registered run of a node was not in contact within `timeout`.
+    pub(crate) fn is_silent(
+        &self,
+        node: &str,
+        record: &NodeRecord,
+        now: Instant,
+        timeout: Duration,
+    ) -> bool {
+        self.find(node, record)
+            .is_none_or(|contact| now.saturating_duration_since(contact.received) >= timeout)
+    }
+
+    /// Whether the registered run of a node was in contact within `timeout` and is not leaving.
+    pub(crate) fn is_live(
+        &self,
+        node: &str,
+        record: &NodeRecord,
+        now: Instant,
+        timeout: Duration,
+    ) -> bool {
+        !self.is_silent(node, record, now, timeout)
+            && self
+                .find(node, record)
+                .is_some_and(|contact| !contact.status.leaving)
+    }
+
+    /// Whether the registered run of a node has stopped work on a VM that was taken out of
+    /// service at version `since`, which this node first saw at `seen`.
+    pub(crate) fn has_released(
+        &self,
+        node: &str,
+        record: &NodeRecord,
+        vm: &str,
+        since: LogVersion,
+        seen: Instant,
+    ) -> bool {
+        self.find(node, record).is_some_and(|contact| {
+            let status = &contact.status;
+            let mut loads = status.in_flight.iter();
+            contact.received >= seen
+                && status.version >= since
+                && !loads.any(|load| load.vm == vm && load.requests > 0)
+        })
+    }
+
+    /// All contacts, for diagnosis.
+    pub(crate) fn contacts(&self) -> impl Iterator<Item = &PeerContact> {
+        self.contacts.values()
+    }
+}
--- /dev/null
+++ b/crates/tanager-control/src/propose.rs
@@ -0,0 +1,263 @@
+//! Proposals: appending a change to the log by one conditional transaction.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::time;
+
+use tanager_fleet::CheckContext;
+use tanager_fleet::check_change;
+use tanager_fleet::record_version;
+use tanager_platform::RowCondition;
+use tanager_platform::RowWrite;
+use tanager_platform::TableTransaction;
+use tanager_platform::TransactionResult;
+use tanager_protocol::change::ChangeEntry;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::ids::LogVersion;
+
+use crate::core::ControlCore;
+use crate::core::HeadRow;
+use crate::core::lock;
+use crate::store::HEAD_KEY;
+use crate::store::log_key;
+
+/// Lost races after which a proposal gives up. At the design size the log takes less than one
+/// entry a second, so that even a second lost race is rare.
+const MAX_ATTEMPTS: u32 = 8;
+/// Reads that try to resolve a lost response.
+const MAX_RESOLVE_READS: u32 = 3;
+/// Pause between attempts; it grows with each attempt and is randomised.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// A change on its way into the log.
+struct PendingProposal {
+    author: String,
+    token: String,
+    change: FleetChange,
+    context: CheckContext,
+    /// Version at which an earlier attempt may still be accepted.
+    uncertain: Option<LogVersion>,
+}
+
+impl ControlCore {
+    pub(crate) async fn propose(
+        &self,
+        author: &str,
+        change: FleetChange,
+        expected: Option<LogVersion>,
+    ) -> TanagerResult<ChangeEntry> {
+        let _guard = self.proposing.lock().await;
+        self.status().counters.proposals += 1;
+        let mut proposal = PendingProposal {
+            author: author.to_owned(),
+            token: format!("{:032x}", rand::rng().random::<u128>()),
+            change,
+            context: CheckContext {
+                expected,
+                suspects: (self.backend.suspects)(),
+            },
+            uncertain: None,
+        };
+        let result = self.run_proposal(&mut proposal).await;
+        result.map_err(|error| match proposal.uncertain {
+            // An earlier attempt may still be in transit, whatever the last error says.
+            Some(version) => TanagerError {
+                kind: ErrorKind::Unknown,
+                message: format!("{}; entry {version} may be accepted", error.message),
+                ..error
+            },
+            None => error,
+        })
+    }
+
+    async fn run_proposal(&self, proposal: &mut PendingProposal) -> TanagerResult<ChangeEntry> {
+        let mut caught_up = false;
+        for attempt in 0..MAX_ATTEMPTS {
+            if attempt > 0 {
+                let factor = rand::rng().random_range(0.5..1.5) * f64::from(attempt);
+                time::sleep(RETRY_PAUSE.mul_f64(factor)).await;
+            }
+            // Refuse only on the basis of the newest state.
+            let checked = check_change(&self.state(), &proposal.change, &proposal.context);
+            if self.status().head.version != self.state().version
+                || attempt > 0
+                || checked.is_err() && !caught_up
+            {
+                self.catch_up().await?;
+                caught_up = true;
+            }
+            if let Some(entry) = self.find_accepted(proposal).await? {
+                return Ok(entry);
+            }
+            let state = self.state();
+            if let Err(error) = check_change(&state, &proposal.change, &proposal.context) {
+                return Err(self.name_author(error, &proposal.change).await);
+            }
+            let head = self.status().head;
+            if head.version != state.version {
+                // A peer was ahead of the answer; read `head` again.
+                continue;
+            }
+            if let Some(entry) = self.attempt(proposal, head).await? {
+                return Ok(entry);
+            }
+            self.status().counters.conflicts += 1;
+        }
+        Err(TanagerError::new(
+            ErrorKind::Conflict,
+            "propose",
+            proposal.change.kind(),
+            format!("other proposals won {MAX_ATTEMPTS} attempts"),
+        ))
+    }
+
+    /// Tries the version after `head`; `None` when the proposal has to be tried again, because
+    /// nothing was written or it is not known whether something was.
+    async fn attempt(
+        &self,
+        proposal: &mut PendingProposal,
+        head: HeadRow,
+    ) -> TanagerResult<Option<ChangeEntry>> {
+        let entry = ChangeEntry {
+            version: head.version + 1,
+            author: proposal.author.clone(),
+            token: proposal.token.clone(),
+            change: proposal.change.clone(),
+        };
+        let transaction = entry_transaction(&entry, head)?;
+        match self.backend.platform.transact(&transaction).await {
+            Ok(TransactionResult::Committed(versions)) => {
+                let row_version = versions.first().copied().unwrap_or(0);
+                self.accept(&entry, Some(row_version))?;
+                Ok(Some(entry))
+            }
+            Ok(TransactionResult::Conflict(_)) => Ok(None),
+            Err(error) if matches!(error.kind, ErrorKind::Unknown | ErrorKind::Timeout) => {
+                self.status().counters.lost_responses += 1;
+                proposal.uncertain = Some(entry.version);
+                self.resolve(proposal, entry, error).await
+            }
+            Err(error) => {
+                self.note_store(error.kind == ErrorKind::NotSent);
+                Err(error)
+            }
+        }
+    }
+
+    /// Finds out whether a transaction without a response was committed.
+    async fn resolve(
+        &self,
+        proposal: &mut PendingProposal,
+        entry: ChangeEntry,
+        lost: TanagerError,
+    ) -> TanagerResult<Option<ChangeEntry>> {
+        for attempt in 1..=MAX_RESOLVE_READS {
+            time::sleep(RETRY_PAUSE * attempt).await;
+            match self.read_entry(entry.version).await {
+                Ok(Some(found)) if found.token == entry.token => {
+                    proposal.uncertain = None;
+                    self.accept(&entry, None)?;
+                    return Ok(Some(entry));
+                }
+                Ok(Some(_)) => {
+                    proposal.uncertain = None;
+                    return Ok(None);
+                }
+                // The write may still be in transit. The next attempt repeats it with the same
+                // version and token, and the conditions let at most one of the two take effect.
+                Ok(None) => return Ok(None),
+                Err(_) => {}
+            }
+        }
+        self.note_store(true);
+        Err(lost)
+    }
+
+    /// Returns the entry of an earlier attempt that was accepted after all.
+    async fn find_accepted(
+        &self,
+        proposal: &mut PendingProposal,
+    ) -> TanagerResult<Option<ChangeEntry>> {
+        let Some(version) = proposal.uncertain else {
+            return Ok(None);
+        };
+        if self.state().version < version {
+            return Ok(None);
+        }
+        let held = lock(&self.log).token(version).map(str::to_owned);
+        let token = match held {
+            Some(token) => Some(token),
+            None => self.read_entry(version).await?.map(|entry| entry.token),
+        };
+        proposal.uncertain = None;
+        if token.as_deref() != Some(&proposal.token) {
+            return Ok(None);
+        }
+        Ok(Some(ChangeEntry {
+            version,
+            author: proposal.author.clone(),
+            token: proposal.token.clone(),
+            change: proposal.change.clone(),
+        }))
+    }
+
+    fn accept(&self, entry: &ChangeEntry, row_version: Option<u64>) -> TanagerResult<()> {
+        self.note_store(false);
+        if let Some(row_version) = row_version {
+            let version = entry.version;
+            self.note_head(HeadRow {
+                version,
+                row_version,
+            });
+        }
+        self.apply(std::slice::from_ref(entry))
+    }
+
+    /// Adds to a conflict the author of the entry in between, where the state does not hold it.
+    async fn name_author(&self, error: TanagerError, change: &FleetChange) -> TanagerError {
+        let version = record_version(&self.state(), change);
+        if error.kind != ErrorKind::Conflict
+            || version == 0
+            || matches!(change, FleetChange::Configure { .. })
+        {
+            return error;
+        }
+        let held = lock(&self.log).author(version).map(str::to_owned);
+        let author = match held {
+            Some(author) => Some(author),
+            None => {
+                let entry = self.read_entry(version).await;
+                entry.ok().flatten().map(|entry| entry.author)
+            }
+        };
+        match author {
+            Some(author) => TanagerError {
+                message: format!("{} by {author}", error.message),
+                ..error
+            },
+            None => error,
+        }
+    }
+}
+
+fn entry_transaction(entry: &ChangeEntry, head: HeadRow) -> TanagerResult<TableTransaction> {
+    let value = serde_json::to_value(entry)
+        .map_err(|error| TanagerError::new(ErrorKind::Internal, "encode", "entry", error))?;
+    let condition = |key: &str, version| RowCondition {
+        key: key.to_owned(),
+        version,
+    };
+    let write = |key: &str, value| RowWrite {
+        key: key.to_owned(),
+        value: Some(value),
+    };
+    let key = log_key(entry.version);
+    Ok(TableTransaction {
+        conditions: vec![condition(HEAD_KEY, head.row_version), condition(&key, 0)],
+        writes: vec![write(HEAD_KEY, entry.version.into()), write(&key, value)],
+    })
+}
--- a/crates/tanager-control/src/service.rs
+++ b/crates/tanager-control/src/service.rs
@@ -1,14 +1,16 @@
 //! The handle of the control service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde_json::Value;
+use serde_json::json;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use tanager_protocol::change::ChangeEntry;
 use tanager_protocol::change::FleetChange;
 use tanager_protocol::error::ErrorKind;
-use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::ids::LogVersion;
@@ -17,40 +19,45 @@
 use tanager_protocol::peer::NodeStatus;
 
 use crate::backend::ControlBackend;
+use crate::core::ControlCore;
+use crate::core::lock;
 use crate::settings::ControlSettings;
+use crate::tasks;
 
 /// A running control service. Dropping it stops its tasks.
 #[derive(Debug)]
 pub struct ControlService {
-    settings: ControlSettings,
-    backend: ControlBackend,
-    sender: watch::Sender<Arc<FleetState>>,
+    core: Arc<ControlCore>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl ControlService {
     /// Starts the service on the current tokio runtime.
     pub fn spawn(settings: ControlSettings, backend: ControlBackend) -> Self {
-        let (sender, _) = watch::channel(Arc::default());
-        Self {
-            settings,
-            backend,
-            sender,
-        }
+        let core = Arc::new(ControlCore::new(settings, backend));
+        let tasks = vec![
+            tokio::spawn(tasks::poll_store(Arc::clone(&core))),
+            tokio::spawn(tasks::gossip(Arc::clone(&core))),
+            tokio::spawn(tasks::coordinate(Arc::clone(&core))),
+            tokio::spawn(tasks::read_vm_list(Arc::clone(&core))),
+        ];
+        Self { core, tasks }
     }
 
     /// Newest applied state.
     pub fn state(&self) -> Arc<FleetState> {
-        Arc::clone(&self.sender.borrow())
+        self.core.state()
     }
 
     /// Observes the newest applied state, whose version only grows.
     pub fn subscribe(&self) -> watch::Receiver<Arc<FleetState>> {
-        self.sender.subscribe()
+        self.core.sender.subscribe()
     }
 
     /// Appends a change to the log and returns its entry.
     ///
-    /// `expected` is the version of the record on which the author based the change.
+    /// `expected` is the version of the record on which the author based the change; see
+    /// [`tanager_fleet::record_version`].
     ///
     /// # Errors
     ///
@@ -63,44 +70,59 @@
         change: FleetChange,
         expected: Option<LogVersion>,
     ) -> TanagerResult<ChangeEntry> {
-        let _ = (change, expected, &self.backend);
-        Err(not_ready(author))
+        self.core.propose(author, change, expected).await
     }
 
-    /// Newest entries of the log, at most `limit`, in version order.
+    /// Newest entries of the log, at most `limit` and 1,000, in version order.
+    ///
+    /// In a store outage only the entries that this node holds are returned.
     ///
     /// # Errors
     ///
-    /// Those of the platform, when the entries are not held locally either.
+    /// Those of the platform, when this node holds no entry.
     pub async fn history(&self, limit: usize) -> TanagerResult<Vec<ChangeEntry>> {
-        Err(not_ready(&limit.to_string()))
+        self.core.history(limit).await
     }
 
     /// Answers a peer's `Fetch`: the entries after a version, or the state.
     pub fn fetch_reply(&self, after: LogVersion) -> FetchReply {
-        let _ = after;
-        FetchReply::default()
+        let reply = lock(&self.core.log).reply(after);
+        reply.unwrap_or_else(|error| {
+            log::error!("no reply to a fetch after version {after}: {error}");
+            FetchReply::default()
+        })
     }
 
     /// Records a peer's status and returns this node's.
     pub fn receive_status(&self, status: NodeStatus) -> NodeStatus {
-        status
+        self.core.record_status(status);
+        self.core.own_status()
     }
 
     /// Registered nodes with recent contact that are not leaving, including this node.
     pub fn live_nodes(&self) -> Vec<NodeId> {
-        Vec::new()
+        self.core.live_nodes()
     }
 
     /// Returns whether this node is the home of `name`.
     pub fn is_home(&self, name: &str) -> bool {
-        self.home_of(name).as_ref() == Some(&self.settings.node)
+        self.core.is_home(name)
     }
 
     /// Returns the home of `name` among the live nodes.
     pub fn home_of(&self, name: &str) -> Option<NodeId> {
-        let _ = name;
-        None
+        self.core.home_of(name)
+    }
+
+    /// Peer address of a registered node.
+    pub fn peer_address(&self, node: &str) -> Option<SocketAddr> {
+        let state = self.core.state();
+        state.nodes.get(node).map(|record| record.peer_address)
+    }
+
+    /// Returns whether no registered node has work left on a VM that is moving or draining.
+    pub fn is_drained(&self, vm: &str) -> bool {
+        self.core.is_drained(vm)
     }
 
     /// Returns whether the node may serve callers, or why it may not.
@@ -109,47 +131,112 @@
     ///
     /// The reason, as one line of text.
     pub fn ready(&self) -> Result<(), String> {
-        Err("not started".to_owned())
+        self.core.ready()
     }
 
     /// Returns whether the node may send requests to endpoints: it is registered, so that moves
-    /// wait for its acknowledgement.
+    /// wait for its acknowledgement (R2).
     pub fn may_dispatch(&self) -> bool {
-        false
+        self.core.may_dispatch()
     }
 
     /// Announces that the node is stopping; it is no longer a home.
-    pub fn set_leaving(&self) {}
+    pub fn set_leaving(&self) {
+        self.core.status().leaving = true;
+        self.core.gossip_now.notify_one();
+    }
 
-    /// Removes the node from the register. The node must have finished its work.
+    /// Removes the node from the register. The node must have finished its work: moves no longer
+    /// wait for it, and [`Self::may_dispatch`] is false from the start of this call.
     ///
     /// # Errors
     ///
-    /// As [`Self::propose`].
+    /// As [`Self::propose`]; the call may be repeated.
     pub async fn leave(&self) -> TanagerResult<()> {
-        Err(not_ready("leave"))
+        self.set_leaving();
+        let _guard = self.core.registering.lock().await;
+        self.core.status().left = true;
+        let node = self.core.settings.node.clone();
+        let change = FleetChange::LeaveNode {
+            node: node.clone(),
+            incarnation: self.core.settings.record.incarnation,
+        };
+        match self.core.propose(&node, change, None).await {
+            Err(error) if matches!(error.kind, ErrorKind::NotFound | ErrorKind::Refused) => Ok(()),
+            result => result.map(|_| ()),
+        }
     }
 
     /// State of the service for diagnosis.
     pub fn dump(&self) -> Value {
-        Value::Null
+        let state = self.core.state();
+        let live_nodes = self.core.live_nodes();
+        let peers: Vec<Value> = lock(&self.core.peers)
+            .contacts()
+            .map(|contact| {
+                json!({
+                    "node": contact.status.node,
+                    "incarnation": contact.status.incarnation,
+                    "version": contact.status.version,
+                    "leaving": contact.status.leaving,
+                    "age_ms": millis(contact.received.elapsed()),
+                })
+            })
+            .collect();
+        let status = self.core.status();
+        let counters = status.counters;
+        json!({
+            "node": self.core.settings.node,
+            "incarnation": self.core.settings.record.incarnation,
+            "version": state.version,
+            "head": status.head.version,
+            "snapshot": status.snapshot,
+            "synced": status.synced,
+            "joined": status.joined,
+            "superseded": status.superseded,
+            "leaving": status.leaving,
+            "store_failed": status.store_failed,
+            "store_age_ms": status.store_contact.map(|contact| millis(contact.elapsed())),
+            "peer_age_ms": status.peer_contact.map(|contact| millis(contact.elapsed())),
+            "live_nodes": live_nodes,
+            "peers": peers,
+            "counters": {
+                "proposals": counters.proposals,
+                "conflicts": counters.conflicts,
+                "lost_responses": counters.lost_responses,
+                "store_failures": counters.store_failures,
+                "peer_fetches": counters.peer_fetches,
+                "snapshots": counters.snapshots,
+            },
+        })
     }
 
     /// Exports the whole state.
     pub fn snapshot(&self) -> FleetState {
-        FleetState::clone(&self.sender.borrow())
+        FleetState::clone(&self.core.state())
     }
 
-    /// Replaces the state of a store that holds no configuration yet.
+    /// Replaces the state of a store that holds no configuration yet, and returns the version of
+    /// the restored state. Nodes that are registered in the store stay registered, those of the
+    /// exported state do not.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Refused`] when the store is not empty; otherwise those of the platform.
+    /// [`ErrorKind::Refused`] when the store is not empty; [`ErrorKind::Invalid`] when the state
+    /// is malformed; otherwise those of the platform.
     pub async fn restore(&self, state: FleetState) -> TanagerResult<LogVersion> {
-        Err(not_ready(&state.version.to_string()))
+        self.core.restore(state).await
+    }
+}
+
+impl Drop for ControlService {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
     }
 }
 
-fn not_ready(peer: &str) -> TanagerError {
-    TanagerError::new(ErrorKind::NotReady, "control", peer, "not started")
+fn millis(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/tanager-control/src/tasks.rs
@@ -0,0 +1,310 @@
+//! Background tasks of the control service.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio::time::MissedTickBehavior;
+
+use tanager_fleet::record_version;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::WaveStep;
+use tanager_protocol::ids::LogVersion;
+
+use crate::core::ControlCore;
+use crate::core::lock;
+use crate::health::HealthReporter;
+use crate::health::VmListReader;
+use crate::home::rendezvous_home;
+use crate::moves::FleetView;
+use crate::moves::plan_moves;
+use crate::waves::RebootResult;
+use crate::waves::WaveAction;
+use crate::waves::WaveCoordinator;
+
+/// Follows `head`, registers the node and writes snapshots.
+pub(crate) async fn poll_store(core: Arc<ControlCore>) {
+    let mut ticks = interval(core.settings.timing.poll_interval);
+    loop {
+        ticks.tick().await;
+        let mut result = core.catch_up().await;
+        if result.is_ok() {
+            result = core.register().await;
+        }
+        if result.is_ok() {
+            result = core.write_snapshot_if_due().await;
+        }
+        if let Err(error) = result {
+            log::debug!("{}: {error}", core.settings.node);
+        }
+    }
+}
+
+/// Exchanges statuses with every registered node and seed, and fetches entries from peers that
+/// are ahead.
+pub(crate) async fn gossip(core: Arc<ControlCore>) {
+    let mut ticks = interval(core.settings.timing.gossip_interval);
+    let mut calls = JoinSet::new();
+    // A silent peer delays only its own calls.
+    let mut busy = BTreeSet::new();
+    let mut answers: BTreeMap<SocketAddr, Option<LogVersion>> = BTreeMap::new();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = core.gossip_now.notified() => {}
+            Some(ended) = calls.join_next() => {
+                if let Ok((address, answer)) = ended {
+                    busy.remove(&address);
+                    answers.insert(address, answer);
+                    core.note_answers(&answers);
+                }
+                continue;
+            }
+        }
+        for address in core.gossip_targets() {
+            if busy.insert(address) {
+                let core = Arc::clone(&core);
+                calls.spawn(async move { (address, core.gossip_with(address).await) });
+            }
+        }
+    }
+}
+
+/// Runs the coordinators of moves and waves and the health reports.
+pub(crate) async fn coordinate(core: Arc<ControlCore>) {
+    let timing = core.settings.timing;
+    let mut ticks = interval(timing.coordinate_interval);
+    let mut reporter = HealthReporter::default();
+    let mut waves = WaveCoordinator::new(timing.reboot_settle, timing.reboot_timeout);
+    loop {
+        ticks.tick().await;
+        if !core.may_coordinate() {
+            continue;
+        }
+        let state = core.state();
+        let actions = core.plan(&state, &mut reporter, &mut waves);
+        for action in actions {
+            match action {
+                WaveAction::Propose(change) => {
+                    // The acknowledgements of one move must not commit a later one.
+                    let expected = matches!(change, FleetChange::CommitMove { .. })
+                        .then(|| record_version(&state, &change));
+                    core.propose_own(change, expected).await;
+                }
+                WaveAction::Reboot(vm) => {
+                    if let Some(result) = core.reboot(&vm).await {
+                        waves.record_reboot(&vm, result, Instant::now());
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads the platform's list of VMs while this node is the home of `vm-list`.
+pub(crate) async fn read_vm_list(core: Arc<ControlCore>) {
+    let mut ticks = interval(core.settings.timing.poll_interval);
+    let mut reader = VmListReader::default();
+    loop {
+        ticks.tick().await;
+        if !core.may_coordinate() || !core.is_home("vm-list") {
+            reader = VmListReader::default();
+            continue;
+        }
+        match core.backend.platform.list_vms(reader.since()).await {
+            Ok(listing) => reader.record(listing),
+            Err(error) => {
+                log::debug!("{}: {error}", core.settings.node);
+                continue;
+            }
+        }
+        let state = core.state();
+        let timeout = core.settings.timing.contact_timeout;
+        let now = Instant::now();
+        let changes = reader.plan(&state, &|node, record| {
+            node != core.settings.node && lock(&core.peers).is_silent(node, record, now, timeout)
+        });
+        for change in changes {
+            core.propose_own(change, None).await;
+        }
+    }
+}
+
+impl ControlCore {
+    /// Registers this run of the node if the newest state allows it.
+    async fn register(&self) -> TanagerResult<()> {
+        let _guard = self.registering.lock().await;
+        let state = self.state();
+        let current = state.nodes.get(&self.settings.node);
+        {
+            let mut status = self.status();
+            if self.is_registered(&state) {
+                status.joined = true;
+                return Ok(());
+            }
+            if status.leaving || status.left {
+                return Ok(());
+            }
+            // Two runs of one name would otherwise replace each other without end.
+            if status.joined && current.is_some() {
+                if !std::mem::replace(&mut status.superseded, true) {
+                    log::warn!("{} was replaced by another run", self.settings.node);
+                }
+                return Ok(());
+            }
+        }
+        let change = FleetChange::JoinNode {
+            node: self.settings.node.clone(),
+            record: self.settings.record.clone(),
+        };
+        let entry = self.propose(&self.settings.node, change, None).await?;
+        self.status().joined = true;
+        log::info!(
+            "{} registered in version {}",
+            self.settings.node,
+            entry.version
+        );
+        Ok(())
+    }
+
+    fn plan(
+        &self,
+        state: &FleetState,
+        reporter: &mut HealthReporter,
+        waves: &mut WaveCoordinator,
+    ) -> Vec<WaveAction> {
+        let live = self.live_nodes();
+        let view = FleetView {
+            state,
+            suspects: &(self.backend.suspects)(),
+            now: Instant::now(),
+            is_home: &|name| rendezvous_home(name, &live) == Some(&self.settings.node),
+            is_drained: &|vm| self.is_drained(vm),
+        };
+        let changes = plan_moves(&view).into_iter().chain(reporter.plan(&view));
+        let mut actions: Vec<WaveAction> = changes.map(WaveAction::Propose).collect();
+        actions.extend(waves.plan(&view));
+        actions
+    }
+
+    /// Whether this node takes part in coordination: it can propose and others count on it.
+    fn may_coordinate(&self) -> bool {
+        let reachable = {
+            let status = self.status();
+            !status.leaving && status.store_failed == Some(false)
+        };
+        reachable && self.may_dispatch()
+    }
+
+    async fn propose_own(&self, change: FleetChange, expected: Option<LogVersion>) {
+        let kind = change.kind();
+        match self.propose(&self.settings.node, change, expected).await {
+            Ok(entry) => log::info!("{kind} in version {}", entry.version),
+            // Another coordinator was faster, or the plan is outdated.
+            Err(error) if matches!(error.kind, ErrorKind::Refused | ErrorKind::NotFound) => {}
+            Err(error) => log::debug!("{kind}: {error}"),
+        }
+    }
+
+    /// Asks the platform to reboot a VM that a wave has drained; `None` when the newest state no
+    /// longer says so, because another coordinator returned the VM to service.
+    async fn reboot(&self, vm: &str) -> Option<RebootResult> {
+        self.catch_up().await.ok()?;
+        let state = self.state();
+        let rebooting = state.waves.values().any(|wave| {
+            let mut running = wave.running.iter();
+            running.any(|(other, step)| other == vm && *step == WaveStep::Reboot)
+        });
+        if !rebooting {
+            return None;
+        }
+        Some(match self.backend.platform.reboot(vm).await {
+            Ok(()) => RebootResult::Accepted,
+            Err(error) if matches!(error.kind, ErrorKind::Unknown | ErrorKind::Timeout) => {
+                RebootResult::Unknown
+            }
+            Err(_) => RebootResult::Failed,
+        })
+    }
+
+    fn gossip_targets(&self) -> BTreeSet<SocketAddr> {
+        let state = self.state();
+        let own = self.settings.record.peer_address;
+        let registered = state
+            .nodes
+            .iter()
+            .filter(|(node, _)| **node != self.settings.node)
+            .map(|(_, record)| record.peer_address);
+        let seeds = self.settings.seeds.iter().copied();
+        registered
+            .chain(seeds)
+            .filter(|address| *address != own)
+            .collect()
+    }
+
+    /// Calls one peer; returns the version it reported, or `None` when it did not answer.
+    async fn gossip_with(&self, address: SocketAddr) -> Option<LogVersion> {
+        let result = self.exchange_status(address).await;
+        if let Err(error) = &result {
+            log::debug!("{}: {error}", self.settings.node);
+        }
+        result.ok()
+    }
+
+    async fn exchange_status(&self, address: SocketAddr) -> TanagerResult<LogVersion> {
+        let limit = self.settings.timing.peer_timeout;
+        let silent = |step| {
+            let message = format!("no answer within {limit:?}");
+            TanagerError::new(ErrorKind::Timeout, step, address.to_string(), message)
+        };
+        let call = (self.backend.gossip)(address, self.own_status());
+        let status = time::timeout(limit, call)
+            .await
+            .map_err(|_| silent("gossip"))??;
+        let version = status.version;
+        self.record_status(status);
+        let after = self.state().version;
+        if version > after {
+            let call = (self.backend.fetch)(address, after);
+            let reply = time::timeout(limit, call)
+                .await
+                .map_err(|_| silent("fetch"))??;
+            self.status().counters.peer_fetches += 1;
+            self.apply_reply(&reply)?;
+        }
+        Ok(version)
+    }
+
+    /// In a store outage a starting node serves with the peers' state once every seed answered or
+    /// failed and it holds the newest state among the answers.
+    fn note_answers(&self, answers: &BTreeMap<SocketAddr, Option<LogVersion>>) {
+        let complete = self
+            .gossip_targets()
+            .iter()
+            .all(|address| answers.contains_key(address));
+        let newest = answers.values().flatten().max().copied();
+        let version = self.state().version;
+        let mut status = self.status();
+        if status.store_failed == Some(true)
+            && complete
+            && newest.is_some_and(|newest| newest > 0 && newest <= version)
+        {
+            status.synced = true;
+        }
+    }
+}
+
+fn interval(period: Duration) -> time::Interval {
+    let mut ticks = time::interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
