Add the operator's command

Cause: operators had no way to use the administration API.

Change: the binary tanagerladder with 14 commands, human tables and JSON, and six stable exit codes. Every change is conditional on the version that was read. Its author carries a random tag of the run, so that after a lost or late answer the history shows whether the change took effect; the command never sends a change twice after it may have arrived. oxhttp reports connect and read failures as one error, so a node that is down is found by a connection made before the request. Pausing a wave is tried again when only steps of the wave came between.

Conclusion: done against the fake fleet; not yet run against a real node.

--- /dev/null
+++ b/crates/tanager-command/src/commands/apply.rs
@@ -0,0 +1,102 @@
+//! `apply`: puts a configuration document in force.
+
+use std::net::SocketAddr;
+
+use serde_json::json;
+
+use tanager_protocol::config::ConfigDocument;
+
+use super::CommandSpec;
+use crate::failure::Failure;
+use crate::input::read_document;
+use crate::output;
+use crate::session::Session;
+use crate::submit::ChangeObject;
+use crate::submit::ChangeRequest;
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "apply",
+    summary: "put a configuration document in force",
+    help: "\
+Usage: tanagerladder apply FILE|- [--expected N] [--wait] [--wait-timeout TIME]
+
+Validates the JSON document and puts it in force, unless another operator's configuration came
+after the version it is based on. A document equal to the one in force is not applied again.
+
+  --expected N         version the document is based on; default: the version read first
+  --wait               wait until every registered node runs the configuration
+  --wait-timeout TIME  default 10m
+
+Examples:
+  tanagerladder apply site.json --wait
+  python3 library/python/examples/hallein.py | tanagerladder apply -
+  tanagerladder apply site.json --expected 117
+",
+    options: &["expected", "wait", "wait-timeout"],
+    values: 1..=1,
+    run,
+};
+
+fn run(session: &Session) -> Result<(), Failure> {
+    let document = read_document(session.value(0))?;
+    let current = session.client.read("/v1/config")?;
+    let in_force: Option<ConfigDocument> = serde_json::from_value(current["document"].clone()).ok();
+    let configured = current["configured_version"].as_u64().unwrap_or(0);
+    let unchanged = configured > 0 && in_force.as_ref() == Some(&document);
+    let version = if unchanged && session.options.expected.is_none() {
+        output::print_note("the document is already in force");
+        configured
+    } else {
+        session.submit(ChangeRequest {
+            method: "PUT",
+            path: "/v1/config".to_owned(),
+            body: json!({"document": document}),
+            expected: session.expected(&current),
+            object: ChangeObject::Document,
+        })?
+    };
+    if session.options.wait {
+        wait_for_nodes(session, version)?;
+    }
+    session.show_change("configuration in force", version);
+    Ok(())
+}
+
+/// Waits until every registered node has applied a version.
+fn wait_for_nodes(session: &Session, version: u64) -> Result<(), Failure> {
+    let what = format!("the configuration is accepted at version {version}, but the rollout");
+    session.wait_for(&what, || {
+        let Ok(list) = session.client.read("/v1/nodes") else {
+            return Ok(Err("no node answers".to_owned()));
+        };
+        // A list that is behind may lack nodes that have joined since.
+        if list["version"].as_u64().unwrap_or(0) < version {
+            return Ok(Err("the node asked is behind".to_owned()));
+        }
+        let nodes = list["nodes"].as_object().cloned().unwrap_or_default();
+        let mut behind = Vec::new();
+        for (name, record) in &nodes {
+            let address: Option<SocketAddr> = record["admin_address"]
+                .as_str()
+                .and_then(|address| address.parse().ok());
+            let Some(address) = address else {
+                behind.push(format!("{name} (no address)"));
+                continue;
+            };
+            match session.client.read_from(address, "/v1/nodes") {
+                Ok(reply) if reply["version"].as_u64().unwrap_or(0) >= version => {}
+                Ok(reply) => behind.push(format!("{name} (version {})", reply["version"])),
+                Err(problem) => behind.push(format!("{name} ({problem})")),
+            }
+        }
+        if behind.is_empty() {
+            return Ok(Ok(()));
+        }
+        let count = nodes.len() - behind.len();
+        let all = nodes.len();
+        Ok(Err(format!(
+            "{count} of {all} nodes run version {version}; waiting for {}",
+            behind.join(", ")
+        )))
+    })
+}
--- /dev/null
+++ b/crates/tanager-command/src/commands/history.rs
@@ -0,0 +1,33 @@
+//! `history`: prints the newest changes.
+
+use super::CommandSpec;
+use crate::failure::Failure;
+use crate::output;
+use crate::session::Session;
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "history",
+    summary: "print the newest changes",
+    help: "\
+Usage: tanagerladder history [--limit N]
+
+  --limit N  number of changes, 1 to 1000; default 20
+
+Examples:
+  tanagerladder history
+  tanagerladder history --limit 200 --json
+",
+    options: &["limit"],
+    values: 0..=0,
+    run,
+};
+
+fn run(session: &Session) -> Result<(), Failure> {
+    let path = format!("/v1/history?limit={}", session.options.limit);
+    let history = session.client.read(&path)?;
+    session.show(&history, |history| {
+        let entries = history["entries"].as_array().cloned().unwrap_or_default();
+        output::print_objects(&["version", "author", "kind", "detail"], &entries);
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/tanager-command/src/commands/mod.rs
@@ -0,0 +1,52 @@
+//! The commands, one per file.
+
+mod apply;
+mod diff;
+mod drain;
+mod dump;
+mod history;
+mod move_vm;
+mod pools;
+mod quotas;
+mod show;
+mod snapshot;
+mod undrain;
+mod vms;
+mod watch;
+mod wave;
+
+use std::ops::RangeInclusive;
+
+use crate::failure::Failure;
+use crate::session::Session;
+
+/// One command.
+#[derive(Debug)]
+pub(crate) struct CommandSpec {
+    pub(crate) name: &'static str,
+    pub(crate) summary: &'static str,
+    pub(crate) help: &'static str,
+    /// Options besides those common to all commands.
+    pub(crate) options: &'static [&'static str],
+    /// Number of positional arguments.
+    pub(crate) values: RangeInclusive<usize>,
+    pub(crate) run: fn(&Session) -> Result<(), Failure>,
+}
+
+/// All commands in the order of the help.
+pub(crate) const ALL: &[CommandSpec] = &[
+    apply::SPEC,
+    diff::SPEC,
+    show::SPEC,
+    history::SPEC,
+    pools::SPEC,
+    vms::SPEC,
+    move_vm::SPEC,
+    drain::SPEC,
+    undrain::SPEC,
+    wave::SPEC,
+    quotas::SPEC,
+    dump::SPEC,
+    watch::SPEC,
+    snapshot::SPEC,
+];
--- /dev/null
+++ b/crates/tanager-command/src/commands/show.rs
@@ -0,0 +1,56 @@
+//! `show`: prints the configuration in force.
+
+use super::CommandSpec;
+use crate::failure::Failure;
+use crate::output;
+use crate::session::Session;
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "show",
+    summary: "print the configuration in force",
+    help: "\
+Usage: tanagerladder show [--document]
+
+  --document  print only the document as JSON, in the form that apply reads
+
+Examples:
+  tanagerladder show
+  tanagerladder show --document > site.json
+",
+    options: &["document"],
+    values: 0..=0,
+    run,
+};
+
+fn run(session: &Session) -> Result<(), Failure> {
+    let config = session.client.read("/v1/config")?;
+    if session.options.document {
+        output::print_json(&config["document"]);
+        return Ok(());
+    }
+    session.show(&config, |config| {
+        let document = &config["document"];
+        let count = |section: &str| {
+            document[section]
+                .as_object()
+                .map_or(0, serde_json::Map::len)
+        };
+        let rows = vec![
+            vec!["site".to_owned(), output::show_cell(&document["site"])],
+            vec!["pools".to_owned(), count("pools").to_string()],
+            vec!["vms".to_owned(), count("vms").to_string()],
+            vec!["teams".to_owned(), count("teams").to_string()],
+            vec!["version".to_owned(), config["version"].to_string()],
+            vec![
+                "configured at".to_owned(),
+                config["configured_version"].to_string(),
+            ],
+            vec![
+                "configured by".to_owned(),
+                output::show_cell(&config["configured_author"]),
+            ],
+        ];
+        output::print_table(&["item", "value"], &rows);
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/tanager-command/src/commands/wave.rs
@@ -0,0 +1,203 @@
+//! `wave`: starts, pauses, resumes and shows maintenance waves.
+
+use serde_json::Value;
+use serde_json::json;
+
+use tanager_protocol::ids::check_name;
+
+use super::CommandSpec;
+use crate::failure::Failure;
+use crate::output;
+use crate::session::Session;
+use crate::submit::ChangeObject;
+use crate::submit::ChangeRequest;
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "wave",
+    summary: "start, pause, resume or show a maintenance wave",
+    help: "\
+Usage: tanagerladder wave start POOL [--wait]
+       tanagerladder wave pause WAVE [--reason TEXT]
+       tanagerladder wave resume WAVE
+       tanagerladder wave status [WAVE] [--wait]
+
+A wave drains, reboots and returns to service each VM of a pool, as far as its floor permits. It
+pauses by itself when a VM of the pool fails.
+
+  --wait               print progress until the wave is finished (status: without WAVE, all
+                       waves); a paused wave is waited for
+  --wait-timeout TIME  default 10m
+  --reason TEXT        why, 1 to 200 bytes; default: paused by an operator
+  --expected N         version the change is based on; default: the version read first
+
+Examples:
+  tanagerladder wave start case-files --wait --wait-timeout 120m
+  tanagerladder wave pause case-files-118 --reason 'image is faulty'
+  tanagerladder wave status case-files-118 --wait
+",
+    options: &["expected", "reason", "wait", "wait-timeout"],
+    values: 1..=2,
+    run,
+};
+
+/// Attempts to pause or resume a wave that makes steps meanwhile.
+const MAX_ATTEMPTS: u32 = 5;
+
+fn run(session: &Session) -> Result<(), Failure> {
+    let needs_name = match session.value(0) {
+        "start" | "pause" | "resume" => true,
+        "status" => false,
+        other => {
+            let message = format!("wave {other}: start, pause, resume or status is needed");
+            return Err(Failure::Usage(message));
+        }
+    };
+    let action = session.value(0);
+    if session.options.reason.is_some() && action != "pause" {
+        return Err(Failure::Usage(format!("wave {action} has no --reason")));
+    }
+    if session.options.wait && matches!(action, "pause" | "resume") {
+        return Err(Failure::Usage(format!("wave {action} has no --wait")));
+    }
+    let name = session.value(1);
+    let given = session.values.len() == 2;
+    if (needs_name || given) && !check_name(name) {
+        return Err(Failure::Usage(format!("{name:?} is not a valid name")));
+    }
+    match session.value(0) {
+        "start" => start(session, name),
+        "status" => status(session, given.then_some(name)),
+        action => change(session, action, name),
+    }
+}
+
+fn start(session: &Session, pool: &str) -> Result<(), Failure> {
+    let expected = session.expected(&session.client.read("/v1/waves")?);
+    // Truncated, because a name has at most 64 bytes.
+    let wave = format!("{pool:.40}-{}", expected + 1);
+    let version = session.submit(ChangeRequest {
+        method: "POST",
+        path: "/v1/waves".to_owned(),
+        body: json!({"pool": pool, "wave": wave}),
+        expected,
+        object: ChangeObject::Wave(wave.clone()),
+    })?;
+    if session.options.wait {
+        wait_for_waves(session, Some(&wave), version)?;
+    }
+    let result = json!({"version": version, "wave": wave});
+    session.show(&result, |_| {
+        output::print(&format!("wave {wave} started at version {version}"));
+    });
+    Ok(())
+}
+
+fn change(session: &Session, action: &str, wave: &str) -> Result<(), Failure> {
+    let mut seen = session.client.read("/v1/waves")?;
+    let status = select(&seen, Some(wave))?[0]["status"].clone();
+    let mut body = json!({});
+    if let Some(reason) = &session.options.reason {
+        body["reason"] = json!(reason);
+    }
+    let mut attempts = 1;
+    let version = loop {
+        let result = session.submit(ChangeRequest {
+            method: "POST",
+            path: format!("/v1/waves/{wave}/{action}"),
+            body: body.clone(),
+            expected: session.expected(&seen),
+            object: ChangeObject::Wave(wave.to_owned()),
+        });
+        let Err(failure @ Failure::Conflict(_)) = result else {
+            break result?;
+        };
+        // A running wave changes its record with every step; only a change of its status is a
+        // conflict with another operator.
+        seen = session.client.read("/v1/waves")?;
+        let same = select(&seen, Some(wave))?[0]["status"] == status;
+        if session.options.expected.is_some() || attempts == MAX_ATTEMPTS || !same {
+            return Err(failure);
+        }
+        attempts += 1;
+    };
+    session.show_change(&format!("{action} of wave {wave}"), version);
+    Ok(())
+}
+
+fn status(session: &Session, wave: Option<&str>) -> Result<(), Failure> {
+    let reply = if session.options.wait {
+        wait_for_waves(session, wave, 0)?
+    } else {
+        session.client.read("/v1/waves")?
+    };
+    let waves = select(&reply, wave)?;
+    let result = json!({"version": reply["version"], "waves": waves});
+    session.show(&result, |_| {
+        let rows: Vec<Vec<String>> = waves.iter().map(show_row).collect();
+        let headers = ["wave", "pool", "status", "waiting", "running", "finished"];
+        output::print_table(&headers, &rows);
+    });
+    Ok(())
+}
+
+/// Waits until the selected waves are finished in a state of at least this version.
+fn wait_for_waves(session: &Session, wave: Option<&str>, version: u64) -> Result<Value, Failure> {
+    session.wait_for("the wave", || {
+        let Ok(reply) = session.client.read("/v1/waves") else {
+            return Ok(Err("no node answers".to_owned()));
+        };
+        if reply["version"].as_u64().unwrap_or(0) < version {
+            return Ok(Err("the node asked is behind".to_owned()));
+        }
+        let waves = select(&reply, wave)?;
+        let open = waves.iter().filter(|wave| wave["status"] != "finished");
+        let progress: Vec<String> = open
+            .map(|wave| {
+                let row = show_row(wave);
+                let (name, status) = (&row[0], &row[2]);
+                let (waiting, running, finished) = (&row[3], &row[4], &row[5]);
+                format!(
+                    "{name} {status}: {finished} finished, {running} running, {waiting} waiting"
+                )
+            })
+            .collect();
+        if progress.is_empty() {
+            return Ok(Ok(reply));
+        }
+        Ok(Err(progress.join("; ")))
+    })
+}
+
+/// Returns one wave or all, each with its name.
+fn select(reply: &Value, wave: Option<&str>) -> Result<Vec<Value>, Failure> {
+    let mut selected = Vec::new();
+    for (name, record) in reply["waves"].as_object().into_iter().flatten() {
+        if wave.is_none_or(|wave| wave == name) {
+            let mut record = record.clone();
+            record["wave"] = json!(name);
+            selected.push(record);
+        }
+    }
+    match wave {
+        Some(wave) if selected.is_empty() => {
+            Err(Failure::Refused(format!("wave {wave} does not exist")))
+        }
+        _ => Ok(selected),
+    }
+}
+
+fn show_row(wave: &Value) -> Vec<String> {
+    let status = match wave["status"]["paused"]["reason"].as_str() {
+        Some(reason) => format!("paused ({reason})"),
+        None => output::show_cell(&wave["status"]),
+    };
+    let count = |field: &str| wave[field].as_array().map_or(0, Vec::len).to_string();
+    vec![
+        output::show_cell(&wave["wave"]),
+        output::show_cell(&wave["pool"]),
+        status,
+        count("waiting"),
+        count("running"),
+        count("finished"),
+    ]
+}
--- /dev/null
+++ b/crates/tanager-command/src/failure.rs
@@ -0,0 +1,36 @@
+//! Why a command failed, and its exit code.
+
+use thiserror::Error;
+
+/// Why a command failed. The exit codes are part of the interface and stay stable.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub(crate) enum Failure {
+    /// The server refused the request; nothing changed.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// The arguments, a file or the environment are wrong; nothing changed.
+    #[error("{0}")]
+    Usage(String),
+    /// Another change came first; nothing changed.
+    #[error("conflict: {0}")]
+    Conflict(String),
+    /// No request reached a node; nothing changed.
+    #[error("no node reachable: {0}")]
+    Unreachable(String),
+    /// The change may have taken effect, or a wait ended before its goal.
+    #[error("outcome unknown: {0}")]
+    Unknown(String),
+}
+
+impl Failure {
+    /// Exit code of the process.
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Self::Refused(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Conflict(_) => 3,
+            Self::Unreachable(_) => 4,
+            Self::Unknown(_) => 5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanager-command/src/input.rs
@@ -0,0 +1,34 @@
+//! Reading of files and of standard input.
+
+use std::io::Read;
+
+use serde::de::DeserializeOwned;
+
+use tanager_protocol::config::ConfigDocument;
+
+use crate::failure::Failure;
+
+/// Reads a file, or standard input for `-`.
+pub(crate) fn read_text(path: &str) -> Result<String, Failure> {
+    let failed = |error: std::io::Error| Failure::Usage(format!("read {path}: {error}"));
+    if path == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map_err(failed)?;
+        return Ok(text);
+    }
+    std::fs::read_to_string(path).map_err(failed)
+}
+
+/// Reads JSON from a file, or standard input for `-`.
+pub(crate) fn read_json<T: DeserializeOwned>(path: &str) -> Result<T, Failure> {
+    serde_json::from_str(&read_text(path)?)
+        .map_err(|error| Failure::Usage(format!("parse {path}: {error}")))
+}
+
+/// Reads and validates a configuration document.
+pub(crate) fn read_document(path: &str) -> Result<ConfigDocument, Failure> {
+    let document: ConfigDocument = read_json(path)?;
+    let check = document.validate();
+    check.map_err(|problem| Failure::Usage(format!("{path}: {problem}")))?;
+    Ok(document)
+}
--- a/crates/tanager-command/src/main.rs
+++ b/crates/tanager-command/src/main.rs
@@ -1,2 +1,7 @@
 //! The operator command.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tanager_command::run(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/tanager-command/src/session.rs
@@ -0,0 +1,154 @@
+//! What every command works with: its arguments and the client.
+
+use std::cell::Cell;
+use std::hash::BuildHasher;
+use std::hash::Hasher;
+use std::hash::RandomState;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+
+use crate::client::NodeClient;
+use crate::failure::Failure;
+use crate::input::read_text;
+use crate::options::CommandLine;
+use crate::options::Options;
+use crate::options::parse_address;
+use crate::output;
+
+/// Time between two reads while waiting.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Arguments and client of a command.
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub(crate) client: NodeClient,
+    pub(crate) options: Options,
+    pub(crate) values: Vec<String>,
+}
+
+impl Session {
+    /// Completes the options from the environment.
+    pub(crate) fn open(line: CommandLine) -> Result<Self, Failure> {
+        let options = line.options;
+        let nodes = if options.nodes.is_empty() {
+            nodes_from_environment()?
+        } else {
+            options.nodes.clone()
+        };
+        let token = match &options.token_file {
+            Some(path) => read_text(path)?,
+            None => std::env::var("TANAGERLADDER_TOKEN").map_err(|_| {
+                let message = "a token is needed: --token-file or TANAGERLADDER_TOKEN";
+                Failure::Usage(message.to_owned())
+            })?,
+        };
+        let token = token.trim().to_owned();
+        if token.is_empty() || !token.bytes().all(|byte| byte.is_ascii_graphic()) {
+            let message = "the token is empty or has characters other than plain ASCII";
+            return Err(Failure::Usage(message.to_owned()));
+        }
+        let client = NodeClient {
+            nodes,
+            token,
+            operator: operator_tag(options.operator.as_deref())?,
+            timeout: options.timeout,
+            preferred: Cell::new(0),
+        };
+        Ok(Self {
+            client,
+            options,
+            values: line.values,
+        })
+    }
+
+    /// Positional argument.
+    pub(crate) fn value(&self, index: usize) -> &str {
+        self.values.get(index).map_or("", String::as_str)
+    }
+
+    /// Prints an object as JSON, or by the given function.
+    pub(crate) fn show(&self, value: &Value, print: impl FnOnce(&Value)) {
+        if self.options.json {
+            output::print_json(value);
+        } else {
+            print(value);
+        }
+    }
+
+    /// Reads the list of VMs and checks that it has this VM.
+    pub(crate) fn read_vm(&self, vm: &str) -> Result<Value, Failure> {
+        let reply = self.client.read("/v1/vms")?;
+        let mut vms = reply["vms"].as_array().into_iter().flatten();
+        if vms.any(|record| record["vm"] == vm) {
+            return Ok(reply);
+        }
+        Err(Failure::Refused(format!("VM {vm:?} does not exist")))
+    }
+
+    /// Reads a list, reduced to the pool of `--pool` if given.
+    pub(crate) fn read_of_pool(&self, path: &str, field: &str) -> Result<Value, Failure> {
+        let mut reply = self.client.read(path)?;
+        if let (Some(pool), Some(objects)) = (&self.options.pool, reply[field].as_array_mut()) {
+            objects.retain(|object| object["pool"] == pool.as_str());
+        }
+        Ok(reply)
+    }
+
+    /// Repeats a step until it returns a result or the time for waiting has passed.
+    pub(crate) fn wait_for<T>(
+        &self,
+        what: &str,
+        mut step: impl FnMut() -> Result<Result<T, String>, Failure>,
+    ) -> Result<T, Failure> {
+        let deadline = Instant::now() + self.options.wait_timeout;
+        let mut shown = String::new();
+        loop {
+            let progress = match step()? {
+                Ok(result) => return Ok(result),
+                Err(progress) => progress,
+            };
+            if progress != shown {
+                output::print_note(&progress);
+                shown.clone_from(&progress);
+            }
+            if Instant::now() + POLL_INTERVAL > deadline {
+                let waited = self.options.wait_timeout;
+                let message = format!("{what} is not complete after {waited:?}: {progress}");
+                return Err(Failure::Unknown(message));
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
+
+fn nodes_from_environment() -> Result<Vec<SocketAddr>, Failure> {
+    let text = std::env::var("TANAGERLADDER_NODES").unwrap_or_default();
+    let nodes: Vec<SocketAddr> = text
+        .split([',', ' '])
+        .filter(|part| !part.is_empty())
+        .map(parse_address)
+        .collect::<Result<_, _>>()?;
+    if nodes.is_empty() {
+        let message = "a node is needed: --node or TANAGERLADDER_NODES";
+        return Err(Failure::Usage(message.to_owned()));
+    }
+    Ok(nodes)
+}
+
+/// Name of the operator followed by a random number that identifies this run, so that its change
+/// can be found in the history after a lost answer.
+fn operator_tag(name: Option<&str>) -> Result<String, Failure> {
+    let user = std::env::var("USER").unwrap_or_default();
+    let name = name.unwrap_or(if user.is_empty() { "operator" } else { &user });
+    let plain = name.bytes().all(|byte| byte.is_ascii_graphic());
+    if name.is_empty() || name.len() > 100 || !plain {
+        let message = format!("operator {name:?}: 1 to 100 plain ASCII characters are needed");
+        return Err(Failure::Usage(message));
+    }
+    let random = RandomState::new().build_hasher().finish();
+    Ok(format!("{name}#{random:016x}"))
+}
--- a/crates/tanager-node/src/admin/changes.rs
+++ b/crates/tanager-node/src/admin/changes.rs
@@ -156,7 +156,7 @@
             let pool = body.pool;
             let wave = body
                 .wave
-                .unwrap_or_else(|| format!("wave-{}", state.version + 1));
+                .unwrap_or_else(|| format!("{pool:.40}-{}", state.version + 1));
             if !check_name(&wave) {
                 let message = "wave: a name is 1 to 64 of a-z, 0-9, '-', '_', '.'";
                 return Err(invalid("validate", message));
--- a/crates/tanager-node/tests/support/mod.rs
+++ b/crates/tanager-node/tests/support/mod.rs
@@ -54,6 +54,8 @@
     NeverAnswer,
     /// Fails with `Unknown` without committing.
     LoseProposal,
+    /// Commits a step of every wave before the next proposal, then accepts.
+    StepFirst,
     Fail(ErrorKind),
 }
 
@@ -83,9 +85,21 @@
     pub fn propose(&self, proposal: Proposal) -> (ProposeMode, TanagerResult<ChangeEntry>) {
         self.proposals.fetch_add(1, Ordering::SeqCst);
         let mode = *self.mode.lock().unwrap();
+        if mode == ProposeMode::StepFirst {
+            *self.mode.lock().unwrap() = ProposeMode::Accept;
+            let mut state = self.state.lock().unwrap();
+            let mut stepped = FleetState::clone(&state);
+            stepped.version += 1;
+            for wave in stepped.waves.values_mut() {
+                wave.version = stepped.version;
+            }
+            *state = Arc::new(stepped);
+        }
         let lost = || TanagerError::new(ErrorKind::Unknown, "commit", "store", "no answer");
         let result = match mode {
-            ProposeMode::Accept | ProposeMode::NeverAnswer => self.commit(proposal),
+            ProposeMode::Accept | ProposeMode::StepFirst | ProposeMode::NeverAnswer => {
+                self.commit(proposal)
+            }
             ProposeMode::LoseAnswer => self.commit(proposal).and_then(|_| Err(lost())),
             ProposeMode::LoseProposal => Err(lost()),
             ProposeMode::Fail(kind) => Err(TanagerError::new(kind, "commit", "store", "failed")),
@@ -200,7 +214,9 @@
         }
         FleetChange::PauseWave { wave, reason } => {
             let reason = reason.clone();
-            state.waves.get_mut(wave).unwrap().status = WaveStatus::Paused { reason };
+            let record = state.waves.get_mut(wave).unwrap();
+            record.status = WaveStatus::Paused { reason };
+            record.version = version;
         }
         FleetChange::ResumeWave { wave } => {
             state.waves.get_mut(wave).unwrap().status = WaveStatus::Running;
