Add the Python library and the configurations of both sites

Cause: a configuration document of 50 VMs is too long to write by hand, and a mistake in it was found only by the node.

Change: plain Python functions, standard library only, that build, check and print the document; errors name the object and nothing is printed. VMs of a pool are spread over racks and zones. The floor is not compared with the number of VMs in the document, because moves change the pools and not the document.

No rack holds more than two VMs of one pool.

--- /dev/null
+++ b/library/python/tanagerladder/__init__.py
@@ -0,0 +1,35 @@
+"""Functions that build the configuration document of tanagerladder and print it as JSON.
+
+The schema is ``ConfigDocument`` of the crate ``tanager-protocol``; durations are in milliseconds.
+Every function raises ``DocumentError`` with a message that names the object.
+"""
+
+from .document import DocumentError
+from .document import add_pool
+from .document import add_team
+from .document import add_vm
+from .document import check_document
+from .document import hash_token
+from .document import new_document
+from .document import print_document
+from .document import set_quota
+from .layout import Endpoint
+from .layout import add_spread_vms
+from .layout import generate_endpoints
+from .layout import read_endpoints
+
+__all__ = [
+    "DocumentError",
+    "Endpoint",
+    "add_pool",
+    "add_spread_vms",
+    "add_team",
+    "add_vm",
+    "check_document",
+    "generate_endpoints",
+    "hash_token",
+    "new_document",
+    "print_document",
+    "read_endpoints",
+    "set_quota",
+]
