Reject lists for objects and equal keys in administration bodies

Cause: serde accepts a struct given as a list, so "intake": [] in a document was a pool with floor 0 and no owner, and of two equal keys it kept the last. Found in review; the property tests did not edit these fields.

Change: bodies are parsed a second time into a value with unique keys and compared in shape with the parsed type. The command sends a document as it was given, so that the server sees such mistakes.

--- a/crates/tanager-command/src/client.rs
+++ b/crates/tanager-command/src/client.rs
@@ -116,7 +116,7 @@
         node: SocketAddr,
         method: &str,
         path: &str,
-        body: Option<&Value>,
+        body: Option<&str>,
     ) -> Exchange {
         // oxhttp does not tell a failure to connect from a later one; a connection made before
         // finds most nodes that are down without the risk of an unknown outcome.
@@ -129,7 +129,7 @@
             .header("authorization", format!("Bearer {}", self.token))
             .header("tanager-operator", &self.operator)
             .header("content-type", "application/json");
-        let bytes = body.map_or_else(Vec::new, |body| body.to_string().into_bytes());
+        let bytes = body.map_or_else(Vec::new, |body| body.as_bytes().to_vec());
         let timeout = self.timeout;
         let (sender, receiver) = mpsc::channel();
         // The timeout of oxhttp bounds each read and write; the thread allows to bound the sum.
--- a/crates/tanager-command/src/commands/apply.rs
+++ b/crates/tanager-command/src/commands/apply.rs
@@ -1,7 +1,5 @@
 //! `apply`: puts a configuration document in force.
 
-use std::net::SocketAddr;
-
 use serde_json::json;
 
 use tanager_protocol::config::ConfigDocument;
@@ -38,7 +36,7 @@
 };
 
 fn run(session: &Session) -> Result<(), Failure> {
-    let document = read_document(session.value(0))?;
+    let (text, document) = read_document(session.value(0))?;
     let current = session.client.read("/v1/config")?;
     let in_force: Option<ConfigDocument> = serde_json::from_value(current["document"].clone()).ok();
     let configured = current["configured_version"].as_u64().unwrap_or(0);
@@ -47,10 +45,11 @@
         output::print_note("the document is already in force");
         configured
     } else {
-        session.submit(ChangeRequest {
+        session.submit(&ChangeRequest {
             method: "PUT",
             path: "/v1/config".to_owned(),
-            body: json!({"document": document}),
+            body: json!({}),
+            document: Some(text),
             expected: session.expected(&current),
             object: ChangeObject::Document,
         })?
@@ -76,16 +75,9 @@
         let nodes = list["nodes"].as_object().cloned().unwrap_or_default();
         let mut behind = Vec::new();
         for (name, record) in &nodes {
-            let address: Option<SocketAddr> = record["admin_address"]
-                .as_str()
-                .and_then(|address| address.parse().ok());
-            let Some(address) = address else {
-                behind.push(format!("{name} (no address)"));
-                continue;
-            };
-            match session.client.read_from(address, "/v1/nodes") {
-                Ok(reply) if reply["version"].as_u64().unwrap_or(0) >= version => {}
-                Ok(reply) => behind.push(format!("{name} (version {})", reply["version"])),
+            match session.read_version(record) {
+                Ok(applied) if applied >= version => {}
+                Ok(applied) => behind.push(format!("{name} (version {applied})")),
                 Err(problem) => behind.push(format!("{name} ({problem})")),
             }
         }
--- a/crates/tanager-command/src/commands/diff.rs
+++ b/crates/tanager-command/src/commands/diff.rs
@@ -27,7 +27,7 @@
 };
 
 fn run(session: &Session) -> Result<(), Failure> {
-    let document = read_document(session.value(0))?;
+    let (_, document) = read_document(session.value(0))?;
     let new = serde_json::to_value(document).map_err(|error| Failure::Usage(error.to_string()))?;
     let current = session.client.read("/v1/config")?;
     let mut changes = Vec::new();
--- a/crates/tanager-command/src/commands/drain.rs
+++ b/crates/tanager-command/src/commands/drain.rs
@@ -35,10 +35,11 @@
     if let Some(reason) = &session.options.reason {
         body["reason"] = json!(reason);
     }
-    let version = session.submit(ChangeRequest {
+    let version = session.submit(&ChangeRequest {
         method: "POST",
         path: format!("/v1/vms/{vm}/drain"),
         body,
+        document: None,
         expected: session.expected(&seen),
         object: ChangeObject::Vm(vm.to_owned()),
     })?;
--- a/crates/tanager-command/src/commands/move_vm.rs
+++ b/crates/tanager-command/src/commands/move_vm.rs
@@ -35,10 +35,11 @@
 fn run(session: &Session) -> Result<(), Failure> {
     let (vm, pool) = (session.value(0), session.value(1));
     let seen = session.read_vm(vm)?;
-    let version = session.submit(ChangeRequest {
+    let version = session.submit(&ChangeRequest {
         method: "POST",
         path: format!("/v1/vms/{vm}/move"),
         body: json!({"to": pool}),
+        document: None,
         expected: session.expected(&seen),
         object: ChangeObject::Vm(vm.to_owned()),
     })?;
--- a/crates/tanager-command/src/commands/show.rs
+++ b/crates/tanager-command/src/commands/show.rs
@@ -1,5 +1,7 @@
 //! `show`: prints the configuration in force.
 
+use serde_json::json;
+
 use super::CommandSpec;
 use crate::failure::Failure;
 use crate::output;
@@ -9,20 +11,25 @@
     name: "show",
     summary: "print the configuration in force",
     help: "\
-Usage: tanagerladder show [--document]
+Usage: tanagerladder show [--document | --nodes]
 
   --document  print only the document as JSON, in the form that apply reads
+  --nodes     print the registered nodes, each with the version it runs as read from the node
 
 Examples:
   tanagerladder show
   tanagerladder show --document > site.json
+  tanagerladder show --nodes
 ",
-    options: &["document"],
+    options: &["document", "nodes"],
     values: 0..=0,
     run,
 };
 
 fn run(session: &Session) -> Result<(), Failure> {
+    if session.options.nodes_only {
+        return show_nodes(session);
+    }
     let config = session.client.read("/v1/config")?;
     if session.options.document {
         output::print_json(&config["document"]);
@@ -54,3 +61,27 @@
     });
     Ok(())
 }
+
+fn show_nodes(session: &Session) -> Result<(), Failure> {
+    let list = session.client.read("/v1/nodes")?;
+    let mut nodes = Vec::new();
+    for (name, record) in list["nodes"].as_object().into_iter().flatten() {
+        let (version, problem) = match session.read_version(record) {
+            Ok(version) => (json!(version), json!(null)),
+            Err(problem) => (json!(null), json!(problem)),
+        };
+        nodes.push(json!({
+            "node": name,
+            "zone": record["zone"],
+            "admin_address": record["admin_address"],
+            "version": version,
+            "problem": problem,
+        }));
+    }
+    let result = json!({"version": list["version"], "nodes": nodes});
+    session.show(&result, |_| {
+        let fields = ["node", "zone", "admin_address", "version", "problem"];
+        output::print_objects(&fields, &nodes);
+    });
+    Ok(())
+}
--- a/crates/tanager-command/src/commands/snapshot.rs
+++ b/crates/tanager-command/src/commands/snapshot.rs
@@ -8,7 +8,8 @@
 use super::CommandSpec;
 use crate::client::Exchange;
 use crate::failure::Failure;
-use crate::input::read_json;
+use crate::input::parse_json;
+use crate::input::read_text;
 use crate::output;
 use crate::session::Session;
 
@@ -59,19 +60,20 @@
 }
 
 fn restore(session: &Session, path: &str) -> Result<(), Failure> {
-    let state: FleetState = read_json(path)?;
+    let text = read_text(path)?;
+    let state: FleetState = parse_json(path, &text)?;
     let check = state.document.validate();
     check.map_err(|problem| Failure::Usage(format!("{path}: {problem}")))?;
-    let body = serde_json::to_value(&state).map_err(|error| Failure::Usage(error.to_string()))?;
     let mut problems = Vec::new();
+    let mut unready = None;
     for (_, node) in session.client.order() {
         let lost = match session
             .client
-            .exchange(node, "PUT", "/v1/snapshot", Some(&body))
+            .exchange(node, "PUT", "/v1/snapshot", Some(&text))
         {
             Exchange::Answered(reply) if reply.status == 200 => return finish(session, &state),
             Exchange::Answered(reply) if reply.status == 503 => {
-                problems.push(format!("{node}: {}", reply.message()));
+                unready = Some(reply.failure());
                 continue;
             }
             Exchange::Answered(reply) if reply.status < 500 => return Err(reply.failure()),
@@ -90,7 +92,7 @@
         let message = format!("{lost}; the restored state is not in force yet");
         return Err(Failure::Unknown(message));
     }
-    Err(Failure::Unreachable(problems.join("; ")))
+    Err(unready.unwrap_or_else(|| Failure::Unreachable(problems.join("; "))))
 }
 
 fn is_restored(in_force: &Value, state: &FleetState) -> bool {
--- a/crates/tanager-command/src/commands/undrain.rs
+++ b/crates/tanager-command/src/commands/undrain.rs
@@ -27,10 +27,11 @@
 fn run(session: &Session) -> Result<(), Failure> {
     let vm = session.value(0);
     let seen = session.read_vm(vm)?;
-    let version = session.submit(ChangeRequest {
+    let version = session.submit(&ChangeRequest {
         method: "POST",
         path: format!("/v1/vms/{vm}/undrain"),
         body: json!({}),
+        document: None,
         expected: session.expected(&seen),
         object: ChangeObject::Vm(vm.to_owned()),
     })?;
--- a/crates/tanager-command/src/commands/wave.rs
+++ b/crates/tanager-command/src/commands/wave.rs
@@ -75,10 +75,11 @@
     let expected = session.expected(&session.client.read("/v1/waves")?);
     // Truncated, because a name has at most 64 bytes.
     let wave = format!("{pool:.40}-{}", expected + 1);
-    let version = session.submit(ChangeRequest {
+    let version = session.submit(&ChangeRequest {
         method: "POST",
         path: "/v1/waves".to_owned(),
         body: json!({"pool": pool, "wave": wave}),
+        document: None,
         expected,
         object: ChangeObject::Wave(wave.clone()),
     })?;
@@ -101,10 +102,11 @@
     }
     let mut attempts = 1;
     let version = loop {
-        let result = session.submit(ChangeRequest {
+        let result = session.submit(&ChangeRequest {
             method: "POST",
             path: format!("/v1/waves/{wave}/{action}"),
             body: body.clone(),
+            document: None,
             expected: session.expected(&seen),
             object: ChangeObject::Wave(wave.to_owned()),
         });
--- a/crates/tanager-command/src/input.rs
+++ b/crates/tanager-command/src/input.rs
@@ -19,16 +19,16 @@
     std::fs::read_to_string(path).map_err(failed)
 }
 
-/// Reads JSON from a file, or standard input for `-`.
-pub(crate) fn read_json<T: DeserializeOwned>(path: &str) -> Result<T, Failure> {
-    serde_json::from_str(&read_text(path)?)
-        .map_err(|error| Failure::Usage(format!("parse {path}: {error}")))
+/// Parses the text of a file.
+pub(crate) fn parse_json<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, Failure> {
+    serde_json::from_str(text).map_err(|error| Failure::Usage(format!("parse {path}: {error}")))
 }
 
-/// Reads and validates a configuration document.
-pub(crate) fn read_document(path: &str) -> Result<ConfigDocument, Failure> {
-    let document: ConfigDocument = read_json(path)?;
+/// Reads and validates a configuration document; returns it also as text.
+pub(crate) fn read_document(path: &str) -> Result<(String, ConfigDocument), Failure> {
+    let text = read_text(path)?;
+    let document: ConfigDocument = parse_json(path, &text)?;
     let check = document.validate();
     check.map_err(|problem| Failure::Usage(format!("{path}: {problem}")))?;
-    Ok(document)
+    Ok((text, document))
 }
--- a/crates/tanager-command/src/options.rs
+++ b/crates/tanager-command/src/options.rs
@@ -34,6 +34,7 @@
     pub(crate) interval: Duration,
     pub(crate) count: Option<u64>,
     pub(crate) document: bool,
+    pub(crate) nodes_only: bool,
 }
 
 /// A parsed command line.
@@ -68,6 +69,7 @@
                 interval: DEFAULT_INTERVAL,
                 count: None,
                 document: false,
+                nodes_only: false,
             },
             given: BTreeSet::new(),
         };
@@ -140,6 +142,10 @@
                         options.document = true;
                         "document"
                     }
+                    "nodes" => {
+                        options.nodes_only = true;
+                        "nodes"
+                    }
                     _ => return Err(Failure::Usage(format!("unknown option --{name}"))),
                 };
                 self.given.insert(name);
--- a/crates/tanager-command/src/session.rs
+++ b/crates/tanager-command/src/session.rs
@@ -89,6 +89,14 @@
         Err(Failure::Refused(format!("VM {vm:?} does not exist")))
     }
 
+    /// Reads the version that a registered node runs, from the node itself.
+    pub(crate) fn read_version(&self, record: &Value) -> Result<u64, String> {
+        let address = record["admin_address"].as_str().unwrap_or_default();
+        let address = address.parse().map_err(|_| "no address".to_owned())?;
+        let reply = self.client.read_from(address, "/v1/nodes")?;
+        reply["version"].as_u64().ok_or("no version".to_owned())
+    }
+
     /// Reads a list, reduced to the pool of `--pool` if given.
     pub(crate) fn read_of_pool(&self, path: &str, field: &str) -> Result<Value, Failure> {
         let mut reply = self.client.read(path)?;
--- a/crates/tanager-command/src/submit.rs
+++ b/crates/tanager-command/src/submit.rs
@@ -24,12 +24,27 @@
     pub(crate) method: &'static str,
     pub(crate) path: String,
     pub(crate) body: Value,
+    /// Text of a document to send as it is, so that the server finds mistakes that parsing and
+    /// printing would hide, such as equal keys.
+    pub(crate) document: Option<String>,
     /// Version the change is based on.
     pub(crate) expected: u64,
     /// Object that changes.
     pub(crate) object: ChangeObject,
 }
 
+impl ChangeRequest {
+    fn to_body(&self) -> String {
+        let expected = self.expected;
+        if let Some(document) = &self.document {
+            return format!("{{\"expected\":{expected},\"document\":{document}}}");
+        }
+        let mut body = self.body.clone();
+        body["expected"] = json!(expected);
+        body.to_string()
+    }
+}
+
 /// Object that a change concerns, to find changes of others in the history.
 #[derive(Debug)]
 pub(crate) enum ChangeObject {
@@ -62,15 +77,14 @@
     }
 
     /// Submits a change and returns its version.
-    pub(crate) fn submit(&self, mut request: ChangeRequest) -> Result<u64, Failure> {
-        request.body["expected"] = json!(request.expected);
+    pub(crate) fn submit(&self, request: &ChangeRequest) -> Result<u64, Failure> {
+        let body = request.to_body();
         let mut problems = Vec::new();
         let mut unready = None;
         for (index, node) in self.client.order() {
-            let body = Some(&request.body);
             match self
                 .client
-                .exchange(node, request.method, &request.path, body)
+                .exchange(node, request.method, &request.path, Some(&body))
             {
                 Exchange::Answered(reply) => match reply.status {
                     200 => {
@@ -79,12 +93,12 @@
                     }
                     // Not ready: nothing was sent to the store, so another node may be asked.
                     503 => unready = Some(reply.failure()),
-                    500.. => return self.read_back(&request, &reply.message()),
+                    500.. => return self.read_back(request, &reply.message()),
                     _ => return Err(reply.failure()),
                 },
                 Exchange::NotSent(problem) => problems.push(format!("{node}: {problem}")),
                 Exchange::Lost(problem) => {
-                    return self.read_back(&request, &format!("{node}: {problem}"));
+                    return self.read_back(request, &format!("{node}: {problem}"));
                 }
             }
         }
--- a/crates/tanager-command/tests/command.rs
+++ b/crates/tanager-command/tests/command.rs
@@ -115,6 +115,8 @@
     missing_file: ["apply", "/nonexistent"], "" => 2, "read /nonexistent";
     truncated_document: ["apply", "-"], "{\"site\":" => 2, "parse -";
     invalid_document: ["apply", "-"], &document_with_floor(-1) => 2, "parse -";
+    equal_keys: ["apply", "-"], &document_with_floor(2).replace("\"spare\":{}", "\"spare\":{},\"spare\":{}")
+        => 2, "\"spare\" is given twice";
     bad_limit: ["history", "--limit", "0"], "" => 2, "limit=N";
     stale_version: ["apply", "-", "--expected", "0"], &document_with_floor(2)
         => 3, "changed at version 1";
@@ -280,6 +282,10 @@
     let (node, mut record) = ("node-2".to_owned(), record);
     record.admin_address = late.address;
     server.fleet.change(FleetChange::JoinNode { node, record });
+    let (_, nodes) = run(&server, &["show", "--nodes", "--json"], "");
+    let nodes: Value = serde_json::from_str(&nodes).unwrap();
+    assert_eq!(nodes["nodes"][0]["version"], 3);
+    assert_eq!(nodes["nodes"][1]["version"], 1);
     let mut child = start(&server, &["apply", "-", "--wait"], &document_with_floor(2));
     wait_for_note(
         &mut child,
--- a/crates/tanager-node/src/admin/changes.rs
+++ b/crates/tanager-node/src/admin/changes.rs
@@ -1,6 +1,8 @@
 //! Routes that change the fleet.
 
 use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 
 use tanager_http::HttpRequest;
@@ -21,25 +23,26 @@
 use super::access::AccessRole;
 use super::reply::json_response;
 use super::routes::RouteContext;
+use super::strict;
 
 /// Longest `Tanager-Operator` header and longest reason, in bytes.
 const MAX_TEXT_BYTES: usize = 200;
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct ConfigBody {
     expected: LogVersion,
     document: ConfigDocument,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct MoveBody {
     to: PoolId,
     expected: LogVersion,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct WaveBody {
     pool: PoolId,
@@ -48,14 +51,14 @@
     expected: Option<LogVersion>,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct ReasonBody {
     reason: Option<String>,
     expected: Option<LogVersion>,
 }
 
-#[derive(Default, Deserialize)]
+#[derive(Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct ExpectedBody {
     expected: Option<LogVersion>,
@@ -222,17 +225,13 @@
     Err(not_found(format!("pool {pool:?} does not exist")))
 }
 
-fn parse_body<T: for<'de> Deserialize<'de>>(request: &HttpRequest) -> TanagerResult<T> {
-    // serde also accepts a struct as a list of its fields, which hides mistakes.
-    if request.body.trim_ascii_start().first() != Some(&b'{') {
-        return Err(invalid("parse_body", "the body must be a JSON object"));
-    }
-    serde_json::from_slice(&request.body).map_err(|error| invalid("parse_body", &error.to_string()))
+fn parse_body<T: DeserializeOwned + Serialize>(request: &HttpRequest) -> TanagerResult<T> {
+    strict::parse(&request.body).map_err(|problem| invalid("parse_body", &problem))
 }
 
 fn parse_optional_body<T>(request: &HttpRequest) -> TanagerResult<T>
 where
-    T: Default + for<'de> Deserialize<'de>,
+    T: Default + DeserializeOwned + Serialize,
 {
     if request.body.is_empty() {
         return Ok(T::default());
--- a/crates/tanager-node/src/admin/mod.rs
+++ b/crates/tanager-node/src/admin/mod.rs
@@ -8,6 +8,7 @@
 mod reads;
 mod reply;
 mod routes;
+mod strict;
 
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/tanager-node/tests/admin.rs
+++ b/crates/tanager-node/tests/admin.rs
@@ -3,7 +3,11 @@
 #[path = "support/mod.rs"]
 mod support;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
@@ -207,3 +211,26 @@
     assert_eq!(server.call(ROOT, "GET", "/v1/snapshot", b"").1, snapshot);
     server.stop();
 }
+
+/// Guards against a proposal that is interrupted half-way because the client has gone.
+#[test]
+fn a_proposal_outlives_its_client() {
+    let server = TestServer::start();
+    server.set_mode(ProposeMode::AcceptLate);
+    let mut stream = TcpStream::connect(server.address).unwrap();
+    let request = format!(
+        "POST /v1/vms/vm-0/drain HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer {ROOT}\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    // Lets the handler start; without the pause it may see the end of the connection first.
+    thread::sleep(Duration::from_millis(100));
+    drop(stream);
+    let mut reads = 0;
+    while server.fleet.current().version == 1 {
+        reads += 1;
+        assert!(reads < 300, "the change was not committed");
+        thread::sleep(Duration::from_millis(100));
+    }
+    server.stop();
+}
--- a/crates/tanager-node/tests/admin_input.rs
+++ b/crates/tanager-node/tests/admin_input.rs
@@ -196,6 +196,33 @@
     server.stop();
 }
 
+/// Guards against an empty list that stands for an object of defaults, and against equal keys.
+#[test]
+fn lists_for_objects_and_equal_keys_are_rejected() {
+    let server = TestServer::start();
+    let body = json!({"expected": 1, "document": example_document()});
+    let spare = "/document/pools/spare";
+    for path in ["/document/pools/intake", "/document/teams/other", spare] {
+        let mut body = body.clone();
+        *body.pointer_mut(path).unwrap() = json!([]);
+        assert_rejected(&server, "PUT", "/v1/config", body.to_string().as_bytes());
+    }
+    let mut limits = body.clone();
+    limits.pointer_mut(spare).unwrap()["queue_limits"] = json!([]);
+    assert_rejected(&server, "PUT", "/v1/config", limits.to_string().as_bytes());
+    let text = body.to_string();
+    for (key, double) in [
+        ("\"spare\":{}", "\"spare\":{},\"spare\":{\"floor\":1}"),
+        ("\"other\":{", "\"other\":{},\"other\":{"),
+        ("\"expected\":1", "\"expected\":1,\"expected\":1"),
+    ] {
+        assert!(text.contains(key), "{key}");
+        let body = text.replacen(key, double, 1);
+        assert_rejected(&server, "PUT", "/v1/config", body.as_bytes());
+    }
+    server.stop();
+}
+
 /// Guards against unknown ids and paths, and against ids with odd characters.
 #[test]
 fn unknown_ids_and_paths_are_rejected() {
--- a/crates/tanager-node/tests/support/mod.rs
+++ b/crates/tanager-node/tests/support/mod.rs
@@ -8,6 +8,8 @@
     reason = "each test uses a part"
 )]
 
+mod fold;
+
 use std::collections::BTreeMap;
 use std::future::pending;
 use std::io::Read;
@@ -18,6 +20,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
@@ -34,11 +37,6 @@
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::fleet::NodeRecord;
-use tanager_protocol::fleet::VmActivity;
-use tanager_protocol::fleet::VmHealth;
-use tanager_protocol::fleet::VmRecord;
-use tanager_protocol::fleet::WaveRecord;
-use tanager_protocol::fleet::WaveStatus;
 
 pub const ROOT: &str = "root-token";
 /// Token of team `clinic`, which owns the pools `intake` and `files`.
@@ -52,6 +50,8 @@
     LoseAnswer,
     /// Commits, then never answers.
     NeverAnswer,
+    /// Commits a moment later.
+    AcceptLate,
     /// Fails with `Unknown` without committing.
     LoseProposal,
     /// Commits a step of every wave before the next proposal, then accepts.
@@ -97,9 +97,10 @@
         }
         let lost = || TanagerError::new(ErrorKind::Unknown, "commit", "store", "no answer");
         let result = match mode {
-            ProposeMode::Accept | ProposeMode::StepFirst | ProposeMode::NeverAnswer => {
-                self.commit(proposal)
-            }
+            ProposeMode::Accept
+            | ProposeMode::AcceptLate
+            | ProposeMode::StepFirst
+            | ProposeMode::NeverAnswer => self.commit(proposal),
             ProposeMode::LoseAnswer => self.commit(proposal).and_then(|_| Err(lost())),
             ProposeMode::LoseProposal => Err(lost()),
             ProposeMode::Fail(kind) => Err(TanagerError::new(kind, "commit", "store", "failed")),
@@ -111,7 +112,7 @@
         let mut guard = self.state.lock().unwrap();
         let mut state = FleetState::clone(&guard);
         let (author, change) = (proposal.author, proposal.change);
-        let seen = object_version(&state, &change);
+        let seen = fold::object_version(&state, &change);
         if proposal.expected.is_some_and(|expected| seen > expected) {
             let author = state.configured_author.clone();
             let message = format!("changed at version {seen} by {author}");
@@ -123,7 +124,7 @@
             ));
         }
         let version = state.version + 1;
-        apply(&mut state, version, &author, &change)?;
+        fold::apply(&mut state, version, &author, &change)?;
         let entry = ChangeEntry {
             version,
             author,
@@ -136,104 +137,6 @@
     }
 }
 
-fn object_version(state: &FleetState, change: &FleetChange) -> u64 {
-    match change {
-        FleetChange::Configure { .. } => state.configured_version,
-        FleetChange::StartMove { vm, .. }
-        | FleetChange::StartDrain { vm, .. }
-        | FleetChange::EndDrain { vm } => state.vms[vm].version,
-        FleetChange::PauseWave { wave, .. } | FleetChange::ResumeWave { wave } => {
-            state.waves[wave].version
-        }
-        _ => 0,
-    }
-}
-
-/// A reduced fold: enough to answer an operator.
-fn apply(
-    state: &mut FleetState,
-    version: u64,
-    author: &str,
-    change: &FleetChange,
-) -> TanagerResult<()> {
-    let refused = |message: &str| TanagerError::new(ErrorKind::Refused, "validate", "", message);
-    state.version = version;
-    let set_vm = |state: &mut FleetState, vm: &str, activity: VmActivity| {
-        let record = state.vms.get_mut(vm).unwrap();
-        record.activity = activity;
-        record.version = version;
-    };
-    match change {
-        FleetChange::Configure { document } => {
-            let records = document.vms.iter().map(|(vm, config)| {
-                let new = VmRecord {
-                    pool: config.pool.clone(),
-                    activity: VmActivity::Active,
-                    health: VmHealth::Up,
-                    version,
-                };
-                (vm.clone(), state.vms.get(vm).cloned().unwrap_or(new))
-            });
-            state.vms = records.collect();
-            state.document = document.clone();
-            state.configured_version = version;
-            state.configured_author = author.to_owned();
-        }
-        FleetChange::StartMove { vm, to } => {
-            if state.vms[vm].activity != VmActivity::Active {
-                return Err(refused("the VM is not active"));
-            }
-            let (to, since) = (to.clone(), version);
-            set_vm(state, vm, VmActivity::Moving { to, since });
-        }
-        FleetChange::CommitMove { vm } => {
-            if let VmActivity::Moving { to, .. } = state.vms[vm].activity.clone() {
-                state.vms.get_mut(vm).unwrap().pool = to;
-            }
-            set_vm(state, vm, VmActivity::Active);
-        }
-        FleetChange::StartDrain { vm, reason } => {
-            let (reason, since) = (reason.clone(), version);
-            set_vm(state, vm, VmActivity::Draining { reason, since });
-        }
-        FleetChange::EndDrain { vm } => set_vm(state, vm, VmActivity::Active),
-        FleetChange::StartWave { wave, pool } => {
-            if state.waves.values().any(|wave| wave.pool == *pool) {
-                return Err(refused("a wave of this pool is running"));
-            }
-            let waiting = state.vms.iter().filter(|(_, record)| record.pool == *pool);
-            let record = WaveRecord {
-                pool: pool.clone(),
-                status: WaveStatus::Running,
-                waiting: waiting.map(|(vm, _)| vm.clone()).collect(),
-                running: Vec::new(),
-                finished: Vec::new(),
-                version,
-            };
-            state.waves.insert(wave.clone(), record);
-        }
-        FleetChange::PauseWave { wave, reason } => {
-            let reason = reason.clone();
-            let record = state.waves.get_mut(wave).unwrap();
-            record.status = WaveStatus::Paused { reason };
-            record.version = version;
-        }
-        FleetChange::ResumeWave { wave } => {
-            state.waves.get_mut(wave).unwrap().status = WaveStatus::Running;
-        }
-        FleetChange::FinishWave { wave } => {
-            let record = state.waves.get_mut(wave).unwrap();
-            record.status = WaveStatus::Finished;
-            record.finished = std::mem::take(&mut record.waiting);
-        }
-        FleetChange::JoinNode { node, record } => {
-            state.nodes.insert(node.clone(), record.clone());
-        }
-        _ => return Err(refused("not supported by the fake fleet")),
-    }
-    Ok(())
-}
-
 /// A fleet with the pools `intake` and `files` of team `clinic` and `spare` of the operators.
 pub fn example_document() -> Value {
     let mut vms = BTreeMap::new();
@@ -385,6 +288,9 @@
         propose: Arc::new(move |proposal| {
             let fleet = Arc::clone(&propose);
             Box::pin(async move {
+                if *fleet.mode.lock().unwrap() == ProposeMode::AcceptLate {
+                    tokio::time::sleep(Duration::from_millis(200)).await;
+                }
                 let (mode, result) = fleet.propose(proposal);
                 if mode == ProposeMode::NeverAnswer {
                     pending::<()>().await;
