Test whole sites of node processes under node faults

Cause: the promises hold across processes, so they need tests with real processes that are killed, frozen and replaced.

Change: a test harness starts tanagerladderd processes against the in-process stand-ins; the judge compares what the endpoints ran with what callers were told. A change now conflicts only when a later entry changed the same record; it compared versions for equality, so that every operator who had read a newer log version got a conflict.

--- a/crates/tanager-fleet/src/check.rs
+++ b/crates/tanager-fleet/src/check.rs
@@ -23,7 +23,8 @@
 /// What the proposer knows beyond the change log.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CheckContext {
-    /// Version of the record on which the change is based; see [`record_version`].
+    /// Log version on which the change is based. The change conflicts when a later entry changed
+    /// the same record; see [`record_version`].
     pub expected: Option<LogVersion>,
     /// VMs that the proposer believes to be unavailable.
     pub suspects: BTreeSet<VmId>,
@@ -138,7 +139,16 @@
 ) -> TanagerResult<()> {
     let current = record_version(state, change);
     match expected {
-        Some(expected) if expected != current => {
+        Some(expected) if expected > state.version => Err(TanagerError::new(
+            ErrorKind::Conflict,
+            "check",
+            change.kind(),
+            format!(
+                "based on version {expected}, but the newest is version {}",
+                state.version
+            ),
+        )),
+        Some(expected) if expected < current => {
             let author = match change {
                 FleetChange::Configure { .. } if !state.configured_author.is_empty() => {
                     format!(" by {}", state.configured_author)
--- /dev/null
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -0,0 +1,318 @@
+//! A small site: node processes, and stand-ins of the platform and of endpoints in this process.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Method;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time;
+
+use tanager_http::ClientPool;
+use tanager_http::HttpRequest;
+use tanager_http::HttpResponse;
+use tanager_http::pool::PoolLimits;
+use tanager_standin::EndpointOptions;
+use tanager_standin::EndpointStandin;
+use tanager_standin::PlatformOptions;
+use tanager_standin::PlatformStandin;
+use tanager_standin::load::LoadOptions;
+use tanager_standin::plan::MixOptions;
+
+pub const ROOT_TOKEN: &str = "0123456789abcdef";
+/// Longest wait for a condition. It only bounds a test that would otherwise never end.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL: Duration = Duration::from_millis(50);
+
+static NEXT_DIRECTORY: AtomicUsize = AtomicUsize::new(0);
+
+/// A node process. It is killed when dropped.
+pub struct NodeProcess {
+    pub caller: SocketAddr,
+    pub admin: SocketAddr,
+    child: Child,
+}
+
+impl NodeProcess {
+    /// Starts a node and waits until it listens.
+    pub fn spawn(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let file = directory.join(format!("site-{}-{number}.ini", std::process::id()));
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        let peers = match seeds.is_empty() {
+            true => String::new(),
+            false => format!("[peers]\nseeds = {}\n", seeds.join(",")),
+        };
+        let settings = format!(
+            "[node]\nname = {name}\nregion = region-1\nzone = zone-1\n\
+             caller_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\n\
+             admin_address = 127.0.0.1:0\nstop_delay = 300ms\n\
+             [platform]\naddress = {platform}\ntimeout = 500ms\n{peers}\
+             [admin]\nroot_token = {ROOT_TOKEN}\n"
+        );
+        fs::write(&file, settings).expect("settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerladderd"))
+            .arg("--config")
+            .arg(&file)
+            .env("RUST_LOG", "warn")
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("node process");
+        let output = child.stdout.take().expect("standard output");
+        let mut line = String::new();
+        BufReader::new(output)
+            .read_line(&mut line)
+            .expect("listening line");
+        let addresses: BTreeMap<&str, SocketAddr> = line
+            .split_whitespace()
+            .filter_map(|part| part.split_once('='))
+            .map(|(face, address)| (face, address.parse().expect("address")))
+            .collect();
+        Self {
+            caller: addresses["caller"],
+            admin: addresses["admin"],
+            child,
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("process id");
+        nix::sys::signal::kill(Pid::from_raw(id), signal).expect("signal");
+    }
+
+    /// Kills the process without any chance to clean up.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("kill");
+        self.child.wait().expect("wait");
+    }
+
+    /// Waits for the end of a process that was asked to stop; returns its exit code.
+    pub async fn wait(&mut self) -> Option<i32> {
+        let mut code = None;
+        eventually("the process ends", async || {
+            code = self
+                .child
+                .try_wait()
+                .expect("wait")
+                .map(|status| status.code());
+            code.is_some()
+        })
+        .await;
+        code.flatten()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // Both fail when the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Polls a condition until it holds.
+pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let start = time::Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < PATIENCE, "still waiting: {what}");
+        time::sleep(POLL).await;
+    }
+}
+
+/// A site with pools `alpha`, `beta` and `gamma`.
+pub struct TestSite {
+    pub platform: PlatformStandin,
+    pub endpoints: EndpointStandin,
+    pub nodes: Vec<NodeProcess>,
+    next_node: usize,
+}
+
+pub const POOLS: [&str; 3] = ["alpha", "beta", "gamma"];
+
+impl TestSite {
+    /// Starts a site whose pools share the endpoints evenly, each with the given floor.
+    pub async fn open(nodes: usize, endpoints: usize, floor: u32) -> Self {
+        let list_lag = Duration::from_millis(500);
+        let options = PlatformOptions {
+            list_lag,
+            ..PlatformOptions::default()
+        };
+        let platform = PlatformStandin::bind(options).expect("platform");
+        let options = EndpointOptions {
+            count: endpoints,
+            ..EndpointOptions::default()
+        };
+        let endpoints = EndpointStandin::bind(&options).expect("endpoints");
+        let mut site = Self {
+            platform,
+            endpoints,
+            nodes: Vec::new(),
+            next_node: 1,
+        };
+        for _ in 0..nodes {
+            site.add_node();
+        }
+        site.wait_ready().await;
+        let response = site.put_config(0, 0, &site.document(floor)).await;
+        assert!(response.status.is_success(), "{:?}", response.body);
+        let version = version_of(&response);
+        site.wait_version(version).await;
+        for pool in POOLS {
+            eventually("each pool serves", async || {
+                let response = site.get(0, &format!("/{pool}/warm-up")).await;
+                response.is_some_and(|response| response.status.is_success())
+            })
+            .await;
+        }
+        site
+    }
+
+    /// The configuration document of the site.
+    pub fn document(&self, floor: u32) -> Value {
+        let pools: BTreeMap<&str, Value> = POOLS
+            .iter()
+            .map(|pool| (*pool, json!({ "floor": floor })))
+            .collect();
+        let endpoints = self.endpoints.endpoints();
+        let vms: BTreeMap<String, Value> = endpoints
+            .iter()
+            .enumerate()
+            .map(|(index, (name, address))| {
+                let vm = json!({
+                    "address": address,
+                    "pool": POOLS[index % POOLS.len()],
+                    "zone": format!("zone-{}", index / 3 % 3),
+                    "rack": format!("rack-{}", index / 3),
+                    "slots": 8,
+                });
+                (name.clone(), vm)
+            })
+            .collect();
+        json!({ "site": "test", "pools": pools, "vms": vms, "teams": {} })
+    }
+
+    /// Starts another node, whose seeds are the nodes that run.
+    pub fn add_node(&mut self) -> &mut NodeProcess {
+        let name = format!("entry-{}", self.next_node);
+        self.next_node += 1;
+        let node = NodeProcess::spawn(&name, self.platform.address(), &[]);
+        self.nodes.push(node);
+        self.nodes.last_mut().expect("just added")
+    }
+
+    pub async fn wait_ready(&self) {
+        for node in &self.nodes {
+            eventually("the node is ready", async || is_ready(node).await).await;
+        }
+    }
+
+    /// Waits until every node has applied a version of the log.
+    pub async fn wait_version(&self, version: u64) {
+        for node in &self.nodes {
+            eventually("the version is in force", async || {
+                log_version(node)
+                    .await
+                    .is_some_and(|applied| applied >= version)
+            })
+            .await;
+        }
+    }
+
+    /// Callers' addresses of all nodes.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.caller).collect()
+    }
+
+    /// Load on all nodes and pools with retries of keyed requests.
+    pub fn load(&self, seed: u64, rate: f64, duration: Duration) -> LoadOptions {
+        LoadOptions {
+            targets: self.callers(),
+            direct: false,
+            retry: true,
+            mix: MixOptions {
+                seed,
+                pools: POOLS.map(str::to_owned).to_vec(),
+                rate,
+                duration,
+                timeout: Duration::from_secs(10),
+                ..MixOptions::default()
+            },
+        }
+    }
+
+    pub async fn get(&self, node: usize, path: &str) -> Option<HttpResponse> {
+        call(
+            self.nodes[node].caller,
+            HttpRequest::new(Method::GET, path, ""),
+        )
+        .await
+    }
+
+    pub async fn put_config(&self, node: usize, expected: u64, document: &Value) -> HttpResponse {
+        let body = json!({ "expected": expected, "document": document }).to_string();
+        let request = HttpRequest::new(Method::PUT, "/v1/config", body);
+        self.admin(node, request).await.expect("answer")
+    }
+
+    pub async fn post_admin(&self, node: usize, path: &str, body: &Value) -> Option<HttpResponse> {
+        self.admin(node, HttpRequest::new(Method::POST, path, body.to_string()))
+            .await
+    }
+
+    pub async fn get_admin(&self, node: usize, path: &str) -> Option<Value> {
+        let response = self
+            .admin(node, HttpRequest::new(Method::GET, path, ""))
+            .await?;
+        serde_json::from_slice(&response.body).ok()
+    }
+
+    async fn admin(&self, node: usize, request: HttpRequest) -> Option<HttpResponse> {
+        admin_call(&self.nodes[node], request).await
+    }
+}
+
+async fn admin_call(node: &NodeProcess, mut request: HttpRequest) -> Option<HttpResponse> {
+    let token = format!("Bearer {ROOT_TOKEN}");
+    let token = HeaderValue::from_str(&token).expect("token");
+    request.headers.insert(http::header::AUTHORIZATION, token);
+    call(node.admin, request).await
+}
+
+pub async fn call(address: SocketAddr, request: HttpRequest) -> Option<HttpResponse> {
+    let pool = ClientPool::new(address, PoolLimits::default());
+    pool.exchange(&request, Duration::from_secs(15)).await.ok()
+}
+
+pub async fn is_ready(node: &NodeProcess) -> bool {
+    let response = call(node.admin, HttpRequest::new(Method::GET, "/ready", "")).await;
+    response.is_some_and(|response| response.status.is_success())
+}
+
+/// Version of the log that a node has applied.
+pub async fn log_version(node: &NodeProcess) -> Option<u64> {
+    let response = call(node.admin, HttpRequest::new(Method::GET, "/metrics", "")).await?;
+    let page = std::str::from_utf8(&response.body).ok()?.to_owned();
+    let line = page
+        .lines()
+        .find_map(|line| line.strip_prefix("tanager_log_version "))?;
+    line.parse::<f64>().ok().map(|version| version as u64)
+}
+
+pub fn version_of(response: &HttpResponse) -> u64 {
+    let body: Value = serde_json::from_slice(&response.body).expect("JSON");
+    body["version"].as_u64().expect("version")
+}
--- /dev/null
+++ b/crates/tanager-node/tests/site/main.rs
@@ -0,0 +1,7 @@
+//! Tests of whole sites of several node processes under faults. Each compares what the endpoints
+//! ran with what the callers were told.
+
+#![allow(missing_docs, unreachable_pub, reason = "test code")]
+
+mod harness;
+mod nodes;
--- /dev/null
+++ b/crates/tanager-node/tests/site/nodes.rs
@@ -0,0 +1,108 @@
+//! Faults of nodes: killed, frozen, stopped gracefully, all replaced at once.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use tokio::time;
+
+use tanager_standin::judge::judge;
+use tanager_standin::load::run_load;
+use tanager_standin::report::LoadReport;
+
+use crate::harness::TestSite;
+use crate::harness::eventually;
+
+/// Waits until no endpoint runs a request, then compares the records.
+pub async fn assert_verdict(site: &TestSite, report: &tanager_standin::report::LoadReport) {
+    eventually("all runs end", async || {
+        site.endpoints.runs().iter().all(|run| run.finish.is_some())
+    })
+    .await;
+    let verdict = judge(&report.records, &site.endpoints.runs());
+    assert!(verdict.passed(), "{verdict}\n{report}");
+    println!("{report}\n{verdict}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn killed_node_loses_and_doubles_nothing() {
+    let mut site = TestSite::open(4, 12, 1).await;
+    let options = site.load(11, 150.0, Duration::from_secs(6));
+    let load = tokio::spawn(async move { run_load(&options).await });
+    time::sleep(Duration::from_secs(2)).await;
+    site.nodes[1].kill();
+    let report = load.await.expect("load");
+    assert_verdict(&site, &report).await;
+    // A quarter of the load goes to the killed node in two thirds of the time.
+    let answered = report.count("answered");
+    assert!(
+        answered * 2 > report.records.len() as u64,
+        "too little served: {report}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frozen_node_that_wakes_doubles_nothing() {
+    let site = TestSite::open(4, 12, 1).await;
+    let options = site.load(12, 150.0, Duration::from_secs(14));
+    let load = tokio::spawn(async move { run_load(&options).await });
+    time::sleep(Duration::from_secs(1)).await;
+    site.nodes[0].signal(Signal::SIGSTOP);
+    // Longer than the contact timeout and the timeout of every request sent before.
+    time::sleep(Duration::from_secs(11)).await;
+    site.nodes[0].signal(Signal::SIGCONT);
+    let report = load.await.expect("load");
+    assert_verdict(&site, &report).await;
+    let answered = report.count("answered");
+    assert!(
+        answered * 2 > report.records.len() as u64,
+        "too little served: {report}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn graceful_stop_cuts_off_no_request() {
+    let mut site = TestSite::open(3, 12, 1).await;
+    let mut options = site.load(13, 150.0, Duration::from_secs(4));
+    // The balancer has stopped sending to the node that stops; requests sent to the others pass
+    // through its queues, for it is a home.
+    options.targets.remove(0);
+    let load = tokio::spawn(async move { run_load(&options).await });
+    time::sleep(Duration::from_secs(1)).await;
+    site.nodes[0].signal(Signal::SIGTERM);
+    assert_eq!(site.nodes[0].wait().await, Some(0));
+    let report = load.await.expect("load");
+    assert_verdict(&site, &report).await;
+    let lost = report.records.len() as u64 - report.count("answered") - report.count("cancelled");
+    assert_eq!(lost, 0, "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replacing_all_nodes_keeps_the_configuration() {
+    let mut site = TestSite::open(3, 12, 1).await;
+    let before = site
+        .get_admin(0, "/v1/config")
+        .await
+        .expect("configuration");
+    for node in &mut site.nodes {
+        node.kill();
+    }
+    site.nodes.clear();
+    for _ in 0..3 {
+        site.add_node();
+    }
+    site.wait_ready().await;
+    for node in 0..3 {
+        let after = site
+            .get_admin(node, "/v1/config")
+            .await
+            .expect("configuration");
+        assert_eq!(after["document"], before["document"]);
+    }
+    let options = site.load(14, 100.0, Duration::from_secs(3));
+    let report = run_load(&options).await;
+    assert_verdict(&site, &report).await;
+    assert!(
+        report.count("answered") * 10 > report.records.len() as u64 * 9,
+        "{report}"
+    );
+}
