--- a/crates/tanager-dispatch/src/ejection.rs
+++ b/crates/tanager-dispatch/src/ejection.rs
@@ -75,27 +75,21 @@
         false
     }
 
-    /// Failure rate over the window; `None` with too few outcomes to judge.
-    pub(crate) fn failure_rate(&self) -> Option<f64> {
-        (self.count >= CONSECUTIVE_FAILURES)
-            .then(|| f64::from(self.outcomes.count_ones()) / f64::from(self.count))
+    /// Failure rate over the window; 0 without outcomes.
+    pub(crate) fn failure_rate(&self) -> f64 {
+        f64::from(self.outcomes.count_ones()) / f64::from(self.count.max(1))
     }
 
     /// Whether the outcomes call for an ejection, given the failure rates of the pool's workers.
     pub(crate) fn should_eject(&self, mut pool_rates: Vec<f64>) -> bool {
-        if self.is_out() {
-            return false;
-        }
-        let Some(rate) = self.failure_rate() else {
-            return false;
-        };
+        let rate = self.failure_rate();
         let low_success = self.count == WINDOW && rate > 0.5;
-        if self.consecutive < CONSECUTIVE_FAILURES && !low_success {
+        if self.is_out() || (self.consecutive < CONSECUTIVE_FAILURES && !low_success) {
             return false;
         }
         pool_rates.sort_by(f64::total_cmp);
-        let better = pool_rates.get(pool_rates.len() / 4).copied().unwrap_or(0.0);
-        pool_rates.len() < 2 || rate >= better + RATE_MARGIN
+        let better = pool_rates.get(pool_rates.len() / 4).copied();
+        rate >= better.unwrap_or(0.0) + RATE_MARGIN
     }
 
     pub(crate) fn eject(&mut self, now: Duration, base: Duration, limit: Duration) {
--- a/crates/tanager-dispatch/src/lifecycle.rs
+++ b/crates/tanager-dispatch/src/lifecycle.rs
@@ -252,11 +252,13 @@
             return;
         }
         request.needs_claim = false;
+        let slots = request.slots;
+        // The worker may have left, failed or become slower while the claim was written.
         let ready = worker.filter(|worker| {
             self.workers
                 .entries
                 .get(*worker)
-                .is_some_and(|entry| entry.is_member() && !entry.suspended)
+                .is_some_and(|entry| entry.may_send_held(slots))
         });
         if let Some(worker) = ready {
             self.send(now, key, worker, actions);
@@ -421,7 +423,7 @@
             .workers
             .iter()
             .filter_map(|key| self.workers.entries.get(*key))
-            .filter_map(|entry| entry.ejection.failure_rate())
+            .map(|entry| entry.ejection.failure_rate())
             .collect();
         let may_exclude = self.may_exclude_one_more(&pool);
         if let Some(entry) = self.workers.entries.get_mut(worker) {
--- /dev/null
+++ b/crates/tanager-dispatch/src/rebalance.rs
@@ -0,0 +1,111 @@
+//! Decision to move a VM from one pool to another.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tanager_protocol::ids::PoolId;
+
+/// Donors keep this share of their slots free after giving up a VM, so that the VM does not have to
+/// return at the next small rise of their load.
+const DONOR_LOAD: f64 = 0.7;
+/// A report older than this says nothing about the present load.
+const REPORT_AGE: Duration = Duration::from_secs(15);
+
+/// Load of one pool as last reported.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolPressure {
+    /// The pool.
+    pub pool: PoolId,
+    /// VMs that receive work.
+    pub available: u32,
+    /// Declared availability.
+    pub floor: u32,
+    /// Slots of all available VMs.
+    pub slots: u32,
+    /// Offered load in slots: arrivals per second times run time. Backlog does not count, because
+    /// it remains after a surge has ended.
+    pub offered: f64,
+    /// Time to which the report applies.
+    pub measured: Duration,
+}
+
+/// A VM to be moved.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MovePlan {
+    /// Pool that gives up a VM.
+    pub from: PoolId,
+    /// Pool that receives it.
+    pub to: PoolId,
+}
+
+/// Remembers since when each pool has been overloaded or able to give up a VM.
+#[derive(Clone, Debug, Default)]
+pub struct MoveDecider {
+    overloaded: BTreeMap<PoolId, Duration>,
+    spare: BTreeMap<PoolId, Duration>,
+}
+
+impl MoveDecider {
+    /// Decides at most one move. `cost` is the time that a move takes a VM out of service.
+    ///
+    /// A pool receives a VM once its reported load has exceeded its slots without a break for
+    /// longer than `cost`. Waiting as long as the move costs bounds the loss: a shorter surge
+    /// causes no move, and a longer one is served at most `cost` later than with foresight. The
+    /// donor must have had room for as long. Only times of reports count, so lagging reports delay
+    /// a move but never cause one.
+    pub fn decide(
+        &mut self,
+        now: Duration,
+        pools: &[PoolPressure],
+        cost: Duration,
+    ) -> Option<MovePlan> {
+        for pool in pools {
+            let fresh = now.saturating_sub(pool.measured) <= REPORT_AGE;
+            let over = fresh && pool.offered > f64::from(pool.slots);
+            let room = fresh && has_room(pool);
+            track(&mut self.overloaded, pool, over);
+            track(&mut self.spare, pool, room);
+        }
+        let lasted = |since: &BTreeMap<PoolId, Duration>, pool: &PoolPressure| {
+            since
+                .get(&pool.pool)
+                .is_some_and(|start| pool.measured.saturating_sub(*start) > cost)
+        };
+        let to = pools
+            .iter()
+            .filter(|pool| lasted(&self.overloaded, pool))
+            .max_by(|left, right| relative_load(left).total_cmp(&relative_load(right)))?;
+        let from = pools
+            .iter()
+            .filter(|pool| pool.pool != to.pool && lasted(&self.spare, pool))
+            .min_by(|left, right| relative_load(left).total_cmp(&relative_load(right)))?;
+        // The effect of this move must show in the reports before the next one.
+        self.overloaded.remove(&to.pool);
+        self.spare.remove(&from.pool);
+        Some(MovePlan {
+            from: from.pool.clone(),
+            to: to.pool.clone(),
+        })
+    }
+}
+
+fn track(since: &mut BTreeMap<PoolId, Duration>, pool: &PoolPressure, holds: bool) {
+    if holds {
+        since.entry(pool.pool.clone()).or_insert(pool.measured);
+    } else {
+        since.remove(&pool.pool);
+    }
+}
+
+fn has_room(pool: &PoolPressure) -> bool {
+    if pool.available <= pool.floor || pool.available == 0 {
+        return false;
+    }
+    let remaining =
+        f64::from(pool.slots) * f64::from(pool.available - 1) / f64::from(pool.available);
+    pool.offered <= DONOR_LOAD * remaining
+}
+
+fn relative_load(pool: &PoolPressure) -> f64 {
+    pool.offered / f64::from(pool.slots.max(1))
+}
--- /dev/null
+++ b/crates/tanager-dispatch/src/wave.rs
@@ -0,0 +1,87 @@
+//! Order and parallelism of maintenance waves.
+
+use std::collections::BTreeMap;
+
+use tanager_protocol::ids::RackId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::ids::ZoneId;
+
+/// Failure domains of a VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaveVm {
+    /// The VM.
+    pub vm: VmId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Its rack.
+    pub rack: RackId,
+}
+
+/// Order in which the VMs of a pool are maintained: zone by zone, and within a zone rack by rack.
+pub fn wave_order(vms: &[WaveVm]) -> Vec<VmId> {
+    let mut order: Vec<&WaveVm> = vms.iter().collect();
+    order.sort_by_key(|vm| (&vm.zone, &vm.rack, &vm.vm));
+    order.into_iter().map(|vm| vm.vm.clone()).collect()
+}
+
+/// Progress of a wave and the state of its pool.
+#[derive(Clone, Copy, Debug)]
+pub struct WaveProgress<'a> {
+    /// All VMs of the wave.
+    pub vms: &'a [WaveVm],
+    /// VMs not yet started, in the order of [`wave_order`].
+    pub waiting: &'a [VmId],
+    /// VMs in maintenance.
+    pub running: &'a [VmId],
+    /// VMs of the pool that are available now.
+    pub available: u32,
+    /// Declared availability of the pool.
+    pub floor: u32,
+}
+
+/// VMs to start now. Their number keeps the pool at its floor.
+///
+/// Zones are maintained one at a time as long as that takes at most half again as many rounds as
+/// full parallelism; otherwise, when a zone holds fewer VMs than the floor permits at once, the next
+/// zone starts as soon as the last VM of the previous one has started.
+pub fn next_wave_vms(progress: &WaveProgress<'_>) -> Vec<VmId> {
+    let spare = progress.available.saturating_sub(progress.floor) as usize;
+    let zone_of = |name: &VmId| {
+        progress
+            .vms
+            .iter()
+            .find(|vm| vm.vm == *name)
+            .map(|vm| &vm.zone)
+    };
+    let parallel = spare + progress.running.len();
+    let separate = separate_zones(progress.vms, parallel);
+    let current = progress
+        .running
+        .first()
+        .or(progress.waiting.first())
+        .and_then(zone_of);
+    progress
+        .waiting
+        .iter()
+        .take_while(|vm| !separate || zone_of(vm) == current)
+        .take(spare)
+        .cloned()
+        .collect()
+}
+
+/// Least number of rounds for `vms` VMs with `parallel` at once; `None` when none may start.
+pub fn shortest_rounds(vms: usize, parallel: usize) -> Option<usize> {
+    (parallel > 0).then(|| vms.div_ceil(parallel))
+}
+
+fn separate_zones(vms: &[WaveVm], parallel: usize) -> bool {
+    let Some(shortest) = shortest_rounds(vms.len(), parallel) else {
+        return true;
+    };
+    let mut zones: BTreeMap<&ZoneId, usize> = BTreeMap::new();
+    for vm in vms {
+        *zones.entry(&vm.zone).or_default() += 1;
+    }
+    let rounds: usize = zones.values().map(|count| count.div_ceil(parallel)).sum();
+    rounds * 2 <= shortest * 3
+}
--- a/crates/tanager-dispatch/src/worker.rs
+++ b/crates/tanager-dispatch/src/worker.rs
@@ -86,6 +86,14 @@
             || (self.used == 0 && slots <= self.limit.declared())
     }
 
+    /// Whether a request that already holds `slots` of this worker may still be sent to it.
+    pub(crate) fn may_send_held(&self, slots: u32) -> bool {
+        self.is_member()
+            && !self.suspended
+            && self.ejection.until().is_none()
+            && (self.used <= self.limit.current() || self.used == slots)
+    }
+
     pub(crate) fn relative_load(&self) -> f64 {
         f64::from(self.used) / f64::from(self.limit.current())
     }
--- /dev/null
+++ b/crates/tanager-dispatch/tests/decisions.rs
@@ -0,0 +1,230 @@
+//! Home selection, lending, moves and waves.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use tanager_dispatch::home::home_order;
+use tanager_dispatch::home::select_home;
+use tanager_dispatch::lending::LentTask;
+use tanager_dispatch::lending::PoolLoad;
+use tanager_dispatch::lending::PreemptionStep;
+use tanager_dispatch::lending::lending_headroom;
+use tanager_dispatch::lending::plan_loans;
+use tanager_dispatch::lending::plan_preemption;
+use tanager_dispatch::rebalance::MoveDecider;
+use tanager_dispatch::rebalance::PoolPressure;
+use tanager_dispatch::wave::WaveProgress;
+use tanager_dispatch::wave::WaveVm;
+use tanager_dispatch::wave::next_wave_vms;
+use tanager_dispatch::wave::shortest_rounds;
+use tanager_dispatch::wave::wave_order;
+
+use support::ms;
+
+/// Names each case; the documentation of a case says which failure it guards against.
+macro_rules! cases {
+    ($($(#[doc = $guard:literal])+ $name:ident $body:block)*) => {
+        $($(#[doc = $guard])+ #[test] fn $name() $body)*
+    };
+}
+
+const NODES: [&str; 7] = ["e1", "e2", "e3", "e4", "e5", "e6", "e7"];
+
+fn pressure(pool: &str, offered: f64, available: u32, measured: u64) -> PoolPressure {
+    PoolPressure {
+        pool: pool.to_owned(),
+        available,
+        floor: 6,
+        slots: available * 8,
+        offered,
+        measured: Duration::from_secs(measured),
+    }
+}
+
+fn load(pool: &str, used: u32, waiting_batch: u32) -> PoolLoad {
+    PoolLoad {
+        pool: pool.to_owned(),
+        capacity: 80,
+        used,
+        waiting: waiting_batch,
+        waiting_batch,
+        ..PoolLoad::default()
+    }
+}
+
+fn wave_vms(zones: &[usize]) -> Vec<WaveVm> {
+    let vms = zones.iter().enumerate().flat_map(|(zone, count)| {
+        (0..*count).map(move |index| WaveVm {
+            vm: format!("vm-{zone}-{index}"),
+            zone: format!("zone-{zone}"),
+            rack: format!("rack-{zone}-{}", index / 4),
+        })
+    });
+    vms.collect()
+}
+
+/// Runs a wave in rounds; each VM is in maintenance for one round. Returns the number of rounds and
+/// the largest number of zones in maintenance at once.
+fn run_wave(vms: &[WaveVm], floor: u32) -> (usize, usize) {
+    let total = u32::try_from(vms.len()).expect("small");
+    let mut waiting = wave_order(vms);
+    let zones: BTreeMap<&str, &str> = vms
+        .iter()
+        .map(|vm| (vm.vm.as_str(), vm.zone.as_str()))
+        .collect();
+    let (mut rounds, mut widest) = (0, 0);
+    while !waiting.is_empty() {
+        let progress = WaveProgress {
+            vms,
+            waiting: &waiting,
+            running: &[],
+            available: total,
+            floor,
+        };
+        let started = next_wave_vms(&progress);
+        assert!(!started.is_empty() && started.len() <= (total - floor) as usize);
+        let used: BTreeSet<&str> = started.iter().map(|vm| zones[vm.as_str()]).collect();
+        widest = widest.max(used.len());
+        waiting.retain(|vm| !started.contains(vm));
+        rounds += 1;
+    }
+    (rounds, widest)
+}
+
+cases! {
+    /// A hash that differs between processes or versions, so that nodes disagree on a home.
+    homes_are_stable {
+        let homes = ["diary-intake", "case-files", "evidence-media", "spare"].map(|pool| select_home(pool, NODES));
+        assert_eq!(homes, [Some("e2"), Some("e1"), Some("e1"), Some("e7")]);
+        assert_eq!(select_home("spare", []), None);
+        assert_eq!(home_order("spare", NODES).first().copied(), select_home("spare", NODES));
+    }
+
+    /// A lost node that changes the homes of other nodes, or homes that gather on few nodes.
+    losing_a_node_changes_only_its_homes {
+        let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+        for index in 0..700 {
+            let pool = format!("pool-{index}");
+            let home = select_home(&pool, NODES).expect("nodes exist");
+            *counts.entry(home).or_default() += 1;
+            let rest = NODES.into_iter().filter(|node| *node != "e3");
+            let later = select_home(&pool, rest).expect("nodes exist");
+            assert!(home == "e3" || later == home);
+            assert_eq!(home_order(&pool, NODES).iter().find(|node| **node != "e3"), Some(&later));
+        }
+        assert!(counts.len() == 7 && counts.values().all(|count| (60..=140).contains(count)), "{counts:?}");
+    }
+
+    /// Slots that the owner needs lent away, or all idle slots given to one borrower.
+    loans_are_fair_and_leave_the_owner_its_slots {
+        let mut lender = load("spare", 20, 0);
+        lender.waiting = 10;
+        lender.headroom = 6;
+        lender.lent = 4;
+        let loans = plan_loans(&[load("a", 80, 100), load("b", 80, 10), lender]);
+        let slots: BTreeMap<&str, u32> = loans.iter().map(|loan| (loan.borrower.as_str(), loan.slots)).collect();
+        assert_eq!(slots, [("a", 30), ("b", 10)].into());
+        assert!(loans.iter().all(|loan| loan.lender == "spare"));
+        assert_eq!(lending_headroom(12.0, ms(400)), 5);
+    }
+
+    /// Work lost by a stop although a throttle or a checkpoint would have freed the slots in time.
+    preemption_takes_the_cheapest_step {
+        let task = |lease, unsaved, checkpoint: Option<u64>, throttles| LentTask {
+            lease,
+            slots: 1,
+            unsaved: ms(unsaved),
+            checkpoint: checkpoint.map(ms),
+            throttles,
+        };
+        let tasks = [task(1, 9_000, None, false), task(2, 5_000, Some(400), false),
+            task(3, 8_000, Some(3_000), false), task(4, 70, Some(100), false), task(5, 9_000, None, true)];
+        let plan = plan_preemption(&tasks, 4, ms(1_000));
+        assert_eq!(plan, [(5, PreemptionStep::Throttle), (2, PreemptionStep::Checkpoint),
+            (4, PreemptionStep::Stop), (3, PreemptionStep::Stop)]);
+        assert!(plan_preemption(&tasks, 0, ms(1_000)).is_empty());
+    }
+
+    /// A move for a surge that ends before the move has paid.
+    short_surge_causes_no_move {
+        let mut decider = MoveDecider::default();
+        let cost = Duration::from_secs(30);
+        for second in 0..600 {
+            let surge = second % 60 < 29;
+            let offered = if surge { 200.0 } else { 10.0 };
+            let pools = [pressure("hot", offered, 10, second), pressure("cold", 5.0, 10, second)];
+            assert_eq!(decider.decide(Duration::from_secs(second + 3), &pools, cost), None);
+        }
+    }
+
+    /// A lasting overload that is never helped, or a donor taken below its floor.
+    lasting_load_moves_one_vm_at_a_time_and_respects_floors {
+        let mut decider = MoveDecider::default();
+        let cost = Duration::from_secs(30);
+        let (mut hot, mut cold, mut moves) = (10, 8, Vec::new());
+        for second in 0..300 {
+            let pools = [pressure("hot", 200.0, hot, second), pressure("cold", 5.0, cold, second),
+                pressure("at-floor", 0.0, 6, second)];
+            if let Some(plan) = decider.decide(Duration::from_secs(second), &pools, cost) {
+                assert_eq!((plan.from.as_str(), plan.to.as_str()), ("cold", "hot"));
+                hot += 1;
+                cold -= 1;
+                moves.push(second);
+            }
+        }
+        assert_eq!(cold, 6);
+        assert_eq!(moves, [31, 63]);
+    }
+
+    /// A move decided on a report that is too old to say anything about the present.
+    stale_reports_cause_no_move {
+        let mut decider = MoveDecider::default();
+        for second in 0..300 {
+            let pools = [pressure("hot", 200.0, 10, second), pressure("cold", 5.0, 10, second)];
+            let now = Duration::from_secs(second + 16);
+            assert_eq!(decider.decide(now, &pools, Duration::from_secs(30)), None);
+        }
+    }
+
+    /// A wave that spreads over zones without need, or takes far longer than its floor requires.
+    waves_stay_in_one_zone_when_that_is_affordable {
+        assert_eq!(run_wave(&wave_vms(&[4, 3, 3]), 6), (3, 1));
+        assert_eq!(run_wave(&wave_vms(&[2, 2, 2, 2]), 4), (2, 2));
+    }
+
+    /// A wave that starts VMs although a failure has already taken the pool to its floor.
+    wave_waits_at_the_floor {
+        let vms = wave_vms(&[4, 4]);
+        let waiting = wave_order(&vms);
+        let progress = |running, available| WaveProgress {
+            vms: &vms, waiting: &waiting[2..], running, available, floor: 5,
+        };
+        assert!(next_wave_vms(&progress(&waiting[..2], 5)).is_empty());
+        assert_eq!(next_wave_vms(&progress(&waiting[..2], 6)), waiting[2..3]);
+        assert!(next_wave_vms(&progress(&waiting[..2], 3)).is_empty());
+    }
+
+    /// Any layout for which a wave exceeds 1.5 times its shortest time or breaks the floor.
+    waves_are_within_half_again_of_the_shortest {
+        let config = ProptestConfig {
+            failure_persistence: None,
+            rng_seed: RngSeed::Fixed(21),
+            ..ProptestConfig::default()
+        };
+        proptest!(config, |(zones in prop::collection::vec(0..7_usize, 1..5), spare in 1..8_u32)| {
+            let vms = wave_vms(&zones);
+            let total = u32::try_from(vms.len()).expect("small");
+            prop_assume!(total > 0);
+            let spare = spare.min(total);
+            let (rounds, _) = run_wave(&vms, total - spare);
+            let shortest = shortest_rounds(vms.len(), spare as usize).expect("some may start");
+            prop_assert!(rounds * 2 <= shortest * 3, "{} rounds, shortest {}", rounds, shortest);
+        });
+    }
+}
--- /dev/null
+++ b/crates/tanager-dispatch/tests/dispatch.rs
@@ -0,0 +1,612 @@
+//! Limits, retries, ejection, queue ages, claims and probes of the state machine, one case each.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tanager_dispatch::ClaimVerdict;
+use tanager_dispatch::DispatchAction;
+use tanager_dispatch::DispatchCore;
+use tanager_dispatch::ProbeReport;
+use tanager_dispatch::RequestKey;
+use tanager_dispatch::SendReport;
+use tanager_protocol::config::TeamQuota;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::fleet::VmHealth;
+use tanager_protocol::outcome::NotRunReason;
+use tanager_protocol::request::RequestPriority;
+use tanager_protocol::request::RequestSummary;
+
+use support::core;
+use support::finished;
+use support::fleet;
+use support::ms;
+use support::normal;
+use support::refusal;
+use support::request;
+use support::sends;
+
+const ANSWERED: SendReport = SendReport::Answered {
+    latency: Duration::from_millis(100),
+};
+const FAILED: SendReport = SendReport::Failed {
+    latency: Duration::from_millis(1),
+    leaving: false,
+};
+
+/// Names each case; the documentation of a case says which failure it guards against.
+macro_rules! cases {
+    ($($(#[doc = $guard:literal])+ $name:ident $body:block)*) => {
+        $($(#[doc = $guard])+ #[test] fn $name() $body)*
+    };
+}
+
+/// Submits requests until one is queued; returns the sent ones with their VM and the queued one.
+fn fill(
+    core: &mut DispatchCore,
+    now: Duration,
+    request: &RequestSummary,
+) -> (BTreeMap<RequestKey, String>, RequestKey) {
+    let mut sent = BTreeMap::new();
+    loop {
+        let (key, actions) = core.submit(now, request.clone());
+        if actions.is_empty() {
+            return (sent, key);
+        }
+        sent.extend(sends(&actions));
+    }
+}
+
+/// Submits one request and reports its attempts with `report` until its final action. Returns the
+/// VMs it was sent to and the last actions.
+fn run(
+    core: &mut DispatchCore,
+    now: Duration,
+    request: RequestSummary,
+    report: impl Fn(&str) -> SendReport,
+) -> (RequestKey, Vec<String>, Vec<DispatchAction>) {
+    let (key, mut actions) = core.submit(now, request);
+    let mut vms = Vec::new();
+    while let Some(vm) = sends(&actions).get(&key).cloned() {
+        actions = core.send_finished(now, key, report(&vm));
+        vms.push(vm);
+    }
+    (key, vms, actions)
+}
+
+fn vm_of(vms: &[String]) -> &str {
+    vms.first().map_or("", String::as_str)
+}
+
+cases! {
+    /// A request that waits past the age limit of its queue, or is refused before it.
+    urgent_is_refused_exactly_at_its_age_limit {
+        let mut core = core(&fleet(&[("pool", 1, 1)]));
+        fill(&mut core, ms(0), &normal("pool"));
+        let (key, _) = core.submit(ms(5), request("pool", "other", RequestPriority::Urgent));
+        assert_eq!(refusal(&core.tick(ms(9_904)), key), None);
+        assert!(core.next_deadline().is_some_and(|next| next <= ms(9_905)));
+        assert_eq!(refusal(&core.tick(ms(9_905)), key), Some(NotRunReason::QueueTimeout));
+    }
+
+    /// A request that starts at or after its limit because another event arrives before `tick`.
+    freed_slot_does_not_start_an_expired_request {
+        let mut core = core(&fleet(&[("pool", 1, 1)]));
+        let (sent, queued) = fill(&mut core, ms(0), &request("pool", "t", RequestPriority::Urgent));
+        let key = *sent.keys().next().expect("one was sent");
+        let actions = core.send_finished(ms(9_900), key, ANSWERED);
+        assert!(finished(&actions, key));
+        assert_eq!(refusal(&actions, queued), Some(NotRunReason::QueueTimeout));
+        assert!(sends(&actions).is_empty());
+    }
+
+    /// A sent request that outlives its deadline, keeps its slot, or is reported as not run.
+    sent_request_finishes_exactly_at_its_deadline {
+        let mut core = core(&fleet(&[("pool", 1, 1)]));
+        let (key, _) = core.submit(ms(0), RequestSummary { timeout: ms(700), ..normal("pool") });
+        assert!(!finished(&core.tick(ms(699)), key));
+        assert_eq!(core.in_flight("pool-0"), 1);
+        assert!(finished(&core.tick(ms(700)), key));
+        assert_eq!(core.in_flight("pool-0"), 0);
+        assert!(core.send_finished(ms(701), key, ANSWERED).is_empty());
+    }
+
+    /// Requests that wait although they cannot start in time, and a retry-after that is too short.
+    long_estimated_wait_is_refused_with_the_drain_time {
+        let mut core = core(&fleet(&[("pool", 1, 1)]));
+        let urgent = request("pool", "t", RequestPriority::Urgent);
+        let (key, _) = core.submit(ms(0), urgent.clone());
+        core.send_finished(ms(2_000), key, SendReport::Answered { latency: ms(2_000) });
+        let mut queued = 0;
+        let (reason, wait) = loop {
+            let (_, actions) = core.submit(ms(2_000), urgent.clone());
+            match actions.first() {
+                None => queued += 1,
+                Some(DispatchAction::Refuse { reason, retry_after, .. }) => break (*reason, *retry_after),
+                Some(_) => {}
+            }
+        };
+        assert_eq!((queued, reason), (5, NotRunReason::QueueFull));
+        assert_eq!(wait, Some(ms(10_000)));
+    }
+
+    /// A flood of urgent work that starves normal and batch work.
+    urgent_flood_leaves_others_their_share {
+        let mut core = core(&fleet(&[("pool", 1, 13)]));
+        let mut running = Vec::new();
+        let mut started = BTreeMap::new();
+        let mut classes = BTreeMap::new();
+        let note = |actions: &[DispatchAction], running: &mut Vec<RequestKey>| {
+            running.extend(sends(actions).into_keys());
+        };
+        for round in 0..300_u64 {
+            let now = ms(round * 100);
+            for (priority, count) in RequestPriority::ALL.into_iter().zip([20, 10, 10]) {
+                for _ in 0..count {
+                    let (key, actions) = core.submit(now, request("pool", "t", priority));
+                    classes.insert(key, priority);
+                    note(&actions, &mut running);
+                }
+            }
+            for key in std::mem::take(&mut running) {
+                *started.entry(classes[&key]).or_insert(0_u32) += 1;
+                let actions = core.send_finished(now + ms(100), key, ANSWERED);
+                note(&actions, &mut running);
+            }
+        }
+        let total: u32 = started.values().sum();
+        let share = |priority| f64::from(started[&priority]) / f64::from(total);
+        assert!((0.58..0.65).contains(&share(RequestPriority::Urgent)), "{started:?}");
+        assert!(share(RequestPriority::Normal) > 0.29, "{started:?}");
+        assert!(share(RequestPriority::Batch) > 0.07, "{started:?}");
+    }
+
+    /// A flood of batch work that delays urgent work by more than one free slot.
+    urgent_takes_the_first_free_slot_in_a_batch_flood {
+        let mut core = core(&fleet(&[("pool", 2, 4)]));
+        let batch = request("pool", "flood", RequestPriority::Batch);
+        let (sent, _) = fill(&mut core, ms(0), &batch);
+        for _ in 0..200 {
+            core.submit(ms(1), batch.clone());
+        }
+        let (urgent, _) = core.submit(ms(2), request("pool", "other", RequestPriority::Urgent));
+        let key = *sent.keys().next().expect("one was sent");
+        assert!(sends(&core.send_finished(ms(3), key, ANSWERED)).contains_key(&urgent));
+    }
+
+    /// Long requests that take more than their share because fairness counts requests.
+    fairness_counts_slot_time {
+        let mut core = core(&fleet(&[("pool", 1, 2)]));
+        let mut running: Vec<(Duration, RequestKey)> = Vec::new();
+        let mut owners = BTreeMap::new();
+        let mut waiting = [0_u32; 2];
+        let mut busy = [0_u64; 2];
+        let run_time = [ms(200), ms(20)];
+        for round in 0..5_000_u64 {
+            let now = ms(round * 10);
+            let mut started = Vec::new();
+            for (owner, team) in ["long", "short"].into_iter().enumerate() {
+                while waiting[owner] < 20 {
+                    let (key, actions) = core.submit(now, normal_of(team));
+                    owners.insert(key, owner);
+                    waiting[owner] += 1;
+                    started.extend(sends(&actions).into_keys());
+                }
+            }
+            let (ended, rest): (Vec<_>, Vec<_>) =
+                running.drain(..).partition(|(since, key)| now >= *since + run_time[owners[key]]);
+            running = rest;
+            for (since, key) in ended {
+                busy[owners[&key]] += 1;
+                let report = SendReport::Answered { latency: now - since };
+                started.extend(sends(&core.send_finished(now, key, report)).into_keys());
+            }
+            for key in &started {
+                waiting[owners[key]] -= 1;
+            }
+            running.extend(started.into_iter().map(|key| (now, key)));
+        }
+        assert!(busy[1] > 8 * busy[0], "short requests were kept from their share: {busy:?}");
+        assert!(busy[1] < 12 * busy[0], "long requests were kept from their share: {busy:?}");
+    }
+
+    /// A team that exceeds its quota, or a refusal without the time at which it may return.
+    quota_refuses_above_the_burst {
+        let mut state = fleet(&[("pool", 4, 8)]);
+        let quotas = &mut state.document.pools.get_mut("pool").expect("configured").quotas;
+        quotas.insert("team".to_owned(), TeamQuota { rate: 10, burst: 3, weight: 1 });
+        quotas.insert("none".to_owned(), TeamQuota { rate: 0, burst: 3, weight: 1 });
+        let mut core = core(&state);
+        let accepted = (0..10).filter(|_| !sends(&core.submit(ms(0), normal("pool")).1).is_empty()).count();
+        assert_eq!(accepted, 3);
+        let (_, actions) = core.submit(ms(0), normal("pool"));
+        assert!(matches!(&actions[..], [DispatchAction::Refuse { reason: NotRunReason::QuotaExceeded, retry_after, .. }]
+            if *retry_after == Some(ms(100))));
+        assert!(!sends(&core.submit(ms(100), normal("pool")).1).is_empty());
+        let (_, actions) = core.submit(ms(0), normal_of("none"));
+        assert!(matches!(&actions[..], [DispatchAction::Refuse { retry_after: None, .. }]));
+    }
+
+    /// A job that can never run waits for its whole time limit.
+    too_large_is_refused_at_once {
+        let mut core = core(&fleet(&[("pool", 2, 8)]));
+        let (key, actions) = core.submit(ms(0), RequestSummary { slots: 9, ..normal("pool") });
+        assert_eq!(refusal(&actions, key), Some(NotRunReason::TooLarge));
+        let (key, actions) = core.submit(ms(0), normal("absent"));
+        assert_eq!(refusal(&actions, key), Some(NotRunReason::UnknownPool));
+    }
+
+    /// A large request that small ones overtake without end.
+    large_request_reserves_a_worker {
+        let mut core = core(&fleet(&[("pool", 2, 4)]));
+        let (sent, _) = fill(&mut core, ms(0), &normal("pool"));
+        let (large, _) = core.submit(ms(1), RequestSummary { slots: 4, ..normal_of("large") });
+        let mut running: Vec<RequestKey> = sent.into_keys().collect();
+        for step in 0..40_u64 {
+            let now = ms(10 * step + 10);
+            for _ in 0..2 {
+                running.extend(sends(&core.submit(now, normal("pool")).1).into_keys());
+            }
+            let key = running.remove(0);
+            let actions = core.send_finished(now, key, ANSWERED);
+            let started = sends(&actions);
+            if started.contains_key(&large) {
+                return;
+            }
+            running.extend(started.into_keys());
+        }
+        panic!("the large request did not start");
+    }
+
+    /// A request that is lost, or tried twice on one worker, when connections fail.
+    not_sent_goes_to_other_workers_and_is_then_refused {
+        let mut core = core(&fleet(&[("pool", 8, 2)]));
+        let once = RequestSummary { idempotent: false, ..normal("pool") };
+        let (key, vms, actions) = run(&mut core, ms(0), once, |_| SendReport::NotSent);
+        assert_eq!(vms.iter().collect::<BTreeSet<_>>().len(), 5);
+        assert_eq!(vms.len(), 5);
+        assert_eq!(refusal(&actions, key), Some(NotRunReason::NoWorker));
+    }
+
+    /// A non-idempotent request that runs twice.
+    unknown_is_not_retried_unless_idempotent {
+        let mut core = core(&fleet(&[("pool", 4, 2)]));
+        for _ in 0..50 {
+            run(&mut core, ms(0), normal("pool"), |_| ANSWERED);
+        }
+        let once = RequestSummary { idempotent: false, ..normal("pool") };
+        let (key, vms, actions) = run(&mut core, ms(0), once, |_| SendReport::Unknown);
+        assert!(vms.len() == 1 && finished(&actions, key));
+    }
+
+    /// A refusal that claims a request was not run although an earlier attempt may have run.
+    not_sent_after_unknown_is_not_refused {
+        let mut core = core(&fleet(&[("pool", 2, 2)]));
+        for _ in 0..50 {
+            run(&mut core, ms(0), normal("pool"), |_| ANSWERED);
+        }
+        let (key, actions) = core.submit(ms(0), normal("pool"));
+        assert_eq!(sends(&actions).len(), 1);
+        let actions = core.send_finished(ms(0), key, SendReport::Unknown);
+        assert_eq!(sends(&actions).len(), 1);
+        assert!(finished(&core.send_finished(ms(0), key, SendReport::NotSent), key));
+    }
+
+    /// A retry that waits in the queue and is refused as not run, or outlives its deadline.
+    waiting_retry_finishes_at_its_deadline {
+        let mut core = core(&fleet(&[("pool", 2, 1)]));
+        for _ in 0..50 {
+            run(&mut core, ms(0), normal("pool"), |_| ANSWERED);
+        }
+        core.submit(ms(0), normal("pool"));
+        let (key, actions) = core.submit(ms(0), RequestSummary { timeout: ms(700), ..normal("pool") });
+        assert_eq!(sends(&actions).len(), 1);
+        assert!(core.send_finished(ms(100), key, SendReport::Unknown).is_empty());
+        assert!(!finished(&core.tick(ms(699)), key));
+        let actions = core.tick(ms(700));
+        assert!(finished(&actions, key) && refusal(&actions, key).is_none());
+    }
+
+    /// Retries that multiply the load of a failing pool.
+    retries_stay_within_a_tenth_of_requests {
+        let mut core = core(&fleet(&[("pool", 8, 8)]));
+        let mut attempts = 0;
+        for index in 0..1_000_u64 {
+            let (_, vms, _) = run(&mut core, ms(index), normal("pool"), |_| SendReport::Unknown);
+            attempts += vms.len();
+        }
+        assert_eq!(attempts, 1_100);
+        let (_, vms, _) = run(&mut core, ms(30_000), normal("pool"), |_| SendReport::Unknown);
+        assert_eq!(vms.len(), 1, "requests of an earlier window must not allow a retry");
+    }
+
+    /// An endpoint's error answer that is replaced by a second attempt.
+    error_status_is_an_answer {
+        let mut core = core(&fleet(&[("pool", 4, 2)]));
+        let (key, vms, actions) = run(&mut core, ms(0), normal("pool"), |_| FAILED);
+        assert!(vms.len() == 1 && finished(&actions, key));
+    }
+
+    /// Fast failing workers that attract work because they are always the least loaded.
+    fast_failing_workers_attract_no_work {
+        let mut core = core(&fleet(&[("pool", 10, 8)]));
+        let bad = |vm: &str| vm == "pool-3" || vm == "pool-7";
+        let mut failed = 0;
+        let mut pending: Vec<(Duration, RequestKey)> = Vec::new();
+        for index in 0..20_000_u64 {
+            let now = ms(index * 3);
+            let (due, rest): (Vec<_>, Vec<_>) = pending.drain(..).partition(|(end, _)| *end <= now);
+            pending = rest;
+            for (_, key) in due {
+                core.send_finished(now, key, ANSWERED);
+            }
+            core.tick(now);
+            let (key, actions) = core.submit(now, normal("pool"));
+            let Some(vm) = sends(&actions).get(&key).cloned() else { continue };
+            if bad(&vm) {
+                failed += 1;
+                core.send_finished(now, key, FAILED);
+            } else {
+                pending.push((now + ms(100), key));
+            }
+        }
+        // Five failures each and a trial after 1, 2, 4, 8, 16 and 32 s.
+        assert!((12..=24).contains(&failed), "{failed} of 20000 requests failed");
+        assert_eq!(core.suspects(), ["pool-3", "pool-7"].map(str::to_owned).into());
+    }
+
+    /// An ejected worker that gets more than one trial, or that never returns.
+    ejected_worker_gets_one_trial_and_doubles {
+        let mut core = core(&fleet(&[("pool", 2, 2)]));
+        let bad = |vm: &str| if vm == "pool-0" { FAILED } else { ANSWERED };
+        let mut hits = Vec::new();
+        for index in 0..60_000_u64 {
+            let (_, vms, _) = run(&mut core, ms(index), normal("pool"), bad);
+            if vm_of(&vms) == "pool-0" {
+                hits.push(index / 1_000);
+            }
+        }
+        assert_eq!(hits[5..], [1, 3, 7, 15, 31], "{hits:?}");
+        let mut good = 0;
+        for index in 60_000..70_000_u64 {
+            let (_, vms, _) = run(&mut core, ms(index), normal("pool"), |_| ANSWERED);
+            good += u64::from(vm_of(&vms) == "pool-0");
+        }
+        assert!(good > 1_000, "the recovered worker gets work again");
+        assert!(core.suspects().is_empty());
+    }
+
+    /// Ejections that take most of a pool out of service.
+    at_most_half_of_a_pool_is_ejected {
+        let mut core = core(&fleet(&[("pool", 7, 2)]));
+        let good = |vm: &str| if vm < "pool-2" { ANSWERED } else { FAILED };
+        for index in 0..900_u64 {
+            run(&mut core, ms(index), normal("pool"), good);
+        }
+        let ejected = core.dump().workers.values().filter(|worker| worker.ejected).count();
+        assert_eq!(ejected, 3);
+    }
+
+    /// Healthy workers ejected because of requests that fail wherever they run.
+    requests_that_fail_everywhere_eject_nobody {
+        let mut core = core(&fleet(&[("pool", 6, 2)]));
+        for index in 0..500_u64 {
+            run(&mut core, ms(index), normal("pool"), |_| FAILED);
+        }
+        let ejected = core.dump().workers.values().filter(|worker| worker.ejected).count();
+        assert!(ejected <= 1, "{ejected} of 6 ejected");
+    }
+
+    /// Callers with short timeouts that eject healthy workers.
+    short_timeouts_do_not_eject {
+        let mut core = core(&fleet(&[("pool", 2, 2)]));
+        for index in 0..10 {
+            run(&mut core, ms(index), normal("pool"), |_| ANSWERED);
+        }
+        for index in 0..40_u64 {
+            let now = ms(1_000 + index * 100);
+            core.submit(now, RequestSummary { timeout: ms(20), ..normal("pool") });
+            answer_probes(&mut core, now + ms(20), |_| ProbeReport::Up);
+        }
+        assert!(core.suspects().is_empty());
+    }
+
+    /// A worker whose connections went silent that keeps its share of the requests.
+    silent_worker_is_ejected {
+        let mut core = core(&fleet(&[("pool", 4, 2)]));
+        let mut lost = 0;
+        for index in 0..40_u64 {
+            let now = ms(index * 600);
+            let (key, actions) = core.submit(now, RequestSummary { timeout: ms(500), ..normal("pool") });
+            if sends(&actions).get(&key).map(String::as_str) == Some("pool-1") {
+                lost += 1;
+                assert!(finished(&core.tick(now + ms(500)), key));
+            } else {
+                core.send_finished(now + ms(100), key, ANSWERED);
+            }
+            answer_probes(&mut core, now + ms(500), |_| ProbeReport::Up);
+        }
+        assert!((5..=9).contains(&lost), "{lost}");
+        assert!(core.suspects().contains("pool-1"));
+    }
+
+    /// A slow worker that keeps its declared number of slots, or never regains it.
+    limit_follows_the_latency {
+        let mut core = core(&fleet(&[("pool", 5, 8)]));
+        let mut drive = |slow: u64, from: u64, to: u64| {
+            let mut running: Vec<(Duration, Duration, RequestKey)> = Vec::new();
+            for index in from..to {
+                let now = ms(index * 5);
+                let (due, rest): (Vec<_>, Vec<_>) = running.drain(..).partition(|(end, _, _)| *end <= now);
+                running = rest;
+                let mut started = BTreeMap::new();
+                for (_, since, key) in due {
+                    started.extend(sends(&core.send_finished(now, key, SendReport::Answered { latency: now - since })));
+                }
+                for _ in 0..3 {
+                    started.extend(sends(&core.submit(now, normal("pool")).1));
+                }
+                running.extend(started.into_iter().map(|(key, vm)| {
+                    (now + ms(if vm == "pool-2" { slow } else { 50 }), now, key)
+                }));
+            }
+            for (_, _, key) in running {
+                core.cancel(ms(to * 5), key);
+            }
+            core.dump().workers.into_iter().map(|(vm, worker)| (vm, worker.limit)).collect::<BTreeMap<_, _>>()
+        };
+        let limits = drive(1_000, 0, 4_000);
+        assert!(limits["pool-2"] <= 2, "{limits:?}");
+        assert!(limits.iter().all(|(vm, limit)| vm == "pool-2" || *limit == 8), "{limits:?}");
+        let limits = drive(50, 4_000, 8_000);
+        assert!(limits.values().all(|limit| *limit == 8), "{limits:?}");
+    }
+
+    /// A cancelled request that keeps its slot or its place in the queue.
+    cancel_frees_the_slot {
+        let mut core = core(&fleet(&[("pool", 1, 1)]));
+        let (sent, first) = fill(&mut core, ms(0), &normal("pool"));
+        let (second, _) = core.submit(ms(0), normal("pool"));
+        assert_eq!(refusal(&core.cancel(ms(1), first), first), Some(NotRunReason::Cancelled));
+        let key = *sent.keys().next().expect("one was sent");
+        let actions = core.cancel(ms(2), key);
+        assert!(finished(&actions, key) && sends(&actions).contains_key(&second));
+        assert!(core.cancel(ms(3), key).is_empty());
+    }
+
+    /// Claims that wait for a slow store and idle the workers for requests that need no claim.
+    slow_store_does_not_hold_slots {
+        let mut core = core(&fleet(&[("pool", 1, 2)]));
+        let keyed = RequestSummary { needs_claim: true, idempotent: false, ..normal("pool") };
+        let claims: Vec<RequestKey> = (0..6).map(|_| core.submit(ms(0), keyed.clone()).0).collect();
+        let (plain, actions) = core.submit(ms(1), normal_of("other"));
+        assert!(actions.is_empty());
+        assert!(sends(&core.tick(ms(250))).contains_key(&plain));
+        assert_eq!(core.dump().pools["pool"].parked_claims, 6);
+        let actions = core.claim_finished(ms(300), claims[3], ClaimVerdict::Granted);
+        assert!(sends(&actions).contains_key(&claims[3]));
+        // Their key history is unknown, so they must not be reported as not run.
+        let actions = core.tick(ms(30_000));
+        assert!(finished(&actions, claims[0]) && refusal(&actions, claims[0]).is_none());
+    }
+
+    /// A claimed request sent to a worker that began to leave while the claim was written.
+    claim_granted_after_the_worker_left {
+        let mut state = fleet(&[("pool", 2, 1)]);
+        let mut core = core(&state);
+        let keyed = RequestSummary { needs_claim: true, ..normal("pool") };
+        let (key, actions) = core.submit(ms(0), keyed);
+        let [DispatchAction::Claim { vm, .. }] = &actions[..] else { panic!("{actions:?}") };
+        state.version = 2;
+        state.vms.get_mut(vm).expect("known").health = VmHealth::Leaving;
+        core.update_view(ms(1), &state);
+        assert_eq!(core.in_flight(vm), 1);
+        let started = sends(&core.claim_finished(ms(2), key, ClaimVerdict::Granted));
+        assert!(started.get(&key).is_some_and(|other| other != vm));
+        assert_eq!(core.in_flight(vm), 0);
+    }
+
+    /// A worker that leaves, drains or fails its probes and still receives new work.
+    leaving_worker_gets_no_new_work {
+        let mut state = fleet(&[("pool", 5, 2)]);
+        let mut core = core(&state);
+        core.probe_finished(ms(1), "pool-0", ProbeReport::Leaving);
+        for _ in 0..2 {
+            core.probe_finished(ms(2), "pool-1", ProbeReport::Failed);
+        }
+        state.version = 2;
+        state.vms.get_mut("pool-2").expect("known").activity =
+            VmActivity::Draining { reason: "test".to_owned(), since: 2 };
+        core.update_view(ms(3), &state);
+        let leaving = |vm: &str| SendReport::Failed { latency: ms(1), leaving: vm == "pool-3" };
+        let mut last = BTreeSet::new();
+        for index in 0..30 {
+            let (_, vms, _) = run(&mut core, ms(4), normal("pool"), |vm| if vm == "pool-3" { leaving(vm) } else { ANSWERED });
+            if index >= 20 {
+                last.extend(vms);
+            }
+        }
+        assert_eq!(last, ["pool-4".to_owned()].into());
+        assert_eq!(core.suspects(), ["pool-0", "pool-1", "pool-3"].map(str::to_owned).into());
+        core.probe_finished(ms(5), "pool-0", ProbeReport::Up);
+        assert!(!core.suspects().contains("pool-0"));
+    }
+
+    /// Probes above the byte limit, or of workers that answer requests anyway.
+    probes_stay_within_the_byte_limit {
+        let mut core = core(&fleet(&[("pool", 100, 2)]));
+        let mut probes = 0;
+        for index in 0..100 {
+            probes += answer_probes(&mut core, ms(1_000 + index * 100), |_| ProbeReport::Up).len();
+        }
+        assert!((13 * 9..=14 * 11).contains(&probes), "{probes}");
+        let mut core = support::core(&fleet(&[("pool", 2, 1)]));
+        for index in 0..50 {
+            let now = ms(index * 100);
+            let keys: Vec<RequestKey> = (0..2).map(|_| core.submit(now, normal("pool")).0).collect();
+            for key in keys {
+                core.send_finished(now, key, ANSWERED);
+            }
+            assert!(answer_probes(&mut core, now, |_| ProbeReport::Up).is_empty());
+        }
+        core.set_homes(ms(9_000), Some(BTreeSet::new()));
+        assert!(answer_probes(&mut core, ms(9_000), |_| ProbeReport::Up).is_empty());
+    }
+
+    /// Waiting requests that are lost with their pool, and a replica that goes back in time.
+    removed_pool_and_old_state {
+        let state = fleet(&[("pool", 1, 1)]);
+        let mut core = core(&state);
+        let (sent, queued) = fill(&mut core, ms(0), &normal("pool"));
+        let mut empty = fleet(&[]);
+        empty.version = 5;
+        let actions = core.update_view(ms(1), &empty);
+        assert_eq!(refusal(&actions, queued), Some(NotRunReason::UnknownPool));
+        assert_eq!(core.in_flight("pool-0"), 1);
+        core.update_view(ms(2), &state);
+        assert_eq!(core.applied_version(), 5);
+        let key = *sent.keys().next().expect("one was sent");
+        assert!(finished(&core.send_finished(ms(3), key, ANSWERED), key));
+        assert!(core.dump().workers.is_empty() && core.dump().pools.is_empty());
+    }
+
+    /// A moved VM whose work in flight is forgotten, so that its new pool overloads it.
+    moved_worker_keeps_its_work_in_flight {
+        let mut state = fleet(&[("pool", 1, 2), ("other", 0, 2)]);
+        let mut core = core(&state);
+        let (sent, _) = fill(&mut core, ms(0), &normal("pool"));
+        state.version = 2;
+        state.vms.get_mut("pool-0").expect("known").pool = "other".to_owned();
+        core.update_view(ms(1), &state);
+        assert!(sends(&core.submit(ms(2), normal("other")).1).is_empty());
+        let key = *sent.keys().next().expect("one was sent");
+        assert_eq!(sends(&core.send_finished(ms(3), key, ANSWERED)).len(), 1);
+        assert_eq!(core.in_flight("pool-0"), 2);
+    }
+}
+
+fn normal_of(team: &str) -> RequestSummary {
+    RequestSummary {
+        team: team.to_owned(),
+        ..normal("pool")
+    }
+}
+
+/// Calls `tick` and answers the probes it starts.
+fn answer_probes(
+    core: &mut DispatchCore,
+    now: Duration,
+    report: impl Fn(&str) -> ProbeReport,
+) -> Vec<String> {
+    let actions = core.tick(now);
+    let mut vms = Vec::new();
+    for action in actions {
+        if let DispatchAction::Probe { vm, .. } = action {
+            core.probe_finished(now, &vm, report(&vm));
+            vms.push(vm);
+        }
+    }
+    vms
+}
