--- a/crates/tanager-node/src/claims/mod.rs
+++ b/crates/tanager-node/src/claims/mod.rs
@@ -1,5 +1,6 @@
 //! Claims of keyed non-idempotent requests, so that each runs at most once across the site.
 
+mod queue;
 pub mod record;
 mod unsent;
 mod worker;
--- a/crates/tanager-node/src/claims/worker.rs
+++ b/crates/tanager-node/src/claims/worker.rs
@@ -1,8 +1,6 @@
 //! Task that writes claims to the store, one transaction at a time.
 
-use std::collections::HashMap;
 use std::collections::HashSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -27,19 +25,15 @@
 use crate::claims::ClaimResult;
 use crate::claims::ClaimStats;
 use crate::claims::ClaimTicket;
+use crate::claims::queue::WriteQueue;
 use crate::claims::record::ClaimRow;
 use crate::claims::record::ClaimState;
 use crate::claims::unsent::FULL_CHECKS;
-use crate::claims::unsent::UnsentTable;
 use crate::claims::write::PendingWrite;
 use crate::claims::write::RowView;
 use crate::claims::write::WriteAction;
 
 const MAX_BATCH: usize = 64;
-/// Removals in one batch, so that a burst of cancellations does not hold up new claims.
-const MAX_BATCH_DELETES: usize = 32;
-/// Removals that wait for the store; further claims are remembered as unsent instead.
-const MAX_DELETES: usize = 4_096;
 /// Rows read at a time; the platform's client keeps as many connections.
 const MAX_READS: usize = 16;
 /// A write that conflicts or is refused more often waits, and a refused one is given up.
@@ -58,10 +52,7 @@
     sender: mpsc::WeakUnboundedSender<ClaimCommand>,
     commands: mpsc::UnboundedReceiver<ClaimCommand>,
     stats: Arc<ClaimStats>,
-    queue: VecDeque<PendingWrite>,
-    /// Removals by row key.
-    deletes: HashMap<String, PendingWrite>,
-    unsent: UnsentTable,
+    queue: WriteQueue,
     flushes: Vec<oneshot::Sender<()>>,
     tokens: u64,
     max_batch: usize,
@@ -82,9 +73,7 @@
             sender,
             commands,
             stats,
-            queue: VecDeque::new(),
-            deletes: HashMap::new(),
-            unsent: UnsentTable::default(),
+            queue: WriteQueue::default(),
             flushes: Vec::new(),
             tokens: 0,
             max_batch: MAX_BATCH,
@@ -95,12 +84,12 @@
     /// Runs until the service is dropped; then no longer waits for the end of an outage.
     pub(super) async fn run(mut self) {
         loop {
-            if self.queue.is_empty() && self.deletes.is_empty() {
+            if self.queue.is_empty() {
                 for flush in self.flushes.drain(..) {
                     // Fails when the caller no longer waits.
                     let _ = flush.send(());
                 }
-                let check = self.unsent.next_check();
+                let check = self.queue.unsent.next_check();
                 tokio::select! {
                     command = self.commands.recv() => match command {
                         Some(command) => self.accept(command),
@@ -112,9 +101,9 @@
             while let Ok(command) = self.commands.try_recv() {
                 self.accept(command);
             }
-            self.check_unsent();
-            self.drop_abandoned();
-            let batch = self.take_batch();
+            self.queue.check_unsent();
+            self.queue.drop_abandoned();
+            let batch = self.queue.take_batch(self.max_batch);
             if batch.is_empty() {
                 continue;
             }
@@ -152,7 +141,7 @@
                 };
                 let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
                 write.version = ticket.version;
-                self.queue.push_back(write);
+                self.queue.writes.push_back(write);
             }
             ClaimCommand::Release(ticket) => {
                 let action = WriteAction::Delete {
@@ -161,22 +150,22 @@
                 let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
                 write.version = ticket.version;
                 write.maybe_written = ticket.maybe_written;
-                self.push_delete(write);
+                self.queue.push_delete(write);
             }
             ClaimCommand::Flush(reply) => self.flushes.push(reply),
         }
     }
 
     fn accept_claim(&mut self, row_key: String, action: WriteAction) {
-        if let Some(delete) = self.deletes.remove(&row_key) {
+        if let Some(delete) = self.queue.deletes.remove(&row_key) {
             if delete.maybe_deleted {
                 // The removal may still take effect, so its token must not be used again.
-                self.deletes.insert(row_key.clone(), delete);
+                self.queue.deletes.insert(row_key.clone(), delete);
             } else if delete.check_row {
                 let mut write = PendingWrite::new(row_key, delete.token, action);
                 write.check_row = true;
                 write.maybe_written = true;
-                self.queue.push_back(write);
+                self.queue.writes.push_back(write);
                 return;
             } else {
                 let version = delete.version;
@@ -184,12 +173,12 @@
                 return;
             }
         }
-        let unsent = self.unsent.take(&row_key);
+        let unsent = self.queue.unsent.take(&row_key);
         let maybe_written = unsent.is_some();
         let token = unsent.map_or_else(|| self.new_token(), |claim| claim.token);
         let mut write = PendingWrite::new(row_key, token, action);
         write.maybe_written = maybe_written;
-        self.queue.push_back(write);
+        self.queue.writes.push_back(write);
     }
 
     fn new_token(&mut self) -> String {
@@ -198,78 +187,6 @@
         format!("{}-{}-{}", owner.node, owner.incarnation, self.tokens)
     }
 
-    fn push_delete(&mut self, write: PendingWrite) {
-        if self.deletes.len() < MAX_DELETES || self.deletes.contains_key(&write.row_key) {
-            self.deletes.insert(write.row_key.clone(), write);
-        } else if !write.maybe_deleted {
-            self.unsent
-                .remember(write.row_key, write.token, FULL_CHECKS);
-        }
-    }
-
-    fn check_unsent(&mut self) {
-        let now = Instant::now();
-        while self.deletes.len() < MAX_DELETES
-            && let Some(claim) = self.unsent.take_due(now)
-        {
-            let checks_left = claim.checks_left;
-            let action = WriteAction::Delete { checks_left };
-            let mut write = PendingWrite::new(claim.row_key, claim.token, action);
-            write.check_row = true;
-            write.maybe_written = true;
-            self.push_delete(write);
-        }
-    }
-
-    /// Drops claims whose claimers no longer wait; those that may be written are removed.
-    fn drop_abandoned(&mut self) {
-        for write in std::mem::take(&mut self.queue) {
-            if !write.is_abandoned() {
-                self.queue.push_back(write);
-            } else if write.maybe_written {
-                let checks_left = FULL_CHECKS;
-                let action = WriteAction::Delete { checks_left };
-                self.push_delete(PendingWrite {
-                    action,
-                    check_row: true,
-                    ..write
-                });
-            }
-        }
-    }
-
-    /// Takes writes of different rows. A write waits while an earlier one of its row does.
-    fn take_batch(&mut self) -> Vec<PendingWrite> {
-        let limit = MAX_BATCH_DELETES.min(self.max_batch);
-        let keys: Vec<String> = self.deletes.keys().take(limit).cloned().collect();
-        let deletes = keys.iter().filter_map(|key| self.deletes.remove(key));
-        let mut batch: Vec<PendingWrite> = deletes.collect();
-        let mut rows: HashSet<String> = keys.into_iter().collect();
-        let mut waiting = VecDeque::new();
-        while batch.len() < self.max_batch
-            && let Some(write) = self.queue.pop_front()
-        {
-            if self.deletes.contains_key(&write.row_key) || !rows.insert(write.row_key.clone()) {
-                waiting.push_back(write);
-            } else {
-                batch.push(write);
-            }
-        }
-        waiting.append(&mut self.queue);
-        self.queue = waiting;
-        batch
-    }
-
-    /// Puts writes back, so that they come before later ones of the same row.
-    fn put_back(&mut self, writes: Vec<PendingWrite>) {
-        for write in writes.into_iter().rev() {
-            match write.action {
-                WriteAction::Delete { .. } => self.push_delete(write),
-                _ => self.queue.push_front(write),
-            }
-        }
-    }
-
     async fn process(&mut self, batch: Vec<PendingWrite>) -> Result<(), BackOff> {
         let (unchecked, mut ready): (Vec<_>, Vec<_>) =
             batch.into_iter().partition(|write| write.check_row);
@@ -288,7 +205,7 @@
             }
         }
         let failed = !unread.is_empty();
-        self.put_back(unread);
+        self.queue.put_back(unread);
         if ready.is_empty() {
             return if failed { Err(BackOff) } else { Ok(()) };
         }
@@ -340,13 +257,13 @@
                     break Err(BackOff);
                 }
                 Err(error) if error.kind == ErrorKind::NotSent => {
-                    self.put_back(ready);
+                    self.queue.put_back(ready);
                     break Err(BackOff);
                 }
                 _ => {
                     add(&self.stats.lost_responses, 1);
                     ready.iter_mut().for_each(PendingWrite::mark_unknown);
-                    self.put_back(ready);
+                    self.queue.put_back(ready);
                     break Err(BackOff);
                 }
             }
@@ -355,7 +272,7 @@
         let stuck = conflicting
             .iter()
             .any(|write| write.failures > MAX_FAILURES);
-        self.put_back(conflicting);
+        self.queue.put_back(conflicting);
         if stuck { Err(BackOff) } else { result }
     }
 
@@ -370,13 +287,14 @@
                 return;
             }
         }
-        self.put_back(ready);
+        self.queue.put_back(ready);
     }
 
     fn give_up(&mut self, write: PendingWrite) {
         match write.action {
             WriteAction::Insert { .. } if write.maybe_written => {
-                self.unsent
+                self.queue
+                    .unsent
                     .remember(write.row_key.clone(), write.token.clone(), FULL_CHECKS);
                 self.deliver(write, ClaimResult::Unavailable);
             }
@@ -396,7 +314,8 @@
 
     fn deleted(&mut self, write: PendingWrite, checks_left: usize) {
         if write.maybe_written {
-            self.unsent
+            self.queue
+                .unsent
                 .remember(write.row_key, write.token, checks_left);
         }
     }
@@ -418,8 +337,11 @@
             }
             (WriteAction::Insert { .. }, RowView::Other(claim)) => {
                 if write.maybe_written {
-                    self.unsent
-                        .remember(write.row_key.clone(), write.token.clone(), FULL_CHECKS);
+                    self.queue.unsent.remember(
+                        write.row_key.clone(),
+                        write.token.clone(),
+                        FULL_CHECKS,
+                    );
                 }
                 let answer = claim.and_then(|claim| claim.answer());
                 let result = answer.map_or(ClaimResult::Held, ClaimResult::Recorded);
--- a/crates/tanager-node/src/peer/client.rs
+++ b/crates/tanager-node/src/peer/client.rs
@@ -313,10 +313,13 @@
         .map_err(|error| failed(&error))
 }
 
+/// Returns whether the connection closed before it took the call. hyper reports a request that it
+/// took, whether or not the peer saw it, with another error than canceled.
 fn was_closed(status: &Status) -> bool {
     let mut source = status.source();
     while let Some(error) = source {
-        if error.is::<ConnectionClosed>() {
+        let canceled = error.downcast_ref().is_some_and(hyper::Error::is_canceled);
+        if canceled || error.is::<ConnectionClosed>() {
             return true;
         }
         source = error.source();
--- /dev/null
+++ b/crates/tanager-node/tests/tickets.rs
@@ -0,0 +1,137 @@
+//! Guards tickets, the keys that only the issuing process runs.
+
+use tanager_node::tickets::TicketEnd;
+use tanager_node::tickets::TicketKey;
+use tanager_node::tickets::TicketLimits;
+use tanager_node::tickets::TicketStart;
+use tanager_node::tickets::TicketTable;
+use tanager_protocol::outcome::EndpointAnswer;
+
+macro_rules! parse_cases {
+    ($($case:ident: $key:expr => $node:expr;)*) => {
+        $(#[test]
+        fn $case() {
+            let node: Option<&str> = $node;
+            let parsed = TicketKey::parse($key);
+            assert_eq!(parsed.as_ref().map(|key| key.node.as_str()), node);
+            if let Some(parsed) = parsed {
+                assert_eq!(parsed.format(), $key);
+            }
+        })*
+    };
+}
+
+// Guards against two spellings of one ticket, and against ordinary keys taken for tickets.
+parse_cases! {
+    plain: "ticket-n1-5-9" => Some("n1");
+    node_with_dashes: "ticket-entry-3-zone-a-18446744073709551615-0" => Some("entry-3-zone-a");
+    leading_zero: "ticket-n1-5-09" => None;
+    plus_sign: "ticket-n1-+5-9" => None;
+    no_node: "ticket-5-9" => None;
+    empty_node: "ticket--5-9" => None;
+    bad_node: "ticket-N1-5-9" => None;
+    overflow: "ticket-n1-18446744073709551616-0" => None;
+    other_prefix: "Ticket-n1-5-9" => None;
+    ordinary_key: "ticket-for-tuesday" => None;
+}
+
+fn table(max_tickets: usize, max_bytes: usize) -> TicketTable {
+    let limits = TicketLimits {
+        max_tickets,
+        max_bytes,
+    };
+    TicketTable::new("n1".to_owned(), 5, limits)
+}
+
+fn issue(table: &TicketTable) -> TicketKey {
+    TicketKey::parse(&table.issue()).unwrap()
+}
+
+fn answer(size: usize) -> EndpointAnswer {
+    EndpointAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![7; size],
+    }
+}
+
+/// Guards against a second run of one ticket.
+#[test]
+fn begins_once() {
+    let table = table(10, 1_000);
+    let key = issue(&table);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::InProgress);
+    table.finish(&key, TicketEnd::Answered(answer(3)));
+    assert_eq!(
+        table.begin(&key, "intake"),
+        TicketStart::Finished(answer(3))
+    );
+    // A late report must not make the ticket new again.
+    table.finish(&key, TicketEnd::NotSent);
+    assert_eq!(
+        table.begin(&key, "intake"),
+        TicketStart::Finished(answer(3))
+    );
+}
+
+/// Guards against a ticket that is lost although its request was not sent.
+#[test]
+fn unsent_ticket_begins_again() {
+    let table = table(10, 1_000);
+    let key = issue(&table);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    table.finish(&key, TicketEnd::NotSent);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    table.finish(&key, TicketEnd::Unknown);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::Unknown);
+}
+
+/// Guards against tickets of other processes, and invented ones, that run here.
+#[test]
+fn foreign_and_invented_tickets_are_unknown() {
+    let table = table(10, 1_000);
+    let key = issue(&table);
+    let other = TicketKey {
+        incarnation: 6,
+        ..key.clone()
+    };
+    let invented = TicketKey {
+        number: 1,
+        ..key.clone()
+    };
+    assert_eq!(table.begin(&other, "intake"), TicketStart::Unknown);
+    assert_eq!(table.begin(&invented, "intake"), TicketStart::Unknown);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+}
+
+/// Guards against the response of one pool for a request to another (R3).
+#[test]
+fn ticket_belongs_to_one_pool() {
+    let table = table(10, 1_000);
+    let key = issue(&table);
+    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    table.finish(&key, TicketEnd::Answered(answer(3)));
+    assert_eq!(table.begin(&key, "cases"), TicketStart::Unknown);
+}
+
+/// Guards against unbounded memory, and against forgotten tickets that count as new.
+#[test]
+fn forgotten_tickets_are_unknown() {
+    let by_count = table(2, 1_000);
+    let keys: Vec<TicketKey> = (0..3).map(|_| issue(&by_count)).collect();
+    assert_eq!(by_count.len(), 2);
+    assert_eq!(by_count.begin(&keys[0], "intake"), TicketStart::Unknown);
+    assert_eq!(by_count.begin(&keys[1], "intake"), TicketStart::Begun);
+    let by_bytes = table(10, 100);
+    let keys: Vec<TicketKey> = (0..2).map(|_| issue(&by_bytes)).collect();
+    for key in &keys {
+        assert_eq!(by_bytes.begin(key, "intake"), TicketStart::Begun);
+        by_bytes.finish(key, TicketEnd::Answered(answer(60)));
+    }
+    assert_eq!(by_bytes.begin(&keys[0], "intake"), TicketStart::Unknown);
+    assert_eq!(
+        by_bytes.begin(&keys[1], "intake"),
+        TicketStart::Finished(answer(60))
+    );
+}
