--- a/crates/tanager-node/tests/site/nodes.rs
+++ b/crates/tanager-node/tests/site/nodes.rs
@@ -13,7 +13,7 @@
 use crate::harness::eventually;
 
 /// Waits until no endpoint runs a request, then compares the records.
-pub async fn assert_verdict(site: &TestSite, report: &tanager_standin::report::LoadReport) {
+pub async fn assert_verdict(site: &TestSite, report: &LoadReport) {
     eventually("all runs end", async || {
         site.endpoints.runs().iter().all(|run| run.finish.is_some())
     })
@@ -106,3 +106,15 @@
         "{report}"
     );
 }
+
+/// Guards the floor on the whole path from the administration API to the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_below_the_floor_is_refused() {
+    let site = TestSite::open(2, 6, 2).await;
+    let path = "/v1/vms/vm-1/drain";
+    let body = serde_json::json!({ "reason": "test" });
+    let response = site.post_admin(1, path, &body).await.expect("answer");
+    assert_eq!(response.status, 409, "{:?}", response.body);
+    let vms = site.get_admin(0, "/v1/vms").await.expect("VMs");
+    assert!(!vms.to_string().contains("draining"), "{vms}");
+}
