Add the load tool, its judge and the balancer stand-in

The endpoint's own "no free slot" answer is counted as rejected and is judged only for at most once.

The judge fails on each kind of violation and on a run against endpoints that answer crossed.

Conclusion: node tests can run and judge load in process or by process.

--- /dev/null
+++ b/crates/tanager-standin/src/balancer.rs
@@ -0,0 +1,141 @@
+//! Stand-in of the platform's load balancer: passes TCP connections to nodes that are ready.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Method;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use tanager_http::ClientPool;
+use tanager_http::HttpRequest;
+use tanager_http::pool::PoolLimits;
+
+/// Time limit of a readiness check and of a connection to a node.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One node behind the balancer.
+#[derive(Clone, Copy, Debug)]
+pub struct BalancedNode {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address that serves `/ready`.
+    pub admin: SocketAddr,
+}
+
+/// Options of a [`BalancerStandin`].
+#[derive(Clone, Debug)]
+pub struct BalancerOptions {
+    /// Address of the balancer; port 0 selects a free port.
+    pub address: SocketAddr,
+    /// Nodes.
+    pub nodes: Vec<BalancedNode>,
+    /// Time between two readiness checks of a node.
+    pub interval: Duration,
+}
+
+/// A running balancer. Dropping it closes all connections.
+#[derive(Debug)]
+pub struct BalancerStandin {
+    address: SocketAddr,
+    nodes: Arc<Vec<NodeState>>,
+    _tasks: JoinSet<()>,
+}
+
+#[derive(Debug)]
+struct NodeState {
+    node: BalancedNode,
+    ready: AtomicBool,
+}
+
+impl BalancerStandin {
+    /// Binds the balancer. A node receives connections after its first successful check.
+    ///
+    /// # Errors
+    ///
+    /// Errors of binding the address.
+    pub async fn bind(options: BalancerOptions) -> io::Result<Self> {
+        let listener = TcpListener::bind(options.address).await?;
+        let address = listener.local_addr()?;
+        let nodes = options.nodes.into_iter().map(|node| NodeState {
+            node,
+            ready: AtomicBool::new(false),
+        });
+        let nodes: Arc<Vec<NodeState>> = Arc::new(nodes.collect());
+        let mut tasks = JoinSet::new();
+        for index in 0..nodes.len() {
+            tasks.spawn(check_node(Arc::clone(&nodes), index, options.interval));
+        }
+        tasks.spawn(accept_loop(listener, Arc::clone(&nodes)));
+        Ok(Self {
+            address,
+            nodes,
+            _tasks: tasks,
+        })
+    }
+
+    /// Bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Addresses for callers of the nodes that passed their last check.
+    pub fn ready_nodes(&self) -> Vec<SocketAddr> {
+        let nodes = self.nodes.iter();
+        nodes
+            .filter(|state| state.ready.load(Ordering::SeqCst))
+            .map(|state| state.node.caller)
+            .collect()
+    }
+}
+
+async fn check_node(nodes: Arc<Vec<NodeState>>, index: usize, interval: Duration) {
+    let state = &nodes[index];
+    let pool = ClientPool::new(state.node.admin, PoolLimits::default());
+    loop {
+        let request = HttpRequest::new(Method::GET, "/ready", "");
+        let response = pool.exchange(&request, CHECK_TIMEOUT).await;
+        let ready = response.is_ok_and(|response| response.status.is_success());
+        state.ready.store(ready, Ordering::SeqCst);
+        time::sleep(interval).await;
+    }
+}
+
+async fn accept_loop(listener: TcpListener, nodes: Arc<Vec<NodeState>>) {
+    let next = Arc::new(AtomicUsize::new(0));
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Accept fails when file descriptors run out; retry when some were closed.
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        connections.spawn(pass_through(stream, Arc::clone(&nodes), Arc::clone(&next)));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+/// Connects to the next ready node that accepts; without one the connection is closed.
+async fn pass_through(mut stream: TcpStream, nodes: Arc<Vec<NodeState>>, next: Arc<AtomicUsize>) {
+    let first = next.fetch_add(1, Ordering::Relaxed);
+    let order = (0..nodes.len()).map(|offset| &nodes[first.wrapping_add(offset) % nodes.len()]);
+    for state in order.filter(|state| state.ready.load(Ordering::SeqCst)) {
+        let connect = TcpStream::connect(state.node.caller);
+        let Ok(Ok(mut node)) = time::timeout(CHECK_TIMEOUT, connect).await else {
+            continue;
+        };
+        // Both ends disable Nagle's algorithm, so the balancer must not add it between them.
+        let _ = stream.set_nodelay(true);
+        let _ = node.set_nodelay(true);
+        // Either end may break the connection at any time; both then see it closed.
+        let _ = tokio::io::copy_bidirectional(&mut stream, &mut node).await;
+        return;
+    }
+}
--- a/crates/tanager-standin/src/lib.rs
+++ b/crates/tanager-standin/src/lib.rs
@@ -3,10 +3,16 @@
 //! The servers are written on plain TCP, because their faults (truncated, trickled, crossed and
 //! lost responses) cannot be produced through an HTTP library.
 
+pub mod balancer;
 pub mod endpoint;
+pub mod judge;
+pub mod load;
+pub mod options;
+pub mod plan;
 pub mod platform;
 pub mod port;
 pub mod record;
+pub mod report;
 pub mod table;
 pub mod vms;
 pub mod wire;
--- /dev/null
+++ b/crates/tanager-standin/src/load.rs
@@ -0,0 +1,231 @@
+//! Open-loop load generator over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use tokio::task::JoinError;
+use tokio::task::JoinSet;
+use tokio::time;
+use tokio::time::Instant;
+
+use tanager_http::ClientPool;
+use tanager_http::HttpRequest;
+use tanager_http::HttpResponse;
+use tanager_http::pool::PoolLimits;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_protocol::outcome::OUTCOME_HEADER;
+use tanager_protocol::outcome::REASON_HEADER;
+use tanager_protocol::request::RequestPriority;
+
+use crate::endpoint::REJECTED_HEADER;
+use crate::judge::CallerOutcome;
+use crate::judge::CallerRecord;
+use crate::plan::MixOptions;
+use crate::plan::PlannedRequest;
+use crate::plan::plan_requests;
+use crate::record::EndpointRun;
+use crate::record::answer_bytes;
+use crate::record::body_digest;
+use crate::record::caller_id;
+use crate::report::LoadReport;
+
+/// Attempts of one request, the first included.
+const MAX_ATTEMPTS: usize = 5;
+/// Pause before a retry after a response or connection was lost, when nobody names a time.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Extra time of the caller, so that the node's final response arrives within it.
+const CALLER_MARGIN: Duration = Duration::from_secs(5);
+/// Readings of the endpoints' record, one a second, until no run is in progress.
+const RECORD_READINGS: usize = 120;
+
+/// Options of [`run_load`].
+#[derive(Clone, Debug)]
+pub struct LoadOptions {
+    /// Nodes, or endpoints when `direct` is set.
+    pub targets: Vec<SocketAddr>,
+    /// Sends to endpoints without a node.
+    pub direct: bool,
+    /// Whether keyed requests are retried as `Retry-After` says.
+    pub retry: bool,
+    /// What is sent.
+    pub mix: MixOptions,
+}
+
+/// Sends the planned requests, each at its time whatever happens to the others.
+pub async fn run_load(options: &LoadOptions) -> LoadReport {
+    let limits = PoolLimits {
+        max_connections: 1_024,
+        ..PoolLimits::default()
+    };
+    let targets = options.targets.iter();
+    let pools: Arc<Vec<ClientPool>> = Arc::new(
+        targets
+            .map(|address| ClientPool::new(*address, limits))
+            .collect(),
+    );
+    let mut report = LoadReport::default();
+    let mut callers = JoinSet::new();
+    // Planning takes time, which must not delay the first requests.
+    let plan = plan_requests(&options.mix);
+    let start = Instant::now();
+    for planned in plan {
+        time::sleep_until(start + planned.at).await;
+        let pools = Arc::clone(&pools);
+        let (direct, retry) = (options.direct, options.retry);
+        callers.spawn(async move {
+            let due = start + planned.at;
+            let record = call(&pools, &planned, direct, retry).await;
+            (planned.priority, record, due.elapsed())
+        });
+        while let Some(joined) = callers.try_join_next() {
+            add_joined(&mut report, joined);
+        }
+    }
+    while let Some(joined) = callers.join_next().await {
+        add_joined(&mut report, joined);
+    }
+    report
+}
+
+type JoinedCaller = Result<(RequestPriority, CallerRecord, Duration), JoinError>;
+
+fn add_joined(report: &mut LoadReport, joined: JoinedCaller) {
+    // A caller that panicked must not be missing from the verdict.
+    let (priority, record, latency) = joined.expect("a caller does not panic");
+    report.add(priority, record, latency);
+}
+
+/// Reads the endpoints' record once no run is in progress.
+///
+/// # Errors
+///
+/// As [`ClientPool::exchange`]; [`ErrorKind::Timeout`] when runs stay in progress.
+pub async fn read_record(control: SocketAddr) -> TanagerResult<Vec<EndpointRun>> {
+    let limits = PoolLimits {
+        max_body: 1 << 30,
+        ..PoolLimits::default()
+    };
+    let pool = ClientPool::new(control, limits);
+    let failed = |kind, message: String| {
+        TanagerError::new(kind, "read_record", control.to_string(), message)
+    };
+    let mut before = None;
+    for _ in 0..RECORD_READINGS {
+        let request = HttpRequest::new(Method::GET, "/record", "");
+        let response = pool.exchange(&request, Duration::from_secs(60)).await?;
+        let runs: Vec<EndpointRun> = serde_json::from_slice(&response.body)
+            .map_err(|error| failed(ErrorKind::Unknown, error.to_string()))?;
+        // A request that a node still holds may start later, so the record must also be stable.
+        if runs.iter().all(|run| run.finish.is_some()) && before == Some(runs.len()) {
+            return Ok(runs);
+        }
+        before = Some(runs.len());
+        time::sleep(Duration::from_secs(1)).await;
+    }
+    Err(failed(
+        ErrorKind::Timeout,
+        "runs are still in progress".to_owned(),
+    ))
+}
+
+async fn call(
+    pools: &[ClientPool],
+    planned: &PlannedRequest,
+    direct: bool,
+    retry: bool,
+) -> CallerRecord {
+    let mut record = CallerRecord {
+        id: planned.id.clone(),
+        key: planned.key.clone(),
+        method: planned.method.to_string(),
+        outcomes: Vec::new(),
+    };
+    let request = planned.build(direct);
+    for attempt in 0..MAX_ATTEMPTS {
+        let pool = &pools[(planned.target + attempt) % pools.len()];
+        let exchange = pool.exchange(&request, planned.timeout + CALLER_MARGIN);
+        let result = match planned.cancel_after {
+            Some(after) => time::timeout(after, exchange).await.ok(),
+            None => Some(exchange.await),
+        };
+        let Some(result) = result else {
+            record.outcomes.push(CallerOutcome::Cancelled);
+            break;
+        };
+        let (outcome, pause) = classify(planned, direct, result);
+        record.outcomes.push(outcome);
+        match pause {
+            Some(pause) if retry && !planned.key.is_empty() => time::sleep(pause).await,
+            _ => break,
+        }
+    }
+    record
+}
+
+/// Returns the outcome of an attempt, and after which time a retry is invited.
+fn classify(
+    planned: &PlannedRequest,
+    direct: bool,
+    result: TanagerResult<HttpResponse>,
+) -> (CallerOutcome, Option<Duration>) {
+    let response = match result {
+        Ok(response) => response,
+        Err(error) if error.kind == ErrorKind::NotSent => {
+            return (CallerOutcome::NotSent, Some(RETRY_PAUSE));
+        }
+        Err(error) => {
+            // Without a node nothing prevents a retry from running twice.
+            let pause = (!direct).then_some(RETRY_PAUSE);
+            return (CallerOutcome::Lost(error.kind.as_str().to_owned()), pause);
+        }
+    };
+    let pause = response
+        .header("retry-after")
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_secs);
+    let reason = response.header(REASON_HEADER).unwrap_or("none").to_owned();
+    let outcome = match response.header(OUTCOME_HEADER) {
+        Some("answered") => classify_answer(planned, &response),
+        None if direct => classify_answer(planned, &response),
+        Some("not-run") => CallerOutcome::NotRun(reason),
+        Some("unknown") => CallerOutcome::Unknown(reason),
+        _ => CallerOutcome::Unknown("no_outcome".to_owned()),
+    };
+    match outcome {
+        CallerOutcome::NotRun(_) | CallerOutcome::Unknown(_) => (outcome, pause),
+        outcome => (outcome, None),
+    }
+}
+
+fn classify_answer(planned: &PlannedRequest, response: &HttpResponse) -> CallerOutcome {
+    if response.header(REJECTED_HEADER).is_some() {
+        return CallerOutcome::Rejected;
+    }
+    let own = is_own_answer(planned, response);
+    CallerOutcome::Answered { own }
+}
+
+/// Checks that a response is the endpoint's complete response to this very request.
+fn is_own_answer(planned: &PlannedRequest, response: &HttpResponse) -> bool {
+    let path = response.header("x-echo-path").unwrap_or_default();
+    if caller_id(path) != planned.id
+        || response.header("x-echo-method") != Some(planned.method.as_str())
+        || response.header("x-echo-digest") != Some(body_digest(&planned.body).as_str())
+    {
+        return false;
+    }
+    if planned.method == Method::HEAD || !response.status.is_success() {
+        return response.body.is_empty();
+    }
+    match planned.answer_size {
+        Some(size) => response.body == answer_bytes(&planned.id, size),
+        None => {
+            let echo: Option<serde_json::Value> = serde_json::from_slice(&response.body).ok();
+            echo.is_some_and(|echo| echo["path"] == path)
+        }
+    }
+}
--- /dev/null
+++ b/crates/tanager-standin/src/plan.rs
@@ -0,0 +1,212 @@
+//! The seeded plan of a load run: what is sent when.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Method;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use tanager_http::HttpRequest;
+use tanager_protocol::request::RequestPriority;
+
+/// Methods with their weights. POST is the most frequent, because at most once concerns it.
+const METHODS: [(Method, u32); 7] = [
+    (Method::GET, 20),
+    (Method::HEAD, 5),
+    (Method::PUT, 15),
+    (Method::DELETE, 5),
+    (Method::OPTIONS, 5),
+    (Method::POST, 40),
+    (Method::PATCH, 10),
+];
+
+/// Sizes of bodies in bytes with their weights: empty, small, more than one read, and large.
+const BODY_SIZES: [(usize, u32); 5] = [(0, 20), (100, 50), (5_000, 20), (70_000, 9), (500_000, 1)];
+
+/// The mix of a load run.
+#[derive(Clone, Debug)]
+pub struct MixOptions {
+    /// Seed of all choices.
+    pub seed: u64,
+    /// Pools; each request chooses one.
+    pub pools: Vec<String>,
+    /// Teams; each request chooses one.
+    pub teams: Vec<String>,
+    /// Priorities with their weights.
+    pub priorities: Vec<(RequestPriority, u32)>,
+    /// Mean number of requests per second.
+    pub rate: f64,
+    /// Time in which requests start.
+    pub duration: Duration,
+    /// Mean service time.
+    pub work: Duration,
+    /// Time limit of each request.
+    pub timeout: Duration,
+    /// Share of POST and PATCH requests that have an idempotency key, from 0 to 1.
+    pub keyed: f64,
+    /// Share of requests that the caller cancels, from 0 to 1.
+    pub cancelled: f64,
+}
+
+impl Default for MixOptions {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            pools: Vec::new(),
+            teams: ["team-1", "team-2", "team-3"].map(str::to_owned).to_vec(),
+            priorities: vec![
+                (RequestPriority::Urgent, 20),
+                (RequestPriority::Normal, 50),
+                (RequestPriority::Batch, 30),
+            ],
+            rate: 200.0,
+            duration: Duration::from_secs(10),
+            work: Duration::from_millis(5),
+            timeout: Duration::from_secs(30),
+            keyed: 0.5,
+            cancelled: 0.03,
+        }
+    }
+}
+
+/// One planned request.
+#[derive(Clone, Debug)]
+pub struct PlannedRequest {
+    /// Time of the start after the start of the run.
+    pub at: Duration,
+    /// Id, unique for the seed.
+    pub id: String,
+    /// Pool.
+    pub pool: String,
+    /// Method.
+    pub method: Method,
+    /// Priority.
+    pub priority: RequestPriority,
+    /// Team.
+    pub team: String,
+    /// Idempotency key; empty when there is none.
+    pub key: String,
+    /// Body, which starts with the id unless it is empty.
+    pub body: Bytes,
+    /// Size of the binary body of the answer; `None` asks for the echo.
+    pub answer_size: Option<usize>,
+    /// Service time.
+    pub work: Duration,
+    /// Time limit.
+    pub timeout: Duration,
+    /// Time after which the caller disconnects.
+    pub cancel_after: Option<Duration>,
+    /// Random number that selects the node or endpoint.
+    pub target: usize,
+}
+
+impl PlannedRequest {
+    /// Builds the HTTP request. `direct` omits the pool from the path.
+    pub fn build(&self, direct: bool) -> HttpRequest {
+        let path = match direct {
+            true => format!("/load/{}", self.id),
+            false => format!("/{}/load/{}", self.pool, self.id),
+        };
+        let mut request = HttpRequest::new(self.method.clone(), path, self.body.clone());
+        let mut insert = |name: &'static str, text: &str| {
+            if let Ok(value) = HeaderValue::from_str(text) {
+                request.headers.insert(name, value);
+            }
+        };
+        insert("tanager-priority", self.priority.as_str());
+        insert("tanager-team", &self.team);
+        insert("tanager-timeout-ms", &self.timeout.as_millis().to_string());
+        insert("x-work-ms", &self.work.as_millis().to_string());
+        if let Some(size) = self.answer_size {
+            insert("x-answer-bytes", &size.to_string());
+        }
+        if !self.key.is_empty() {
+            insert("idempotency-key", &self.key);
+        }
+        request
+    }
+}
+
+/// Plans the requests of a run in the order of their start; the same options give the same plan.
+pub fn plan_requests(options: &MixOptions) -> Vec<PlannedRequest> {
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let mut requests = Vec::new();
+    let mut at = 0.0;
+    loop {
+        // Exponential gaps make a Poisson process.
+        at += -(1.0 - random.random::<f64>()).ln() / options.rate;
+        if !at.is_finite() || at >= options.duration.as_secs_f64() {
+            return requests;
+        }
+        let number = requests.len();
+        let at = Duration::from_secs_f64(at);
+        requests.push(plan_request(options, &mut random, number, at));
+    }
+}
+
+fn plan_request(
+    options: &MixOptions,
+    random: &mut StdRng,
+    number: usize,
+    at: Duration,
+) -> PlannedRequest {
+    let id = format!("load{}-{number}", options.seed);
+    let method = choose(random, &METHODS);
+    let keyed = matches!(method, Method::POST | Method::PATCH) && random.random_bool(options.keyed);
+    let key = match keyed {
+        true => format!("key-{id}"),
+        false => String::new(),
+    };
+    let sends_body = matches!(method, Method::PUT | Method::POST | Method::PATCH);
+    let size = choose(random, &BODY_SIZES);
+    let mut body = Vec::new();
+    if sends_body && size > 0 {
+        body.extend_from_slice(id.as_bytes());
+        body.push(0);
+        let used = body.len().min(size);
+        body.resize(size, 0);
+        random.fill(&mut body[used..]);
+    }
+    let binary_answer = random.random_bool(0.5);
+    let answer_size = choose(random, &BODY_SIZES);
+    let work = options.work.mul_f64(random.random_range(0.2..1.8));
+    let cancelled = random.random_bool(options.cancelled);
+    let cancel_after = options.work.mul_f64(random.random_range(0.0..4.0));
+    PlannedRequest {
+        at,
+        pool: pick(random, &options.pools),
+        method,
+        priority: choose(random, &options.priorities),
+        team: pick(random, &options.teams),
+        key,
+        body: body.into(),
+        answer_size: binary_answer.then_some(answer_size),
+        work,
+        timeout: options.timeout,
+        cancel_after: cancelled.then_some(cancel_after),
+        target: random.random_range(0..1 << 30),
+        id,
+    }
+}
+
+fn choose<T: Clone>(random: &mut StdRng, weighted: &[(T, u32)]) -> T {
+    let total: u32 = weighted.iter().map(|(_, weight)| weight).sum();
+    let mut left = random.random_range(0..total);
+    for (value, weight) in weighted {
+        if left < *weight {
+            return value.clone();
+        }
+        left -= weight;
+    }
+    weighted[0].0.clone()
+}
+
+fn pick(random: &mut StdRng, names: &[String]) -> String {
+    match names.len() {
+        0 => String::new(),
+        count => names[random.random_range(0..count)].clone(),
+    }
+}
--- /dev/null
+++ b/crates/tanager-standin/tests/judge.rs
@@ -0,0 +1,97 @@
+//! The judge finds each kind of violation. A judge that passes bad input would make every load
+//! run worthless.
+
+use tanager_standin::EndpointRun;
+use tanager_standin::judge::CallerOutcome;
+use tanager_standin::judge::CallerRecord;
+use tanager_standin::judge::Verdict;
+use tanager_standin::judge::judge;
+
+const ANSWERED: CallerOutcome = CallerOutcome::Answered { own: true };
+const FOREIGN: CallerOutcome = CallerOutcome::Answered { own: false };
+
+fn not_run() -> CallerOutcome {
+    CallerOutcome::NotRun("queue_full".to_owned())
+}
+
+fn unknown() -> CallerOutcome {
+    CallerOutcome::Unknown("timeout".to_owned())
+}
+
+fn record(method: &str, key: &str, outcomes: Vec<CallerOutcome>) -> CallerRecord {
+    CallerRecord {
+        id: "a".to_owned(),
+        key: key.to_owned(),
+        method: method.to_owned(),
+        outcomes,
+    }
+}
+
+fn run(path: &str, key: &str, completed: bool) -> EndpointRun {
+    EndpointRun {
+        key: key.to_owned(),
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        finish: Some(2),
+        completed,
+        ..EndpointRun::default()
+    }
+}
+
+fn violations(verdict: &Verdict) -> [usize; 4] {
+    [
+        verdict.answered_without_run.len(),
+        verdict.ran_after_all.len(),
+        verdict.ran_twice.len(),
+        verdict.foreign_answers.len(),
+    ]
+}
+
+macro_rules! verdict_cases {
+    ($($case:ident: $record:expr, $runs:expr => $violations:expr;)*) => {
+        $(#[test]
+        fn $case() {
+            let runs: Vec<EndpointRun> = $runs;
+            let verdict = judge(&[$record], &runs);
+            let expected: [usize; 4] = $violations;
+            assert_eq!(violations(&verdict), expected, "{verdict}");
+            assert_eq!(verdict.passed(), expected == [0; 4]);
+            assert_eq!(verdict.to_string().contains("FAILED"), expected != [0; 4]);
+        })*
+    };
+}
+
+verdict_cases! {
+    answered_and_ran: record("POST", "", vec![ANSWERED]), vec![run("/p/load/a?q", "", true)] => [0, 0, 0, 0];
+    answered_without_run: record("POST", "", vec![ANSWERED]), vec![] => [1, 0, 0, 0];
+    answered_but_another_ran: record("GET", "", vec![ANSWERED]), vec![run("/load/ab", "", true)] => [1, 0, 0, 0];
+    answered_but_broken_off: record("GET", "", vec![ANSWERED]), vec![run("/load/a", "", false)] => [1, 0, 0, 0];
+    answered_after_an_earlier_run: record("POST", "k", vec![unknown(), ANSWERED]), vec![run("/load/a", "k", true)] => [0, 0, 0, 0];
+    not_run_and_did_not: record("POST", "", vec![not_run()]), vec![] => [0, 0, 0, 0];
+    not_run_but_ran: record("GET", "", vec![not_run()]), vec![run("/load/a", "", true)] => [0, 1, 0, 0];
+    not_run_but_broken_off: record("GET", "", vec![not_run()]), vec![run("/load/a", "", false)] => [0, 1, 0, 0];
+    not_run_twice_but_ran: record("POST", "k", vec![not_run(), not_run()]), vec![run("/load/a", "k", true)] => [0, 1, 0, 0];
+    not_sent_but_ran: record("GET", "", vec![CallerOutcome::NotSent]), vec![run("/load/a", "", true)] => [0, 1, 0, 0];
+    unknown_then_not_run: record("POST", "k", vec![unknown(), not_run()]), vec![run("/load/a", "k", true)] => [0, 0, 0, 0];
+    unknown_may_run_once: record("POST", "", vec![unknown()]), vec![run("/load/a", "", true)] => [0, 0, 0, 0];
+    post_ran_twice: record("POST", "", vec![ANSWERED]), vec![run("/load/a", "", true), run("/load/a", "", true)] => [0, 0, 1, 0];
+    patch_ran_twice_broken_off: record("PATCH", "", vec![unknown()]), vec![run("/load/a", "", false), run("/load/a", "", false)] => [0, 0, 1, 0];
+    cancelled_post_ran_twice: record("POST", "", vec![CallerOutcome::Cancelled]), vec![run("/load/a", "", true), run("/load/a", "", false)] => [0, 0, 1, 0];
+    key_ran_under_two_paths: record("POST", "k", vec![ANSWERED]), vec![run("/load/a", "k", true), run("/load/b", "k", true)] => [0, 0, 1, 0];
+    get_may_run_twice: record("GET", "", vec![ANSWERED]), vec![run("/load/a", "", true), run("/load/a", "", true)] => [0, 0, 0, 0];
+    foreign_answer: record("GET", "", vec![FOREIGN]), vec![run("/load/a", "", true)] => [0, 0, 0, 1];
+    foreign_answer_before_own: record("POST", "k", vec![FOREIGN, ANSWERED]), vec![run("/load/a", "k", true)] => [0, 0, 0, 1];
+    lost_may_run: record("POST", "", vec![CallerOutcome::Lost("timeout".to_owned())]), vec![run("/load/a", "", true)] => [0, 0, 0, 0];
+}
+
+/// Guards against a verdict that does not name the violating requests.
+#[test]
+fn verdict_names_the_ids() {
+    let mut second = record("POST", "", vec![not_run()]);
+    second.id = "b".to_owned();
+    let records = [record("POST", "", vec![ANSWERED]), second];
+    let verdict = judge(&records, &[run("/load/b", "", true)]);
+    assert_eq!(verdict.answered_without_run, ["a"]);
+    assert_eq!(verdict.ran_after_all, ["b"]);
+    assert_eq!((verdict.requests, verdict.runs), (2, 1));
+}
--- /dev/null
+++ b/crates/tanager-standin/tests/load.rs
@@ -0,0 +1,123 @@
+//! The load generator against the endpoint stand-in, judged by the endpoints' record.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tanager_standin::EndpointOptions;
+use tanager_standin::EndpointStandin;
+use tanager_standin::endpoint::EndpointFaults;
+use tanager_standin::judge::Verdict;
+use tanager_standin::judge::judge;
+use tanager_standin::load::LoadOptions;
+use tanager_standin::load::read_record;
+use tanager_standin::load::run_load;
+use tanager_standin::plan::MixOptions;
+use tanager_standin::plan::plan_requests;
+use tanager_standin::report::LoadReport;
+
+const ENDPOINTS: usize = 4;
+
+async fn run(faults: EndpointFaults) -> (LoadReport, Verdict) {
+    let options = EndpointOptions {
+        count: ENDPOINTS,
+        ..EndpointOptions::default()
+    };
+    let endpoint = EndpointStandin::bind(&options).unwrap();
+    let mut targets = Vec::new();
+    for (name, address) in endpoint.endpoints() {
+        endpoint.set_faults(&name, faults.clone()).await.unwrap();
+        targets.push(address);
+    }
+    let options = LoadOptions {
+        targets,
+        direct: true,
+        retry: false,
+        mix: MixOptions {
+            seed: 42,
+            rate: 400.0,
+            duration: Duration::from_secs(1),
+            work: Duration::from_millis(2),
+            ..MixOptions::default()
+        },
+    };
+    let report = run_load(&options).await;
+    let runs = read_record(endpoint.control()).await.unwrap();
+    let verdict = judge(&report.records, &runs);
+    (report, verdict)
+}
+
+/// Guards against a load tool that does not recognise its own responses.
+#[tokio::test]
+async fn healthy_endpoints_pass() {
+    let (report, verdict) = run(EndpointFaults::default()).await;
+    assert!(verdict.passed(), "{verdict}");
+    let (answered, total) = (report.count("answered"), report.records.len() as u64);
+    let others = report.count("cancelled") + report.count("rejected");
+    assert_eq!(answered + others, total, "{report}");
+    assert!(answered > 0 && verdict.runs as u64 >= answered);
+    // Guards against latencies that are cut off: service times reach 3.6 ms.
+    assert_eq!(report.latencies.len(), 3);
+    for histogram in report.latencies.values() {
+        assert!(histogram.max() >= 2_000, "{report}");
+    }
+}
+
+/// Guards against a load tool that takes another request's response for its own.
+#[tokio::test]
+async fn crossed_answers_fail() {
+    let faults = EndpointFaults {
+        crossed: true,
+        ..EndpointFaults::default()
+    };
+    let (report, verdict) = run(faults).await;
+    assert!(!verdict.passed());
+    assert_eq!(
+        verdict.foreign_answers.len() as u64,
+        report.count("foreign")
+    );
+}
+
+/// Guards against an incomplete response that is taken for a complete one. Responses to HEAD end
+/// with the head, so only their loss within the head shows.
+#[tokio::test]
+async fn truncated_answers_are_not_answers() {
+    let faults = EndpointFaults {
+        truncate: true,
+        ..EndpointFaults::default()
+    };
+    let (report, verdict) = run(faults).await;
+    assert!(verdict.passed(), "{verdict}");
+    assert_eq!(report.count("answered"), 0, "{report}");
+    assert!(report.count("transport:unknown") > 0, "{report}");
+}
+
+/// Guards against a plan that cannot be repeated, and against a mix that lacks a kind.
+#[test]
+fn plan_repeats_and_covers_the_mix() {
+    let options = MixOptions {
+        seed: 9,
+        pools: vec!["a".to_owned(), "b".to_owned()],
+        ..MixOptions::default()
+    };
+    let plan = plan_requests(&options);
+    let text = format!("{plan:?}");
+    assert_eq!(text, format!("{:?}", plan_requests(&options)));
+    let other = MixOptions {
+        seed: 10,
+        ..options
+    };
+    assert_ne!(text, format!("{:?}", plan_requests(&other)));
+    let ids: BTreeSet<&str> = plan.iter().map(|request| &*request.id).collect();
+    assert_eq!(ids.len(), plan.len());
+    assert!((1_800..2_200).contains(&plan.len()), "{}", plan.len());
+    let methods: BTreeSet<&str> = plan.iter().map(|request| request.method.as_str()).collect();
+    assert_eq!(methods.len(), 7);
+    let any = |check: fn(&tanager_standin::plan::PlannedRequest) -> bool| plan.iter().any(check);
+    assert!(any(|request| !request.key.is_empty()));
+    assert!(any(|request| request.cancel_after.is_some()));
+    assert!(any(|request| request.answer_size == Some(0)));
+    assert!(any(|request| request.body.len() == 500_000));
+    assert!(any(
+        |request| request.method == "POST" && request.body.is_empty()
+    ));
+}
