Make the end of a delay of the platform stand-in deterministic

Cause: the test of a write that takes effect after the time limit of the client relied on a delay of 1 s being longer than any stall of the machine.

Change: a new delay ends the pauses in progress; the test sets a delay of 600 s and ends it after the client has given up.

--- a/crates/tanager-platform/tests/faults.rs
+++ b/crates/tanager-platform/tests/faults.rs
@@ -142,7 +142,7 @@
         delay_ms: Some(delay_ms),
         ..PlatformFaults::default()
     };
-    platform.set_faults(delay(1_000)).await.unwrap();
+    platform.set_faults(delay(600_000)).await.unwrap();
     let error = client.transact(&insert("a")).await.unwrap_err();
     assert_eq!(error.kind, ErrorKind::Timeout);
     platform.set_faults(delay(0)).await.unwrap();
--- a/crates/tanager-standin/src/platform.rs
+++ b/crates/tanager-standin/src/platform.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time;
 
@@ -82,7 +83,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
-    /// Delay of each request in milliseconds, half before and half after its effect.
+    /// Delay of each request in milliseconds, half before and half after its effect. A new value
+    /// ends the pauses in progress.
     pub delay_ms: Option<u64>,
     /// Outage; in JSON also `true` for `"hang"` and `false` for `"none"`.
     #[serde(deserialize_with = "read_outage")]
@@ -129,12 +131,31 @@
 
 struct PlatformShared {
     state: Mutex<PlatformState>,
+    delay_changed: Notify,
 }
 
 impl PlatformShared {
     fn lock(&self) -> MutexGuard<'_, PlatformState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn set_faults(&self, faults: PlatformFaults) {
+        self.lock().set_faults(faults, Instant::now());
+        if faults.delay_ms.is_some() {
+            self.delay_changed.notify_waiters();
+        }
+    }
+
+    /// Waits for half the delay in force.
+    async fn pause(&self) {
+        let mut changed = std::pin::pin!(self.delay_changed.notified());
+        changed.as_mut().enable();
+        let delay = self.lock().delay();
+        tokio::select! {
+            () = time::sleep(delay / 2) => {}
+            () = changed => {}
+        }
+    }
 }
 
 impl PlatformStandin {
@@ -146,6 +167,7 @@
     pub fn bind(options: PlatformOptions) -> io::Result<Self> {
         let shared = Arc::new(PlatformShared {
             state: Mutex::new(PlatformState::new(options.list_lag)),
+            delay_changed: Notify::new(),
         });
         let service = WirePort::bind(options.address, service_handler(Arc::clone(&shared)))?;
         let service = Arc::new(service);
@@ -205,7 +227,7 @@
     service: &WirePort,
     faults: PlatformFaults,
 ) -> io::Result<()> {
-    shared.lock().set_faults(faults, Instant::now());
+    shared.set_faults(faults);
     match faults.outage {
         Some(OutageMode::Refuse) => service.close().await,
         Some(OutageMode::None | OutageMode::Hang) => service.open().await,
@@ -308,7 +330,7 @@
             return WireResponse::new(400, "refuse is set through the control address");
         }
         None => {
-            shared.lock().set_faults(faults, Instant::now());
+            shared.set_faults(faults);
             Ok(())
         }
     };
@@ -323,8 +345,7 @@
     shared: &Arc<PlatformShared>,
     request: &WireRequest,
 ) -> Option<WireResponse> {
-    let delay = shared.lock().delay();
-    time::sleep(delay / 2).await;
+    shared.pause().await;
     let reply = shared.lock().run(request, Instant::now());
     let response = match reply {
         ServiceReply::Answer(response) => Some(response),
@@ -334,7 +355,7 @@
             (!lost).then(|| WireResponse::json(202, &json!({})))
         }
     };
-    time::sleep(delay / 2).await;
+    shared.pause().await;
     response
 }
 
