Fix reuse, framing and 413 faults of the HTTP crate

Cause: exchange tests of tanager-http found five faults. - The driver of a connection learns of received bytes only when the runtime polls the socket. A request sent before that was matched to a stray earlier response, and one sent into a connection that the server had closed was reported as unknown instead of not sent. - A body with a transfer coding other than chunked, which the close of the connection ends, was taken for complete. - Idle connections were closed only when they were taken from the pool, so an unused pool kept them open. - A client that sends its whole body before it reads got a broken pipe instead of the 413. - A client that asks for permission to send a body above the limit was told to continue.

Change: the client peeks at the socket before it sends; only a last coding of chunked counts as framed; a task closes connections at the end of their idle time; the server discards a body above the limit, up to 64 MiB, before it answers, and answers 413 at once to Expect.

--- a/crates/tanager-http/src/client.rs
+++ b/crates/tanager-http/src/client.rs
@@ -1,10 +1,14 @@
 //! One client connection that carries one request at a time.
 
+use std::io;
 use std::net::SocketAddr;
+use std::net::TcpStream as StdTcpStream;
+use std::os::fd::AsFd;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -36,6 +40,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Second handle of the socket, to look at what was received before a request is sent.
+    probe: StdTcpStream,
     last_used: Instant,
     keep_alive: bool,
 }
@@ -58,6 +64,11 @@
         stream
             .set_nodelay(true)
             .map_err(|error| not_sent("connect", error.to_string()))?;
+        let probe = stream
+            .as_fd()
+            .try_clone_to_owned()
+            .map(StdTcpStream::from)
+            .map_err(|error| not_sent("connect", error.to_string()))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent("handshake", error.to_string()))?;
@@ -69,6 +80,7 @@
             address,
             sender,
             driver,
+            probe,
             last_used: Instant::now(),
             keep_alive: true,
         })
@@ -102,6 +114,9 @@
             self.sender.ready().await.map_err(|error| {
                 TanagerError::new(ErrorKind::NotSent, "send", address.to_string(), error)
             })?;
+            check_silence(&self.probe).map_err(|message| {
+                TanagerError::new(ErrorKind::NotSent, "send", address.to_string(), message)
+            })?;
             let response = send_request(&mut self.sender, address, outgoing).await?;
             read_response(address, response, head, max_body).await
         };
@@ -143,6 +158,18 @@
     Ok(outgoing)
 }
 
+/// Checks that the server neither sent anything nor closed the connection since the last
+/// response. The driver learns of received bytes only when the runtime polls the socket, so it
+/// could send a request first and match an earlier response to it.
+fn check_silence(probe: &StdTcpStream) -> Result<(), String> {
+    match probe.peek(&mut [0]) {
+        Ok(0) => Err("the server closed the connection".to_owned()),
+        Ok(_) => Err("the server sent a response without a request".to_owned()),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 async fn send_request(
     sender: &mut SendRequest<Full<Bytes>>,
     address: SocketAddr,
@@ -174,9 +201,7 @@
     let (parts, body) = response.into_parts();
     let bodiless =
         head || parts.status == StatusCode::NO_CONTENT || parts.status == StatusCode::NOT_MODIFIED;
-    let framed = parts.headers.contains_key(header::CONTENT_LENGTH)
-        || parts.headers.contains_key(header::TRANSFER_ENCODING);
-    if !bodiless && !framed && !body.is_end_stream() {
+    if !bodiless && !is_framed(&parts.headers) && !body.is_end_stream() {
         // The end of such a body cannot be told from a lost connection.
         return Err(unknown(
             "the response body is delimited by connection close".to_owned(),
@@ -203,3 +228,18 @@
     };
     Ok((response, !close))
 }
+
+/// Returns whether the headers tell where the body ends. A transfer coding does so only if the
+/// last one is `chunked`; any other is ended by the close of the connection (RFC 9112, section
+/// 6.3).
+fn is_framed(headers: &HeaderMap) -> bool {
+    let Some(last) = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back()
+    else {
+        return headers.contains_key(header::CONTENT_LENGTH);
+    };
+    let last = last.to_str().unwrap_or_default().rsplit(',').next();
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/tanager-http/src/pool.rs
+++ b/crates/tanager-http/src/pool.rs
@@ -1,11 +1,16 @@
 //! Reusable connections to one server.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::time;
+
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 
@@ -18,7 +23,7 @@
 pub struct PoolLimits {
     /// Time to establish a connection.
     pub connect_timeout: Duration,
-    /// A connection idle for longer is closed. Devices between the two ends drop idle
+    /// A connection idle for longer is not reused, and is closed within twice this time. Devices between the two ends drop idle
     /// connections without a sign, and a request sent into one has an unknown outcome.
     pub max_idle: Duration,
     /// Idle connections kept.
@@ -43,7 +48,14 @@
 pub struct ClientPool {
     address: SocketAddr,
     limits: PoolLimits,
-    idle: Mutex<Vec<ClientConnection>>,
+    idle: Arc<Mutex<IdleConnections>>,
+}
+
+#[derive(Debug, Default)]
+struct IdleConnections {
+    connections: Vec<ClientConnection>,
+    /// Whether a task runs that closes connections at the end of their idle time.
+    closing: bool,
 }
 
 impl ClientPool {
@@ -52,7 +64,7 @@
         Self {
             address,
             limits,
-            idle: Mutex::new(Vec::new()),
+            idle: Arc::default(),
         }
     }
 
@@ -63,10 +75,7 @@
 
     /// Closes all idle connections.
     pub fn clear(&self) {
-        self.idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear();
+        lock(&self.idle).connections.clear();
     }
 
     /// Sends a request on an idle or a new connection, within `timeout` in all.
@@ -110,8 +119,8 @@
     }
 
     fn take(&self) -> Option<ClientConnection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(connection) = idle.pop() {
+        let mut idle = lock(&self.idle);
+        while let Some(connection) = idle.connections.pop() {
             if connection.is_reusable(self.limits.max_idle) {
                 return Some(connection);
             }
@@ -120,12 +129,36 @@
     }
 
     fn put(&self, connection: ClientConnection) {
-        if !connection.is_reusable(self.limits.max_idle) {
+        let max_idle = self.limits.max_idle;
+        let mut idle = lock(&self.idle);
+        if !connection.is_reusable(max_idle)
+            || idle.connections.len() >= self.limits.max_connections
+        {
             return;
         }
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < self.limits.max_connections {
-            idle.push(connection);
+        idle.connections.push(connection);
+        if !idle.closing {
+            idle.closing = true;
+            tokio::spawn(close_idle(Arc::downgrade(&self.idle), max_idle));
+        }
+    }
+}
+
+/// Closes connections that were idle for `max_idle`, at most as much later, until none is left.
+async fn close_idle(idle: Weak<Mutex<IdleConnections>>, max_idle: Duration) {
+    loop {
+        time::sleep(max_idle).await;
+        let Some(idle) = idle.upgrade() else { return };
+        let mut idle = lock(&idle);
+        idle.connections
+            .retain(|connection| connection.is_reusable(max_idle));
+        if idle.connections.is_empty() {
+            idle.closing = false;
+            return;
         }
     }
 }
+
+fn lock(idle: &Mutex<IdleConnections>) -> MutexGuard<'_, IdleConnections> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/tanager-http/src/server.rs
+++ b/crates/tanager-http/src/server.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -34,6 +36,9 @@
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 
+/// Bytes of a request body above the limit that are read before the connection is closed.
+const MAX_DISCARDED: u64 = 64 << 20;
+
 /// Future returned by a [`RequestHandler`].
 pub type ResponseFuture = Pin<Box<dyn Future<Output = HttpResponse> + Send>>;
 /// Handles one request. The future is dropped when the client closes the connection.
@@ -219,13 +224,10 @@
     limits: ServerLimits,
 ) -> Result<HttpRequest, RejectReason> {
     let (parts, body) = request.into_parts();
-    let collected = Limited::new(body, limits.max_body).collect();
-    let body = match time::timeout(limits.read_timeout, collected).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(RejectReason::BodyTooLarge);
-        }
-        Ok(Err(_)) => return Err(RejectReason::BadBody),
+    let expects_continue = parts.headers.contains_key(header::EXPECT);
+    let read = read_body(body, limits.max_body, expects_continue);
+    let body = match time::timeout(limits.read_timeout, read).await {
+        Ok(result) => result?,
         Err(_) => return Err(RejectReason::BodyTimeout),
     };
     let path = parts
@@ -240,6 +242,43 @@
     })
 }
 
+/// Reads a whole body. A body above the limit is read to its end and discarded, because a client
+/// that is still sending when the connection closes may lose the response. The client that waits
+/// for permission to send its body gets the response at once.
+async fn read_body(
+    mut body: Incoming,
+    max_body: usize,
+    expects_continue: bool,
+) -> Result<Bytes, RejectReason> {
+    let declared = body.size_hint().lower();
+    let mut too_large = declared > max_body as u64;
+    if too_large && (expects_continue || declared > MAX_DISCARDED) {
+        return Err(RejectReason::BodyTooLarge);
+    }
+    let mut received = 0u64;
+    let mut content = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| match too_large {
+            true => RejectReason::BodyTooLarge,
+            false => RejectReason::BadBody,
+        })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        received += data.len() as u64;
+        too_large |= received > max_body as u64;
+        if !too_large {
+            content.extend_from_slice(data);
+        } else if received > MAX_DISCARDED {
+            break;
+        }
+    }
+    match too_large {
+        true => Err(RejectReason::BodyTooLarge),
+        false => Ok(content.freeze()),
+    }
+}
+
 fn build_response(response: HttpResponse) -> Response<Full<Bytes>> {
     let mut outgoing = Response::new(Full::new(response.body));
     *outgoing.status_mut() = response.status;
--- /dev/null
+++ b/crates/tanager-http/tests/server.rs
@@ -0,0 +1,306 @@
+//! The server: whole bodies, limits, stop and disconnected clients.
+
+mod common;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::StatusCode;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+use tanager_http::ClientConnection;
+use tanager_http::ClientPool;
+use tanager_http::HttpRequest;
+use tanager_http::HttpResponse;
+use tanager_http::HttpServer;
+use tanager_http::ServerLimits;
+use tanager_http::pool::PoolLimits;
+use tanager_http::server::RequestHandler;
+use tanager_protocol::error::ErrorKind;
+
+use common::LONG;
+use common::SHORT;
+use common::local;
+
+/// Largest request body of the servers in these tests.
+const MAX_BODY: usize = 100_000;
+
+fn limits() -> ServerLimits {
+    ServerLimits {
+        max_body: MAX_BODY,
+        read_timeout: LONG,
+        ..ServerLimits::default()
+    }
+}
+
+/// Answers with the method, the path and the body of the request.
+fn echo() -> RequestHandler {
+    Arc::new(|request| {
+        Box::pin(async move {
+            let line = format!("{} {}\n", request.method, request.path);
+            let body = [line.as_bytes(), &request.body].concat();
+            HttpResponse::new(StatusCode::OK, body)
+        })
+    })
+}
+
+/// Reports when a handler starts and when its future is dropped.
+struct HandlerGuard(mpsc::UnboundedSender<&'static str>);
+
+impl Drop for HandlerGuard {
+    fn drop(&mut self) {
+        let _ = self.0.send("dropped");
+    }
+}
+
+/// Waits for a permit before it answers.
+fn waiting(permits: &Arc<Semaphore>) -> (RequestHandler, mpsc::UnboundedReceiver<&'static str>) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let permits = Arc::clone(permits);
+    let handler: RequestHandler = Arc::new(move |_| {
+        let permits = Arc::clone(&permits);
+        let sender = sender.clone();
+        Box::pin(async move {
+            sender.send("started").unwrap();
+            let _guard = HandlerGuard(sender);
+            let _permit = permits.acquire().await;
+            HttpResponse::new(StatusCode::OK, "done")
+        })
+    });
+    (handler, receiver)
+}
+
+macro_rules! echo_cases {
+    ($($case:ident: $body:expr;)*) => {
+        $(
+            /// Guards against a body that is altered or cut.
+            #[tokio::test]
+            async fn $case() {
+                let body: Vec<u8> = $body;
+                let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+                let pool = ClientPool::new(server.address(), PoolLimits::default());
+                for method in [Method::POST, Method::PUT] {
+                    let request = HttpRequest::new(method.clone(), "/a%20b?c=d&e", body.clone());
+                    let response = pool.exchange(&request, LONG).await.unwrap();
+                    let line = format!("{method} /a%20b?c=d&e\n");
+                    assert_eq!(response.body, [line.as_bytes(), &body].concat());
+                }
+                server.stop().await;
+            }
+        )*
+    };
+}
+
+echo_cases! {
+    empty_body: Vec::new();
+    one_byte: vec![0];
+    all_bytes: (0..=255).collect();
+    header_like_body: b"HTTP/1.1 200 OK\r\n\r\n".to_vec();
+    body_at_the_limit: vec![0xff; MAX_BODY];
+}
+
+/// Guards against a response to HEAD that a client takes for the start of the next one.
+#[tokio::test]
+async fn response_to_head_has_no_body() {
+    let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+    let mut connection = ClientConnection::open(server.address(), LONG)
+        .await
+        .unwrap();
+    for method in [Method::HEAD, Method::GET] {
+        let request = HttpRequest::new(method.clone(), "/", "");
+        let response = connection.exchange(request, LONG, MAX_BODY).await.unwrap();
+        assert_eq!(response.body.is_empty(), method == Method::HEAD);
+        assert_eq!(response.status, StatusCode::OK);
+    }
+}
+
+/// Guards against a 413 that the client never sees, because the connection is reset while it
+/// still sends the body: it would have to take the outcome for unknown.
+#[tokio::test]
+async fn too_large_body_is_answered_413() {
+    let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+    let body = Bytes::from(vec![1; 8 << 20]);
+    for _ in 0..10 {
+        let mut connection = ClientConnection::open(server.address(), LONG)
+            .await
+            .unwrap();
+        let request = HttpRequest::new(Method::POST, "/", body.clone());
+        let response = connection.exchange(request, LONG, MAX_BODY).await.unwrap();
+        assert_eq!(response.status, StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let pool = ClientPool::new(server.address(), PoolLimits::default());
+    let request = HttpRequest::new(Method::POST, "/", vec![1; MAX_BODY + 1]);
+    let response = pool.exchange(&request, LONG).await.unwrap();
+    assert_eq!(response.status, StatusCode::PAYLOAD_TOO_LARGE);
+    let request = HttpRequest::new(Method::POST, "/", "small");
+    assert_eq!(
+        pool.exchange(&request, LONG).await.unwrap().status,
+        StatusCode::OK
+    );
+}
+
+/// Sends bytes and reads until the server closes the connection.
+async fn send_raw(server: &HttpServer, bytes: &'static [u8], close: bool) -> String {
+    let address = server.address();
+    let task = tokio::task::spawn_blocking(move || {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(bytes).unwrap();
+        if close {
+            stream.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        let mut response = Vec::new();
+        let _ = stream.read_to_end(&mut response);
+        String::from_utf8(response).unwrap()
+    });
+    task.await.unwrap()
+}
+
+/// Guards against a connection that is reset before a client which sends its whole body first
+/// can read the response.
+#[tokio::test]
+async fn too_large_body_may_be_sent_before_the_response_is_read() {
+    let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 8000000\r\n\r\n";
+    let request = [head.as_bytes(), &[b'x'; 8_000_000]].concat();
+    let response = send_raw(&server, request.leak(), false).await;
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+}
+
+/// Guards against a chunked body that evades the limit.
+#[tokio::test]
+async fn too_large_chunked_body_is_answered_413() {
+    let limits = ServerLimits {
+        max_body: 4,
+        ..limits()
+    };
+    let server = HttpServer::bind(local(), limits, echo()).await.unwrap();
+    let request = b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n";
+    let response = send_raw(&server, request, false).await;
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+}
+
+/// Guards against a client that must send a body which is going to be rejected (RFC 9110,
+/// section 10.1.1).
+#[tokio::test]
+async fn expected_body_is_rejected_without_reading_it() {
+    let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+    let request =
+        b"POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 1000000\r\n\r\n";
+    let response = send_raw(&server, request, false).await;
+    assert!(response.starts_with("HTTP/1.1 413 "), "{response}");
+}
+
+/// Guards against an incomplete request that is run.
+#[tokio::test]
+async fn truncated_request_does_not_reach_the_handler() {
+    let permits = Arc::new(Semaphore::new(0));
+    let (handler, mut events) = waiting(&permits);
+    let server = HttpServer::bind(local(), limits(), handler).await.unwrap();
+    send_raw(
+        &server,
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc",
+        true,
+    )
+    .await;
+    server.stop().await;
+    assert_eq!(events.recv().await, None);
+}
+
+/// Guards against a client that holds a connection by never finishing its body.
+#[tokio::test]
+async fn stalled_request_body_is_answered_408() {
+    let limits = ServerLimits {
+        read_timeout: SHORT,
+        ..limits()
+    };
+    let server = HttpServer::bind(local(), limits, echo()).await.unwrap();
+    let request = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc";
+    let response = send_raw(&server, request, false).await;
+    assert!(response.starts_with("HTTP/1.1 408 "), "{response}");
+}
+
+/// Guards against a stop that interrupts requests in progress (R7), or that waits for connections
+/// without one.
+#[tokio::test]
+async fn stop_finishes_requests_in_progress() {
+    let permits = Arc::new(Semaphore::new(0));
+    let (handler, mut events) = waiting(&permits);
+    let server = HttpServer::bind(local(), limits(), handler).await.unwrap();
+    let address = server.address();
+    let unused = ClientConnection::open(address, LONG).await.unwrap();
+    let busy = tokio::spawn(async move {
+        let pool = ClientPool::new(address, PoolLimits::default());
+        let request = HttpRequest::new(Method::POST, "/", "body");
+        pool.exchange(&request, LONG).await
+    });
+    assert_eq!(events.recv().await, Some("started"));
+    let stop = tokio::spawn(server.stop());
+    // The port refuses connections before the requests in progress have finished.
+    loop {
+        match ClientConnection::open(address, LONG).await {
+            Err(error) => break assert_eq!(error.kind, ErrorKind::NotSent),
+            Ok(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
+    }
+    assert!(!stop.is_finished() && !busy.is_finished());
+    permits.add_permits(1);
+    assert_eq!(busy.await.unwrap().unwrap().body, "done");
+    stop.await.unwrap();
+    drop(unused);
+}
+
+/// Guards against a stop that never ends because all connections are in use, or because some
+/// are idle.
+#[tokio::test]
+async fn stop_closes_idle_connections() {
+    let limits = ServerLimits {
+        max_connections: 1,
+        ..limits()
+    };
+    let server = HttpServer::bind(local(), limits, echo()).await.unwrap();
+    let mut connection = ClientConnection::open(server.address(), LONG)
+        .await
+        .unwrap();
+    let request = HttpRequest::new(Method::GET, "/", "");
+    connection.exchange(request, LONG, MAX_BODY).await.unwrap();
+    server.stop().await;
+}
+
+/// Guards against work that continues for a client which has disconnected.
+#[tokio::test]
+async fn client_disconnect_drops_the_handler_future() {
+    let permits = Arc::new(Semaphore::new(0));
+    let (handler, mut events) = waiting(&permits);
+    let server = HttpServer::bind(local(), limits(), handler).await.unwrap();
+    let address = server.address();
+    let client = tokio::spawn(async move {
+        let pool = ClientPool::new(address, PoolLimits::default());
+        let request = HttpRequest::new(Method::POST, "/", "body");
+        pool.exchange(&request, LONG).await
+    });
+    assert_eq!(events.recv().await, Some("started"));
+    client.abort();
+    assert_eq!(events.recv().await, Some("dropped"));
+    server.stop().await;
+}
+
+/// Guards against a dropped server that keeps its port.
+#[tokio::test]
+async fn dropped_server_releases_its_port() {
+    let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+    let address = server.address();
+    let error = HttpServer::bind(address, limits(), echo())
+        .await
+        .unwrap_err();
+    assert_eq!((error.kind, error.step), (ErrorKind::Invalid, "bind"));
+    drop(server);
+    while HttpServer::bind(address, limits(), echo()).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
