Refuse connections at once when a server with no free connection stops

Cause: with all connections in use the accept loop waited for one to end before it looked at the stop signal. The port kept accepting, and requests sent to it would have been broken when the port closed.

Change: the accept loop waits for the stop signal also while it waits for a free connection.

Conclusion: a stop closes the port first in every state.

--- a/crates/tanager-http/src/server.rs
+++ b/crates/tanager-http/src/server.rs
@@ -161,11 +161,12 @@
     let permits = Arc::new(Semaphore::new(limits.max_connections));
     let mut connections = JoinSet::new();
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            break;
+        let next = async {
+            let permit = Arc::clone(&permits).acquire_owned().await;
+            (permit, listener.accept().await)
         };
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (permit, accepted) = tokio::select! {
+            next = next => next,
             _ = stopped.wait_for(|stopped| *stopped) => break,
         };
         let Ok((stream, _)) = accepted else {
--- a/crates/tanager-http/tests/server.rs
+++ b/crates/tanager-http/tests/server.rs
@@ -255,6 +255,64 @@
     drop(unused);
 }
 
+/// Guards against a stopping server that still accepts connections, whose requests it would then
+/// break, because it waits for one of its connections to end.
+#[tokio::test]
+async fn stop_refuses_connections_when_all_are_in_use() {
+    let permits = Arc::new(Semaphore::new(0));
+    let (handler, mut events) = waiting(&permits);
+    let limits = ServerLimits {
+        max_connections: 1,
+        ..limits()
+    };
+    let server = HttpServer::bind(local(), limits, handler).await.unwrap();
+    let address = server.address();
+    let busy = tokio::spawn(async move {
+        let pool = ClientPool::new(address, PoolLimits::default());
+        let request = HttpRequest::new(Method::POST, "/", "body");
+        pool.exchange(&request, LONG).await
+    });
+    assert_eq!(events.recv().await, Some("started"));
+    let stop = tokio::spawn(server.stop());
+    while ClientConnection::open(address, LONG).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(!busy.is_finished());
+    permits.add_permits(1);
+    assert_eq!(busy.await.unwrap().unwrap().body, "done");
+    stop.await.unwrap();
+}
+
+/// Guards against a stop that breaks a request whose body is being received (R7).
+#[tokio::test]
+async fn stop_finishes_requests_being_received() {
+    let server = HttpServer::bind(local(), limits(), echo()).await.unwrap();
+    let address = server.address();
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream
+        .write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\nabc")
+        .unwrap();
+    // The server has received the head when it answers a later request of another connection.
+    let pool = ClientPool::new(address, PoolLimits::default());
+    for _ in 0..10 {
+        let request = HttpRequest::new(Method::GET, "/", "");
+        pool.exchange(&request, LONG).await.unwrap();
+    }
+    let stop = tokio::spawn(server.stop());
+    while ClientConnection::open(address, LONG).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let task = tokio::task::spawn_blocking(move || {
+        stream.write_all(b"def").unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).unwrap();
+        response
+    });
+    let response = task.await.unwrap();
+    assert!(response.ends_with("POST /\nabcdef"), "{response}");
+    stop.await.unwrap();
+}
+
 /// Guards against a stop that never ends because all connections are in use, or because some
 /// are idle.
 #[tokio::test]
