Add the demo of a whole site

Cause: a newcomer needs one command that shows the system at work, and the project needs the idle cost of a node and the added latency from one run.

Change: scripts/demo.sh starts the stand-ins, 7 nodes and a balancer, applies the configuration of a site printed by the Python library, moves a VM and replaces a node under load, compares the records, and sends the same mix directly to the endpoints.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,132 @@
+#!/usr/bin/env bash
+# Runs a whole site on this machine: stand-ins of the platform and of 50 endpoints, 7 nodes behind
+# a balancer, a mixed load; meanwhile a VM is moved and a node is replaced. Prints what happened
+# and ends. All traffic stays on 127.0.0.1.
+#
+# Usage: scripts/demo.sh [SITE] [RATE] [SECONDS]      SITE: hallein (default) or nilebite
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+site=${1:-hallein}
+rate=${2:-300}
+seconds=${3:-15}
+nodes=7
+token=0123456789abcdef-demo
+case $site in
+hallein) pools=diary-intake,case-files,evidence-media,hearing-preparation,spare from=case-files to=spare zone=hallein-a ;;
+nilebite) pools=counter-requests,grind-planning,photo-inspection,rescue-intake,spare from=photo-inspection to=spare zone=nilebite-a ;;
+*) echo "unknown site: $site" >&2 && exit 2 ;;
+esac
+
+cargo build --release --locked --quiet --workspace --bins --examples
+bin=$PWD/target/release
+library=$PWD/library/python
+run=$(mktemp -d)
+processes=()
+stop_all() {
+    kill "${processes[@]}" 2>/dev/null || true
+    wait 2>/dev/null || true
+    rm -rf "$run"
+}
+trap stop_all EXIT
+
+# wait_line FILE PATTERN: waits until a process has printed a line.
+wait_line() {
+    for _ in $(seq 200); do
+        grep -q "$2" "$1" 2>/dev/null && return
+        sleep 0.05
+    done
+    echo "no line '$2' in $1" >&2
+    cat "${1%.out}.err" >&2
+    return 1
+}
+
+# launch NAME COMMAND...: starts a process whose output goes to NAME.out and NAME.err.
+launch() {
+    local name=$1
+    shift
+    "$@" >"$run/$name.out" 2>"$run/$name.err" &
+    processes+=($!)
+    echo $! >"$run/$name.pid"
+}
+
+start_node() {
+    cat >"$run/$1.ini" <<SETTINGS
+[node]
+name = $1
+region = region-1
+zone = $zone
+caller_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+admin_address = 127.0.0.1:0
+stop_delay = 2s
+
+[platform]
+address = $platform
+
+[admin]
+root_token = $token
+SETTINGS
+    launch "$1" "$bin/tanagerladderd" --config "$run/$1.ini"
+}
+
+address() { sed -n "s/.*$2=\([^ ]*\).*/\1/p" "$run/$1.out"; }
+
+launch platform "$bin/examples/platform" --address 127.0.0.1:0 --list-lag 2s
+launch endpoint "$bin/examples/endpoint" --address 127.0.0.1:0 --count 50
+wait_line "$run/platform.out" listening
+wait_line "$run/endpoint.out" ready
+platform=$(awk '/^listening/ { print $2 }' "$run/platform.out")
+record=$(awk '/^control/ { print $2 }' "$run/endpoint.out")
+
+names=()
+for number in $(seq $nodes); do names+=("entry-$number") && start_node "entry-$number"; done
+for name in "${names[@]}"; do wait_line "$run/$name.out" listening; done
+
+echo "== $site: 50 endpoints, $nodes nodes; configuration printed by library/python"
+python3 "$library/examples/$site.py" --endpoints "$run/endpoint.out" >"$run/site.json"
+export TANAGERLADDER_TOKEN=$token
+TANAGERLADDER_NODES=$(for name in "${names[@]}"; do address "$name" admin; done | paste -sd,)
+export TANAGERLADDER_NODES
+for _ in $(seq 100); do
+    "$bin/tanagerladder" apply "$run/site.json" --wait >"$run/apply.txt" 2>&1 && break
+    sleep 0.1
+done
+cat "$run/apply.txt"
+"$bin/tanagerladder" pools
+
+echo "== idle: 10 s without requests"
+sample() {
+    for name in "${names[@]}"; do
+        awk '{ print $14 + $15 }' "/proc/$(cat "$run/$name.pid")/stat"
+    done | paste -sd' '
+}
+before=$(sample)
+sleep 10
+after=$(sample)
+echo "cpu per node, % of a core: $(paste <(tr ' ' '\n' <<<"$before") <(tr ' ' '\n' <<<"$after") | awk '{ printf "%.1f ", ($2 - $1) / 10 }')"
+echo "resident memory per node, MiB: $(for name in "${names[@]}"; do awk '/VmRSS/ { printf "%.1f ", $2 / 1024 }' "/proc/$(cat "$run/$name.pid")/status"; done)"
+
+echo "== $rate requests/s for $seconds s; a VM moves and a node is replaced meanwhile"
+callers=$(for name in "${names[@]}"; do address "$name" caller; done | paste -sd,)
+admins=$(for name in "${names[@]}"; do address "$name" admin; done | paste -sd,)
+launch balancer "$bin/examples/balancer" --address 127.0.0.1:0 --nodes "$callers" --ready "$admins"
+wait_line "$run/balancer.out" listening
+balancer=$(awk '/^listening/ { print $2 }' "$run/balancer.out")
+"$bin/examples/load" --nodes "$balancer" --pools "$pools" --rate "$rate" --duration "${seconds}s" \
+    --seed 1 --keyed 1 --retry --verify "$record" >"$run/load.txt" &
+load=$!
+sleep 2
+vm=$("$bin/tanagerladder" vms --pool $from --json | python3 -c 'import json,sys; print(json.load(sys.stdin)["vms"][0]["vm"])')
+"$bin/tanagerladder" move "$vm" $to --wait
+kill -TERM "$(cat "$run/entry-1.pid")"
+start_node entry-8
+wait_line "$run/entry-8.out" listening
+echo "replaced entry-1 by entry-8"
+wait $load && verdict=0 || verdict=$?
+cat "$run/load.txt"
+
+echo "== the same mix sent directly to the endpoints"
+endpoints=$(awk '/^endpoint / { print $3 }' "$run/endpoint.out" | paste -sd,)
+"$bin/examples/load" --direct "$endpoints" --pools "$pools" --rate "$rate" --duration 5s --seed 1
+exit $verdict
