--- /dev/null
+++ b/crates/tanager-control/tests/startup.rs
@@ -0,0 +1,220 @@
+//! Start, restart and stop of nodes, with and without the store.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time;
+
+use tanager_control::ControlService;
+use tanager_control::ControlTiming;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::fleet::VmHealth;
+
+use support::Cluster;
+use support::FakePlatform;
+use support::configure;
+use support::fast_timing;
+use support::start_drain;
+use support::start_move;
+use support::wait_state;
+use support::wait_until;
+
+/// Guards against a node that cannot start in an outage, that dispatches before it is registered
+/// (R2), or that never joins once the store is back.
+#[tokio::test]
+async fn restart_in_outage_serves_and_joins_later() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let second = cluster.join(&platform, 1).await;
+    platform.set_outage(true);
+    drop(cluster.cut(1));
+    drop(second);
+    let restarted = cluster.spawn(&platform, 1, 77, fast_timing());
+    wait_until(|| restarted.ready().is_ok()).await;
+    assert_eq!(restarted.state(), first.state());
+    assert!(!restarted.may_dispatch(), "its old run is still registered");
+    assert_eq!(first.live_nodes(), ["n0"]);
+    platform.set_outage(false);
+    wait_until(|| restarted.may_dispatch()).await;
+    wait_state(&first, |state| state.nodes["n1"].incarnation == 77).await;
+    wait_until(|| first.live_nodes() == ["n0", "n1"]).await;
+    let names: Vec<String> = (0..50).map(|index| format!("pool-{index}")).collect();
+    wait_until(|| {
+        names
+            .iter()
+            .all(|name| first.home_of(name) == restarted.home_of(name))
+    })
+    .await;
+    let homes = names.iter().filter(|name| first.is_home(name)).count();
+    assert!((1..50).contains(&homes), "both nodes are a home: {homes}");
+}
+
+/// Guards against a node that serves an empty state because neither the store nor a peer with a
+/// state answered.
+#[tokio::test]
+async fn start_without_store_and_state_is_not_ready() {
+    let platform = FakePlatform::bind().await;
+    platform.set_outage(true);
+    let cluster = Cluster::default();
+    let first = cluster.spawn(&platform, 0, 1, fast_timing());
+    let second = cluster.spawn(&platform, 1, 2, fast_timing());
+    let talked = |service: &ControlService| {
+        let dump = service.dump();
+        dump["store_failed"] == true
+            && dump["peers"]
+                .as_array()
+                .is_some_and(|peers| peers.len() == 1)
+    };
+    wait_until(|| talked(&first) && talked(&second)).await;
+    for _ in 0..20 {
+        time::sleep(Duration::from_millis(5)).await;
+        assert!(first.ready().is_err() && second.ready().is_err());
+    }
+    platform.set_outage(false);
+    wait_until(|| first.ready().is_ok() && second.ready().is_ok()).await;
+}
+
+/// Guards against a node that stays ready when it hears from nobody.
+#[tokio::test]
+async fn isolated_node_is_not_ready() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let timing = ControlTiming {
+        isolation_timeout: Duration::from_millis(200),
+        ..fast_timing()
+    };
+    let service = cluster.spawn(&platform, 0, 1, timing);
+    wait_until(|| service.ready().is_ok()).await;
+    platform.set_outage(true);
+    wait_until(|| {
+        service
+            .ready()
+            .is_err_and(|reason| reason.contains("no contact"))
+    })
+    .await;
+    platform.set_outage(false);
+    wait_until(|| service.ready().is_ok()).await;
+}
+
+/// Guards against a start that needs entries older than the snapshot, or misses those after it.
+#[tokio::test]
+async fn start_reads_snapshot_and_tail() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let timing = ControlTiming {
+        snapshot_interval: 5,
+        ..fast_timing()
+    };
+    let first = cluster.spawn(&platform, 0, 1, timing);
+    wait_until(|| first.ready().is_ok()).await;
+    configure(&first).await;
+    for vm in ["a0", "a1", "b0"] {
+        first
+            .propose("operator", start_drain(vm), None)
+            .await
+            .expect("accepted");
+    }
+    wait_until(|| first.dump()["snapshot"] == 5).await;
+    first
+        .propose("operator", start_drain("b1"), None)
+        .await
+        .expect("accepted");
+    let expected = first.state();
+    drop(cluster.cut(0));
+    drop(first);
+    platform
+        .tables
+        .lock()
+        .unwrap()
+        .rows
+        .retain(|key, _| !("log/000000000001".."log/000000000006").contains(&key.as_str()));
+    let second = cluster.spawn(&platform, 1, 2, fast_timing());
+    wait_until(|| second.ready().is_ok()).await;
+    assert_eq!(second.state().vms, expected.vms);
+    assert_eq!(
+        second.state().version,
+        7,
+        "the snapshot, one entry and the registration"
+    );
+}
+
+/// Guards against a restore over existing configuration, one that brings back the nodes of the
+/// old site, and one that other nodes do not follow.
+#[tokio::test]
+async fn restore_fills_only_an_empty_store() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    first
+        .propose("operator", start_move("a0", "b"), None)
+        .await
+        .expect("accepted");
+    wait_state(&first, |state| state.vms["a0"].pool == "b").await;
+    first
+        .propose("operator", start_drain("b0"), None)
+        .await
+        .expect("accepted");
+    let exported: FleetState = first.snapshot();
+    let refused = first
+        .restore(exported.clone())
+        .await
+        .expect_err("not empty");
+    assert_eq!(refused.kind, ErrorKind::Refused);
+
+    let empty = FakePlatform::bind().await;
+    let other = Cluster::default();
+    let nodes = [other.join(&empty, 2).await, other.join(&empty, 3).await];
+    let version = nodes[0]
+        .restore(exported.clone())
+        .await
+        .expect("empty store");
+    assert!(version > exported.version);
+    for node in &nodes {
+        wait_state(node, |state| state.version >= version).await;
+        let state = node.state();
+        assert_eq!(state.document, exported.document);
+        assert_eq!(state.vms["a0"].pool, "b");
+        assert!(
+            matches!(state.vms["b0"].activity, VmActivity::Draining { since, .. } if since == version)
+        );
+        assert!(state.nodes.keys().eq(["n2", "n3"]));
+    }
+    let vm = "a1".to_owned();
+    let health = VmHealth::Leaving;
+    let change = FleetChange::ReportVm { vm, health };
+    nodes[1]
+        .propose("test", change, None)
+        .await
+        .expect("the log continues");
+}
+
+/// Guards against a stopping node that remains a home, or registers again after it left.
+#[tokio::test]
+async fn leaving_node_stays_away() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    let second = cluster.join(&platform, 1).await;
+    wait_until(|| first.live_nodes().len() == 2).await;
+    second.set_leaving();
+    assert!(second.ready().is_err());
+    wait_until(|| first.live_nodes() == ["n0"]).await;
+    assert!(second.may_dispatch(), "it finishes its work");
+    second.leave().await.expect("leave");
+    assert!(!second.may_dispatch());
+    second.leave().await.expect("repeated");
+    wait_state(&first, |state| !state.nodes.contains_key("n1")).await;
+    let heads = Arc::clone(&second);
+    for _ in 0..20 {
+        time::sleep(Duration::from_millis(5)).await;
+        assert!(!heads.state().nodes.contains_key("n1"));
+    }
+}
--- /dev/null
+++ b/crates/tanager-control/tests/support/mod.rs
@@ -0,0 +1,397 @@
+//! A small fake of the platform's HTTP interface and a cluster of control services whose peer
+//! calls stay in the process.
+#![allow(dead_code, unreachable_pub)] // Each test binary uses a part.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Method;
+use http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::time;
+
+use tanager_control::ControlBackend;
+use tanager_control::ControlService;
+use tanager_control::ControlSettings;
+use tanager_control::ControlTiming;
+use tanager_control::NodeProgress;
+use tanager_http::HttpRequest;
+use tanager_http::HttpResponse;
+use tanager_http::HttpServer;
+use tanager_http::ServerLimits;
+use tanager_platform::PlatformClient;
+use tanager_platform::RowVersion;
+use tanager_platform::TableTransaction;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::config::ConfigDocument;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::NodeRecord;
+
+/// Time limit of platform calls; short, because faults make calls reach it.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Only stops a test that hangs; no result depends on it.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
+
+/// Faults of the fake platform.
+#[derive(Default)]
+pub struct Faults {
+    /// Every call fails.
+    pub outage: AtomicBool,
+    /// So many transactions are committed, but answered with 503.
+    pub lose_responses: AtomicU32,
+    /// So many transactions are answered with 503 without effect.
+    pub drop_requests: AtomicU32,
+    /// So many transactions are answered with 503 and committed only after the client looked for
+    /// the entry in vain.
+    pub late_writes: AtomicU32,
+    /// So many reads of `head` are answered only when `gate` has a permit.
+    pub slow_reads: AtomicU32,
+}
+
+#[derive(Default)]
+pub struct Tables {
+    pub rows: BTreeMap<String, (RowVersion, Value)>,
+    pub objects: BTreeMap<String, Vec<u8>>,
+    pub listed: BTreeMap<String, &'static str>,
+    pub reboots: Vec<String>,
+    /// A transaction that is committed late.
+    pub in_transit: Option<Vec<u8>>,
+}
+
+pub struct FakePlatform {
+    pub address: SocketAddr,
+    pub faults: Arc<Faults>,
+    pub tables: Arc<Mutex<Tables>>,
+    pub gate: Arc<Semaphore>,
+    _server: HttpServer,
+}
+
+fn take(counter: &AtomicU32) -> bool {
+    counter
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+            left.checked_sub(1)
+        })
+        .is_ok()
+}
+
+fn commit(tables: &Mutex<Tables>, body: &[u8]) -> HttpResponse {
+    let transaction: TableTransaction = serde_json::from_slice(body).expect("transaction");
+    let mut tables = tables.lock().unwrap();
+    let current = |key: &String| tables.rows.get(key).map_or(0, |(version, _)| *version);
+    let conditions = transaction.conditions.iter().enumerate();
+    let failed: Vec<usize> = conditions
+        .filter(|(_, condition)| current(&condition.key) != condition.version)
+        .map(|(index, _)| index)
+        .collect();
+    if !failed.is_empty() {
+        return reply(StatusCode::CONFLICT, &json!({ "failed": failed }));
+    }
+    let mut versions = Vec::new();
+    for write in transaction.writes {
+        // Row versions differ from the values of `head`, so that confusing them is noticed.
+        let version = tables
+            .rows
+            .get(&write.key)
+            .map_or(70, |(version, _)| *version)
+            + 3;
+        match write.value {
+            Some(value) => drop(tables.rows.insert(write.key, (version, value))),
+            None => drop(tables.rows.remove(&write.key)),
+        }
+        versions.push(version);
+    }
+    reply(StatusCode::OK, &json!({ "versions": versions }))
+}
+
+fn reply(status: StatusCode, body: &Value) -> HttpResponse {
+    HttpResponse::new(status, body.to_string())
+}
+
+fn transact(faults: &Faults, tables: &Mutex<Tables>, body: Vec<u8>) -> HttpResponse {
+    let unavailable = HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, "");
+    if take(&faults.drop_requests) {
+        return unavailable;
+    }
+    if take(&faults.late_writes) {
+        tables.lock().unwrap().in_transit = Some(body);
+        return unavailable;
+    }
+    let response = commit(tables, &body);
+    if take(&faults.lose_responses) {
+        return unavailable;
+    }
+    response
+}
+
+fn query(path: &str, name: &str) -> String {
+    let (_, query) = path.split_once('?').expect("query");
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .find(|(key, _)| *key == name)
+        .expect("parameter")
+        .1
+        .to_owned()
+}
+
+fn get(tables: &mut Tables, path: &str) -> HttpResponse {
+    let not_found = HttpResponse::new(StatusCode::NOT_FOUND, "");
+    if let Some(key) = path.strip_prefix("/table/rows/") {
+        return tables.rows.get(key).map_or(not_found, |(version, value)| {
+            reply(
+                StatusCode::OK,
+                &json!({"key": key, "version": version, "value": value}),
+            )
+        });
+    }
+    if let Some(key) = path.strip_prefix("/objects/") {
+        let object = tables.objects.get(key);
+        return object.map_or(not_found, |body| {
+            HttpResponse::new(StatusCode::OK, body.clone())
+        });
+    }
+    if path.starts_with("/table/scan") {
+        let (prefix, after) = (query(path, "prefix"), query(path, "after"));
+        let limit = query(path, "limit").parse().expect("limit");
+        let rows = tables.rows.iter();
+        let rows: Vec<Value> = rows
+            .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+            .take(limit)
+            .map(|(key, (version, value))| json!({"key": key, "version": version, "value": value}))
+            .collect();
+        return reply(StatusCode::OK, &json!({ "rows": rows }));
+    }
+    let listed = tables.listed.iter();
+    let vms: Vec<Value> = listed
+        .map(|(vm, state)| json!({"vm": vm, "state": state}))
+        .collect();
+    reply(StatusCode::OK, &json!({"version": 1, "vms": vms}))
+}
+
+impl FakePlatform {
+    pub async fn bind() -> Self {
+        let faults: Arc<Faults> = Arc::default();
+        let tables: Arc<Mutex<Tables>> = Arc::default();
+        let gate = Arc::new(Semaphore::new(0));
+        let parts = (Arc::clone(&faults), Arc::clone(&tables), Arc::clone(&gate));
+        let handler = move |request: HttpRequest| {
+            let (faults, tables, gate) = parts.clone();
+            let future = async move {
+                if faults.outage.load(Ordering::SeqCst) {
+                    return HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, "");
+                }
+                if request.method == Method::GET {
+                    let response = get(&mut tables.lock().unwrap(), &request.path);
+                    if request.path.starts_with("/table/rows/log/") {
+                        let late = tables.lock().unwrap().in_transit.take();
+                        late.map(|body| commit(&tables, &body));
+                    }
+                    if request.path == "/table/rows/head" && take(&faults.slow_reads) {
+                        gate.acquire().await.expect("open").forget();
+                    }
+                    return response;
+                }
+                if let Some(key) = request.path.strip_prefix("/objects/") {
+                    let mut tables = tables.lock().unwrap();
+                    tables.objects.insert(key.to_owned(), request.body.to_vec());
+                    return HttpResponse::new(StatusCode::OK, "");
+                }
+                if let Some(rest) = request.path.strip_prefix("/vms/") {
+                    let vm = rest.trim_end_matches("/reboot").to_owned();
+                    tables.lock().unwrap().reboots.push(vm);
+                    return HttpResponse::new(StatusCode::ACCEPTED, "");
+                }
+                transact(&faults, &tables, request.body.to_vec())
+            };
+            Box::pin(future) as tanager_http::server::ResponseFuture
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = HttpServer::bind(any, ServerLimits::default(), Arc::new(handler)).await;
+        let server = server.expect("bind");
+        Self {
+            address: server.address(),
+            faults,
+            tables,
+            gate,
+            _server: server,
+        }
+    }
+
+    pub fn set_outage(&self, outage: bool) {
+        self.faults.outage.store(outage, Ordering::SeqCst);
+    }
+
+    pub fn reboots(&self) -> Vec<String> {
+        self.tables.lock().unwrap().reboots.clone()
+    }
+}
+
+type NodeMap = BTreeMap<SocketAddr, Arc<ControlService>>;
+
+/// Nodes that reach each other while they are in the map.
+#[derive(Default)]
+pub struct Cluster {
+    pub nodes: Arc<Mutex<NodeMap>>,
+    /// Work in flight that each node reports, by VM.
+    pub work: Arc<Mutex<BTreeMap<String, BTreeMap<String, u32>>>>,
+    pub suspects: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // The services refer to the map, and would otherwise never stop.
+        self.nodes.lock().unwrap().clear();
+    }
+}
+
+pub fn node_address(index: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + u16::from(index)))
+}
+
+pub fn node_record(index: u8, incarnation: u64) -> NodeRecord {
+    NodeRecord {
+        incarnation,
+        zone: "z".to_owned(),
+        caller_address: node_address(index),
+        peer_address: node_address(index),
+        admin_address: node_address(index),
+        since: 0,
+    }
+}
+
+pub fn fast_timing() -> ControlTiming {
+    ControlTiming {
+        poll_interval: Duration::from_millis(20),
+        gossip_interval: Duration::from_millis(20),
+        coordinate_interval: Duration::from_millis(10),
+        reboot_settle: Duration::from_millis(50),
+        ..ControlTiming::default()
+    }
+}
+
+impl Cluster {
+    /// Starts node `n{index}` with all of the first four addresses as seeds.
+    pub fn spawn(
+        &self,
+        platform: &FakePlatform,
+        index: u8,
+        incarnation: u64,
+        timing: ControlTiming,
+    ) -> Arc<ControlService> {
+        let node = format!("n{index}");
+        let settings = ControlSettings {
+            node: node.clone(),
+            record: node_record(index, incarnation),
+            seeds: (0..4).map(node_address).collect(),
+            timing,
+        };
+        let find = {
+            let nodes = Arc::clone(&self.nodes);
+            move |address: SocketAddr| {
+                nodes.lock().unwrap().get(&address).cloned().ok_or_else(|| {
+                    TanagerError::new(ErrorKind::NotSent, "connect", address.to_string(), "gone")
+                })
+            }
+        };
+        let own = node_address(index);
+        let (find_gossip, find_progress) = (find.clone(), find.clone());
+        let work = Arc::clone(&self.work);
+        let suspects = Arc::clone(&self.suspects);
+        let backend = ControlBackend {
+            platform: Arc::new(PlatformClient::new(platform.address, CALL_TIMEOUT)),
+            progress: Arc::new(move || NodeProgress {
+                version: find_progress(own).map_or(0, |service| service.state().version),
+                in_flight: work.lock().unwrap().get(&node).cloned().unwrap_or_default(),
+            }),
+            suspects: Arc::new(move || suspects.lock().unwrap().clone()),
+            fetch: Arc::new(move |address, after| {
+                let found = find(address);
+                Box::pin(async move { found.map(|service| service.fetch_reply(after)) })
+            }),
+            gossip: Arc::new(move |address, status| {
+                let found = find_gossip(address);
+                Box::pin(async move { found.map(|service| service.receive_status(status)) })
+            }),
+        };
+        let service = Arc::new(ControlService::spawn(settings, backend));
+        self.nodes.lock().unwrap().insert(own, Arc::clone(&service));
+        service
+    }
+
+    /// Starts a node and waits until it is registered.
+    pub async fn join(&self, platform: &FakePlatform, index: u8) -> Arc<ControlService> {
+        let service = self.spawn(platform, index, u64::from(index) + 1, fast_timing());
+        wait_until(|| service.may_dispatch() && service.ready().is_ok()).await;
+        service
+    }
+
+    /// Cuts a node off from its peers.
+    pub fn cut(&self, index: u8) -> Option<Arc<ControlService>> {
+        self.nodes.lock().unwrap().remove(&node_address(index))
+    }
+}
+
+pub async fn wait_until(mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(HANG_LIMIT, wait)
+        .await
+        .expect("the condition never holds");
+}
+
+/// Waits until the service has applied a state.
+pub async fn wait_state(service: &ControlService, condition: impl Fn(&FleetState) -> bool) {
+    wait_until(|| condition(&service.state())).await;
+}
+
+/// Pools a and b with floor 1 and three VMs each, a0 to a2 and b0 to b2.
+pub fn document() -> ConfigDocument {
+    let mut vms = serde_json::Map::new();
+    for (pool, index) in ["a", "b"]
+        .iter()
+        .flat_map(|pool| (0..3).map(move |vm| (*pool, vm)))
+    {
+        let config = json!({"address": format!("10.0.0.{index}:{}", pool.as_bytes()[0]),
+            "pool": pool, "zone": "z", "rack": format!("r{}", index / 2), "slots": 8});
+        vms.insert(format!("{pool}{index}"), config);
+    }
+    let value = json!({"site": "s", "teams": {}, "vms": vms,
+        "pools": {"a": {"floor": 1}, "b": {"floor": 1}}});
+    serde_json::from_value(value).expect("document")
+}
+
+pub async fn configure(service: &ControlService) {
+    let document = document();
+    let change = FleetChange::Configure { document };
+    service
+        .propose("operator", change, None)
+        .await
+        .expect("configure");
+}
+
+pub fn start_move(vm: &str, to: &str) -> FleetChange {
+    FleetChange::StartMove {
+        vm: vm.to_owned(),
+        to: to.to_owned(),
+    }
+}
+
+pub fn start_drain(vm: &str) -> FleetChange {
+    FleetChange::StartDrain {
+        vm: vm.to_owned(),
+        reason: "test".to_owned(),
+    }
+}
