--- a/crates/tanager-control/src/backend.rs
+++ b/crates/tanager-control/src/backend.rs
@@ -28,6 +28,9 @@
 }
 
 /// Connections of the control service to the platform, the peers and the local dispatcher.
+///
+/// The service owns the closures. A closure that in turn owns the service keeps its tasks running
+/// after its last other owner is gone.
 #[derive(Clone)]
 pub struct ControlBackend {
     /// Client of the platform.
--- a/crates/tanager-control/src/tasks.rs
+++ b/crates/tanager-control/src/tasks.rs
@@ -272,14 +272,19 @@
             .map_err(|_| silent("gossip"))??;
         let version = status.version;
         self.record_status(status);
-        let after = self.state().version;
-        if version > after {
+        let mut after = self.state().version;
+        while version > after {
             let call = (self.backend.fetch)(address, after);
             let reply = time::timeout(limit, call)
                 .await
                 .map_err(|_| silent("fetch"))??;
             self.status().counters.peer_fetches += 1;
             self.apply_reply(&reply)?;
+            // One reply is limited in size; a peer that does not advance us is asked again later.
+            let before = std::mem::replace(&mut after, self.state().version);
+            if after <= before {
+                break;
+            }
         }
         Ok(version)
     }
