Count the pools of a configuration in one pass

Cause: checking a configuration of the design size (1,100 VMs, 218 pools) took one pass over all VMs for each pool, and every node repeats the check when it applies the entry. A page of 32 log rows could exceed the client's 64 MiB when every team has a quota in every pool.

Change: one pass; pages of 8 rows; the test waits for both nodes; a test that a node without store follows its peers.

Conclusion: the check no longer grows with pools times VMs.

--- a/crates/tanager-control/src/replica.rs
+++ b/crates/tanager-control/src/replica.rs
@@ -15,10 +15,11 @@
 use tanager_protocol::ids::LogVersion;
 use tanager_protocol::peer::FetchReply;
 
-/// Serialised entries kept for peers, in bytes. A configuration entry of the design size takes
-/// about 300 KB, and a node may use 256 MB in all.
+/// Serialised entries kept for peers, in bytes. A configuration of the design size takes 0.3 MB
+/// with 10 quotas per pool and 2.1 MB with 190, and a node may use 256 MB in all.
 const MAX_HELD_BYTES: usize = 8 << 20;
-/// Entries of one reply to a peer, in bytes; below tonic's default message limit of 4 MiB.
+/// Entries of one reply to a peer, in bytes, unless the first one alone is larger; below tonic's
+/// default message limit of 4 MiB.
 const MAX_REPLY_BYTES: usize = 2 << 20;
 
 /// The newest state and the serialised entries that led to it.
--- a/crates/tanager-control/src/store.rs
+++ b/crates/tanager-control/src/store.rs
@@ -21,9 +21,9 @@
 pub(crate) const HEAD_KEY: &str = "head";
 pub(crate) const SNAPSHOT_KEY: &str = "snapshot";
 const LOG_PREFIX: &str = "log/";
-/// Rows of one scan. A page of configuration entries of the design size (300 KB) stays below the
-/// client's limit of 64 MiB.
-const PAGE_ROWS: usize = 32;
+/// Rows of one scan. A configuration of the design size in which every team has a quota in every
+/// pool takes 2.1 MB, and the client accepts pages up to 64 MiB.
+const PAGE_ROWS: usize = 8;
 /// Most entries returned by one call of `history`.
 const MAX_HISTORY: usize = 1_000;
 
--- a/crates/tanager-control/tests/startup.rs
+++ b/crates/tanager-control/tests/startup.rs
@@ -33,6 +33,7 @@
     let first = cluster.join(&platform, 0).await;
     configure(&first).await;
     let second = cluster.join(&platform, 1).await;
+    wait_until(|| first.live_nodes().len() == 2).await;
     platform.set_outage(true);
     drop(cluster.cut(1));
     drop(second);
@@ -219,3 +220,24 @@
         assert!(!heads.state().nodes.contains_key("n1"));
     }
 }
+
+/// Guards R8 against a node that cannot reach the store and misses changes that its peers have.
+#[tokio::test]
+async fn node_without_store_follows_its_peers() {
+    let platform = FakePlatform::bind().await;
+    let unreachable = FakePlatform::bind().await;
+    unreachable.set_outage(true);
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    let second = cluster.spawn(&unreachable, 1, 2, fast_timing());
+    configure(&first).await;
+    wait_state(&second, |state| state.configured_version == 2).await;
+    let entry = first.propose("operator", start_drain("a0"), None).await;
+    let version = entry.expect("accepted").version;
+    wait_state(&second, |state| state.version == version).await;
+    assert_eq!(second.state(), first.state());
+    wait_until(|| second.ready().is_ok()).await;
+    assert!(!second.may_dispatch());
+    let held = second.history(1).await.expect("held entries");
+    assert_eq!(held[0].version, version);
+}
--- a/crates/tanager-fleet/src/configure.rs
+++ b/crates/tanager-fleet/src/configure.rs
@@ -1,5 +1,6 @@
 //! Validation of a new configuration against the fleet state.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use tanager_protocol::config::ConfigDocument;
@@ -12,7 +13,6 @@
 use crate::check::invalid;
 use crate::check::refused;
 use crate::check::unfinished_waves;
-use crate::floor::available_vms;
 use crate::floor::is_available;
 
 pub(crate) fn check_configure(
@@ -100,31 +100,19 @@
     document: &ConfigDocument,
     suspects: &BTreeSet<VmId>,
 ) -> TanagerResult<()> {
+    let mut counts = count_pools(state, document, suspects);
     for (pool, config) in &document.pools {
-        let before = available_vms(state, pool, suspects);
-        let removed = count(state.vms.iter().filter(|(vm, record)| {
-            record.pool == *pool
-                && !document.vms.contains_key(*vm)
-                && is_available(vm, record, suspects)
-        }));
-        let added = count(document.vms.iter().filter(|(vm, config)| {
-            config.pool == *pool && !state.vms.contains_key(*vm) && !suspects.contains(*vm)
-        }));
-        let after = (before + added).saturating_sub(removed);
-        if after >= config.floor {
+        let count = counts.remove(pool.as_str()).unwrap_or_default();
+        if count.after >= config.floor {
             continue;
         }
         let previous = state.document.pools.get(pool).map_or(0, |pool| pool.floor);
-        let planned = state
-            .vms
-            .values()
-            .any(|record| record.pool == *pool && record.activity != VmActivity::Active);
-        if after < before || (planned && config.floor > previous) {
+        if count.after < count.before || (count.planned && config.floor > previous) {
             return Err(refused(
                 pool,
                 format!(
-                    "the pool would have {after} available VMs, its floor is {}",
-                    config.floor
+                    "the pool would have {} available VMs, its floor is {}",
+                    count.after, config.floor
                 ),
             ));
         }
@@ -132,6 +120,35 @@
     Ok(())
 }
 
-fn count<T>(items: impl Iterator<Item = T>) -> u32 {
-    u32::try_from(items.count()).unwrap_or(u32::MAX)
+/// Availability of a pool under the old and the new document.
+#[derive(Clone, Copy, Default)]
+struct PoolCount {
+    before: u32,
+    after: u32,
+    /// Whether planned work holds a VM of the pool out of service.
+    planned: bool,
+}
+
+/// Counts all pools in one pass: a pass per pool took 0.15 s for a configuration of the design
+/// size in an unoptimised build.
+fn count_pools<'pool>(
+    state: &'pool FleetState,
+    document: &'pool ConfigDocument,
+    suspects: &BTreeSet<VmId>,
+) -> BTreeMap<&'pool str, PoolCount> {
+    let mut counts: BTreeMap<&str, PoolCount> = BTreeMap::new();
+    for (vm, record) in &state.vms {
+        let count = counts.entry(&record.pool).or_default();
+        count.planned |= record.activity != VmActivity::Active;
+        if is_available(vm, record, suspects) {
+            count.before += 1;
+            count.after += u32::from(document.vms.contains_key(vm));
+        }
+    }
+    for (vm, config) in &document.vms {
+        if !state.vms.contains_key(vm) && !suspects.contains(vm) {
+            counts.entry(&config.pool).or_default().after += 1;
+        }
+    }
+    counts
 }
