Check the key's history before a keyed request is refused

Change: the entry node reads the claim of the key before it passes on such a refusal: without a claim it stays *not run*, a recorded response is returned, and a claim without a response or an unreadable store gives *unknown* with Retry-After. At most 4 such reads at a time and none for 1 s after a failed one, so that refusals stay immediate in a flood and in an outage.

Ruled out: answering *unknown* to every refused keyed request (hides that a fresh request certainly did not run), a claim row per refusal (a write for each refusal of a flood).

--- a/crates/tanager-node/src/claims/mod.rs
+++ b/crates/tanager-node/src/claims/mod.rs
@@ -7,8 +7,12 @@
 mod write;
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use tokio::sync::OwnedSemaphorePermit;
@@ -31,6 +35,10 @@
 /// Bytes of completion records that wait for the store; further records are dropped, and a retry
 /// of their requests is answered unknown.
 const MAX_RECORD_BYTES: u32 = 16 << 20;
+/// Reads of key histories at a time, so that a flood of refusals leaves the store to claims.
+const MAX_HISTORY_READS: usize = 4;
+/// Time without reads of key histories after one that failed.
+const HISTORY_PAUSE: Duration = Duration::from_secs(1);
 /// Bytes of a completion record besides headers and body.
 const RECORD_OVERHEAD: usize = 512;
 
@@ -49,6 +57,19 @@
     Unavailable,
 }
 
+/// What the store knows of a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum KeyHistory {
+    /// No request with this key was sent.
+    Absent,
+    /// The request ran; this is its response.
+    Recorded(EndpointAnswer),
+    /// The request may have run.
+    Held,
+    /// The store did not answer.
+    Unavailable,
+}
+
 /// The right to send one request.
 #[derive(Debug)]
 pub struct ClaimTicket {
@@ -124,6 +145,9 @@
     waiting: Arc<Semaphore>,
     record_bytes: Arc<Semaphore>,
     stats: Arc<ClaimStats>,
+    platform: Arc<PlatformClient>,
+    history_reads: Semaphore,
+    history_failed: Mutex<Option<Instant>>,
 }
 
 impl ClaimService {
@@ -133,7 +157,7 @@
         let stats = Arc::new(ClaimStats::default());
         let owner = ClaimRow::started(String::new(), node, incarnation);
         let worker = ClaimWorker::new(
-            platform,
+            Arc::clone(&platform),
             owner.clone(),
             commands.downgrade(),
             receiver,
@@ -146,6 +170,9 @@
             waiting: Arc::new(Semaphore::new(MAX_WAITING_CLAIMS)),
             record_bytes: Arc::new(Semaphore::new(MAX_RECORD_BYTES as usize)),
             stats,
+            platform,
+            history_reads: Semaphore::new(MAX_HISTORY_READS),
+            history_failed: Mutex::default(),
         }
     }
 
@@ -169,6 +196,33 @@
         }
     }
 
+    /// Reads the history of a key. Answers [`KeyHistory::Unavailable`] at once while other reads
+    /// fill the share of the store, and shortly after a read that failed, so that a refusal is
+    /// never held back by an outage.
+    pub async fn history(&self, pool: &str, key: &str) -> KeyHistory {
+        let Ok(_permit) = self.history_reads.try_acquire() else {
+            return KeyHistory::Unavailable;
+        };
+        let failed = lock(&self.history_failed).is_some_and(|time| time.elapsed() < HISTORY_PAUSE);
+        if failed {
+            return KeyHistory::Unavailable;
+        }
+        let row = match self.platform.read(&format!("claim/{pool}/{key}")).await {
+            Ok(row) => row,
+            Err(_) => {
+                *lock(&self.history_failed) = Some(Instant::now());
+                return KeyHistory::Unavailable;
+            }
+        };
+        let Some(row) = row else {
+            return KeyHistory::Absent;
+        };
+        let answer = serde_json::from_value::<ClaimRow>(row.value)
+            .ok()
+            .and_then(|claim| claim.answer());
+        answer.map_or(KeyHistory::Held, KeyHistory::Recorded)
+    }
+
     /// Records the response of a claimed request in a later batch. A record that does not fit into
     /// the waiting queue is dropped; a retry is then answered unknown.
     pub fn complete(&self, ticket: ClaimTicket, answer: &EndpointAnswer) {
@@ -218,3 +272,7 @@
         }
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/tanager-node/src/node.rs
+++ b/crates/tanager-node/src/node.rs
@@ -141,6 +141,7 @@
             Arc::clone(&dispatch),
             Arc::clone(&peers),
             Arc::clone(&tickets),
+            Arc::clone(&claims),
         );
         let peer = PeerServer::bind(
             settings.peer_address,
--- a/crates/tanager-node/src/serving.rs
+++ b/crates/tanager-node/src/serving.rs
@@ -16,6 +16,8 @@
 use tanager_protocol::peer::ForwardRequest;
 use tanager_protocol::request::is_idempotent_method;
 
+use crate::claims::ClaimService;
+use crate::claims::KeyHistory;
 use crate::dispatcher::DispatchService;
 use crate::peer::PeerClient;
 use crate::router::HomeTarget;
@@ -38,6 +40,7 @@
     dispatch: Arc<DispatchService>,
     peers: Arc<PeerClient>,
     tickets: Arc<TicketTable>,
+    claims: Arc<ClaimService>,
 }
 
 impl RequestService {
@@ -48,6 +51,7 @@
         dispatch: Arc<DispatchService>,
         peers: Arc<PeerClient>,
         tickets: Arc<TicketTable>,
+        claims: Arc<ClaimService>,
     ) -> Arc<Self> {
         Arc::new(Self {
             node,
@@ -55,6 +59,7 @@
             dispatch,
             peers,
             tickets,
+            claims,
         })
     }
 
@@ -76,7 +81,33 @@
             let message = "this pool requires an Idempotency-Key for POST and PATCH";
             return not_run(NotRunReason::BadRequest, message);
         }
-        RequestRouter::new(self.handlers()).route(request).await
+        let key = history_key(&request);
+        let outcome = RequestRouter::new(self.handlers()).route(request).await;
+        match (key, outcome) {
+            (Some((pool, key)), RequestOutcome::NotRun(refusal))
+                if is_transient(refusal.reason) =>
+            {
+                self.check_refusal(&pool, &key, refusal).await
+            }
+            (_, outcome) => outcome,
+        }
+    }
+
+    /// An earlier request with the same key may have run, so a refusal of this one is *not run*
+    /// only if the store knows no claim of the key (R4).
+    async fn check_refusal(&self, pool: &str, key: &str, refusal: NotRunOutcome) -> RequestOutcome {
+        let retry_after = refusal.retry_after.or(Some(RETRY_AFTER));
+        let message = match self.claims.history(pool, key).await {
+            KeyHistory::Absent => return RequestOutcome::NotRun(refusal),
+            KeyHistory::Recorded(answer) => return RequestOutcome::Answered(answer),
+            KeyHistory::Held => "an earlier request with this key may have run",
+            KeyHistory::Unavailable => "the history of this key cannot be read now",
+        };
+        RequestOutcome::Unknown(UnknownOutcome {
+            reason: UnknownReason::KeyHistory,
+            message: format!("{}; {message}", refusal.message),
+            retry_after,
+        })
     }
 
     /// Returns the outcome of a request for which this node is home, or whose ticket it issued.
@@ -200,6 +231,26 @@
     }
 }
 
+/// Pool and key of a request whose earlier deliveries the claims know.
+fn history_key(request: &ForwardRequest) -> Option<(String, String)> {
+    let keyed = !request.idempotency_key.is_empty() && !is_idempotent_method(&request.method);
+    let claimed = keyed && TicketKey::parse(&request.idempotency_key).is_none();
+    claimed.then(|| (request.pool.clone(), request.idempotency_key.clone()))
+}
+
+/// Whether the same request may have been accepted at another time.
+fn is_transient(reason: NotRunReason) -> bool {
+    matches!(
+        reason,
+        NotRunReason::QuotaExceeded
+            | NotRunReason::QueueFull
+            | NotRunReason::QueueTimeout
+            | NotRunReason::NoWorker
+            | NotRunReason::NotReady
+            | NotRunReason::Cancelled
+    )
+}
+
 fn not_run(reason: NotRunReason, message: &str) -> RequestOutcome {
     let retry_after = (reason == NotRunReason::NotReady).then_some(RETRY_AFTER);
     let message = message.to_owned();
--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -5,3 +5,4 @@
 
 mod harness;
 mod nodes;
+mod refusals;
