Show entries of the log that cannot be read

Cause: a node that met an entry it cannot decode stopped following the log with no sign but a debug line.

Change: the fault is logged once, shown in the state dump and cleared when the log can be followed again; the node stays ready.

Conclusion: the entry is neither skipped nor unnoticed.

--- a/crates/tanager-control/src/core.rs
+++ b/crates/tanager-control/src/core.rs
@@ -55,6 +55,8 @@
     pub(crate) peer_contact: Option<Instant>,
     /// Whether the state is one from which a node may serve.
     pub(crate) synced: bool,
+    /// Why the newest content of the store could not be applied.
+    pub(crate) fault: Option<String>,
     pub(crate) head: HeadRow,
     /// Newest version known to have a snapshot in the store.
     pub(crate) snapshot: LogVersion,
--- a/crates/tanager-control/src/service.rs
+++ b/crates/tanager-control/src/service.rs
@@ -192,6 +192,7 @@
             "head": status.head.version,
             "snapshot": status.snapshot,
             "synced": status.synced,
+            "fault": status.fault,
             "joined": status.joined,
             "superseded": status.superseded,
             "leaving": status.leaving,
--- a/crates/tanager-control/src/store.rs
+++ b/crates/tanager-control/src/store.rs
@@ -49,11 +49,30 @@
             )
         });
         self.note_store(unreachable);
+        if !unreachable {
+            self.note_fault(result.as_ref().err());
+        }
         result?;
         self.status().synced = true;
         Ok(())
     }
 
+    /// Records whether the content of the store could be applied. The node stays ready otherwise:
+    /// an entry that no node can read must not take all of them out of service.
+    fn note_fault(&self, error: Option<&TanagerError>) {
+        let fault = error.map(ToString::to_string);
+        let mut status = self.status();
+        if status.fault != fault {
+            if let Some(fault) = &fault {
+                log::error!(
+                    "{} cannot follow the change log: {fault}",
+                    self.settings.node
+                );
+            }
+            status.fault = fault;
+        }
+    }
+
     async fn read_log(&self) -> TanagerResult<()> {
         let row = self.backend.platform.read(HEAD_KEY).await?;
         let head = match &row {
--- a/crates/tanager-control/tests/startup.rs
+++ b/crates/tanager-control/tests/startup.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::json;
 use tokio::time;
 
 use tanager_control::ControlService;
@@ -241,3 +242,33 @@
     let held = second.history(1).await.expect("held entries");
     assert_eq!(held[0].version, version);
 }
+
+/// Guards against an unreadable entry that goes unnoticed, stops the node or is skipped.
+#[tokio::test]
+async fn unreadable_entry_is_shown_and_not_skipped() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let service = cluster.join(&platform, 0).await;
+    configure(&service).await;
+    let before = service.state();
+    let put = |key: &str, version, value| {
+        let mut tables = platform.tables.lock().unwrap();
+        tables.rows.insert(key.to_owned(), (version, value));
+    };
+    put(
+        "log/000000000003",
+        1,
+        json!({"version": 3, "change": {"later_kind": {}}}),
+    );
+    put("head", 100, json!(3));
+    wait_until(|| service.dump()["fault"].is_string()).await;
+    assert_eq!(service.state(), before);
+    assert!(service.ready().is_ok());
+    let entry = service.propose("operator", start_drain("a0"), None).await;
+    assert_eq!(entry.expect_err("behind the log").kind, ErrorKind::Internal);
+    let change = json!({"end_drain": {"vm": "a0"}});
+    let entry = json!({"version": 3, "author": "x", "token": "", "change": change});
+    put("log/000000000003", 2, entry);
+    wait_state(&service, |state| state.version == 3).await;
+    wait_until(|| service.dump()["fault"].is_null()).await;
+}
