State the reason of the peer stream limit and bound hanging tests

Cause: the comment on the stream limit named a default of 200 that is not in force: with the setting removed, many_calls_wait_at_the_home still passed. With a limit of 200 it fails. A removed release of untaken grants made its test hang instead of fail. Change: the comment gives the reason for the limit; wait_until fails after 60 s, which only a hang reaches. Before: of 16 trial faults (source changed on purpose) 14 were detected, one of them as a hang. After: that one fails. Not detected: no stream limit at all, and a claim that overtakes the removal of its row, which needs more than 32 removals of unknown outcome at once.

--- a/crates/tanager-node/src/peer/server.rs
+++ b/crates/tanager-node/src/peer/server.rs
@@ -32,8 +32,8 @@
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Forwarded requests wait in the queue of their home. With the default of 200 streams, further
-/// requests would wait at the sender, unknown to the home.
+/// Forwarded requests wait in the queue of their home. A limit below the number that waits there
+/// would hold further requests back at the sender, unknown to the home.
 const MAX_STREAMS: u32 = 65_536;
 
 /// With the default window of 64 KiB a body of 4 MiB takes 64 round trips.
--- a/crates/tanager-node/tests/common/mod.rs
+++ b/crates/tanager-node/tests/common/mod.rs
@@ -56,11 +56,15 @@
     }
 }
 
-/// Waits until a condition holds; a condition that never holds is a hang of the test.
+/// Waits until a condition holds.
 pub async fn wait_until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let result = tokio::time::timeout(LONG, wait).await;
+    result.expect("the condition never held: the test hangs");
 }
 
 /// Accepts connections and serves each with `serve`, which also gets its number.
