Test keys, tickets and faulty endpoints of whole sites

Cause: at most once across nodes, home changes and disconnected callers, and the handling of faulty endpoints, were tested in parts only.

Change: site tests that send one key through three nodes at once, again after the home was killed, and again later; that drop a keyed POST and retry it; that run tickets through every node in a store outage; and that truncate, trickle, end bodies by close, cross, silence or fail two of four workers of a pool under load. Each compares the endpoints' record with what callers were told and requires a share of answered requests. The harness exposes homes, peer addresses and the control of the endpoints' restarts.

--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -21,10 +21,12 @@
 use serde_json::json;
 use tokio::time;
 
+use tanager_dispatch::home::select_home;
 use tanager_http::ClientPool;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
 use tanager_http::pool::PoolLimits;
+use tanager_platform::ListedState;
 use tanager_standin::EndpointOptions;
 use tanager_standin::EndpointStandin;
 use tanager_standin::PlatformOptions;
@@ -41,7 +43,9 @@
 
 /// A node process. It is killed when dropped.
 pub struct NodeProcess {
+    pub name: String,
     pub caller: SocketAddr,
+    pub peer: SocketAddr,
     pub admin: SocketAddr,
     child: Child,
 }
@@ -83,7 +87,9 @@
             .map(|(face, address)| (face, address.parse().expect("address")))
             .collect();
         Self {
+            name: name.to_owned(),
             caller: addresses["caller"],
+            peer: addresses["peer"],
             admin: addresses["admin"],
             child,
         }
@@ -146,6 +152,16 @@
 impl TestSite {
     /// Starts a site whose pools share the endpoints evenly, each with the given floor.
     pub async fn open(nodes: usize, endpoints: usize, floor: u32) -> Self {
+        Self::open_with(nodes, endpoints, floor, |_| {}).await
+    }
+
+    /// Starts a site whose document is first changed by `edit`.
+    pub async fn open_with(
+        nodes: usize,
+        endpoints: usize,
+        floor: u32,
+        edit: impl FnOnce(&mut Value),
+    ) -> Self {
         let list_lag = Duration::from_millis(500);
         let options = PlatformOptions {
             list_lag,
@@ -166,8 +182,15 @@
         for _ in 0..nodes {
             site.add_node();
         }
+        for (vm, _) in site.endpoints.endpoints() {
+            site.platform.set_vm(&vm, ListedState::Live);
+            let control = site.endpoints.control();
+            site.platform.register_control(&vm, control);
+        }
         site.wait_ready().await;
-        let response = site.put_config(0, 0, &site.document(floor)).await;
+        let mut document = site.document(floor);
+        edit(&mut document);
+        let response = site.put_config(0, 0, &document).await;
         assert!(response.status.is_success(), "{:?}", response.body);
         let version = version_of(&response);
         site.wait_version(version).await;
@@ -205,15 +228,36 @@
         json!({ "site": "test", "pools": pools, "vms": vms, "teams": {} })
     }
 
-    /// Starts another node, whose seeds are the nodes that run.
+    /// Starts another node without seeds, which needs the store to become ready.
     pub fn add_node(&mut self) -> &mut NodeProcess {
+        self.add_seeded_node(&[])
+    }
+
+    /// Starts another node with the given seeds.
+    pub fn add_seeded_node(&mut self, seeds: &[SocketAddr]) -> &mut NodeProcess {
         let name = format!("entry-{}", self.next_node);
         self.next_node += 1;
-        let node = NodeProcess::spawn(&name, self.platform.address(), &[]);
+        let node = NodeProcess::spawn(&name, self.platform.address(), seeds);
         self.nodes.push(node);
         self.nodes.last_mut().expect("just added")
     }
 
+    /// Index of the node that is home of a pool, VM or other name while all nodes are live.
+    pub fn home_of(&self, subject: &str) -> usize {
+        let names = self.nodes.iter().map(|node| node.name.as_str());
+        let home = select_home(subject, names).expect("a node");
+        let mut nodes = self.nodes.iter();
+        nodes.position(|node| node.name == home).expect("a home")
+    }
+
+    /// Names of the endpoints that the document assigns to a pool.
+    pub fn vms_of(&self, pool: &str) -> Vec<String> {
+        let offset = POOLS.iter().position(|name| *name == pool).expect("pool");
+        let endpoints = self.endpoints.endpoints().into_iter();
+        let names = endpoints.skip(offset).step_by(POOLS.len());
+        names.map(|(name, _)| name).collect()
+    }
+
     pub async fn wait_ready(&self) {
         for node in &self.nodes {
             eventually("the node is ready", async || is_ready(node).await).await;
--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -3,5 +3,7 @@
 
 #![allow(missing_docs, unreachable_pub, reason = "test code")]
 
+mod caller;
 mod harness;
 mod nodes;
+mod requests;
--- a/crates/tanager-node/tests/site/nodes.rs
+++ b/crates/tanager-node/tests/site/nodes.rs
@@ -13,7 +13,7 @@
 use crate::harness::eventually;
 
 /// Waits until no endpoint runs a request, then compares the records.
-pub async fn assert_verdict(site: &TestSite, report: &tanager_standin::report::LoadReport) {
+pub async fn assert_verdict(site: &TestSite, report: &LoadReport) {
     eventually("all runs end", async || {
         site.endpoints.runs().iter().all(|run| run.finish.is_some())
     })
