Keep expired requests until their outcome is delivered

Cause: DispatchCore::submit first ends the requests whose time is over and may give the slot of one to the new request.

Change: the pending table is a HashMap by key, which holds both keys until the final action of the older one is executed.

--- a/crates/tanager-node/src/dispatcher/pending.rs
+++ b/crates/tanager-node/src/dispatcher/pending.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use slotmap::SecondaryMap;
 use tokio::task::AbortHandle;
 
 use tanager_dispatch::RequestKey;
@@ -36,7 +35,9 @@
 /// All requests without an outcome.
 #[derive(Default)]
 pub(crate) struct PendingTable {
-    requests: SecondaryMap<RequestKey, PendingRequest>,
+    /// Not a `SecondaryMap`: a submission first ends expired requests and may reuse the slot of one
+    /// whose final action is still to be executed, and both keys must be present until then.
+    requests: HashMap<RequestKey, PendingRequest>,
     replies: HashMap<ReplyId, RequestKey>,
     joins: HashMap<JoinKey, RequestKey>,
 }
@@ -55,7 +56,7 @@
 
     /// Returns a request.
     pub(crate) fn get_mut(&mut self, key: RequestKey) -> Option<&mut PendingRequest> {
-        self.requests.get_mut(key)
+        self.requests.get_mut(&key)
     }
 
     /// Finds the request in progress with the same idempotency key.
@@ -64,12 +65,12 @@
         join: &JoinKey,
     ) -> Option<(RequestKey, &mut PendingRequest)> {
         let key = *self.joins.get(join)?;
-        self.requests.get_mut(key).map(|pending| (key, pending))
+        self.requests.get_mut(&key).map(|pending| (key, pending))
     }
 
     /// Adds a caller that waits for a request in progress.
     pub(crate) fn wait(&mut self, key: RequestKey, id: ReplyId, reply: OutcomeSender) {
-        if let Some(pending) = self.requests.get_mut(key) {
+        if let Some(pending) = self.requests.get_mut(&key) {
             pending.waiting.push((id, reply));
             self.replies.insert(id, key);
         }
@@ -78,14 +79,14 @@
     /// Removes a caller; returns its request if nobody else waits for it.
     pub(crate) fn leave(&mut self, id: ReplyId) -> Option<(RequestKey, &PendingRequest)> {
         let key = self.replies.remove(&id)?;
-        let pending = self.requests.get_mut(key)?;
+        let pending = self.requests.get_mut(&key)?;
         pending.waiting.retain(|(waiting, _)| *waiting != id);
         pending.waiting.is_empty().then_some((key, pending))
     }
 
     /// Removes a request that has its outcome.
     pub(crate) fn remove(&mut self, key: RequestKey) -> Option<PendingRequest> {
-        let pending = self.requests.remove(key)?;
+        let pending = self.requests.remove(&key)?;
         for (id, _) in &pending.waiting {
             self.replies.remove(id);
         }
@@ -97,7 +98,7 @@
 
     /// Keys of all requests.
     pub(crate) fn keys(&self) -> Vec<RequestKey> {
-        self.requests.keys().collect()
+        self.requests.keys().copied().collect()
     }
 
     /// Number of requests.
--- a/crates/tanager-node/tests/site/caller.rs
+++ b/crates/tanager-node/tests/site/caller.rs
@@ -52,7 +52,10 @@
         let reason = text("tanager-reason");
         match text("tanager-outcome").as_str() {
             "answered" => Self::Answered(response.body),
-            "not-run" => Self::NotRun(reason),
+            "not-run" => {
+                let message = String::from_utf8_lossy(&response.body);
+                Self::NotRun(format!("{reason}: {message}"))
+            }
             "unknown" => Self::Unknown {
                 reason,
                 retry_after: response.header("retry-after").is_some(),
--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -29,10 +29,13 @@
 use tanager_platform::ListedState;
 use tanager_standin::EndpointOptions;
 use tanager_standin::EndpointStandin;
+use tanager_standin::PlatformFaults;
 use tanager_standin::PlatformOptions;
 use tanager_standin::PlatformStandin;
+use tanager_standin::endpoint::EndpointFaults;
 use tanager_standin::load::LoadOptions;
 use tanager_standin::plan::MixOptions;
+use tanager_standin::platform::OutageMode;
 
 pub const ROOT_TOKEN: &str = "0123456789abcdef";
 /// Longest wait for a condition. It only bounds a test that would otherwise never end.
@@ -52,7 +55,12 @@
 
 impl NodeProcess {
     /// Starts a node and waits until it listens.
-    pub fn spawn(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    pub fn spawn(
+        name: &str,
+        platform: SocketAddr,
+        platform_timeout: Duration,
+        seeds: &[SocketAddr],
+    ) -> Self {
         let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let file = directory.join(format!("site-{}-{number}.ini", std::process::id()));
@@ -65,8 +73,9 @@
             "[node]\nname = {name}\nregion = region-1\nzone = zone-1\n\
              caller_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\n\
              admin_address = 127.0.0.1:0\nstop_delay = 300ms\n\
-             [platform]\naddress = {platform}\ntimeout = 500ms\n{peers}\
-             [admin]\nroot_token = {ROOT_TOKEN}\n"
+             [platform]\naddress = {platform}\ntimeout = {timeout}ms\n{peers}\
+             [admin]\nroot_token = {ROOT_TOKEN}\n",
+            timeout = platform_timeout.as_millis(),
         );
         fs::write(&file, settings).expect("settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerladderd"))
@@ -139,11 +148,35 @@
     }
 }
 
+/// Options of a [`TestSite`].
+pub struct SiteOptions {
+    pub nodes: usize,
+    pub endpoints: usize,
+    pub floor: u32,
+    /// Time limit of the nodes' calls to the platform.
+    pub platform_timeout: Duration,
+    /// Changes the first document.
+    pub edit: fn(&mut Value),
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            endpoints: 12,
+            floor: 1,
+            platform_timeout: Duration::from_millis(500),
+            edit: |_| {},
+        }
+    }
+}
+
 /// A site with pools `alpha`, `beta` and `gamma`.
 pub struct TestSite {
     pub platform: PlatformStandin,
     pub endpoints: EndpointStandin,
     pub nodes: Vec<NodeProcess>,
+    platform_timeout: Duration,
     next_node: usize,
 }
 
@@ -152,34 +185,36 @@
 impl TestSite {
     /// Starts a site whose pools share the endpoints evenly, each with the given floor.
     pub async fn open(nodes: usize, endpoints: usize, floor: u32) -> Self {
-        Self::open_with(nodes, endpoints, floor, |_| {}).await
+        Self::open_with(SiteOptions {
+            nodes,
+            endpoints,
+            floor,
+            ..SiteOptions::default()
+        })
+        .await
     }
 
-    /// Starts a site whose document is first changed by `edit`.
-    pub async fn open_with(
-        nodes: usize,
-        endpoints: usize,
-        floor: u32,
-        edit: impl FnOnce(&mut Value),
-    ) -> Self {
+    /// Starts a site with all options.
+    pub async fn open_with(options: SiteOptions) -> Self {
         let list_lag = Duration::from_millis(500);
-        let options = PlatformOptions {
+        let platform = PlatformStandin::bind(PlatformOptions {
             list_lag,
             ..PlatformOptions::default()
-        };
-        let platform = PlatformStandin::bind(options).expect("platform");
-        let options = EndpointOptions {
-            count: endpoints,
+        });
+        let platform = platform.expect("platform");
+        let endpoints = EndpointStandin::bind(&EndpointOptions {
+            count: options.endpoints,
             ..EndpointOptions::default()
-        };
-        let endpoints = EndpointStandin::bind(&options).expect("endpoints");
+        });
+        let endpoints = endpoints.expect("endpoints");
         let mut site = Self {
             platform,
             endpoints,
             nodes: Vec::new(),
+            platform_timeout: options.platform_timeout,
             next_node: 1,
         };
-        for _ in 0..nodes {
+        for _ in 0..options.nodes {
             site.add_node();
         }
         for (vm, _) in site.endpoints.endpoints() {
@@ -188,8 +223,8 @@
             site.platform.register_control(&vm, control);
         }
         site.wait_ready().await;
-        let mut document = site.document(floor);
-        edit(&mut document);
+        let mut document = site.document(options.floor);
+        (options.edit)(&mut document);
         let response = site.put_config(0, 0, &document).await;
         assert!(response.status.is_success(), "{:?}", response.body);
         let version = version_of(&response);
@@ -237,7 +272,7 @@
     pub fn add_seeded_node(&mut self, seeds: &[SocketAddr]) -> &mut NodeProcess {
         let name = format!("entry-{}", self.next_node);
         self.next_node += 1;
-        let node = NodeProcess::spawn(&name, self.platform.address(), seeds);
+        let node = NodeProcess::spawn(&name, self.platform.address(), self.platform_timeout, seeds);
         self.nodes.push(node);
         self.nodes.last_mut().expect("just added")
     }
@@ -318,22 +353,43 @@
     }
 
     pub async fn get_admin(&self, node: usize, path: &str) -> Option<Value> {
-        let response = self
-            .admin(node, HttpRequest::new(Method::GET, path, ""))
-            .await?;
-        serde_json::from_slice(&response.body).ok()
+        get_json(self.nodes[node].admin, path).await
+    }
+
+    pub async fn set_platform(&self, faults: PlatformFaults) {
+        self.platform.set_faults(faults).await.expect("faults");
+    }
+
+    pub async fn set_outage(&self, outage: OutageMode) {
+        self.set_platform(PlatformFaults {
+            outage: Some(outage),
+            ..PlatformFaults::default()
+        })
+        .await;
+    }
+
+    pub async fn set_endpoint(&self, vm: &str, faults: EndpointFaults) {
+        let result = self.endpoints.set_faults(vm, faults).await;
+        result.expect("faults");
     }
 
     async fn admin(&self, node: usize, request: HttpRequest) -> Option<HttpResponse> {
-        admin_call(&self.nodes[node], request).await
+        admin_call(self.nodes[node].admin, request).await
     }
 }
 
-async fn admin_call(node: &NodeProcess, mut request: HttpRequest) -> Option<HttpResponse> {
+/// Reads a page of the administration API.
+pub async fn get_json(admin: SocketAddr, path: &str) -> Option<Value> {
+    let request = HttpRequest::new(Method::GET, path, "");
+    let response = admin_call(admin, request).await?;
+    serde_json::from_slice(&response.body).ok()
+}
+
+async fn admin_call(admin: SocketAddr, mut request: HttpRequest) -> Option<HttpResponse> {
     let token = format!("Bearer {ROOT_TOKEN}");
     let token = HeaderValue::from_str(&token).expect("token");
     request.headers.insert(http::header::AUTHORIZATION, token);
-    call(node.admin, request).await
+    call(admin, request).await
 }
 
 pub async fn call(address: SocketAddr, request: HttpRequest) -> Option<HttpResponse> {
--- a/crates/tanager-node/tests/site/requests.rs
+++ b/crates/tanager-node/tests/site/requests.rs
@@ -8,7 +8,6 @@
 use tokio::time;
 
 use tanager_http::HttpRequest;
-use tanager_standin::PlatformFaults;
 use tanager_standin::endpoint::EndpointFaults;
 use tanager_standin::plan::plan_requests;
 use tanager_standin::platform::OutageMode;
@@ -148,7 +147,7 @@
 async fn tickets_run_once_through_any_node_in_an_outage() {
     let mut site = TestSite::open(3, 12, 1).await;
     let load = spawn_load(site.load(23, 60.0, Duration::from_secs(9)));
-    set_outage(&site, OutageMode::Hang).await;
+    site.set_outage(OutageMode::Hang).await;
     let callers = site.callers();
     let mut calls = Vec::new();
     for number in 0..30 {
@@ -189,7 +188,7 @@
             assert!(unknown, "{}: {outcome:?}", key_of(request));
         }
     }
-    set_outage(&site, OutageMode::None).await;
+    site.set_outage(OutageMode::None).await;
     let report = load.await.expect("load");
     assert_verdict(&site, &report).await;
     assert_served(&report, 30);
@@ -199,6 +198,36 @@
     }
 }
 
+/// Many time limits pass at the moments at which other requests arrive. Guards against a request
+/// that loses its outcome to a new one and is reported as not run although it ran.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn expired_requests_are_not_reported_as_not_run() {
+    let site = TestSite::open(2, 12, 1).await;
+    let slow = EndpointFaults {
+        slow_factor: 100.0,
+        ..EndpointFaults::default()
+    };
+    for (vm, _) in site.endpoints.endpoints() {
+        site.set_endpoint(&vm, slow.clone()).await;
+    }
+    let mut options = site.load(24, 300.0, Duration::from_secs(4));
+    options.mix.timeout = Duration::from_millis(50);
+    options.retry = false;
+    let report = spawn_load(options).await.expect("load");
+    for (vm, _) in site.endpoints.endpoints() {
+        site.set_endpoint(&vm, EndpointFaults::default()).await;
+    }
+    assert_verdict(&site, &report).await;
+    assert_eq!(report.count("not_run:not_ready"), 0, "{report}");
+    assert!(report.count("unknown:timeout") > 100, "{report}");
+    // Ejected workers return with their first trials.
+    time::sleep(Duration::from_secs(3)).await;
+    let report = spawn_load(site.load(25, 60.0, Duration::from_secs(2))).await;
+    let report = report.expect("load");
+    assert_verdict(&site, &report).await;
+    assert_served(&report, 90);
+}
+
 /// Half of the workers of `alpha` have a fault. Guards against foreign and cut answers, second
 /// runs, and a pool that stops serving with them.
 async fn half_of_a_pool_fails(seed: u64, faults: EndpointFaults) {
@@ -213,8 +242,7 @@
     time::sleep(Duration::from_secs(1)).await;
     let workers = site.vms_of("alpha");
     for faulty in &workers[..2] {
-        let result = site.endpoints.set_faults(faulty, faults.clone()).await;
-        result.expect("faults");
+        site.set_endpoint(faulty, faults.clone()).await;
     }
     let mark = site.endpoints.mark();
     let report = load.await.expect("load");
@@ -278,11 +306,3 @@
 fn key_of(request: &HttpRequest) -> String {
     request.header("idempotency-key").expect("key").to_owned()
 }
-
-async fn set_outage(site: &TestSite, outage: OutageMode) {
-    let faults = PlatformFaults {
-        outage: Some(outage),
-        ..PlatformFaults::default()
-    };
-    site.platform.set_faults(faults).await.expect("faults");
-}
