Test whole sites under store faults

Cause: outages, slow stores and lost store answers were tested per crate, not with node processes under load.

Change: site tests with a store that hangs, refuses, answers later than the nodes' time limit, answers after 500 ms, or loses 30% of its answers (seeded); configuration changes through every node meanwhile, while a watcher polls what each node shows and fails when it reverts; a node killed and two started in an outage, one with a seed and one without. Keyed work must be answered unknown with Retry-After in an outage and run exactly once afterwards; work without a key must not lose a request.

The node processes of the harness moved to a file of their own.

--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -1,22 +1,12 @@
 //! A small site: node processes, and stand-ins of the platform and of endpoints in this process.
 
 use std::collections::BTreeMap;
-use std::fs;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
 use http::Method;
-use nix::sys::signal::Signal;
-use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time;
@@ -36,109 +26,19 @@
 use tanager_standin::load::LoadOptions;
 use tanager_standin::plan::MixOptions;
 use tanager_standin::platform::OutageMode;
+use tanager_standin::port::ConnectionHandler;
+use tanager_standin::port::WirePort;
+use tanager_standin::wire::WireResponse;
+
+use crate::process::NodeProcess;
 
 pub const ROOT_TOKEN: &str = "0123456789abcdef";
 /// Longest wait for a condition. It only bounds a test that would otherwise never end.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Longer than the period of the platform's list, so that the list shows every reboot.
+const REBOOT_TIME: Duration = Duration::from_millis(1_500);
 const POLL: Duration = Duration::from_millis(50);
 
-static NEXT_DIRECTORY: AtomicUsize = AtomicUsize::new(0);
-
-/// A node process. It is killed when dropped.
-pub struct NodeProcess {
-    pub name: String,
-    pub caller: SocketAddr,
-    pub peer: SocketAddr,
-    pub admin: SocketAddr,
-    child: Child,
-}
-
-impl NodeProcess {
-    /// Starts a node and waits until it listens.
-    pub fn spawn(
-        name: &str,
-        platform: SocketAddr,
-        platform_timeout: Duration,
-        seeds: &[SocketAddr],
-    ) -> Self {
-        let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = directory.join(format!("site-{}-{number}.ini", std::process::id()));
-        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-        let peers = match seeds.is_empty() {
-            true => String::new(),
-            false => format!("[peers]\nseeds = {}\n", seeds.join(",")),
-        };
-        let settings = format!(
-            "[node]\nname = {name}\nregion = region-1\nzone = zone-1\n\
-             caller_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\n\
-             admin_address = 127.0.0.1:0\nstop_delay = 300ms\n\
-             [platform]\naddress = {platform}\ntimeout = {timeout}ms\n{peers}\
-             [admin]\nroot_token = {ROOT_TOKEN}\n",
-            timeout = platform_timeout.as_millis(),
-        );
-        fs::write(&file, settings).expect("settings file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerladderd"))
-            .arg("--config")
-            .arg(&file)
-            .env("RUST_LOG", "warn")
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("node process");
-        let output = child.stdout.take().expect("standard output");
-        let mut line = String::new();
-        BufReader::new(output)
-            .read_line(&mut line)
-            .expect("listening line");
-        let addresses: BTreeMap<&str, SocketAddr> = line
-            .split_whitespace()
-            .filter_map(|part| part.split_once('='))
-            .map(|(face, address)| (face, address.parse().expect("address")))
-            .collect();
-        Self {
-            name: name.to_owned(),
-            caller: addresses["caller"],
-            peer: addresses["peer"],
-            admin: addresses["admin"],
-            child,
-        }
-    }
-
-    pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process id");
-        nix::sys::signal::kill(Pid::from_raw(id), signal).expect("signal");
-    }
-
-    /// Kills the process without any chance to clean up.
-    pub fn kill(&mut self) {
-        self.child.kill().expect("kill");
-        self.child.wait().expect("wait");
-    }
-
-    /// Waits for the end of a process that was asked to stop; returns its exit code.
-    pub async fn wait(&mut self) -> Option<i32> {
-        let mut code = None;
-        eventually("the process ends", async || {
-            code = self
-                .child
-                .try_wait()
-                .expect("wait")
-                .map(|status| status.code());
-            code.is_some()
-        })
-        .await;
-        code.flatten()
-    }
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        // Both fail when the process has ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// Polls a condition until it holds.
 pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let start = time::Instant::now();
@@ -176,6 +76,7 @@
     pub platform: PlatformStandin,
     pub endpoints: EndpointStandin,
     pub nodes: Vec<NodeProcess>,
+    _reboots: WirePort,
     platform_timeout: Duration,
     next_node: usize,
 }
@@ -207,10 +108,17 @@
             ..EndpointOptions::default()
         });
         let endpoints = endpoints.expect("endpoints");
+        let reboots = WirePort::bind(
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            reboot_handler(endpoints.control()),
+        )
+        .expect("reboot listener");
+        let reboot_address = reboots.address();
         let mut site = Self {
             platform,
             endpoints,
             nodes: Vec::new(),
+            _reboots: reboots,
             platform_timeout: options.platform_timeout,
             next_node: 1,
         };
@@ -219,8 +127,7 @@
         }
         for (vm, _) in site.endpoints.endpoints() {
             site.platform.set_vm(&vm, ListedState::Live);
-            let control = site.endpoints.control();
-            site.platform.register_control(&vm, control);
+            site.platform.register_control(&vm, reboot_address);
         }
         site.wait_ready().await;
         let mut document = site.document(options.floor);
@@ -378,6 +285,24 @@
     }
 }
 
+/// Passes restarts on to the endpoints with the time for which a rebooted VM is down.
+fn reboot_handler(control: SocketAddr) -> ConnectionHandler {
+    Arc::new(move |mut connection, _| {
+        Box::pin(async move {
+            let Ok(Some(request)) = connection.read_request().await else {
+                return;
+            };
+            let body = json!({ "down_ms": REBOOT_TIME.as_millis() }).to_string();
+            let request = HttpRequest::new(Method::POST, request.path(), body);
+            let response = call(control, request).await;
+            let status = response.map_or(500, |response| response.status.as_u16());
+            let response = WireResponse::new(status, "").encode(true, true);
+            // The platform counts a broken connection as a failed restart.
+            let _ = connection.write(&response).await;
+        })
+    })
+}
+
 /// Reads a page of the administration API.
 pub async fn get_json(admin: SocketAddr, path: &str) -> Option<Value> {
     let request = HttpRequest::new(Method::GET, path, "");
--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -6,4 +6,7 @@
 mod caller;
 mod harness;
 mod nodes;
+mod process;
 mod requests;
+mod store;
+mod watch;
