Probe busy workers within the probe budget

Cause: an answered request counted as an assessment and put off the next probe, and in-band only a 503 with Connection: close counts as leaving.

Change: a probe is due one interval after the previous probe, whatever the worker answers; workers of which nothing else is known are still probed first, so that a short budget goes to them. A response that closes its connection puts its worker first. Files: probing.rs, worker.rs, view.rs, core.rs and settings.rs of tanager-dispatch; endpoint.rs, node.rs and dispatcher/ of tanager-node. Site tests of leaving endpoints (busy, idle, list live or frozen), of a VM that only the list reports leaving, and of a drain.

A busy endpoint of the design size (about 160 VMs per node) that closes no connection is recognised by the list only.

--- a/crates/tanager-dispatch/src/core.rs
+++ b/crates/tanager-dispatch/src/core.rs
@@ -156,6 +156,7 @@
             } else if let Some(worker) = self.workers.entries.get_mut(key) {
                 worker.probing = None;
                 worker.assessed = now;
+                worker.last_probe = now;
                 worker.failed_probes = 0;
                 worker.suspended = false;
                 worker.leaving = report == ProbeReport::Leaving;
@@ -165,6 +166,21 @@
         self.settle(now, actions)
     }
 
+    /// Probes a VM before all others, because its endpoint closed a connection: it may be leaving,
+    /// or it may only limit the requests of a connection.
+    pub fn connection_closed(&mut self, now: Duration, vm: &str) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        if let Some(key) = self.workers.names.get(vm)
+            && let Some(worker) = self.workers.entries.get_mut(*key)
+        {
+            worker.assessed = Duration::ZERO;
+            let due = worker.last_probe + self.settings.probe_interval;
+            self.wake = self.wake.min(due.max(now));
+        }
+        self.settle(now, actions)
+    }
+
     /// Ends requests whose time is over and starts probes and trials that are due.
     pub fn tick(&mut self, now: Duration) -> Vec<DispatchAction> {
         let mut actions = Vec::new();
--- a/crates/tanager-dispatch/src/probing.rs
+++ b/crates/tanager-dispatch/src/probing.rs
@@ -1,4 +1,7 @@
-//! Probes of the workers that answer no requests at present.
+//! Probes of workers.
+//!
+//! Busy workers are probed too: a leaving endpoint may answer every request as before. They come
+//! after the idle ones, so that a short budget goes to workers of which nothing else is known.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -65,7 +68,7 @@
                 wake = wake.min(since + timeout);
                 continue;
             }
-            let when = worker.assessed + self.settings.probe_interval;
+            let when = worker.last_probe + self.settings.probe_interval;
             if when <= now {
                 due.push((worker.assessed, key));
             } else {
@@ -104,6 +107,7 @@
         };
         worker.probing = None;
         worker.assessed = now;
+        worker.last_probe = now;
         worker.failed_probes = worker.failed_probes.saturating_add(1);
         if worker.unreachable() && !worker.suspended {
             let pool = worker.pool.clone();
--- a/crates/tanager-dispatch/src/settings.rs
+++ b/crates/tanager-dispatch/src/settings.rs
@@ -13,7 +13,7 @@
 pub struct DispatchSettings {
     /// Weights of urgent, normal and batch work.
     pub weights: [u32; 3],
-    /// Time between probes of a worker that answers no requests.
+    /// Time between probes of a worker while the budget suffices.
     pub probe_interval: Duration,
     /// Time after which an unreported probe counts as failed.
     pub probe_timeout: Duration,
--- a/crates/tanager-dispatch/src/view.rs
+++ b/crates/tanager-dispatch/src/view.rs
@@ -90,6 +90,7 @@
                 requests: 0,
                 reserved: None,
                 assessed: now,
+                last_probe: now,
                 probing: None,
             }),
         };
--- a/crates/tanager-dispatch/src/worker.rs
+++ b/crates/tanager-dispatch/src/worker.rs
@@ -53,6 +53,8 @@
     pub(crate) reserved: Option<RequestKey>,
     /// Last time the endpoint was seen to serve or was probed.
     pub(crate) assessed: Duration,
+    /// End of the newest probe.
+    pub(crate) last_probe: Duration,
     /// Start of the probe in progress.
     pub(crate) probing: Option<Duration>,
 }
--- a/crates/tanager-node/src/dispatcher/event.rs
+++ b/crates/tanager-node/src/dispatcher/event.rs
@@ -17,6 +17,7 @@
 
 use crate::claims::ClaimResult;
 use crate::dispatcher::CounterRow;
+use crate::endpoint::CloseSignal;
 use crate::endpoint::ProbeOutcome;
 
 /// Names one waiting caller within the process.
@@ -47,8 +48,8 @@
     },
     /// A probe ended.
     Probed { vm: VmId, outcome: ProbeOutcome },
-    /// A response announced that the endpoint is leaving.
-    Leaving(SocketAddr),
+    /// A response of the endpoint closed its connection.
+    Closed(SocketAddr, CloseSignal),
     /// A newer fleet state.
     View(Arc<FleetState>),
     /// The pools whose workers this node probes.
--- a/crates/tanager-node/src/dispatcher/mod.rs
+++ b/crates/tanager-node/src/dispatcher/mod.rs
@@ -39,6 +39,7 @@
 use crate::dispatcher::event::DispatchEvent;
 use crate::dispatcher::event::ReplyId;
 use crate::dispatcher::thread::DispatchThread;
+use crate::endpoint::CloseSignal;
 use crate::endpoint::EndpointClient;
 
 /// What the dispatch thread needs of the node.
@@ -132,9 +133,9 @@
         self.send(DispatchEvent::Homes(homes));
     }
 
-    /// Records that the endpoint at an address announced that it is leaving.
-    pub fn report_leaving(&self, address: SocketAddr) {
-        self.send(DispatchEvent::Leaving(address));
+    /// Records that a response of the endpoint at an address closed its connection.
+    pub fn report_close(&self, address: SocketAddr, signal: CloseSignal) {
+        self.send(DispatchEvent::Closed(address, signal));
     }
 
     /// Version applied by the dispatch thread and requests in flight on VMs that are draining or
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -41,6 +41,7 @@
 use crate::dispatcher::event::ReplyId;
 use crate::dispatcher::pending::PendingRequest;
 use crate::dispatcher::pending::PendingTable;
+use crate::endpoint::CloseSignal;
 use crate::endpoint::ProbeOutcome;
 use crate::endpoint::SendFailure;
 use crate::endpoint::SendFailureKind;
@@ -180,8 +181,11 @@
                 };
                 self.core.probe_finished(now, &vm, report)
             }
-            DispatchEvent::Leaving(address) => match self.vms_by_address.get(&address) {
-                Some(vm) => self.core.probe_finished(now, vm, ProbeReport::Leaving),
+            DispatchEvent::Closed(address, signal) => match self.vms_by_address.get(&address) {
+                Some(vm) if signal == CloseSignal::Leaves => {
+                    self.core.probe_finished(now, vm, ProbeReport::Leaving)
+                }
+                Some(vm) => self.core.connection_closed(now, vm),
                 None => Vec::new(),
             },
             DispatchEvent::View(state) => self.apply_view(now, state),
--- a/crates/tanager-node/src/endpoint.rs
+++ b/crates/tanager-node/src/endpoint.rs
@@ -30,8 +30,17 @@
 use tanager_protocol::outcome::UnknownReason;
 use tanager_protocol::peer::ForwardRequest;
 
-/// Called with the address of an endpoint that signals in a response that it is leaving.
-pub type LeavingListener = Arc<dyn Fn(SocketAddr) + Send + Sync>;
+/// What a response says about the endpoint's future.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CloseSignal {
+    /// It closes the connection, for whatever reason.
+    Closes,
+    /// It closes the connection with status 503: it is leaving.
+    Leaves,
+}
+
+/// Called with the address of an endpoint whose response closes its connection.
+pub type LeavingListener = Arc<dyn Fn(SocketAddr, CloseSignal) + Send + Sync>;
 
 /// Whether a failed request may have run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -112,8 +121,12 @@
         let id = &request.request_id;
         let response = self.exchange(address, &outgoing, id, timeout).await?;
         let closes = connection_options(&response.headers).any(|option| option == "close");
-        if response.status == StatusCode::SERVICE_UNAVAILABLE && closes {
-            (self.on_leaving)(address);
+        if closes {
+            let signal = match response.status {
+                StatusCode::SERVICE_UNAVAILABLE => CloseSignal::Leaves,
+                _ => CloseSignal::Closes,
+            };
+            (self.on_leaving)(address, signal);
         }
         let headers = end_to_end_headers(&response.headers);
         let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
--- a/crates/tanager-node/src/node.rs
+++ b/crates/tanager-node/src/node.rs
@@ -257,9 +257,9 @@
     let listener = Arc::clone(&leaving);
     let endpoint = EndpointClient::new(
         limits,
-        Arc::new(move |address| {
+        Arc::new(move |address, signal| {
             if let Some(dispatch) = listener.get() {
-                dispatch.report_leaving(address);
+                dispatch.report_close(address, signal);
             }
         }),
     );
--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -4,7 +4,9 @@
 #![allow(missing_docs, unreachable_pub, reason = "test code")]
 
 mod caller;
+mod fleet;
 mod harness;
+mod leaving;
 mod nodes;
 mod process;
 mod requests;
