Test moves of VMs under load and faults

Cause: that no work of two pools overlaps at a VM, that a move waits for frozen nodes, and that racing operators keep the floor, was tested on pure functions only.

Change: site tests that read the order of starts and finishes at each moved VM from the endpoints' record: moves under load, a node frozen from before the move that wakes or dies, the coordinator killed, the store out, and three operators racing for one spare VM. The log is replayed against the floor.

--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod harness;
 mod leaving;
+mod moves;
 mod nodes;
 mod process;
 mod requests;
