--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -1,129 +1,44 @@
 //! A small site: node processes, and stand-ins of the platform and of endpoints in this process.
 
 use std::collections::BTreeMap;
-use std::fs;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderValue;
 use http::Method;
-use nix::sys::signal::Signal;
-use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time;
 
+use tanager_dispatch::home::select_home;
 use tanager_http::ClientPool;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
 use tanager_http::pool::PoolLimits;
+use tanager_platform::ListedState;
 use tanager_standin::EndpointOptions;
 use tanager_standin::EndpointStandin;
+use tanager_standin::PlatformFaults;
 use tanager_standin::PlatformOptions;
 use tanager_standin::PlatformStandin;
+use tanager_standin::endpoint::EndpointFaults;
 use tanager_standin::load::LoadOptions;
 use tanager_standin::plan::MixOptions;
+use tanager_standin::platform::OutageMode;
+use tanager_standin::port::ConnectionHandler;
+use tanager_standin::port::WirePort;
+use tanager_standin::wire::WireResponse;
+
+use crate::process::NodeProcess;
 
 pub const ROOT_TOKEN: &str = "0123456789abcdef";
 /// Longest wait for a condition. It only bounds a test that would otherwise never end.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Longer than the period of the platform's list, so that the list shows every reboot.
+const REBOOT_TIME: Duration = Duration::from_millis(1_500);
 const POLL: Duration = Duration::from_millis(50);
 
-static NEXT_DIRECTORY: AtomicUsize = AtomicUsize::new(0);
-
-/// A node process. It is killed when dropped.
-pub struct NodeProcess {
-    pub caller: SocketAddr,
-    pub admin: SocketAddr,
-    child: Child,
-}
-
-impl NodeProcess {
-    /// Starts a node and waits until it listens.
-    pub fn spawn(name: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = directory.join(format!("site-{}-{number}.ini", std::process::id()));
-        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-        let peers = match seeds.is_empty() {
-            true => String::new(),
-            false => format!("[peers]\nseeds = {}\n", seeds.join(",")),
-        };
-        let settings = format!(
-            "[node]\nname = {name}\nregion = region-1\nzone = zone-1\n\
-             caller_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\n\
-             admin_address = 127.0.0.1:0\nstop_delay = 300ms\n\
-             [platform]\naddress = {platform}\ntimeout = 500ms\n{peers}\
-             [admin]\nroot_token = {ROOT_TOKEN}\n"
-        );
-        fs::write(&file, settings).expect("settings file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_tanagerladderd"))
-            .arg("--config")
-            .arg(&file)
-            .env("RUST_LOG", "warn")
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("node process");
-        let output = child.stdout.take().expect("standard output");
-        let mut line = String::new();
-        BufReader::new(output)
-            .read_line(&mut line)
-            .expect("listening line");
-        let addresses: BTreeMap<&str, SocketAddr> = line
-            .split_whitespace()
-            .filter_map(|part| part.split_once('='))
-            .map(|(face, address)| (face, address.parse().expect("address")))
-            .collect();
-        Self {
-            caller: addresses["caller"],
-            admin: addresses["admin"],
-            child,
-        }
-    }
-
-    pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process id");
-        nix::sys::signal::kill(Pid::from_raw(id), signal).expect("signal");
-    }
-
-    /// Kills the process without any chance to clean up.
-    pub fn kill(&mut self) {
-        self.child.kill().expect("kill");
-        self.child.wait().expect("wait");
-    }
-
-    /// Waits for the end of a process that was asked to stop; returns its exit code.
-    pub async fn wait(&mut self) -> Option<i32> {
-        let mut code = None;
-        eventually("the process ends", async || {
-            code = self
-                .child
-                .try_wait()
-                .expect("wait")
-                .map(|status| status.code());
-            code.is_some()
-        })
-        .await;
-        code.flatten()
-    }
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        // Both fail when the process has ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// Polls a condition until it holds.
 pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let start = time::Instant::now();
@@ -133,11 +48,36 @@
     }
 }
 
+/// Options of a [`TestSite`].
+pub struct SiteOptions {
+    pub nodes: usize,
+    pub endpoints: usize,
+    pub floor: u32,
+    /// Time limit of the nodes' calls to the platform.
+    pub platform_timeout: Duration,
+    /// Changes the first document.
+    pub edit: fn(&mut Value),
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            endpoints: 12,
+            floor: 1,
+            platform_timeout: Duration::from_millis(500),
+            edit: |_| {},
+        }
+    }
+}
+
 /// A site with pools `alpha`, `beta` and `gamma`.
 pub struct TestSite {
     pub platform: PlatformStandin,
     pub endpoints: EndpointStandin,
     pub nodes: Vec<NodeProcess>,
+    _reboots: WirePort,
+    platform_timeout: Duration,
     next_node: usize,
 }
 
@@ -146,28 +86,53 @@
 impl TestSite {
     /// Starts a site whose pools share the endpoints evenly, each with the given floor.
     pub async fn open(nodes: usize, endpoints: usize, floor: u32) -> Self {
+        Self::open_with(SiteOptions {
+            nodes,
+            endpoints,
+            floor,
+            ..SiteOptions::default()
+        })
+        .await
+    }
+
+    /// Starts a site with all options.
+    pub async fn open_with(options: SiteOptions) -> Self {
         let list_lag = Duration::from_millis(500);
-        let options = PlatformOptions {
+        let platform = PlatformStandin::bind(PlatformOptions {
             list_lag,
             ..PlatformOptions::default()
-        };
-        let platform = PlatformStandin::bind(options).expect("platform");
-        let options = EndpointOptions {
-            count: endpoints,
+        });
+        let platform = platform.expect("platform");
+        let endpoints = EndpointStandin::bind(&EndpointOptions {
+            count: options.endpoints,
             ..EndpointOptions::default()
-        };
-        let endpoints = EndpointStandin::bind(&options).expect("endpoints");
+        });
+        let endpoints = endpoints.expect("endpoints");
+        let reboots = WirePort::bind(
+            SocketAddr::from(([127, 0, 0, 1], 0)),
+            reboot_handler(endpoints.control()),
+        )
+        .expect("reboot listener");
+        let reboot_address = reboots.address();
         let mut site = Self {
             platform,
             endpoints,
             nodes: Vec::new(),
+            _reboots: reboots,
+            platform_timeout: options.platform_timeout,
             next_node: 1,
         };
-        for _ in 0..nodes {
+        for _ in 0..options.nodes {
             site.add_node();
         }
+        for (vm, _) in site.endpoints.endpoints() {
+            site.platform.set_vm(&vm, ListedState::Live);
+            site.platform.register_control(&vm, reboot_address);
+        }
         site.wait_ready().await;
-        let response = site.put_config(0, 0, &site.document(floor)).await;
+        let mut document = site.document(options.floor);
+        (options.edit)(&mut document);
+        let response = site.put_config(0, 0, &document).await;
         assert!(response.status.is_success(), "{:?}", response.body);
         let version = version_of(&response);
         site.wait_version(version).await;
@@ -205,15 +170,36 @@
         json!({ "site": "test", "pools": pools, "vms": vms, "teams": {} })
     }
 
-    /// Starts another node, whose seeds are the nodes that run.
+    /// Starts another node without seeds, which needs the store to become ready.
     pub fn add_node(&mut self) -> &mut NodeProcess {
+        self.add_seeded_node(&[])
+    }
+
+    /// Starts another node with the given seeds.
+    pub fn add_seeded_node(&mut self, seeds: &[SocketAddr]) -> &mut NodeProcess {
         let name = format!("entry-{}", self.next_node);
         self.next_node += 1;
-        let node = NodeProcess::spawn(&name, self.platform.address(), &[]);
+        let node = NodeProcess::spawn(&name, self.platform.address(), self.platform_timeout, seeds);
         self.nodes.push(node);
         self.nodes.last_mut().expect("just added")
     }
 
+    /// Index of the node that is home of a pool, VM or other name while all nodes are live.
+    pub fn home_of(&self, subject: &str) -> usize {
+        let names = self.nodes.iter().map(|node| node.name.as_str());
+        let home = select_home(subject, names).expect("a node");
+        let mut nodes = self.nodes.iter();
+        nodes.position(|node| node.name == home).expect("a home")
+    }
+
+    /// Names of the endpoints that the document assigns to a pool.
+    pub fn vms_of(&self, pool: &str) -> Vec<String> {
+        let offset = POOLS.iter().position(|name| *name == pool).expect("pool");
+        let endpoints = self.endpoints.endpoints().into_iter();
+        let names = endpoints.skip(offset).step_by(POOLS.len());
+        names.map(|(name, _)| name).collect()
+    }
+
     pub async fn wait_ready(&self) {
         for node in &self.nodes {
             eventually("the node is ready", async || is_ready(node).await).await;
@@ -274,22 +260,61 @@
     }
 
     pub async fn get_admin(&self, node: usize, path: &str) -> Option<Value> {
-        let response = self
-            .admin(node, HttpRequest::new(Method::GET, path, ""))
-            .await?;
-        serde_json::from_slice(&response.body).ok()
+        get_json(self.nodes[node].admin, path).await
+    }
+
+    pub async fn set_platform(&self, faults: PlatformFaults) {
+        self.platform.set_faults(faults).await.expect("faults");
+    }
+
+    pub async fn set_outage(&self, outage: OutageMode) {
+        self.set_platform(PlatformFaults {
+            outage: Some(outage),
+            ..PlatformFaults::default()
+        })
+        .await;
+    }
+
+    pub async fn set_endpoint(&self, vm: &str, faults: EndpointFaults) {
+        let result = self.endpoints.set_faults(vm, faults).await;
+        result.expect("faults");
     }
 
     async fn admin(&self, node: usize, request: HttpRequest) -> Option<HttpResponse> {
-        admin_call(&self.nodes[node], request).await
+        admin_call(self.nodes[node].admin, request).await
     }
 }
 
-async fn admin_call(node: &NodeProcess, mut request: HttpRequest) -> Option<HttpResponse> {
+/// Passes restarts on to the endpoints with the time for which a rebooted VM is down.
+fn reboot_handler(control: SocketAddr) -> ConnectionHandler {
+    Arc::new(move |mut connection, _| {
+        Box::pin(async move {
+            let Ok(Some(request)) = connection.read_request().await else {
+                return;
+            };
+            let body = json!({ "down_ms": REBOOT_TIME.as_millis() }).to_string();
+            let request = HttpRequest::new(Method::POST, request.path(), body);
+            let response = call(control, request).await;
+            let status = response.map_or(500, |response| response.status.as_u16());
+            let response = WireResponse::new(status, "").encode(true, true);
+            // The platform counts a broken connection as a failed restart.
+            let _ = connection.write(&response).await;
+        })
+    })
+}
+
+/// Reads a page of the administration API.
+pub async fn get_json(admin: SocketAddr, path: &str) -> Option<Value> {
+    let request = HttpRequest::new(Method::GET, path, "");
+    let response = admin_call(admin, request).await?;
+    serde_json::from_slice(&response.body).ok()
+}
+
+async fn admin_call(admin: SocketAddr, mut request: HttpRequest) -> Option<HttpResponse> {
     let token = format!("Bearer {ROOT_TOKEN}");
     let token = HeaderValue::from_str(&token).expect("token");
     request.headers.insert(http::header::AUTHORIZATION, token);
-    call(node.admin, request).await
+    call(admin, request).await
 }
 
 pub async fn call(address: SocketAddr, request: HttpRequest) -> Option<HttpResponse> {
--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -3,6 +3,14 @@
 
 #![allow(missing_docs, unreachable_pub, reason = "test code")]
 
+mod caller;
+mod fleet;
 mod harness;
+mod leaving;
+mod moves;
 mod nodes;
+mod process;
 mod refusals;
+mod requests;
+mod store;
+mod watch;
