Adapt the endpoint tests to the close signal

Cause: the listener of the endpoint client now also hears of connections that close without status 503, so the merged tests did not compile.

Change: the tests take the signal and assert that status 503 with Connection: close is reported as leaving.

--- a/crates/tanager-node/tests/endpoint.rs
+++ b/crates/tanager-node/tests/endpoint.rs
@@ -18,6 +18,7 @@
 use tanager_http::HttpServer;
 use tanager_http::ServerLimits;
 use tanager_http::pool::PoolLimits;
+use tanager_node::endpoint::CloseSignal;
 use tanager_node::endpoint::EndpointClient;
 use tanager_node::endpoint::ProbeOutcome;
 use tanager_node::endpoint::SendFailureKind;
@@ -34,7 +35,7 @@
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 fn client() -> EndpointClient {
-    EndpointClient::new(PoolLimits::default(), Arc::new(|_| {}))
+    EndpointClient::new(PoolLimits::default(), Arc::new(|_, _| {}))
 }
 
 async fn failure(
@@ -225,12 +226,12 @@
         let (address, _) = first_answer(answer, false).await;
         let leaving = Arc::new(Mutex::new(Vec::new()));
         let listener = Arc::clone(&leaving);
-        let client = EndpointClient::new(PoolLimits::default(), Arc::new(move |address| {
-            listener.lock().unwrap().push(address);
+        let client = EndpointClient::new(PoolLimits::default(), Arc::new(move |address, signal| {
+            listener.lock().unwrap().push((address, signal));
         }));
         let first = client.send(address, &request("GET", ""), LONG).await.unwrap();
         assert_eq!((first.status, body(&client, address).await), (503, b"ok".to_vec()));
-        assert_eq!(*leaving.lock().unwrap(), [address]);
+        assert_eq!(*leaving.lock().unwrap(), [(address, CloseSignal::Leaves)]);
     }
 
     /// Guards against wrong probe results.
