--- a/crates/tanager-dispatch/src/core.rs
+++ b/crates/tanager-dispatch/src/core.rs
@@ -191,6 +191,14 @@
         self.workers.by_name(vm).map_or(0, |worker| worker.requests)
     }
 
+    /// Slots of a VM that may be in use at once; 0 while it gets no new work.
+    pub fn limit(&self, vm: &str) -> u32 {
+        self.workers
+            .by_name(vm)
+            .filter(|worker| worker.is_member() && !worker.is_failing())
+            .map_or(0, |worker| worker.limit.current())
+    }
+
     /// Version of the fleet state in use.
     pub fn applied_version(&self) -> LogVersion {
         self.version
--- a/crates/tanager-dispatch/src/lending.rs
+++ b/crates/tanager-dispatch/src/lending.rs
@@ -4,7 +4,8 @@
 
 use tanager_protocol::ids::PoolId;
 
-/// Load of one pool, in slots.
+/// Load of one pool, in slots. A worker that uses more than its present limit counts with the limit,
+/// so that its excess does not hide idle slots of other workers.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct PoolLoad {
     /// The pool.
--- a/crates/tanager-dispatch/src/rebalance.rs
+++ b/crates/tanager-dispatch/src/rebalance.rs
@@ -38,46 +38,66 @@
     pub to: PoolId,
 }
 
+/// Reports over which a condition has held, with gaps of less than a twentieth of the cost of a move.
+#[derive(Clone, Copy, Debug)]
+struct LoadRun {
+    start: Duration,
+    last: Duration,
+    sum: f64,
+    count: f64,
+}
+
+impl LoadRun {
+    fn mean(&self) -> f64 {
+        self.sum / self.count
+    }
+}
+
 /// Remembers since when each pool has been overloaded or able to give up a VM.
 #[derive(Clone, Debug, Default)]
 pub struct MoveDecider {
-    overloaded: BTreeMap<PoolId, Duration>,
-    spare: BTreeMap<PoolId, Duration>,
+    overloaded: BTreeMap<PoolId, LoadRun>,
+    spare: BTreeMap<PoolId, LoadRun>,
 }
 
 impl MoveDecider {
     /// Decides at most one move. `cost` is the time that a move takes a VM out of service.
     ///
-    /// A pool receives a VM once its reported load has exceeded its slots without a break for
-    /// longer than `cost`. Waiting as long as the move costs bounds the loss: a shorter surge
-    /// causes no move, and a longer one is served at most `cost` later than with foresight. The
-    /// donor must have had room for as long. Only times of reports count, so lagging reports delay
-    /// a move but never cause one.
+    /// A pool receives a VM once its reported load has exceeded its slots for longer than `cost`.
+    /// Waiting as long as the move costs bounds the loss: a shorter surge causes no move, and a
+    /// longer one is served at most `cost` later than with foresight. The donor must have had room
+    /// for as long. Only times of reports count, so lagging reports delay a move but never cause
+    /// one. Single low reports do not end an overload, because reports over a second vary widely
+    /// when run times do; the mean must exceed the slots as well.
     pub fn decide(
         &mut self,
         now: Duration,
         pools: &[PoolPressure],
         cost: Duration,
     ) -> Option<MovePlan> {
+        let gap = cost / 20;
         for pool in pools {
             let fresh = now.saturating_sub(pool.measured) <= REPORT_AGE;
             let over = fresh && pool.offered > f64::from(pool.slots);
-            let room = fresh && has_room(pool);
-            track(&mut self.overloaded, pool, over);
-            track(&mut self.spare, pool, room);
+            let room = fresh && has_room(pool, pool.offered);
+            track(&mut self.overloaded, pool, over, gap);
+            track(&mut self.spare, pool, room, gap);
         }
-        let lasted = |since: &BTreeMap<PoolId, Duration>, pool: &PoolPressure| {
-            since
-                .get(&pool.pool)
-                .is_some_and(|start| pool.measured.saturating_sub(*start) > cost)
+        let lasted = |runs: &BTreeMap<PoolId, LoadRun>, pool: &PoolPressure| {
+            runs.get(&pool.pool)
+                .filter(|run| run.last.saturating_sub(run.start) > cost)
+                .map(LoadRun::mean)
         };
         let to = pools
             .iter()
-            .filter(|pool| lasted(&self.overloaded, pool))
+            .filter(|pool| {
+                lasted(&self.overloaded, pool).is_some_and(|mean| mean > f64::from(pool.slots))
+            })
             .max_by(|left, right| relative_load(left).total_cmp(&relative_load(right)))?;
         let from = pools
             .iter()
-            .filter(|pool| pool.pool != to.pool && lasted(&self.spare, pool))
+            .filter(|pool| pool.pool != to.pool)
+            .filter(|pool| lasted(&self.spare, pool).is_some_and(|mean| has_room(pool, mean)))
             .min_by(|left, right| relative_load(left).total_cmp(&relative_load(right)))?;
         // The effect of this move must show in the reports before the next one.
         self.overloaded.remove(&to.pool);
@@ -89,21 +109,36 @@
     }
 }
 
-fn track(since: &mut BTreeMap<PoolId, Duration>, pool: &PoolPressure, holds: bool) {
+fn track(runs: &mut BTreeMap<PoolId, LoadRun>, pool: &PoolPressure, holds: bool, gap: Duration) {
+    if let Some(run) = runs.get_mut(&pool.pool) {
+        if holds {
+            run.last = pool.measured;
+        }
+        if pool.measured.saturating_sub(run.last) <= gap {
+            run.sum += pool.offered;
+            run.count += 1.0;
+            return;
+        }
+        runs.remove(&pool.pool);
+    }
     if holds {
-        since.entry(pool.pool.clone()).or_insert(pool.measured);
-    } else {
-        since.remove(&pool.pool);
+        let run = LoadRun {
+            start: pool.measured,
+            last: pool.measured,
+            sum: pool.offered,
+            count: 1.0,
+        };
+        runs.insert(pool.pool.clone(), run);
     }
 }
 
-fn has_room(pool: &PoolPressure) -> bool {
+fn has_room(pool: &PoolPressure, offered: f64) -> bool {
     if pool.available <= pool.floor || pool.available == 0 {
         return false;
     }
     let remaining =
         f64::from(pool.slots) * f64::from(pool.available - 1) / f64::from(pool.available);
-    pool.offered <= DONOR_LOAD * remaining
+    offered <= DONOR_LOAD * remaining
 }
 
 fn relative_load(pool: &PoolPressure) -> f64 {
--- a/crates/tanager-dispatch/src/wave.rs
+++ b/crates/tanager-dispatch/src/wave.rs
@@ -41,9 +41,10 @@
 
 /// VMs to start now. Their number keeps the pool at its floor.
 ///
-/// Zones are maintained one at a time as long as that takes at most half again as many rounds as
-/// full parallelism; otherwise, when a zone holds fewer VMs than the floor permits at once, the next
-/// zone starts as soon as the last VM of the previous one has started.
+/// Zones are maintained one at a time as long as that takes at most a fifth more rounds than full
+/// parallelism; otherwise the next zone starts as soon as the last VM of the previous one has
+/// started. A limit of half more rounds left no time for drains: a wave of 11 VMs over three zones
+/// took 1.51 times the shortest time.
 pub fn next_wave_vms(progress: &WaveProgress<'_>) -> Vec<VmId> {
     let spare = progress.available.saturating_sub(progress.floor) as usize;
     let zone_of = |name: &VmId| {
@@ -83,5 +84,5 @@
         *zones.entry(&vm.zone).or_default() += 1;
     }
     let rounds: usize = zones.values().map(|count| count.div_ceil(parallel)).sum();
-    rounds * 2 <= shortest * 3
+    rounds * 5 <= shortest * 6
 }
--- a/crates/tanager-dispatch/tests/decisions.rs
+++ b/crates/tanager-dispatch/tests/decisions.rs
@@ -163,6 +163,30 @@
         }
     }
 
+    /// Two short surges with a pause that are taken for one long one.
+    separate_surges_cause_no_move {
+        let mut decider = MoveDecider::default();
+        let cost = Duration::from_secs(30);
+        for second in 0..600 {
+            let offered = if matches!(second % 60, 0..20 | 22..42) { 200.0 } else { 10.0 };
+            let pools = [pressure("hot", offered, 10, second), pressure("cold", 5.0, 10, second)];
+            assert_eq!(decider.decide(Duration::from_secs(second), &pools, cost), None);
+        }
+    }
+
+    /// A lasting overload with single low reports that is taken for many short ones.
+    noisy_reports_do_not_hide_a_lasting_load {
+        let mut decider = MoveDecider::default();
+        let cost = Duration::from_secs(30);
+        let moves = (0..100).filter(|second| {
+            let offered = if second % 7 == 0 { 60.0 } else { 130.0 };
+            let pools = [pressure("hot", offered, 10, *second), pressure("cold", 5.0, 10, *second)];
+            decider.decide(Duration::from_secs(*second), &pools, cost).is_some()
+        });
+        // One after each 30 s of overload.
+        assert_eq!(moves.count(), 3);
+    }
+
     /// A lasting overload that is never helped, or a donor taken below its floor.
     lasting_load_moves_one_vm_at_a_time_and_respects_floors {
         let mut decider = MoveDecider::default();
@@ -210,8 +234,9 @@
         assert!(next_wave_vms(&progress(&waiting[..2], 3)).is_empty());
     }
 
-    /// Any layout for which a wave exceeds 1.5 times its shortest time or breaks the floor.
-    waves_are_within_half_again_of_the_shortest {
+    /// Any layout for which a wave leaves no time for drains within 1.5 times its shortest time, or
+    /// breaks the floor.
+    waves_are_within_a_fifth_of_the_shortest {
         let config = ProptestConfig {
             failure_persistence: None,
             rng_seed: RngSeed::Fixed(21),
@@ -224,7 +249,7 @@
             let spare = spare.min(total);
             let (rounds, _) = run_wave(&vms, total - spare);
             let shortest = shortest_rounds(vms.len(), spare as usize).expect("some may start");
-            prop_assert!(rounds * 2 <= shortest * 3, "{} rounds, shortest {}", rounds, shortest);
+            prop_assert!(rounds * 5 <= shortest * 6, "{} rounds, shortest {}", rounds, shortest);
         });
     }
 }
