Charge slot time while it is used, and print the policy figures

Cause: run times were charged to a flow when its requests ended. Long requests that had started before an urgent flood counted as use during it, and normal work got no new slot for 5 s.

Change: each priority and team has a clock that advances with its slots in use. A flow or priority that begins to wait starts level with those that wait. docs/POLICY.md holds the policies, the load, the printed figures and what they do not show.

The new case use_before_a_flood_is_not_charged_during_it gives 26, 0 and 0 slots with the previous source and 17, 9 and 0 now. Its first form let 26 ms pass between the ends, gave 19 and 7, and was wrong: normal work used its slots meanwhile.

--- a/crates/tanager-dispatch/src/lifecycle.rs
+++ b/crates/tanager-dispatch/src/lifecycle.rs
@@ -57,7 +57,7 @@
         let (name, team) = (entry.pool.clone(), entry.team.clone());
         let key = self.requests.insert(entry);
         pool.queue
-            .push((priority, &team), weight, key, slots, false);
+            .push(now, (priority, &team), weight, key, slots, false);
         if let Some((reason, message, retry_after)) = refusal {
             self.refuse(now, key, reason, message, retry_after, actions);
             return key;
@@ -150,10 +150,9 @@
         let Some(entry) = self.workers.entries.get_mut(worker) else {
             return;
         };
-        request.charged = pool
-            .queue
-            .take(request.priority, &request.team, request.slots);
-        pool.queue.start_use(request.priority, request.slots);
+        let flow = (request.priority, request.team.as_str());
+        pool.queue.take(flow.0, flow.1, request.slots);
+        pool.queue.start_use(now, flow, request.slots);
         entry.used += request.slots;
         entry.requests += 1;
         entry.reserved = entry.reserved.filter(|reserved| *reserved != key);
@@ -200,7 +199,7 @@
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             pool.parked += 1;
         }
-        self.release(now, key, worker, Duration::ZERO);
+        self.release(now, key, worker);
     }
 
     fn send(
@@ -264,16 +263,16 @@
             self.send(now, key, worker, actions);
         } else {
             if let Some(worker) = worker {
-                self.release(now, key, worker, Duration::ZERO);
+                self.release(now, key, worker);
             } else if let Some(pool) = self.pools.get_mut(&request.pool) {
                 pool.parked -= 1;
             }
-            self.requeue(key);
+            self.requeue(now, key);
         }
     }
 
     /// Puts a request back at the front of its flow.
-    fn requeue(&mut self, key: RequestKey) {
+    fn requeue(&mut self, now: Duration, key: RequestKey) {
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
@@ -282,7 +281,7 @@
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let weight = pool.weight(&request.team);
             let flow = (request.priority, request.team.as_str());
-            pool.queue.push(flow, weight, key, request.slots, true);
+            pool.queue.push(now, flow, weight, key, request.slots, true);
         }
         self.touched.insert(request.pool.clone());
     }
@@ -297,7 +296,7 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
-        let RequestState::Sent { worker, since } = request.state else {
+        let RequestState::Sent { worker, .. } = request.state else {
             return;
         };
         let (priority, team) = (request.priority, request.team.clone());
@@ -336,8 +335,8 @@
                     request.may_have_run = true;
                 }
                 if self.may_retry_unknown(now, key) {
-                    self.release(now, key, worker, now.saturating_sub(since));
-                    self.requeue(key);
+                    self.release(now, key, worker);
+                    self.requeue(now, key);
                 } else {
                     self.finish(now, key, actions);
                 }
@@ -360,8 +359,8 @@
         };
         let may_have_run = request.may_have_run;
         if other {
-            self.release(now, key, worker, Duration::ZERO);
-            self.requeue(key);
+            self.release(now, key, worker);
+            self.requeue(now, key);
         } else if may_have_run {
             self.finish(now, key, actions);
         } else {
@@ -437,7 +436,7 @@
     }
 
     /// Gives back the slots of a request.
-    fn release(&mut self, now: Duration, key: RequestKey, worker: WorkerKey, observed: Duration) {
+    fn release(&mut self, now: Duration, key: RequestKey, worker: WorkerKey) {
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
@@ -455,8 +454,7 @@
         }
         if let Some(pool) = self.pools.get_mut(&request.pool) {
             let flow = (request.priority, request.team.as_str());
-            pool.queue
-                .end_use(flow, request.slots, request.charged, observed);
+            pool.queue.end_use(now, flow, request.slots);
         }
     }
 
@@ -577,13 +575,11 @@
             return;
         };
         match request.state {
-            RequestState::Sent { worker, since } => {
-                self.release(now, key, worker, now.saturating_sub(since));
-            }
+            RequestState::Sent { worker, .. } => self.release(now, key, worker),
             RequestState::Claiming {
                 worker: Some(worker),
                 ..
-            } => self.release(now, key, worker, Duration::ZERO),
+            } => self.release(now, key, worker),
             RequestState::Claiming { worker: None, .. } => {
                 if let Some(pool) = self.pools.get_mut(&request.pool) {
                     pool.parked -= 1;
--- a/crates/tanager-dispatch/src/queue.rs
+++ b/crates/tanager-dispatch/src/queue.rs
@@ -1,4 +1,6 @@
 //! Start-time fair queueing of one pool among priorities, and within them among teams.
+//!
+//! Service is measured in slot time, so that long or large requests count in full.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -12,16 +14,62 @@
 
 /// Expected run time of a flow that has not finished a request yet, in seconds.
 const INITIAL_SECONDS: f64 = 0.1;
+/// Seconds of use charged in advance for each slot in use, so that slots that become free at one
+/// moment are divided by weight.
+const ADVANCE_SECONDS: f64 = 0.1;
 /// Weight of a new run time in the mean of its flow.
 const MEAN_WEIGHT: f64 = 0.02;
 /// Idle flows are forgotten above this number.
 const MAX_IDLE_FLOWS: usize = 512;
 
-/// Requests of one team and priority.
+/// Slot time used by a flow or class in proportion to its weight.
+///
+/// Use is charged while it happens. Charging run times when requests end, as a first version did,
+/// let requests from before a flood count as use during it, and normal work got nothing for 5 s.
 #[derive(Clone, Debug)]
-pub(crate) struct FlowState {
+struct ShareClock {
     weight: f64,
     tag: f64,
+    updated: Duration,
+    in_use: u32,
+}
+
+impl ShareClock {
+    fn new(weight: u32) -> Self {
+        Self {
+            weight: f64::from(weight.max(1)),
+            tag: 0.0,
+            updated: Duration::ZERO,
+            in_use: 0,
+        }
+    }
+
+    fn tag_at(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.tag + passed * f64::from(self.in_use) / self.weight
+    }
+
+    /// Order of service: the least is served next.
+    fn rank(&self, now: Duration) -> f64 {
+        self.tag_at(now) + ADVANCE_SECONDS * f64::from(self.in_use) / self.weight
+    }
+
+    fn set_tag(&mut self, now: Duration, tag: f64) {
+        self.tag = tag;
+        self.updated = self.updated.max(now);
+    }
+
+    fn change_use(&mut self, now: Duration, in_use: u32) {
+        let tag = self.tag_at(now);
+        self.set_tag(now, tag);
+        self.in_use = in_use;
+    }
+}
+
+/// Requests of one team and priority.
+#[derive(Clone, Debug)]
+struct FlowState {
+    clock: ShareClock,
     keys: VecDeque<RequestKey>,
     live: usize,
     slots: u64,
@@ -31,10 +79,9 @@
 }
 
 impl FlowState {
-    fn new(weight: f64) -> Self {
+    fn new(weight: u32) -> Self {
         Self {
-            weight,
-            tag: 0.0,
+            clock: ShareClock::new(weight),
             keys: VecDeque::new(),
             live: 0,
             slots: 0,
@@ -47,41 +94,56 @@
 /// Requests of one priority.
 #[derive(Clone, Debug)]
 struct ClassState {
-    weight: f64,
-    tag: f64,
-    virtual_time: f64,
-    in_use: u32,
+    clock: ShareClock,
     live: usize,
     flows: BTreeMap<TeamId, FlowState>,
 }
 
-/// Queue of one pool. Costs are slot-seconds, so that long or large requests count in full.
+/// Gives a flow or class that begins to wait the least tag of those that wait already, so that it
+/// neither saves up service nor owes for slots that nobody else wanted. When nothing waits, all
+/// start equal.
+fn join_waiting<'a>(
+    now: Duration,
+    members: impl Iterator<Item = (bool, &'a mut ShareClock)>,
+) -> f64 {
+    let mut members: Vec<(bool, &mut ShareClock)> = members.collect();
+    let waiting = members.iter().filter(|(waits, _)| *waits);
+    let least = waiting.map(|(_, clock)| clock.tag_at(now)).reduce(f64::min);
+    if let Some(least) = least {
+        return least;
+    }
+    let greatest = members
+        .iter()
+        .map(|(_, clock)| clock.tag_at(now))
+        .fold(0.0, f64::max);
+    for (_, clock) in &mut members {
+        clock.set_tag(now, greatest);
+    }
+    greatest
+}
+
+/// Queue of one pool.
 #[derive(Clone, Debug)]
 pub(crate) struct PoolQueue {
     classes: [ClassState; 3],
-    virtual_time: f64,
 }
 
 impl PoolQueue {
     pub(crate) fn new(weights: [u32; 3]) -> Self {
         let class = |weight: u32| ClassState {
-            weight: f64::from(weight.max(1)),
-            tag: 0.0,
-            virtual_time: 0.0,
-            in_use: 0,
+            clock: ShareClock::new(weight),
             live: 0,
             flows: BTreeMap::new(),
         };
         Self {
             classes: weights.map(class),
-            virtual_time: 0.0,
         }
     }
 
     pub(crate) fn set_weight(&mut self, team: &str, weight: u32) {
         for class in &mut self.classes {
             if let Some(flow) = class.flows.get_mut(team) {
-                flow.weight = f64::from(weight.max(1));
+                flow.clock.weight = f64::from(weight.max(1));
             }
         }
     }
@@ -91,7 +153,7 @@
     }
 
     pub(crate) fn in_use(&self, priority: RequestPriority) -> u32 {
-        self.classes[class_index(priority)].in_use
+        self.classes[class_index(priority)].clock.in_use
     }
 
     pub(crate) fn flow_live(&self, priority: RequestPriority, team: &str) -> usize {
@@ -102,28 +164,40 @@
     /// Adds a request at the back, or at the front when it returns from an attempt.
     pub(crate) fn push(
         &mut self,
+        now: Duration,
         (priority, team): (RequestPriority, &str),
         weight: u32,
         key: RequestKey,
         slots: u32,
         front: bool,
     ) {
-        let virtual_time = self.virtual_time;
-        let class = &mut self.classes[class_index(priority)];
-        if class.flows.len() > MAX_IDLE_FLOWS && !class.flows.contains_key(team) {
-            class.flows.retain(|_, flow| flow.live > 0);
-        }
-        if class.live == 0 {
-            class.tag = class.tag.max(virtual_time);
+        let index = class_index(priority);
+        if self.classes[index].live == 0 {
+            let classes = self.classes.iter_mut();
+            let least = join_waiting(now, classes.map(|class| (class.live > 0, &mut class.clock)));
+            let clock = &mut self.classes[index].clock;
+            let tag = clock.tag_at(now).max(least);
+            clock.set_tag(now, tag);
         }
+        let class = &mut self.classes[index];
         class.live += 1;
-        let class_time = class.virtual_time;
+        if class.flows.len() > MAX_IDLE_FLOWS && !class.flows.contains_key(team) {
+            class
+                .flows
+                .retain(|_, flow| flow.live > 0 || flow.clock.in_use > 0);
+        }
+        let live = class.flows.get(team).map_or(0, |flow| flow.live);
+        let least = (live == 0).then(|| {
+            let flows = class.flows.values_mut();
+            join_waiting(now, flows.map(|flow| (flow.live > 0, &mut flow.clock)))
+        });
         let flow = class
             .flows
             .entry(team.to_owned())
-            .or_insert_with(|| FlowState::new(f64::from(weight.max(1))));
-        if flow.live == 0 {
-            flow.tag = flow.tag.max(class_time);
+            .or_insert_with(|| FlowState::new(weight));
+        if let Some(least) = least {
+            let tag = flow.clock.tag_at(now).max(least);
+            flow.clock.set_tag(now, tag);
         }
         flow.live += 1;
         flow.slots += u64::from(slots);
@@ -157,6 +231,7 @@
     /// Returns the request to serve next, leaving out the `blocked` flows.
     pub(crate) fn next(
         &mut self,
+        now: Duration,
         capacity: u32,
         blocked: &[(RequestPriority, TeamId)],
         is_queued: impl Fn(RequestKey) -> bool,
@@ -173,16 +248,21 @@
                             .iter()
                             .any(|(other, name)| *other == priority && name == *team)
                 })
-                .min_by(|(_, left), (_, right)| left.tag.total_cmp(&right.tag));
+                .min_by(|(_, left), (_, right)| {
+                    left.clock.rank(now).total_cmp(&right.clock.rank(now))
+                });
             let Some((team, _)) = flow else {
                 continue;
             };
             if priority == RequestPriority::Urgent && self.urgent_within_share(capacity) {
-                best = Some((class.tag, priority, team.clone()));
+                best = Some((class.clock.rank(now), priority, team.clone()));
                 break;
             }
-            if best.as_ref().is_none_or(|(tag, _, _)| class.tag < *tag) {
-                best = Some((class.tag, priority, team.clone()));
+            if best
+                .as_ref()
+                .is_none_or(|(rank, _, _)| class.clock.rank(now) < *rank)
+            {
+                best = Some((class.clock.rank(now), priority, team.clone()));
             }
         }
         let (_, priority, team) = best?;
@@ -200,7 +280,7 @@
     /// Urgent work goes first while the slots it uses are below its share among waiting work.
     fn urgent_within_share(&self, capacity: u32) -> bool {
         let urgent = &self.classes[0];
-        f64::from(urgent.in_use + 1) <= self.class_share(0) * f64::from(capacity)
+        f64::from(urgent.clock.in_use + 1) <= self.class_share(0) * f64::from(capacity)
     }
 
     /// Share of a class among the classes with waiting work.
@@ -210,47 +290,45 @@
             .iter()
             .enumerate()
             .filter(|(other, class)| *other == index || class.live > 0)
-            .map(|(_, class)| class.weight)
+            .map(|(_, class)| class.clock.weight)
             .sum();
-        self.classes[index].weight / total
+        self.classes[index].clock.weight / total
     }
 
-    /// Takes the front request of a flow and charges its expected cost, which it returns.
-    pub(crate) fn take(&mut self, priority: RequestPriority, team: &str, slots: u32) -> f64 {
+    /// Takes the front request of a flow.
+    pub(crate) fn take(&mut self, priority: RequestPriority, team: &str, slots: u32) {
         let class = &mut self.classes[class_index(priority)];
-        let Some(flow) = class.flows.get_mut(team) else {
-            return 0.0;
-        };
-        flow.keys.pop_front();
-        flow.live -= 1;
-        flow.slots -= u64::from(slots);
-        class.live -= 1;
-        let cost = f64::from(slots) * flow.mean;
-        class.virtual_time = class.virtual_time.max(flow.tag);
-        flow.tag += cost / flow.weight;
-        self.virtual_time = self.virtual_time.max(class.tag);
-        class.tag += cost / class.weight;
-        cost
+        if let Some(flow) = class.flows.get_mut(team) {
+            flow.keys.pop_front();
+            flow.live -= 1;
+            flow.slots -= u64::from(slots);
+            class.live -= 1;
+        }
     }
 
-    pub(crate) fn start_use(&mut self, priority: RequestPriority, slots: u32) {
-        self.classes[class_index(priority)].in_use += slots;
+    pub(crate) fn start_use(
+        &mut self,
+        now: Duration,
+        (priority, team): (RequestPriority, &str),
+        slots: u32,
+    ) {
+        let class = &mut self.classes[class_index(priority)];
+        class.clock.change_use(now, class.clock.in_use + slots);
+        if let Some(flow) = class.flows.get_mut(team) {
+            flow.clock.change_use(now, flow.clock.in_use + slots);
+        }
     }
 
-    /// Ends the use of slots and replaces the expected cost by the observed one.
     pub(crate) fn end_use(
         &mut self,
+        now: Duration,
         (priority, team): (RequestPriority, &str),
         slots: u32,
-        charged: f64,
-        observed: Duration,
     ) {
         let class = &mut self.classes[class_index(priority)];
-        class.in_use -= slots;
-        let correction = f64::from(slots) * observed.as_secs_f64() - charged;
-        class.tag += correction / class.weight;
+        class.clock.change_use(now, class.clock.in_use - slots);
         if let Some(flow) = class.flows.get_mut(team) {
-            flow.tag += correction / flow.weight;
+            flow.clock.change_use(now, flow.clock.in_use - slots);
         }
     }
 
@@ -307,9 +385,9 @@
             .flows
             .values()
             .filter(|other| other.live > 0)
-            .map(|other| other.weight)
+            .map(|other| other.clock.weight)
             .sum();
-        let rate = f64::from(capacity.max(1)) * self.class_share(index) * flow.weight / teams;
+        let rate = f64::from(capacity.max(1)) * self.class_share(index) * flow.clock.weight / teams;
         #[allow(clippy::cast_precision_loss)]
         let work = flow.slots as f64 * flow.mean;
         Duration::from_secs_f64((work / rate).min(86_400.0))
--- a/crates/tanager-dispatch/src/request.rs
+++ b/crates/tanager-dispatch/src/request.rs
@@ -42,8 +42,6 @@
     pub(crate) tried: Vec<WorkerKey>,
     /// An attempt ended unknown: the request must not be refused any more.
     pub(crate) may_have_run: bool,
-    /// Slot-seconds charged to the flow when a slot was taken.
-    pub(crate) charged: f64,
 }
 
 impl RequestEntry {
@@ -62,7 +60,6 @@
             attempts: 0,
             tried: Vec::new(),
             may_have_run: false,
-            charged: 0.0,
         }
     }
 
--- a/crates/tanager-dispatch/src/select.rs
+++ b/crates/tanager-dispatch/src/select.rs
@@ -76,7 +76,7 @@
     let slots = capacity(pool, workers);
     let mut blocked: Vec<(RequestPriority, TeamId)> = Vec::new();
     loop {
-        let (priority, team, key) = pool.queue.next(slots, &blocked, is_queued)?;
+        let (priority, team, key) = pool.queue.next(now, slots, &blocked, is_queued)?;
         let request = requests.get(key)?;
         if let Some(worker) = pick_worker(pool, workers, random, now, key, request) {
             return Some(DispatchChoice { key, worker });
--- a/crates/tanager-dispatch/tests/dispatch.rs
+++ b/crates/tanager-dispatch/tests/dispatch.rs
@@ -212,6 +212,23 @@
         assert!(busy[1] < 12 * busy[0], "long requests were kept from their share: {busy:?}");
     }
 
+    /// Long requests from before a flood that count as use during it, so that their class gets
+    /// nothing until the flood has caught up.
+    use_before_a_flood_is_not_charged_during_it {
+        let mut core = core(&fleet(&[("pool", 2, 13)]));
+        let (long, _) = fill(&mut core, ms(0), &normal("pool"));
+        let now = ms(20_000);
+        for _ in 0..60 {
+            core.submit(now, request("pool", "flood", RequestPriority::Urgent));
+            core.submit(now, normal("pool"));
+        }
+        for key in long.into_keys() {
+            core.send_finished(now, key, SendReport::Answered { latency: now });
+        }
+        let in_use = core.dump().pools["pool"].slots_in_use;
+        assert_eq!(in_use, [17, 9, 0], "shares of 8 and 4 of 26 slots");
+    }
+
     /// A team that exceeds its quota, or a refusal without the time at which it may return.
     quota_refuses_above_the_burst {
         let mut state = fleet(&[("pool", 4, 8)]);
