--- /dev/null
+++ b/crates/tanager-dispatch/src/admission.rs
@@ -0,0 +1,104 @@
+//! Admission of requests: refusal at once, or a place in the queue.
+
+use std::time::Duration;
+
+use tanager_protocol::outcome::NotRunReason;
+use tanager_protocol::request::RequestSummary;
+
+use crate::action::DispatchAction;
+use crate::action::RequestKey;
+use crate::core::DispatchCore;
+use crate::request::RequestEntry;
+use crate::select;
+use crate::settings::class_index;
+
+/// Retry-after when no worker receives work: the time in which probes find one that is back.
+pub(crate) const NO_WORKER_RETRY: Duration = Duration::from_secs(2);
+
+impl DispatchCore {
+    /// Queues a request or refuses it at once.
+    pub(crate) fn admit(
+        &mut self,
+        now: Duration,
+        request: RequestSummary,
+        actions: &mut Vec<DispatchAction>,
+    ) -> RequestKey {
+        let refusal = self.check_admission(now, &request);
+        let Some(pool) = self
+            .pools
+            .get_mut(&request.pool)
+            .filter(|pool| pool.present)
+        else {
+            let message = format!("pool {} is not configured", request.pool);
+            let key = self
+                .requests
+                .insert(RequestEntry::new(request, now, Duration::ZERO));
+            self.requests.remove(key);
+            actions.push(DispatchAction::Refuse {
+                key,
+                reason: NotRunReason::UnknownPool,
+                message,
+                retry_after: None,
+            });
+            return key;
+        };
+        let limit = pool.config.queue_limits.limit(request.priority);
+        let entry = RequestEntry::new(request, now, limit);
+        let (slots, priority, expiry) = (entry.slots, entry.priority, entry.expiry());
+        pool.open += 1;
+        pool.counters[class_index(priority)].submitted += 1;
+        let weight = pool.weight(&entry.team);
+        let (name, team) = (entry.pool.clone(), entry.team.clone());
+        let key = self.requests.insert(entry);
+        pool.queue
+            .push(now, (priority, &team), weight, key, slots, false);
+        if let Some((reason, message, retry_after)) = refusal {
+            self.refuse(now, key, reason, message, retry_after, actions);
+            return key;
+        }
+        pool.budget.record_request(now);
+        if let Some(bucket) = pool.quotas.get_mut(&team) {
+            bucket.take();
+        }
+        self.timers.push(expiry, key);
+        self.touched.insert(name);
+        key
+    }
+
+    fn check_admission(
+        &mut self,
+        now: Duration,
+        request: &RequestSummary,
+    ) -> Option<(NotRunReason, String, Option<Duration>)> {
+        let pool = self.pools.get_mut(&request.pool)?;
+        if request.slots > pool.largest && pool.largest > 0 {
+            let message = format!(
+                "the request needs {} slots, the largest worker of pool {} has {}",
+                request.slots, request.pool, pool.largest
+            );
+            return Some((NotRunReason::TooLarge, message, None));
+        }
+        if let Some(bucket) = pool.quotas.get_mut(&request.team) {
+            let wait = bucket.wait(now);
+            if wait != Some(Duration::ZERO) {
+                let message = format!("team {} is over its quota", request.team);
+                return Some((NotRunReason::QuotaExceeded, message, wait));
+            }
+        }
+        let pool = self.pools.get(&request.pool)?;
+        if !select::has_candidate(pool, &self.workers, request.slots.max(1), &[]) {
+            let message = format!("no worker of pool {} receives work", request.pool);
+            return Some((NotRunReason::NoWorker, message, Some(NO_WORKER_RETRY)));
+        }
+        let queue = &pool.queue;
+        let capacity = select::capacity(pool, &self.workers);
+        let wait = queue.estimated_wait(request.priority, &request.team, capacity);
+        let limit = pool.config.queue_limits.limit(request.priority);
+        let full = queue.flow_live(request.priority, &request.team) >= self.settings.max_queued;
+        if full || wait > limit.min(request.timeout) {
+            let message = format!("estimated wait {:.1} s", wait.as_secs_f64());
+            return Some((NotRunReason::QueueFull, message, Some(wait)));
+        }
+        None
+    }
+}
--- a/crates/tanager-dispatch/src/lib.rs
+++ b/crates/tanager-dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! from one monotonic clock, and must not decrease between calls.
 
 pub mod action;
+mod admission;
 pub mod core;
 pub mod counters;
 pub mod dump;
@@ -17,6 +18,7 @@
 mod queue;
 mod quota;
 pub mod rebalance;
+mod report;
 mod request;
 mod retry;
 mod select;
