Report requests lost with the dispatch thread as unknown

The channel closes only if the dispatch thread panics, after which the node would also accept requests and serve none.

Change: such a request is *unknown*, and a panic of the thread ends the process, so that peers and the balancer see the node as lost.

--- a/crates/tanager-node/src/dispatcher/mod.rs
+++ b/crates/tanager-node/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -32,6 +33,8 @@
 use tanager_protocol::outcome::NotRunOutcome;
 use tanager_protocol::outcome::NotRunReason;
 use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::outcome::UnknownOutcome;
+use tanager_protocol::outcome::UnknownReason;
 use tanager_protocol::peer::ForwardRequest;
 use tanager_protocol::request::RequestPriority;
 
@@ -91,7 +94,7 @@
             DispatchThread::new(core, backend, receiver, events.clone(), Arc::clone(&report));
         let thread = std::thread::Builder::new()
             .name("dispatch".to_owned())
-            .spawn(move || thread.run())
+            .spawn(move || run_or_exit(thread))
             .map_err(|error| TanagerError::new(ErrorKind::Internal, "spawn", "dispatch", error))?;
         Ok(Self {
             events,
@@ -120,7 +123,9 @@
         }
         let result = outcome.await;
         guard.events = None;
-        result.unwrap_or_else(|_| stopped())
+        // The thread ends only after it has answered every request, so an answer that never comes
+        // says nothing about the request.
+        result.unwrap_or_else(|_| lost())
     }
 
     /// Applies a fleet state.
@@ -215,6 +220,23 @@
     }
 }
 
+/// Ends the process if the thread panics: a node without it accepts requests and serves none.
+fn run_or_exit(thread: DispatchThread) {
+    let result = std::panic::catch_unwind(AssertUnwindSafe(|| thread.run()));
+    if result.is_err() {
+        log::error!("the dispatch thread failed; the node ends");
+        std::process::exit(1);
+    }
+}
+
+fn lost() -> RequestOutcome {
+    RequestOutcome::Unknown(UnknownOutcome {
+        reason: UnknownReason::HomeLost,
+        message: "the dispatch thread ended before the outcome was known".to_owned(),
+        retry_after: None,
+    })
+}
+
 fn stopped() -> RequestOutcome {
     RequestOutcome::NotRun(NotRunOutcome {
         reason: NotRunReason::NotReady,
