Check keyed work of the load in store outages

Cause: only separate keyed requests were checked to be answered unknown.

Change: every keyed request of the load in an outage must end as unknown with reason key_history or be cancelled.

--- a/crates/tanager-node/tests/site/requests.rs
+++ b/crates/tanager-node/tests/site/requests.rs
@@ -9,6 +9,7 @@
 
 use tanager_http::HttpRequest;
 use tanager_standin::endpoint::EndpointFaults;
+use tanager_standin::judge::CallerOutcome;
 use tanager_standin::plan::plan_requests;
 use tanager_standin::platform::OutageMode;
 
@@ -256,7 +257,7 @@
         let records = records.filter(|record| pools[&record.id] == pool);
         let outcomes: Vec<String> = records
             .filter_map(|record| record.outcomes.last())
-            .map(|outcome| outcome.name())
+            .map(CallerOutcome::name)
             .collect();
         let answered = outcomes.iter().filter(|name| *name == "answered").count();
         (answered, outcomes.len())
--- a/crates/tanager-node/tests/site/store.rs
+++ b/crates/tanager-node/tests/site/store.rs
@@ -121,6 +121,7 @@
     assert_served(&before, 90);
     assert_served(&after, 90);
     assert_keyless_served(&during);
+    assert_keyed_unknown(&during);
     let runs = site.endpoints.runs();
     for (key, _, outcomes) in &told {
         assert_eq!(runs_of(&runs, key), 1, "{key}: {outcomes:?}");
@@ -297,6 +298,24 @@
     assert!(lost.is_empty(), "{lost:?}");
 }
 
+/// The history of a key cannot be read in an outage.
+fn assert_keyed_unknown(report: &LoadReport) {
+    let keyed = report
+        .records
+        .iter()
+        .filter(|record| !record.key.is_empty());
+    let unknown = CallerOutcome::Unknown("key_history".to_owned());
+    let other: Vec<_> = keyed
+        .clone()
+        .filter(|record| {
+            let last = record.outcomes.last();
+            last != Some(&unknown) && last != Some(&CallerOutcome::Cancelled)
+        })
+        .collect();
+    assert!(keyed.count() > 20, "{report}");
+    assert!(other.is_empty(), "{other:?}");
+}
+
 /// The document in force with another team, so that each revision differs.
 async fn revised(site: &TestSite, revision: usize) -> Value {
     let mut document = shown(site.nodes[0].admin).await.expect("page").document;
