--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -35,8 +35,9 @@
 pub const ROOT_TOKEN: &str = "0123456789abcdef";
 /// Longest wait for a condition. It only bounds a test that would otherwise never end.
 const PATIENCE: Duration = Duration::from_secs(60);
-/// Longer than the period of the platform's list, so that the list shows every reboot.
-const REBOOT_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a rebooted VM is down. With 1.5 s a coordinator sometimes saw the reports of
+/// the start and the end together, and waited 30 s for a VM that it had not seen to be down.
+const REBOOT_TIME: Duration = Duration::from_millis(2_500);
 const POLL: Duration = Duration::from_millis(50);
 
 /// Polls a condition until it holds.
