Refuse idempotency keys that are used for different requests

Cause: the key alone named a claim, a request in progress and a ticket, so two callers with the same Idempotency-Key in one pool got each other's answer (R3).

A key with another fingerprint is refused as bad_request, also by the history that is read before another refusal. An unsent claim that another request takes over is rewritten with the fingerprint of that request before it is granted.

Rows of earlier versions have no fingerprint, cannot be decoded and count as held.

--- a/crates/tanager-node/src/claims/mod.rs
+++ b/crates/tanager-node/src/claims/mod.rs
@@ -1,5 +1,6 @@
 //! Claims of keyed non-idempotent requests, so that each runs at most once across the site.
 
+pub mod fingerprint;
 mod queue;
 pub mod record;
 mod unsent;
@@ -27,6 +28,7 @@
 use tanager_protocol::ids::NodeId;
 use tanager_protocol::outcome::EndpointAnswer;
 
+use crate::claims::fingerprint::RequestFingerprint;
 use crate::claims::record::ClaimRow;
 use crate::claims::worker::ClaimWorker;
 
@@ -53,6 +55,8 @@
     Recorded(EndpointAnswer),
     /// The request may have run: another claim holds the key, or no response is recorded.
     Held,
+    /// The key belongs to a different request; this one did not run.
+    KeyReused,
     /// The store did not answer in time.
     Unavailable,
 }
@@ -66,6 +70,8 @@
     Recorded(EndpointAnswer),
     /// The request may have run.
     Held,
+    /// The key belongs to a different request; this one did not run.
+    KeyReused,
     /// The store did not answer.
     Unavailable,
 }
@@ -75,6 +81,7 @@
 pub struct ClaimTicket {
     row_key: String,
     token: String,
+    fingerprint: RequestFingerprint,
     version: RowVersion,
     /// A write of the claim has an unknown outcome and may take effect again later.
     maybe_written: bool,
@@ -104,9 +111,13 @@
     dropped_records: AtomicU64,
 }
 
+/// Node and incarnation that write claims.
+type ClaimOwner = (NodeId, Incarnation);
+
 enum ClaimCommand {
     Claim {
         row_key: String,
+        fingerprint: RequestFingerprint,
         reply: oneshot::Sender<ClaimDelivery>,
         permit: OwnedSemaphorePermit,
     },
@@ -140,7 +151,7 @@
 /// Writes claims in batches. The writer ends when the service is dropped; call
 /// [`ClaimService::flush`] first.
 pub struct ClaimService {
-    owner: ClaimRow,
+    owner: ClaimOwner,
     commands: mpsc::UnboundedSender<ClaimCommand>,
     waiting: Arc<Semaphore>,
     record_bytes: Arc<Semaphore>,
@@ -155,7 +166,7 @@
     pub fn spawn(platform: Arc<PlatformClient>, node: NodeId, incarnation: Incarnation) -> Self {
         let (commands, receiver) = mpsc::unbounded_channel();
         let stats = Arc::new(ClaimStats::default());
-        let owner = ClaimRow::started(String::new(), node, incarnation);
+        let owner = (node, incarnation);
         let worker = ClaimWorker::new(
             Arc::clone(&platform),
             owner.clone(),
@@ -177,13 +188,20 @@
     }
 
     /// Claims a key before its request is sent. Returns at the deadline at the latest.
-    pub async fn claim(&self, pool: &str, key: &str, deadline: Instant) -> ClaimResult {
+    pub async fn claim(
+        &self,
+        pool: &str,
+        key: &str,
+        fingerprint: RequestFingerprint,
+        deadline: Instant,
+    ) -> ClaimResult {
         let Ok(permit) = Arc::clone(&self.waiting).try_acquire_owned() else {
             return ClaimResult::Unavailable;
         };
         let (reply, result) = oneshot::channel();
         let command = ClaimCommand::Claim {
             row_key: format!("claim/{pool}/{key}"),
+            fingerprint,
             reply,
             permit,
         };
@@ -199,7 +217,12 @@
     /// Reads the history of a key. Answers [`KeyHistory::Unavailable`] at once while other reads
     /// fill the share of the store, and shortly after a read that failed, so that a refusal is
     /// never held back by an outage.
-    pub async fn history(&self, pool: &str, key: &str) -> KeyHistory {
+    pub async fn history(
+        &self,
+        pool: &str,
+        key: &str,
+        fingerprint: &RequestFingerprint,
+    ) -> KeyHistory {
         let Ok(_permit) = self.history_reads.try_acquire() else {
             return KeyHistory::Unavailable;
         };
@@ -217,19 +240,22 @@
         let Some(row) = row else {
             return KeyHistory::Absent;
         };
-        let answer = serde_json::from_value::<ClaimRow>(row.value)
-            .ok()
-            .and_then(|claim| claim.answer());
+        let claim = serde_json::from_value::<ClaimRow>(row.value).ok();
+        if claim
+            .as_ref()
+            .is_some_and(|claim| claim.fingerprint != *fingerprint)
+        {
+            return KeyHistory::KeyReused;
+        }
+        let answer = claim.and_then(|claim| claim.answer());
         answer.map_or(KeyHistory::Held, KeyHistory::Recorded)
     }
 
     /// Records the response of a claimed request in a later batch. A record that does not fit into
     /// the waiting queue is dropped; a retry is then answered unknown.
     pub fn complete(&self, ticket: ClaimTicket, answer: &EndpointAnswer) {
-        let row = ClaimRow {
-            token: ticket.token.clone(),
-            ..self.owner.clone()
-        };
+        let (token, fingerprint) = (ticket.token.clone(), ticket.fingerprint.clone());
+        let row = ClaimRow::started(token, self.owner.clone(), fingerprint);
         let row = Box::new(row.done(answer));
         let bytes = u32::try_from(row.bytes() + RECORD_OVERHEAD).unwrap_or(MAX_RECORD_BYTES);
         let Ok(permit) = Arc::clone(&self.record_bytes).try_acquire_many_owned(bytes) else {
--- a/crates/tanager-node/src/claims/record.rs
+++ b/crates/tanager-node/src/claims/record.rs
@@ -9,6 +9,8 @@
 use tanager_protocol::ids::NodeId;
 use tanager_protocol::outcome::EndpointAnswer;
 
+use crate::claims::fingerprint::RequestFingerprint;
+
 /// Largest recorded body, in bytes. A retry of a request with a larger response gets no recorded
 /// response.
 pub const MAX_RECORDED_BODY: usize = 16 << 10;
@@ -35,6 +37,8 @@
     pub node: NodeId,
     /// Incarnation of that node.
     pub incarnation: Incarnation,
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
     /// State.
     pub state: ClaimState,
     /// Status of the response; `null` when no response is recorded.
@@ -47,11 +51,16 @@
 
 impl ClaimRow {
     /// Creates the row of a request that is about to be sent.
-    pub fn started(token: String, node: NodeId, incarnation: Incarnation) -> Self {
+    pub fn started(
+        token: String,
+        (node, incarnation): (NodeId, Incarnation),
+        fingerprint: RequestFingerprint,
+    ) -> Self {
         Self {
             token,
             node,
             incarnation,
+            fingerprint,
             state: ClaimState::Started,
             status: None,
             headers: None,
--- a/crates/tanager-node/src/claims/worker.rs
+++ b/crates/tanager-node/src/claims/worker.rs
@@ -22,11 +22,11 @@
 
 use crate::claims::ClaimCommand;
 use crate::claims::ClaimDelivery;
+use crate::claims::ClaimOwner;
 use crate::claims::ClaimResult;
 use crate::claims::ClaimStats;
 use crate::claims::ClaimTicket;
 use crate::claims::queue::WriteQueue;
-use crate::claims::record::ClaimRow;
 use crate::claims::record::ClaimState;
 use crate::claims::unsent::FULL_CHECKS;
 use crate::claims::write::PendingWrite;
@@ -47,8 +47,7 @@
 /// Task that writes claims.
 pub(super) struct ClaimWorker {
     platform: Arc<PlatformClient>,
-    /// Row of a new claim, without its token.
-    owner: ClaimRow,
+    owner: ClaimOwner,
     sender: mpsc::WeakUnboundedSender<ClaimCommand>,
     commands: mpsc::UnboundedReceiver<ClaimCommand>,
     stats: Arc<ClaimStats>,
@@ -62,7 +61,7 @@
 impl ClaimWorker {
     pub(super) fn new(
         platform: Arc<PlatformClient>,
-        owner: ClaimRow,
+        owner: ClaimOwner,
         sender: mpsc::WeakUnboundedSender<ClaimCommand>,
         commands: mpsc::UnboundedReceiver<ClaimCommand>,
         stats: Arc<ClaimStats>,
@@ -121,10 +120,12 @@
         match command {
             ClaimCommand::Claim {
                 row_key,
+                fingerprint,
                 reply,
                 permit,
             } => {
                 let action = WriteAction::Insert {
+                    fingerprint,
                     reply,
                     _permit: permit,
                 };
@@ -150,6 +151,7 @@
                 let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
                 write.version = ticket.version;
                 write.maybe_written = ticket.maybe_written;
+                write.fingerprint = Some(ticket.fingerprint);
                 self.queue.push_delete(write);
             }
             ClaimCommand::Flush(reply) => self.flushes.push(reply),
@@ -161,7 +163,7 @@
             if delete.maybe_deleted {
                 // The removal may still take effect, so its token must not be used again.
                 self.queue.deletes.insert(row_key.clone(), delete);
-            } else if delete.check_row {
+            } else if delete.check_row || !action.has_fingerprint(delete.fingerprint.as_ref()) {
                 let mut write = PendingWrite::new(row_key, delete.token, action);
                 write.check_row = true;
                 write.maybe_written = true;
@@ -183,8 +185,8 @@
 
     fn new_token(&mut self) -> String {
         self.tokens += 1;
-        let owner = &self.owner;
-        format!("{}-{}-{}", owner.node, owner.incarnation, self.tokens)
+        let (node, incarnation) = &self.owner;
+        format!("{node}-{incarnation}-{}", self.tokens)
     }
 
     async fn process(&mut self, batch: Vec<PendingWrite>) -> Result<(), BackOff> {
@@ -329,13 +331,23 @@
                 write.version = 0;
                 return Some(write);
             }
-            (WriteAction::Insert { .. }, RowView::Own(version, ClaimState::Started)) => {
+            (WriteAction::Insert { fingerprint, .. }, RowView::Own(version, claim))
+                if claim.state == ClaimState::Started =>
+            {
+                if claim.fingerprint != *fingerprint {
+                    // The row was written for another request with this key that was not sent.
+                    write.version = version;
+                    return Some(write);
+                }
                 self.grant(write, version);
             }
-            (WriteAction::Insert { .. }, RowView::Own(_, ClaimState::Done)) => {
+            (WriteAction::Insert { .. }, RowView::Own(..)) => {
                 self.deliver(write, ClaimResult::Held);
             }
-            (WriteAction::Insert { .. }, RowView::Other(claim)) => {
+            (WriteAction::Insert { fingerprint, .. }, RowView::Other(claim)) => {
+                let reused = claim
+                    .as_ref()
+                    .is_some_and(|claim| claim.fingerprint != *fingerprint);
                 if write.maybe_written {
                     self.queue.unsent.remember(
                         write.row_key.clone(),
@@ -344,17 +356,21 @@
                     );
                 }
                 let answer = claim.and_then(|claim| claim.answer());
-                let result = answer.map_or(ClaimResult::Held, ClaimResult::Recorded);
+                let result = match answer {
+                    _ if reused => ClaimResult::KeyReused,
+                    Some(answer) => ClaimResult::Recorded(answer),
+                    None => ClaimResult::Held,
+                };
                 self.deliver(write, result);
             }
             (
                 WriteAction::Record { .. } | WriteAction::Delete { .. },
-                RowView::Own(version, ClaimState::Started),
-            ) => {
+                RowView::Own(version, claim),
+            ) if claim.state == ClaimState::Started => {
                 write.version = version;
                 return Some(write);
             }
-            (WriteAction::Record { .. }, RowView::Own(_, ClaimState::Done)) => {}
+            (WriteAction::Record { .. }, RowView::Own(..)) => {}
             (WriteAction::Record { .. }, RowView::Absent | RowView::Other(_)) => {
                 add(&self.stats.dropped_records, 1);
             }
@@ -367,7 +383,11 @@
     }
 
     fn grant(&self, write: PendingWrite, version: RowVersion) {
+        let WriteAction::Insert { fingerprint, .. } = &write.action else {
+            return;
+        };
         let ticket = ClaimTicket {
+            fingerprint: fingerprint.clone(),
             row_key: write.row_key.clone(),
             token: write.token.clone(),
             version,
--- a/crates/tanager-node/src/claims/write.rs
+++ b/crates/tanager-node/src/claims/write.rs
@@ -10,13 +10,16 @@
 use tanager_platform::TableRow;
 
 use crate::claims::ClaimDelivery;
+use crate::claims::ClaimOwner;
+use crate::claims::fingerprint::RequestFingerprint;
 use crate::claims::record::ClaimRow;
-use crate::claims::record::ClaimState;
 
 /// What is written.
 pub(super) enum WriteAction {
     /// A new claim.
     Insert {
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
         /// Receives the result.
         reply: oneshot::Sender<ClaimDelivery>,
         /// Place among the waiting claims.
@@ -44,6 +47,8 @@
     pub(super) token: String,
     /// Version that the row must have; 0 when it must be absent.
     pub(super) version: RowVersion,
+    /// Fingerprint of the row that is removed, if known.
+    pub(super) fingerprint: Option<RequestFingerprint>,
     /// What is written.
     pub(super) action: WriteAction,
     /// The row must be read before it is written.
@@ -61,17 +66,25 @@
     /// There is no row.
     Absent,
     /// The row holds the claim of this write.
-    Own(RowVersion, ClaimState),
+    Own(RowVersion, Box<ClaimRow>),
     /// The row holds another claim; `None` when it cannot be decoded.
     Other(Option<Box<ClaimRow>>),
 }
 
+impl WriteAction {
+    /// Returns whether this is a claim of a request with the fingerprint.
+    pub(super) fn has_fingerprint(&self, other: Option<&RequestFingerprint>) -> bool {
+        matches!(self, Self::Insert { fingerprint, .. } if Some(fingerprint) == other)
+    }
+}
+
 impl PendingWrite {
     pub(super) fn new(row_key: String, token: String, action: WriteAction) -> Self {
         Self {
             row_key,
             token,
             version: 0,
+            fingerprint: None,
             action,
             check_row: false,
             maybe_written: false,
@@ -90,7 +103,7 @@
             return RowView::Absent;
         };
         match serde_json::from_value::<ClaimRow>(row.value) {
-            Ok(claim) if claim.token == self.token => RowView::Own(row.version, claim.state),
+            Ok(claim) if claim.token == self.token => RowView::Own(row.version, Box::new(claim)),
             Ok(claim) => RowView::Other(Some(Box::new(claim))),
             Err(_) => RowView::Other(None),
         }
@@ -113,11 +126,11 @@
         }
     }
 
-    pub(super) fn row_write(&self, owner: &ClaimRow) -> Result<RowWrite, serde_json::Error> {
+    pub(super) fn row_write(&self, owner: &ClaimOwner) -> Result<RowWrite, serde_json::Error> {
         let value: Option<Value> = match &self.action {
-            WriteAction::Insert { .. } => {
-                let mut row = owner.clone();
-                row.token.clone_from(&self.token);
+            WriteAction::Insert { fingerprint, .. } => {
+                let (token, fingerprint) = (self.token.clone(), fingerprint.clone());
+                let row = ClaimRow::started(token, owner.clone(), fingerprint);
                 Some(serde_json::to_value(row)?)
             }
             WriteAction::Record { row, .. } => Some(serde_json::to_value(row)?),
--- a/crates/tanager-node/src/dispatcher/event.rs
+++ b/crates/tanager-node/src/dispatcher/event.rs
@@ -16,6 +16,7 @@
 use tanager_protocol::peer::ForwardRequest;
 
 use crate::claims::ClaimResult;
+use crate::claims::fingerprint::RequestFingerprint;
 use crate::dispatcher::CounterRow;
 use crate::endpoint::ProbeOutcome;
 
@@ -30,6 +31,8 @@
     Submit {
         id: ReplyId,
         request: Arc<ForwardRequest>,
+        /// Set for keyed non-idempotent requests.
+        fingerprint: Option<RequestFingerprint>,
         reply: OutcomeSender,
     },
     /// The caller no longer waits.
--- a/crates/tanager-node/src/dispatcher/mod.rs
+++ b/crates/tanager-node/src/dispatcher/mod.rs
@@ -34,8 +34,10 @@
 use tanager_protocol::outcome::RequestOutcome;
 use tanager_protocol::peer::ForwardRequest;
 use tanager_protocol::request::RequestPriority;
+use tanager_protocol::request::is_idempotent_method;
 
 use crate::claims::ClaimService;
+use crate::claims::fingerprint::RequestFingerprint;
 use crate::dispatcher::event::DispatchEvent;
 use crate::dispatcher::event::ReplyId;
 use crate::dispatcher::thread::DispatchThread;
@@ -105,16 +107,21 @@
     pub async fn submit(&self, request: ForwardRequest) -> RequestOutcome {
         let id = self.next_reply.fetch_add(1, Ordering::Relaxed);
         let (reply, outcome) = oneshot::channel();
+        let keyed = !is_idempotent_method(&request.method) && !request.idempotency_key.is_empty();
+        // Computed here because a large body would hold the dispatch thread for milliseconds.
+        let fingerprint = keyed.then(|| RequestFingerprint::new(&request));
         let request = Arc::new(request);
         let mut guard = CancelGuard {
             id,
             events: Some(&self.events),
         };
-        if self
-            .events
-            .send(DispatchEvent::Submit { id, request, reply })
-            .is_err()
-        {
+        let event = DispatchEvent::Submit {
+            id,
+            request,
+            fingerprint,
+            reply,
+        };
+        if self.events.send(event).is_err() {
             return stopped();
         }
         let result = outcome.await;
--- a/crates/tanager-node/src/dispatcher/pending.rs
+++ b/crates/tanager-node/src/dispatcher/pending.rs
@@ -11,6 +11,7 @@
 use tanager_protocol::peer::ForwardRequest;
 
 use crate::claims::ClaimTicket;
+use crate::claims::fingerprint::RequestFingerprint;
 use crate::dispatcher::event::OutcomeSender;
 use crate::dispatcher::event::ReplyId;
 
@@ -23,6 +24,8 @@
     pub(crate) idempotent: bool,
     /// Set for keyed non-idempotent requests.
     pub(crate) join: Option<JoinKey>,
+    /// Set for keyed non-idempotent requests.
+    pub(crate) fingerprint: Option<RequestFingerprint>,
     pub(crate) waiting: Vec<(ReplyId, OutcomeSender)>,
     pub(crate) claim: Option<ClaimTicket>,
     /// Whether an attempt began.
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -34,6 +34,8 @@
 use tanager_protocol::request::is_idempotent_method;
 
 use crate::claims::ClaimResult;
+use crate::claims::fingerprint::RequestFingerprint;
+use crate::claims::fingerprint::key_reused;
 use crate::dispatcher::DispatchBackend;
 use crate::dispatcher::DispatchReport;
 use crate::dispatcher::event::DispatchEvent;
@@ -153,8 +155,13 @@
     fn handle(&mut self, event: DispatchEvent) {
         let now = self.now();
         let actions = match event {
-            DispatchEvent::Submit { id, request, reply } => {
-                self.submit(now, id, request, reply);
+            DispatchEvent::Submit {
+                id,
+                request,
+                fingerprint,
+                reply,
+            } => {
+                self.submit(now, (id, reply), request, fingerprint);
                 return;
             }
             DispatchEvent::Cancel(id) => self.cancel(now, id),
@@ -209,17 +216,22 @@
     fn submit(
         &mut self,
         now: Duration,
-        id: ReplyId,
+        (id, reply): (ReplyId, OutcomeSender),
         request: Arc<ForwardRequest>,
-        reply: OutcomeSender,
+        fingerprint: Option<RequestFingerprint>,
     ) {
         let idempotent = is_idempotent_method(&request.method);
-        let needs_claim = !idempotent && !request.idempotency_key.is_empty();
+        let needs_claim = fingerprint.is_some();
         let join = needs_claim.then(|| (request.pool.clone(), request.idempotency_key.clone()));
         if let Some(join) = &join
-            && let Some((key, _)) = self.pending.find_join(join)
+            && let Some((key, pending)) = self.pending.find_join(join)
         {
-            self.pending.wait(key, id, reply);
+            if pending.fingerprint == fingerprint {
+                self.pending.wait(key, id, reply);
+            } else {
+                // The caller may have disconnected.
+                let _ = reply.send(RequestOutcome::NotRun(key_reused()));
+            }
             return;
         }
         let summary = RequestSummary {
@@ -235,6 +247,7 @@
             request,
             idempotent,
             join,
+            fingerprint,
             waiting: vec![(id, reply)],
             claim: None,
             sent: false,
@@ -284,6 +297,10 @@
                 pending.outcome = Some(unknown(UnknownReason::KeyHistory, message, true));
                 ClaimVerdict::Resolved
             }
+            ClaimResult::KeyReused => {
+                pending.outcome = Some(RequestOutcome::NotRun(key_reused()));
+                ClaimVerdict::Resolved
+            }
             ClaimResult::Unavailable => {
                 let message = "the history of this key cannot be read now";
                 pending.outcome = Some(unknown(UnknownReason::KeyHistory, message, true));
@@ -338,13 +355,21 @@
         let Some(pending) = self.pending.get_mut(key) else {
             return;
         };
+        let Some(fingerprint) = pending.fingerprint.clone() else {
+            return;
+        };
         let request = Arc::clone(&pending.request);
         let claims = Arc::clone(&self.backend.claims);
         let events = self.events.clone();
         let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
         self.backend.runtime.spawn(async move {
             let result = claims
-                .claim(&request.pool, &request.idempotency_key, deadline)
+                .claim(
+                    &request.pool,
+                    &request.idempotency_key,
+                    fingerprint,
+                    deadline,
+                )
                 .await;
             // Fails only after the thread has ended.
             let _ = events.send(DispatchEvent::Claimed { key, result });
--- a/crates/tanager-node/src/serving.rs
+++ b/crates/tanager-node/src/serving.rs
@@ -18,6 +18,8 @@
 
 use crate::claims::ClaimService;
 use crate::claims::KeyHistory;
+use crate::claims::fingerprint::RequestFingerprint;
+use crate::claims::fingerprint::key_reused;
 use crate::dispatcher::DispatchService;
 use crate::peer::PeerClient;
 use crate::router::HomeTarget;
@@ -84,10 +86,8 @@
         let key = history_key(&request);
         let outcome = RequestRouter::new(self.handlers()).route(request).await;
         match (key, outcome) {
-            (Some((pool, key)), RequestOutcome::NotRun(refusal))
-                if is_transient(refusal.reason) =>
-            {
-                self.check_refusal(&pool, &key, refusal).await
+            (Some(key), RequestOutcome::NotRun(refusal)) if is_transient(refusal.reason) => {
+                self.check_refusal(key, refusal).await
             }
             (_, outcome) => outcome,
         }
@@ -95,10 +95,12 @@
 
     /// An earlier request with the same key may have run, so a refusal of this one is *not run*
     /// only if the store knows no claim of the key (R4).
-    async fn check_refusal(&self, pool: &str, key: &str, refusal: NotRunOutcome) -> RequestOutcome {
+    async fn check_refusal(&self, key: HistoryKey, refusal: NotRunOutcome) -> RequestOutcome {
         let retry_after = refusal.retry_after.or(Some(RETRY_AFTER));
-        let message = match self.claims.history(pool, key).await {
+        let history = self.claims.history(&key.pool, &key.key, &key.fingerprint);
+        let message = match history.await {
             KeyHistory::Absent => return RequestOutcome::NotRun(refusal),
+            KeyHistory::KeyReused => return RequestOutcome::NotRun(key_reused()),
             KeyHistory::Recorded(answer) => return RequestOutcome::Answered(answer),
             KeyHistory::Held => "an earlier request with this key may have run",
             KeyHistory::Unavailable => "the history of this key cannot be read now",
@@ -137,8 +139,10 @@
         ticket: TicketKey,
         mut request: ForwardRequest,
     ) -> RequestOutcome {
-        match self.tickets.begin(&ticket, &request.pool) {
+        let fingerprint = RequestFingerprint::new(&request);
+        match self.tickets.begin(&ticket, &request.pool, &fingerprint) {
             TicketStart::Begun => {}
+            TicketStart::KeyReused => return RequestOutcome::NotRun(key_reused()),
             TicketStart::Finished(answer) => return RequestOutcome::Answered(answer),
             TicketStart::InProgress => {
                 return key_history("a request with this ticket is in progress");
@@ -231,11 +235,22 @@
     }
 }
 
-/// Pool and key of a request whose earlier deliveries the claims know.
-fn history_key(request: &ForwardRequest) -> Option<(String, String)> {
+/// What names the history of a keyed request.
+struct HistoryKey {
+    pool: String,
+    key: String,
+    fingerprint: RequestFingerprint,
+}
+
+/// Returns the history key of a request whose earlier deliveries the claims know.
+fn history_key(request: &ForwardRequest) -> Option<HistoryKey> {
     let keyed = !request.idempotency_key.is_empty() && !is_idempotent_method(&request.method);
     let claimed = keyed && TicketKey::parse(&request.idempotency_key).is_none();
-    claimed.then(|| (request.pool.clone(), request.idempotency_key.clone()))
+    claimed.then(|| HistoryKey {
+        pool: request.pool.clone(),
+        key: request.idempotency_key.clone(),
+        fingerprint: RequestFingerprint::new(request),
+    })
 }
 
 /// Whether the same request may have been accepted at another time.
--- a/crates/tanager-node/src/tickets.rs
+++ b/crates/tanager-node/src/tickets.rs
@@ -11,6 +11,8 @@
 use tanager_protocol::ids::check_name;
 use tanager_protocol::outcome::EndpointAnswer;
 
+use crate::claims::fingerprint::RequestFingerprint;
+
 const KEY_PREFIX: &str = "ticket-";
 
 /// Parts of a ticket key.
@@ -78,6 +80,8 @@
     Finished(EndpointAnswer),
     /// The request may have run.
     Unknown,
+    /// The ticket belongs to a different request; this one did not run.
+    KeyReused,
 }
 
 /// How a request with a ticket ended.
@@ -94,13 +98,17 @@
 #[derive(Debug)]
 enum TicketState {
     Issued,
-    InProgress {
-        pool: PoolId,
-    },
-    Finished {
+    Used {
         pool: PoolId,
-        answer: EndpointAnswer,
+        fingerprint: RequestFingerprint,
+        progress: TicketProgress,
     },
+}
+
+#[derive(Debug)]
+enum TicketProgress {
+    Running,
+    Finished(EndpointAnswer),
     Unknown,
 }
 
@@ -154,7 +162,12 @@
 
     /// Begins a request. A ticket that is forgotten or was never issued is unknown, because it
     /// cannot be told from one that ran. So is a ticket that was used for another pool.
-    pub fn begin(&self, key: &TicketKey, pool: &str) -> TicketStart {
+    pub fn begin(
+        &self,
+        key: &TicketKey,
+        pool: &str,
+        fingerprint: &RequestFingerprint,
+    ) -> TicketStart {
         if !self.is_own(key) {
             return TicketStart::Unknown;
         }
@@ -164,15 +177,22 @@
         };
         match state {
             TicketState::Issued => {
-                let pool = pool.to_owned();
-                *state = TicketState::InProgress { pool };
+                *state = TicketState::Used {
+                    pool: pool.to_owned(),
+                    fingerprint: fingerprint.clone(),
+                    progress: TicketProgress::Running,
+                };
                 TicketStart::Begun
             }
-            TicketState::InProgress { pool: own } if own == pool => TicketStart::InProgress,
-            TicketState::Finished { pool: own, answer } if own == pool => {
-                TicketStart::Finished(answer.clone())
-            }
-            _ => TicketStart::Unknown,
+            TicketState::Used { pool: own, .. } if own != pool => TicketStart::Unknown,
+            TicketState::Used {
+                fingerprint: own, ..
+            } if own != fingerprint => TicketStart::KeyReused,
+            TicketState::Used { progress, .. } => match progress {
+                TicketProgress::Running => TicketStart::InProgress,
+                TicketProgress::Finished(answer) => TicketStart::Finished(answer.clone()),
+                TicketProgress::Unknown => TicketStart::Unknown,
+            },
         }
     }
 
@@ -186,18 +206,20 @@
         let Some(state) = records.states.get_mut(&key.number) else {
             return;
         };
-        let TicketState::InProgress { pool } = state else {
+        let TicketState::Used { progress, .. } = state else {
             return;
         };
-        *state = match end {
-            TicketEnd::NotSent => TicketState::Issued,
-            TicketEnd::Unknown => TicketState::Unknown,
+        if !matches!(progress, TicketProgress::Running) {
+            return;
+        }
+        match end {
+            TicketEnd::NotSent => *state = TicketState::Issued,
+            TicketEnd::Unknown => *progress = TicketProgress::Unknown,
             TicketEnd::Answered(answer) => {
                 records.bytes += answer_bytes(&answer);
-                let pool = std::mem::take(pool);
-                TicketState::Finished { pool, answer }
+                *progress = TicketProgress::Finished(answer);
             }
-        };
+        }
         records.trim(self.limits);
     }
 
@@ -222,7 +244,11 @@
             let Some((_, state)) = self.states.pop_first() else {
                 return;
             };
-            if let TicketState::Finished { answer, .. } = state {
+            if let TicketState::Used {
+                progress: TicketProgress::Finished(answer),
+                ..
+            } = state
+            {
                 self.bytes -= answer_bytes(&answer);
             }
         }
--- a/crates/tanager-node/tests/claims.rs
+++ b/crates/tanager-node/tests/claims.rs
@@ -14,12 +14,16 @@
 use tanager_node::claims::ClaimResult;
 use tanager_node::claims::ClaimService;
 use tanager_node::claims::ClaimTicket;
+use tanager_node::claims::KeyHistory;
+use tanager_node::claims::fingerprint::RequestFingerprint;
 use tanager_node::claims::record::MAX_RECORDED_BODY;
 use tanager_protocol::outcome::EndpointAnswer;
+use tanager_protocol::peer::ForwardRequest;
 
 use common::FakeStore;
 use common::LONG;
 use common::platform;
+use common::request;
 use common::wait_until;
 
 const ROW: &str = "claim/intake/k1";
@@ -28,8 +32,22 @@
     ClaimService::spawn(platform(server), node.to_owned(), 7)
 }
 
+fn fingerprint(body: &str) -> RequestFingerprint {
+    RequestFingerprint::new(&ForwardRequest {
+        body: body.as_bytes().to_vec(),
+        ..request("POST", "")
+    })
+}
+
 async fn claim(service: &ClaimService, key: &str) -> ClaimResult {
-    service.claim("intake", key, Instant::now() + LONG).await
+    claim_for(service, key, "first").await
+}
+
+async fn claim_for(service: &ClaimService, key: &str, body: &str) -> ClaimResult {
+    let deadline = Instant::now() + LONG;
+    service
+        .claim("intake", key, fingerprint(body), deadline)
+        .await
 }
 
 async fn granted(service: &ClaimService, key: &str) -> ClaimTicket {
@@ -41,7 +59,8 @@
 
 async fn unavailable(service: &ClaimService, key: &str) {
     let deadline = Instant::now() + Duration::from_millis(300);
-    let result = service.claim("intake", key, deadline).await;
+    let result = service.claim("intake", key, fingerprint("first"), deadline);
+    let result = result.await;
     assert!(matches!(result, ClaimResult::Unavailable), "{result:?}");
 }
 
@@ -77,6 +96,52 @@
         assert_eq!(recorded, answer(b"\x00body"));
     }
 
+    /// Guards against an answer, or the news that something ran, that goes to a different request
+    /// with the same key, from another node or before a refusal.
+    key_of_another_request_is_refused => {
+        let (_store, server) = FakeStore::bind().await;
+        let (first, second) = (service(&server, "n1"), service(&server, "n2"));
+        let ticket = granted(&first, "k1").await;
+        for service in [&first, &second] {
+            let result = claim_for(service, "k1", "other").await;
+            assert!(matches!(result, ClaimResult::KeyReused), "{result:?}");
+        }
+        first.complete(ticket, &answer(b"first"));
+        first.flush().await;
+        let result = claim_for(&second, "k1", "other").await;
+        assert!(matches!(result, ClaimResult::KeyReused), "{result:?}");
+        let history = second.history("intake", "k1", &fingerprint("other")).await;
+        assert_eq!(history, KeyHistory::KeyReused);
+        let history = second.history("intake", "k1", &fingerprint("first")).await;
+        assert_eq!(history, KeyHistory::Recorded(answer(b"first")));
+    }
+
+    /// Guards against the fingerprint of a request that was not sent: a different request that
+    /// takes over its claim must put its own fingerprint into the row.
+    unsent_claim_passes_to_another_request => {
+        let (store, server) = FakeStore::bind().await;
+        let first = service(&server, "n1");
+        let ticket = granted(&first, "k1").await;
+        // The frozen write of k2 keeps the removal of k1 waiting.
+        store.faults.frozen.store(true, Ordering::SeqCst);
+        abandoned(&first, "k2", || store.state("claim/intake/k2").is_some()).await;
+        first.release(ticket);
+        let (result, ()) = tokio::join!(claim_for(&first, "k1", "other"), async {
+            store.faults.frozen.store(false, Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            store.faults.land.notify_waiters();
+        });
+        let ClaimResult::Granted(ticket) = result else {
+            panic!("not granted: {result:?}");
+        };
+        let second = service(&server, "n2");
+        assert!(matches!(claim_for(&second, "k1", "other").await, ClaimResult::Held));
+        assert!(matches!(claim(&second, "k1").await, ClaimResult::KeyReused));
+        first.complete(ticket, &answer(b"other"));
+        first.flush().await;
+        assert!(matches!(claim_for(&second, "k1", "other").await, ClaimResult::Recorded(_)));
+    }
+
     /// Guards against a second run of a request whose response was too large to record.
     large_answer_is_held => {
         let (store, server) = FakeStore::bind().await;
--- a/crates/tanager-node/tests/tickets.rs
+++ b/crates/tanager-node/tests/tickets.rs
@@ -1,11 +1,13 @@
 //! Guards tickets, the keys that only the issuing process runs.
 
+use tanager_node::claims::fingerprint::RequestFingerprint;
 use tanager_node::tickets::TicketEnd;
 use tanager_node::tickets::TicketKey;
 use tanager_node::tickets::TicketLimits;
 use tanager_node::tickets::TicketStart;
 use tanager_node::tickets::TicketTable;
 use tanager_protocol::outcome::EndpointAnswer;
+use tanager_protocol::peer::ForwardRequest;
 
 macro_rules! parse_cases {
     ($($case:ident: $key:expr => $node:expr;)*) => {
@@ -47,6 +49,13 @@
     TicketKey::parse(&table.issue()).unwrap()
 }
 
+fn fingerprint(team: &str) -> RequestFingerprint {
+    RequestFingerprint::new(&ForwardRequest {
+        team: team.to_owned(),
+        ..ForwardRequest::default()
+    })
+}
+
 fn answer(size: usize) -> EndpointAnswer {
     EndpointAnswer {
         status: 200,
@@ -60,17 +69,23 @@
 fn begins_once() {
     let table = table(10, 1_000);
     let key = issue(&table);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::InProgress);
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::Begun
+    );
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::InProgress
+    );
     table.finish(&key, TicketEnd::Answered(answer(3)));
     assert_eq!(
-        table.begin(&key, "intake"),
+        table.begin(&key, "intake", &fingerprint("first")),
         TicketStart::Finished(answer(3))
     );
     // A late report must not make the ticket new again.
     table.finish(&key, TicketEnd::NotSent);
     assert_eq!(
-        table.begin(&key, "intake"),
+        table.begin(&key, "intake", &fingerprint("first")),
         TicketStart::Finished(answer(3))
     );
 }
@@ -80,11 +95,20 @@
 fn unsent_ticket_begins_again() {
     let table = table(10, 1_000);
     let key = issue(&table);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::Begun
+    );
     table.finish(&key, TicketEnd::NotSent);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::Begun
+    );
     table.finish(&key, TicketEnd::Unknown);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::Unknown);
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::Unknown
+    );
 }
 
 /// Guards against tickets of other processes, and invented ones, that run here.
@@ -100,9 +124,18 @@
         number: 1,
         ..key.clone()
     };
-    assert_eq!(table.begin(&other, "intake"), TicketStart::Unknown);
-    assert_eq!(table.begin(&invented, "intake"), TicketStart::Unknown);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    assert_eq!(
+        table.begin(&other, "intake", &fingerprint("first")),
+        TicketStart::Unknown
+    );
+    assert_eq!(
+        table.begin(&invented, "intake", &fingerprint("first")),
+        TicketStart::Unknown
+    );
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::Begun
+    );
 }
 
 /// Guards against the response of one pool for a request to another (R3).
@@ -110,9 +143,33 @@
 fn ticket_belongs_to_one_pool() {
     let table = table(10, 1_000);
     let key = issue(&table);
-    assert_eq!(table.begin(&key, "intake"), TicketStart::Begun);
+    assert_eq!(
+        table.begin(&key, "intake", &fingerprint("first")),
+        TicketStart::Begun
+    );
     table.finish(&key, TicketEnd::Answered(answer(3)));
-    assert_eq!(table.begin(&key, "cases"), TicketStart::Unknown);
+    assert_eq!(
+        table.begin(&key, "cases", &fingerprint("first")),
+        TicketStart::Unknown
+    );
+}
+
+/// Guards against the response, or the state, of a different request with the same ticket (R3).
+#[test]
+fn ticket_belongs_to_one_request() {
+    let table = table(10, 1_000);
+    let key = issue(&table);
+    let (first, other) = (fingerprint("first"), fingerprint("other"));
+    assert_eq!(table.begin(&key, "intake", &first), TicketStart::Begun);
+    assert_eq!(table.begin(&key, "intake", &other), TicketStart::KeyReused);
+    table.finish(&key, TicketEnd::Answered(answer(3)));
+    assert_eq!(table.begin(&key, "intake", &other), TicketStart::KeyReused);
+    let finished = TicketStart::Finished(answer(3));
+    assert_eq!(table.begin(&key, "intake", &first), finished);
+    let unsent = issue(&table);
+    assert_eq!(table.begin(&unsent, "intake", &first), TicketStart::Begun);
+    table.finish(&unsent, TicketEnd::NotSent);
+    assert_eq!(table.begin(&unsent, "intake", &other), TicketStart::Begun);
 }
 
 /// Guards against unbounded memory, and against forgotten tickets that count as new.
@@ -121,17 +178,29 @@
     let by_count = table(2, 1_000);
     let keys: Vec<TicketKey> = (0..3).map(|_| issue(&by_count)).collect();
     assert_eq!(by_count.len(), 2);
-    assert_eq!(by_count.begin(&keys[0], "intake"), TicketStart::Unknown);
-    assert_eq!(by_count.begin(&keys[1], "intake"), TicketStart::Begun);
+    assert_eq!(
+        by_count.begin(&keys[0], "intake", &fingerprint("first")),
+        TicketStart::Unknown
+    );
+    assert_eq!(
+        by_count.begin(&keys[1], "intake", &fingerprint("first")),
+        TicketStart::Begun
+    );
     let by_bytes = table(10, 100);
     let keys: Vec<TicketKey> = (0..2).map(|_| issue(&by_bytes)).collect();
     for key in &keys {
-        assert_eq!(by_bytes.begin(key, "intake"), TicketStart::Begun);
+        assert_eq!(
+            by_bytes.begin(key, "intake", &fingerprint("first")),
+            TicketStart::Begun
+        );
         by_bytes.finish(key, TicketEnd::Answered(answer(60)));
     }
-    assert_eq!(by_bytes.begin(&keys[0], "intake"), TicketStart::Unknown);
     assert_eq!(
-        by_bytes.begin(&keys[1], "intake"),
+        by_bytes.begin(&keys[0], "intake", &fingerprint("first")),
+        TicketStart::Unknown
+    );
+    assert_eq!(
+        by_bytes.begin(&keys[1], "intake", &fingerprint("first")),
         TicketStart::Finished(answer(60))
     );
 }
