Remove claims after two generations without comparing clocks

Cause: claim rows were never removed.

Change: claims lie in generations. Every transaction with an insert is conditional on the row claim-generation and on the absence of the key in the current and the previous generation; the home of claim-generation begins the next one after it has seen the same one for the retention time (12 h) and removes rows that are older than the previous one. A grant holds for 60 s; after that the request is refused and the claim released, checked at the start of an attempt and again after connecting. A found unsent claim of the previous generation is moved to the current one. ClaimService::spawn takes ClaimSettings and the home check.

Conditions on g-1, g and g+1 with a periodic read of the generation were weighed: they depend on the clock of a paused node, and a write that the store applies two generations late would still hold.

Conclusion: keys are kept for 12 h to the end of two generations; cost per transaction is one condition, per claim one more condition.

--- a/crates/tanager-node/src/claims/mod.rs
+++ b/crates/tanager-node/src/claims/mod.rs
@@ -1,8 +1,11 @@
 //! Claims of keyed non-idempotent requests, so that each runs at most once across the site.
 
 pub mod fingerprint;
+pub mod generation;
 mod queue;
 pub mod record;
+mod retention;
+mod transaction;
 mod unsent;
 mod worker;
 mod write;
@@ -20,16 +23,22 @@
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::JoinSet;
 use tokio::time;
 
 use tanager_platform::PlatformClient;
 use tanager_platform::RowVersion;
+use tanager_platform::TableRow;
+use tanager_protocol::error::TanagerResult;
 use tanager_protocol::ids::Incarnation;
 use tanager_protocol::ids::NodeId;
 use tanager_protocol::outcome::EndpointAnswer;
 
 use crate::claims::fingerprint::RequestFingerprint;
+use crate::claims::generation::ClaimGeneration;
+use crate::claims::generation::row_key;
 use crate::claims::record::ClaimRow;
+use crate::claims::retention::RetentionTask;
 use crate::claims::worker::ClaimWorker;
 
 /// Claims that wait for the store; further ones are unavailable at once.
@@ -79,14 +88,50 @@
 /// The right to send one request.
 #[derive(Debug)]
 pub struct ClaimTicket {
-    row_key: String,
+    name: String,
+    generation: u64,
     token: String,
     fingerprint: RequestFingerprint,
     version: RowVersion,
+    /// Latest time at which the request may be sent.
+    send_before: Instant,
     /// A write of the claim has an unknown outcome and may take effect again later.
     maybe_written: bool,
 }
 
+impl ClaimTicket {
+    /// Latest time at which the request may be sent. A node that was paused for long after the
+    /// grant must not send: the claim may have been removed and the key used again.
+    pub fn send_before(&self) -> Instant {
+        self.send_before
+    }
+}
+
+/// Settings of a [`ClaimService`].
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimSettings {
+    /// Claims that share a transaction.
+    pub max_batch: usize,
+    /// Least time for which a claim is kept. It must be far longer than `send_within` and the time
+    /// within which callers retry.
+    pub retention: Duration,
+    /// Longest time between a grant and the sending of its request.
+    pub send_within: Duration,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            max_batch: 64,
+            retention: Duration::from_secs(12 * 3_600),
+            send_within: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Returns whether this node is the home of a name.
+pub type HomeCheck = Arc<dyn Fn(&str) -> bool + Send + Sync>;
+
 /// Counters of a [`ClaimService`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ClaimCounters {
@@ -100,6 +145,8 @@
     pub lost_responses: u64,
     /// Completion records that were dropped.
     pub dropped_records: u64,
+    /// Rows of old generations that were removed.
+    pub removed_rows: u64,
 }
 
 #[derive(Debug, Default)]
@@ -109,14 +156,15 @@
     conflicts: AtomicU64,
     lost_responses: AtomicU64,
     dropped_records: AtomicU64,
+    removed_rows: AtomicU64,
 }
 
 /// Node and incarnation that write claims.
-type ClaimOwner = (NodeId, Incarnation);
+pub type ClaimOwner = (NodeId, Incarnation);
 
 enum ClaimCommand {
     Claim {
-        row_key: String,
+        name: String,
         fingerprint: RequestFingerprint,
         reply: oneshot::Sender<ClaimDelivery>,
         permit: OwnedSemaphorePermit,
@@ -159,22 +207,37 @@
     platform: Arc<PlatformClient>,
     history_reads: Semaphore,
     history_failed: Mutex<Option<Instant>>,
+    /// Aborted when the service is dropped.
+    _retention: JoinSet<()>,
 }
 
 impl ClaimService {
     /// Starts the writer of claims; needs a tokio runtime.
-    pub fn spawn(platform: Arc<PlatformClient>, node: NodeId, incarnation: Incarnation) -> Self {
+    pub fn spawn(
+        platform: Arc<PlatformClient>,
+        owner: ClaimOwner,
+        settings: ClaimSettings,
+        is_home: HomeCheck,
+    ) -> Self {
         let (commands, receiver) = mpsc::unbounded_channel();
         let stats = Arc::new(ClaimStats::default());
-        let owner = (node, incarnation);
         let worker = ClaimWorker::new(
             Arc::clone(&platform),
             owner.clone(),
             commands.downgrade(),
             receiver,
             Arc::clone(&stats),
+            settings,
         );
         tokio::spawn(worker.run());
+        let retention = RetentionTask {
+            platform: Arc::clone(&platform),
+            retention: settings.retention,
+            is_home,
+            stats: Arc::clone(&stats),
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(retention.run());
         Self {
             owner,
             commands,
@@ -184,6 +247,7 @@
             platform,
             history_reads: Semaphore::new(MAX_HISTORY_READS),
             history_failed: Mutex::default(),
+            _retention: tasks,
         }
     }
 
@@ -200,7 +264,7 @@
         };
         let (reply, result) = oneshot::channel();
         let command = ClaimCommand::Claim {
-            row_key: format!("claim/{pool}/{key}"),
+            name: claim_name(pool, key),
             fingerprint,
             reply,
             permit,
@@ -230,7 +294,7 @@
         if failed {
             return KeyHistory::Unavailable;
         }
-        let row = match self.platform.read(&format!("claim/{pool}/{key}")).await {
+        let row = match self.read_claim(&claim_name(pool, key)).await {
             Ok(row) => row,
             Err(_) => {
                 *lock(&self.history_failed) = Some(Instant::now());
@@ -251,6 +315,21 @@
         answer.map_or(KeyHistory::Held, KeyHistory::Recorded)
     }
 
+    /// Reads the row of a claim in the current generation, else in the previous one.
+    async fn read_claim(&self, name: &str) -> TanagerResult<Option<TableRow>> {
+        let generation = ClaimGeneration::read(&self.platform).await?.number;
+        // An insert can move an unsent claim from the previous generation to the current one
+        // between two reads, so the previous one is read first.
+        let previous = match generation.checked_sub(1) {
+            Some(previous) => self.platform.read(&row_key(previous, name)).await?,
+            None => None,
+        };
+        match self.platform.read(&row_key(generation, name)).await? {
+            Some(row) => Ok(Some(row)),
+            None => Ok(previous),
+        }
+    }
+
     /// Records the response of a claimed request in a later batch. A record that does not fit into
     /// the waiting queue is dropped; a retry is then answered unknown.
     pub fn complete(&self, ticket: ClaimTicket, answer: &EndpointAnswer) {
@@ -295,10 +374,19 @@
             conflicts: read(&self.stats.conflicts),
             lost_responses: read(&self.stats.lost_responses),
             dropped_records: read(&self.stats.dropped_records),
+            removed_rows: read(&self.stats.removed_rows),
         }
     }
 }
 
+fn claim_name(pool: &str, key: &str) -> String {
+    format!("{pool}/{key}")
+}
+
+fn add(counter: &AtomicU64, count: usize) {
+    counter.fetch_add(count as u64, Ordering::Relaxed);
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/tanager-node/src/claims/queue.rs
+++ b/crates/tanager-node/src/claims/queue.rs
@@ -20,7 +20,7 @@
 pub(super) struct WriteQueue {
     /// New claims and records, in order.
     pub(super) writes: VecDeque<PendingWrite>,
-    /// Removals by row key.
+    /// Removals by the name of their request.
     pub(super) deletes: HashMap<String, PendingWrite>,
     /// Claims that were given up but may still be written.
     pub(super) unsent: UnsentTable,
@@ -34,11 +34,10 @@
 
     /// Adds a removal.
     pub(super) fn push_delete(&mut self, write: PendingWrite) {
-        if self.deletes.len() < MAX_DELETES || self.deletes.contains_key(&write.row_key) {
-            self.deletes.insert(write.row_key.clone(), write);
+        if self.deletes.len() < MAX_DELETES || self.deletes.contains_key(&write.name) {
+            self.deletes.insert(write.name.clone(), write);
         } else if !write.maybe_deleted {
-            self.unsent
-                .remember(write.row_key, write.token, FULL_CHECKS);
+            self.unsent.remember(&write, FULL_CHECKS);
         }
     }
 
@@ -50,7 +49,7 @@
         {
             let checks_left = claim.checks_left;
             let action = WriteAction::Delete { checks_left };
-            let mut write = PendingWrite::new(claim.row_key, claim.token, action);
+            let mut write = PendingWrite::new(claim.name, claim.generation, claim.token, action);
             write.check_row = true;
             write.maybe_written = true;
             self.push_delete(write);
@@ -74,18 +73,19 @@
         }
     }
 
-    /// Takes writes of different rows. A write waits while an earlier one of its row does.
+    /// Takes writes of different requests. A write waits while an earlier one of its request
+    /// does.
     pub(super) fn take_batch(&mut self, max_batch: usize) -> Vec<PendingWrite> {
         let limit = MAX_BATCH_DELETES.min(max_batch);
         let keys: Vec<String> = self.deletes.keys().take(limit).cloned().collect();
         let deletes = keys.iter().filter_map(|key| self.deletes.remove(key));
         let mut batch: Vec<PendingWrite> = deletes.collect();
-        let mut rows: HashSet<String> = keys.into_iter().collect();
+        let mut names: HashSet<String> = keys.into_iter().collect();
         let mut waiting = VecDeque::new();
         while batch.len() < max_batch
             && let Some(write) = self.writes.pop_front()
         {
-            if self.deletes.contains_key(&write.row_key) || !rows.insert(write.row_key.clone()) {
+            if self.deletes.contains_key(&write.name) || !names.insert(write.name.clone()) {
                 waiting.push_back(write);
             } else {
                 batch.push(write);
@@ -96,7 +96,7 @@
         batch
     }
 
-    /// Puts writes back, so that they come before later ones of the same row.
+    /// Puts writes back, so that they come before later ones of the same request.
     pub(super) fn put_back(&mut self, writes: Vec<PendingWrite>) {
         for write in writes.into_iter().rev() {
             match write.action {
--- a/crates/tanager-node/src/claims/unsent.rs
+++ b/crates/tanager-node/src/claims/unsent.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::claims::write::PendingWrite;
+
 /// Remembered claims. A claim that is not remembered is answered unknown if its write takes effect
 /// later; that is safe.
 const MAX_UNSENT: usize = 4_096;
@@ -24,15 +26,17 @@
 /// A claim that was given up.
 #[derive(Debug)]
 pub(super) struct UnsentClaim {
-    /// Key of its row.
-    pub(super) row_key: String,
+    /// Pool and key of its request.
+    pub(super) name: String,
+    /// Generation of its row.
+    pub(super) generation: u64,
     /// Token of the claim.
     pub(super) token: String,
     /// Checks left after the next one.
     pub(super) checks_left: usize,
 }
 
-/// Claims that were given up, by the key of their row.
+/// Claims that were given up, by the name of their request.
 #[derive(Debug, Default)]
 pub(super) struct UnsentTable {
     claims: HashMap<String, (Instant, UnsentClaim)>,
@@ -41,31 +45,32 @@
 
 impl UnsentTable {
     /// Remembers a claim until it was checked `checks` times.
-    pub(super) fn remember(&mut self, row_key: String, token: String, checks: usize) {
+    pub(super) fn remember(&mut self, write: &PendingWrite, checks: usize) {
         let Some(delay) = checks
             .checked_sub(1)
             .and_then(|index| CHECK_DELAYS.get(index))
         else {
             return;
         };
-        self.take(&row_key);
+        self.take(&write.name);
         if self.claims.len() >= MAX_UNSENT {
             return;
         }
         let time = Instant::now() + *delay;
-        self.schedule.insert((time, row_key.clone()));
+        self.schedule.insert((time, write.name.clone()));
         let claim = UnsentClaim {
-            row_key: row_key.clone(),
-            token,
+            name: write.name.clone(),
+            generation: write.generation,
+            token: write.token.clone(),
             checks_left: checks - 1,
         };
-        self.claims.insert(row_key, (time, claim));
+        self.claims.insert(write.name.clone(), (time, claim));
     }
 
-    /// Takes the claim of a row, to use its token again.
-    pub(super) fn take(&mut self, row_key: &str) -> Option<UnsentClaim> {
-        let (time, claim) = self.claims.remove(row_key)?;
-        self.schedule.remove(&(time, row_key.to_owned()));
+    /// Takes the claim of a name, to use its token again.
+    pub(super) fn take(&mut self, name: &str) -> Option<UnsentClaim> {
+        let (time, claim) = self.claims.remove(name)?;
+        self.schedule.remove(&(time, name.to_owned()));
         Some(claim)
     }
 
@@ -76,11 +81,11 @@
 
     /// Takes a claim whose check is due.
     pub(super) fn take_due(&mut self, now: Instant) -> Option<UnsentClaim> {
-        let (time, row_key) = self.schedule.first()?;
+        let (time, name) = self.schedule.first()?;
         if *time > now {
             return None;
         }
-        let row_key = row_key.clone();
-        self.take(&row_key)
+        let name = name.clone();
+        self.take(&name)
     }
 }
--- a/crates/tanager-node/src/claims/worker.rs
+++ b/crates/tanager-node/src/claims/worker.rs
@@ -1,9 +1,6 @@
 //! Task that writes claims to the store, one transaction at a time.
 
-use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,8 +12,6 @@
 use tanager_platform::PlatformClient;
 use tanager_platform::RowVersion;
 use tanager_platform::TableRow;
-use tanager_platform::TableTransaction;
-use tanager_platform::TransactionResult;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 
@@ -24,16 +19,22 @@
 use crate::claims::ClaimDelivery;
 use crate::claims::ClaimOwner;
 use crate::claims::ClaimResult;
+use crate::claims::ClaimSettings;
 use crate::claims::ClaimStats;
 use crate::claims::ClaimTicket;
+use crate::claims::add;
+use crate::claims::fingerprint::RequestFingerprint;
+use crate::claims::generation::ClaimGeneration;
 use crate::claims::queue::WriteQueue;
+use crate::claims::record::ClaimRow;
 use crate::claims::record::ClaimState;
+use crate::claims::transaction::BatchResult;
+use crate::claims::transaction::BatchTransaction;
 use crate::claims::unsent::FULL_CHECKS;
 use crate::claims::write::PendingWrite;
 use crate::claims::write::RowView;
 use crate::claims::write::WriteAction;
 
-const MAX_BATCH: usize = 64;
 /// Rows read at a time; the platform's client keeps as many connections.
 const MAX_READS: usize = 16;
 /// A write that conflicts or is refused more often waits, and a refused one is given up.
@@ -54,6 +55,12 @@
     queue: WriteQueue,
     flushes: Vec<oneshot::Sender<()>>,
     tokens: u64,
+    /// The generation as last read; `None` when it must be read before the next insert.
+    generation: Option<ClaimGeneration>,
+    send_within: Duration,
+    /// Largest batch of the settings.
+    batch_limit: usize,
+    /// Largest batch that the store is expected to accept.
     max_batch: usize,
     backoff: Duration,
 }
@@ -65,7 +72,9 @@
         sender: mpsc::WeakUnboundedSender<ClaimCommand>,
         commands: mpsc::UnboundedReceiver<ClaimCommand>,
         stats: Arc<ClaimStats>,
+        settings: ClaimSettings,
     ) -> Self {
+        let batch_limit = settings.max_batch.max(1);
         Self {
             platform,
             owner,
@@ -75,7 +84,10 @@
             queue: WriteQueue::default(),
             flushes: Vec::new(),
             tokens: 0,
-            max_batch: MAX_BATCH,
+            generation: None,
+            send_within: settings.send_within,
+            batch_limit,
+            max_batch: batch_limit,
             backoff: MIN_BACKOFF,
         }
     }
@@ -119,7 +131,7 @@
     fn accept(&mut self, command: ClaimCommand) {
         match command {
             ClaimCommand::Claim {
-                row_key,
+                name,
                 fingerprint,
                 reply,
                 permit,
@@ -129,7 +141,7 @@
                     reply,
                     _permit: permit,
                 };
-                self.accept_claim(row_key, action);
+                self.accept_claim(name, action);
             }
             ClaimCommand::Complete {
                 ticket,
@@ -140,7 +152,8 @@
                     row,
                     _permit: permit,
                 };
-                let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
+                let generation = ticket.generation;
+                let mut write = PendingWrite::new(ticket.name, generation, ticket.token, action);
                 write.version = ticket.version;
                 self.queue.writes.push_back(write);
             }
@@ -148,37 +161,46 @@
                 let action = WriteAction::Delete {
                     checks_left: FULL_CHECKS,
                 };
-                let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
+                let generation = ticket.generation;
+                let mut write = PendingWrite::new(ticket.name, generation, ticket.token, action);
                 write.version = ticket.version;
                 write.maybe_written = ticket.maybe_written;
-                write.fingerprint = Some(ticket.fingerprint);
+                write.granted = Some((ticket.send_before, ticket.fingerprint));
                 self.queue.push_delete(write);
             }
             ClaimCommand::Flush(reply) => self.flushes.push(reply),
         }
     }
 
-    fn accept_claim(&mut self, row_key: String, action: WriteAction) {
-        if let Some(delete) = self.queue.deletes.remove(&row_key) {
+    fn accept_claim(&mut self, name: String, action: WriteAction) {
+        if let Some(delete) = self.queue.deletes.remove(&name) {
             if delete.maybe_deleted {
                 // The removal may still take effect, so its token must not be used again.
-                self.queue.deletes.insert(row_key.clone(), delete);
-            } else if delete.check_row || !action.has_fingerprint(delete.fingerprint.as_ref()) {
-                let mut write = PendingWrite::new(row_key, delete.token, action);
+                self.queue.deletes.insert(name.clone(), delete);
+            } else if let Some((send_before, fingerprint)) = &delete.granted
+                && !delete.check_row
+                && action.has_fingerprint(fingerprint)
+                && Instant::now() + self.send_within / 2 < *send_before
+            {
+                // Needs no access to the store while half of the time to send is left.
+                let (version, send_before) = (delete.version, *send_before);
+                self.grant(PendingWrite { action, ..delete }, version, send_before);
+                return;
+            } else {
+                let mut write = PendingWrite::new(name, delete.generation, delete.token, action);
                 write.check_row = true;
                 write.maybe_written = true;
                 self.queue.writes.push_back(write);
                 return;
-            } else {
-                let version = delete.version;
-                self.grant(PendingWrite { action, ..delete }, version);
-                return;
             }
         }
-        let unsent = self.queue.unsent.take(&row_key);
+        let unsent = self.queue.unsent.take(&name);
         let maybe_written = unsent.is_some();
-        let token = unsent.map_or_else(|| self.new_token(), |claim| claim.token);
-        let mut write = PendingWrite::new(row_key, token, action);
+        let (generation, token) = unsent.map_or_else(
+            || (0, self.new_token()),
+            |claim| (claim.generation, claim.token),
+        );
+        let mut write = PendingWrite::new(name, generation, token, action);
         write.maybe_written = maybe_written;
         self.queue.writes.push_back(write);
     }
@@ -189,14 +211,40 @@
         format!("{node}-{incarnation}-{}", self.tokens)
     }
 
-    async fn process(&mut self, batch: Vec<PendingWrite>) -> Result<(), BackOff> {
+    async fn process(&mut self, mut batch: Vec<PendingWrite>) -> Result<(), BackOff> {
+        let generation = match self.generation {
+            Some(generation) => generation,
+            None if batch.iter().any(PendingWrite::is_insert) => {
+                let Ok(generation) = ClaimGeneration::read(&self.platform).await else {
+                    self.queue.put_back(batch);
+                    return Err(BackOff);
+                };
+                *self.generation.insert(generation)
+            }
+            None => ClaimGeneration::default(),
+        };
+        for write in &mut batch {
+            write.enter(generation.number);
+        }
         let (unchecked, mut ready): (Vec<_>, Vec<_>) =
             batch.into_iter().partition(|write| write.check_row);
         let rows = self.read_rows(&unchecked).await;
+        // A claim is granted by its row only if the generation is still current after the row was
+        // read.
+        let confirmed = Instant::now();
+        if unchecked.iter().any(PendingWrite::is_insert) {
+            let current = ClaimGeneration::read(&self.platform).await;
+            self.generation = current.as_ref().ok().copied();
+            if self.generation != Some(generation) {
+                self.queue.put_back(unchecked);
+                self.queue.put_back(ready);
+                return current.map(|_| ()).map_err(|_| BackOff);
+            }
+        }
         let mut unread = Vec::new();
-        for (mut write, row) in unchecked.into_iter().zip(rows) {
-            match row {
-                Ok(row) => ready.extend(self.resolve(write, row)),
+        for (mut write, rows) in unchecked.into_iter().zip(rows) {
+            match rows {
+                Ok(rows) => ready.extend(self.resolve(write, rows, confirmed)),
                 Err(error) if error.kind == ErrorKind::Refused && write.failures > MAX_FAILURES => {
                     self.give_up(write);
                 }
@@ -211,38 +259,44 @@
         if ready.is_empty() {
             return if failed { Err(BackOff) } else { Ok(()) };
         }
-        self.transact(ready).await
+        self.transact(ready, generation).await
     }
 
-    async fn transact(&mut self, mut ready: Vec<PendingWrite>) -> Result<(), BackOff> {
+    async fn transact(
+        &mut self,
+        mut ready: Vec<PendingWrite>,
+        generation: ClaimGeneration,
+    ) -> Result<(), BackOff> {
         let mut conflicting = Vec::new();
         let result = loop {
             if ready.is_empty() {
                 break Ok(());
             }
-            let writes = ready.iter().map(|write| write.row_write(&self.owner));
-            let Ok(writes) = writes.collect() else {
+            let Ok(built) = BatchTransaction::build(&ready, generation, &self.owner) else {
                 // Rows consist of strings and numbers, which always have a JSON form.
                 ready.into_iter().for_each(|write| self.give_up(write));
                 break Ok(());
             };
-            let conditions = ready.iter().map(PendingWrite::condition).collect();
-            let transaction = TableTransaction { conditions, writes };
             add(&self.stats.batches, 1);
-            match self.platform.transact(&transaction).await {
-                Ok(TransactionResult::Committed(versions)) if versions.len() == ready.len() => {
+            let start = Instant::now();
+            let result = self.platform.transact(&built.transaction).await;
+            match result.map(|result| built.view(result)) {
+                Ok(Some(BatchResult::Committed(versions))) => {
                     add(&self.stats.writes, ready.len());
                     self.backoff = MIN_BACKOFF;
-                    self.max_batch = (self.max_batch * 2).min(MAX_BATCH);
+                    self.max_batch = (self.max_batch * 2).min(self.batch_limit);
                     for (write, version) in ready.into_iter().zip(versions) {
-                        self.committed(write, version);
+                        self.committed(write, version, start);
                     }
                     break Ok(());
                 }
-                Ok(TransactionResult::Conflict(failed))
-                    if failed.iter().any(|index| *index < ready.len()) =>
-                {
-                    let failed: HashSet<usize> = failed.into_iter().collect();
+                Ok(Some(BatchResult::GenerationEnded)) => {
+                    self.generation = None;
+                    add(&self.stats.conflicts, 1);
+                    self.queue.put_back(ready);
+                    break Ok(());
+                }
+                Ok(Some(BatchResult::Conflict(failed))) => {
                     let writes = ready.into_iter().enumerate();
                     let (out, left): (Vec<_>, Vec<_>) =
                         writes.partition(|(index, _)| failed.contains(index));
@@ -295,9 +349,7 @@
     fn give_up(&mut self, write: PendingWrite) {
         match write.action {
             WriteAction::Insert { .. } if write.maybe_written => {
-                self.queue
-                    .unsent
-                    .remember(write.row_key.clone(), write.token.clone(), FULL_CHECKS);
+                self.queue.unsent.remember(&write, FULL_CHECKS);
                 self.deliver(write, ClaimResult::Unavailable);
             }
             WriteAction::Insert { .. } => self.deliver(write, ClaimResult::Unavailable),
@@ -306,63 +358,36 @@
         }
     }
 
-    fn committed(&mut self, write: PendingWrite, version: RowVersion) {
+    fn committed(&mut self, write: PendingWrite, version: RowVersion, start: Instant) {
         match write.action {
-            WriteAction::Insert { .. } => self.grant(write, version),
+            WriteAction::Insert { .. } => self.grant(write, version, start + self.send_within),
             WriteAction::Record { .. } => {}
-            WriteAction::Delete { checks_left } => self.deleted(write, checks_left),
+            WriteAction::Delete { checks_left } => self.deleted(&write, checks_left),
         }
     }
 
-    fn deleted(&mut self, write: PendingWrite, checks_left: usize) {
+    fn deleted(&mut self, write: &PendingWrite, checks_left: usize) {
         if write.maybe_written {
-            self.queue
-                .unsent
-                .remember(write.row_key, write.token, checks_left);
+            self.queue.unsent.remember(write, checks_left);
         }
     }
 
-    /// Decides a write by the row as it is; returns the write if it is still to be done.
-    fn resolve(&mut self, mut write: PendingWrite, row: Option<TableRow>) -> Option<PendingWrite> {
-        let view = write.view(row);
+    /// Decides a write by its rows as they are; returns the write if it is still to be done.
+    fn resolve(
+        &mut self,
+        mut write: PendingWrite,
+        rows: Vec<Option<TableRow>>,
+        confirmed: Instant,
+    ) -> Option<PendingWrite> {
+        let mut rows = rows.into_iter();
+        let view = write.view(rows.next().flatten());
+        let previous = write.view(rows.next().flatten());
         write.check_row = false;
+        if let WriteAction::Insert { fingerprint, .. } = &write.action {
+            let fingerprint = fingerprint.clone();
+            return self.resolve_insert(write, (view, previous), &fingerprint, confirmed);
+        }
         match (&write.action, view) {
-            (WriteAction::Insert { .. }, RowView::Absent) => {
-                write.version = 0;
-                return Some(write);
-            }
-            (WriteAction::Insert { fingerprint, .. }, RowView::Own(version, claim))
-                if claim.state == ClaimState::Started =>
-            {
-                if claim.fingerprint != *fingerprint {
-                    // The row was written for another request with this key that was not sent.
-                    write.version = version;
-                    return Some(write);
-                }
-                self.grant(write, version);
-            }
-            (WriteAction::Insert { .. }, RowView::Own(..)) => {
-                self.deliver(write, ClaimResult::Held);
-            }
-            (WriteAction::Insert { fingerprint, .. }, RowView::Other(claim)) => {
-                let reused = claim
-                    .as_ref()
-                    .is_some_and(|claim| claim.fingerprint != *fingerprint);
-                if write.maybe_written {
-                    self.queue.unsent.remember(
-                        write.row_key.clone(),
-                        write.token.clone(),
-                        FULL_CHECKS,
-                    );
-                }
-                let answer = claim.and_then(|claim| claim.answer());
-                let result = match answer {
-                    _ if reused => ClaimResult::KeyReused,
-                    Some(answer) => ClaimResult::Recorded(answer),
-                    None => ClaimResult::Held,
-                };
-                self.deliver(write, result);
-            }
             (
                 WriteAction::Record { .. } | WriteAction::Delete { .. },
                 RowView::Own(version, claim),
@@ -374,21 +399,61 @@
             (WriteAction::Record { .. }, RowView::Absent | RowView::Other(_)) => {
                 add(&self.stats.dropped_records, 1);
             }
+            (WriteAction::Insert { .. }, _) => {}
             (WriteAction::Delete { checks_left }, _) => {
                 let checks_left = *checks_left;
-                self.deleted(write, checks_left);
+                self.deleted(&write, checks_left);
             }
         }
         None
     }
 
-    fn grant(&self, write: PendingWrite, version: RowVersion) {
+    fn resolve_insert(
+        &mut self,
+        mut write: PendingWrite,
+        views: (RowView, RowView),
+        fingerprint: &RequestFingerprint,
+        confirmed: Instant,
+    ) -> Option<PendingWrite> {
+        let result = match views {
+            (RowView::Other(claim), _) | (_, RowView::Other(claim)) => {
+                if write.maybe_written {
+                    self.queue.unsent.remember(&write, FULL_CHECKS);
+                }
+                refusal(claim, fingerprint)
+            }
+            (RowView::Own(_, claim), _) | (_, RowView::Own(_, claim))
+                if claim.state == ClaimState::Done =>
+            {
+                ClaimResult::Held
+            }
+            (RowView::Own(version, claim), RowView::Absent)
+                if claim.fingerprint == *fingerprint =>
+            {
+                self.grant(write, version, confirmed + self.send_within);
+                return None;
+            }
+            // A row of this claim from the previous generation, or of another request that was
+            // not sent, is replaced.
+            (view, previous) => {
+                write.version = view.version();
+                write.previous_version = previous.version();
+                return Some(write);
+            }
+        };
+        self.deliver(write, result);
+        None
+    }
+
+    fn grant(&self, write: PendingWrite, version: RowVersion, send_before: Instant) {
         let WriteAction::Insert { fingerprint, .. } = &write.action else {
             return;
         };
         let ticket = ClaimTicket {
             fingerprint: fingerprint.clone(),
-            row_key: write.row_key.clone(),
+            send_before,
+            generation: write.generation,
+            name: write.name.clone(),
             token: write.token.clone(),
             version,
             maybe_written: write.maybe_written,
@@ -406,25 +471,45 @@
         }
     }
 
-    async fn read_rows(&self, writes: &[PendingWrite]) -> Vec<TanagerResult<Option<TableRow>>> {
+    /// Reads the rows of each write.
+    async fn read_rows(
+        &self,
+        writes: &[PendingWrite],
+    ) -> Vec<TanagerResult<Vec<Option<TableRow>>>> {
         let mut rows = Vec::with_capacity(writes.len());
         for chunk in writes.chunks(MAX_READS) {
             let mut reads = JoinSet::new();
             for (index, write) in chunk.iter().enumerate() {
                 let platform = Arc::clone(&self.platform);
-                let row_key = write.row_key.clone();
-                reads.spawn(async move { (index, platform.read(&row_key).await) });
+                let row_keys = write.row_keys();
+                reads.spawn(async move {
+                    let mut rows = Vec::with_capacity(row_keys.len());
+                    for row_key in row_keys {
+                        match platform.read(&row_key).await {
+                            Ok(row) => rows.push(row),
+                            Err(error) => return (index, Err(error)),
+                        }
+                    }
+                    (index, Ok(rows))
+                });
             }
             let mut results = reads.join_all().await;
             results.sort_by_key(|(index, _)| *index);
-            rows.extend(results.into_iter().map(|(_, row)| row));
+            rows.extend(results.into_iter().map(|(_, rows)| rows));
         }
         rows
     }
 }
 
-fn add(counter: &AtomicU64, count: usize) {
-    counter.fetch_add(count as u64, Ordering::Relaxed);
+/// Result of a claim whose key has the row of another claim; `None` when it cannot be decoded.
+fn refusal(claim: Option<Box<ClaimRow>>, fingerprint: &RequestFingerprint) -> ClaimResult {
+    match claim {
+        Some(claim) if claim.fingerprint != *fingerprint => ClaimResult::KeyReused,
+        Some(claim) => claim
+            .answer()
+            .map_or(ClaimResult::Held, ClaimResult::Recorded),
+        None => ClaimResult::Held,
+    }
 }
 
 async fn sleep_until(time: Option<Instant>) {
--- a/crates/tanager-node/src/claims/write.rs
+++ b/crates/tanager-node/src/claims/write.rs
@@ -1,5 +1,7 @@
 //! One row to be written, and what the row that is read back means for it.
 
+use std::time::Instant;
+
 use serde_json::Value;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::oneshot;
@@ -12,6 +14,7 @@
 use crate::claims::ClaimDelivery;
 use crate::claims::ClaimOwner;
 use crate::claims::fingerprint::RequestFingerprint;
+use crate::claims::generation::row_key;
 use crate::claims::record::ClaimRow;
 
 /// What is written.
@@ -41,14 +44,19 @@
 
 /// One row to be written.
 pub(super) struct PendingWrite {
-    /// Key of the row.
-    pub(super) row_key: String,
+    /// Pool and key of the request.
+    pub(super) name: String,
+    /// Generation of the row; that of an insert is the current one when it is sent.
+    pub(super) generation: u64,
     /// Token of the claim.
     pub(super) token: String,
     /// Version that the row must have; 0 when it must be absent.
     pub(super) version: RowVersion,
-    /// Fingerprint of the row that is removed, if known.
-    pub(super) fingerprint: Option<RequestFingerprint>,
+    /// Version that the row of the previous generation must have before an insert. Such a row,
+    /// of this claim and unsent, is removed by the insert.
+    pub(super) previous_version: RowVersion,
+    /// Latest time to send, and fingerprint, of a granted claim that is removed.
+    pub(super) granted: Option<(Instant, RequestFingerprint)>,
     /// What is written.
     pub(super) action: WriteAction,
     /// The row must be read before it is written.
@@ -71,20 +79,32 @@
     Other(Option<Box<ClaimRow>>),
 }
 
+impl RowView {
+    /// Version of the row; 0 when it is absent or of another claim.
+    pub(super) fn version(&self) -> RowVersion {
+        match self {
+            Self::Own(version, _) => *version,
+            Self::Absent | Self::Other(_) => 0,
+        }
+    }
+}
+
 impl WriteAction {
     /// Returns whether this is a claim of a request with the fingerprint.
-    pub(super) fn has_fingerprint(&self, other: Option<&RequestFingerprint>) -> bool {
-        matches!(self, Self::Insert { fingerprint, .. } if Some(fingerprint) == other)
+    pub(super) fn has_fingerprint(&self, other: &RequestFingerprint) -> bool {
+        matches!(self, Self::Insert { fingerprint, .. } if fingerprint == other)
     }
 }
 
 impl PendingWrite {
-    pub(super) fn new(row_key: String, token: String, action: WriteAction) -> Self {
+    pub(super) fn new(name: String, generation: u64, token: String, action: WriteAction) -> Self {
         Self {
-            row_key,
+            name,
+            generation,
             token,
             version: 0,
-            fingerprint: None,
+            previous_version: 0,
+            granted: None,
             action,
             check_row: false,
             maybe_written: false,
@@ -119,14 +139,41 @@
         }
     }
 
-    pub(super) fn condition(&self) -> RowCondition {
-        RowCondition {
-            key: self.row_key.clone(),
-            version: self.version,
+    pub(super) fn is_insert(&self) -> bool {
+        matches!(self.action, WriteAction::Insert { .. })
+    }
+
+    /// Moves an insert to a generation. What was read of its rows before no longer counts.
+    pub(super) fn enter(&mut self, generation: u64) {
+        if self.is_insert() && self.generation != generation {
+            self.generation = generation;
+            self.version = 0;
+            self.previous_version = 0;
+        }
+    }
+
+    /// Keys of the rows that decide the write: its own, and before an insert the previous one.
+    pub(super) fn row_keys(&self) -> Vec<String> {
+        let mut keys = vec![row_key(self.generation, &self.name)];
+        if self.is_insert()
+            && let Some(previous) = self.generation.checked_sub(1)
+        {
+            keys.push(row_key(previous, &self.name));
         }
+        keys
+    }
+
+    pub(super) fn conditions(&self) -> impl Iterator<Item = RowCondition> {
+        let versions = [self.version, self.previous_version];
+        let conditions = self.row_keys().into_iter().zip(versions);
+        conditions.map(|(key, version)| RowCondition { key, version })
     }
 
-    pub(super) fn row_write(&self, owner: &ClaimOwner) -> Result<RowWrite, serde_json::Error> {
+    /// Rows to be written; the first is that of the claim.
+    pub(super) fn row_writes(
+        &self,
+        owner: &ClaimOwner,
+    ) -> Result<Vec<RowWrite>, serde_json::Error> {
         let value: Option<Value> = match &self.action {
             WriteAction::Insert { fingerprint, .. } => {
                 let (token, fingerprint) = (self.token.clone(), fingerprint.clone());
@@ -136,9 +183,9 @@
             WriteAction::Record { row, .. } => Some(serde_json::to_value(row)?),
             WriteAction::Delete { .. } => None,
         };
-        Ok(RowWrite {
-            key: self.row_key.clone(),
-            value,
-        })
+        let previous = (self.previous_version != 0).then_some(None);
+        let values = [Some(value), previous].into_iter().flatten();
+        let writes = self.row_keys().into_iter().zip(values);
+        Ok(writes.map(|(key, value)| RowWrite { key, value }).collect())
     }
 }
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -34,6 +34,7 @@
 use tanager_protocol::request::is_idempotent_method;
 
 use crate::claims::ClaimResult;
+use crate::claims::ClaimTicket;
 use crate::claims::fingerprint::RequestFingerprint;
 use crate::claims::fingerprint::key_reused;
 use crate::dispatcher::DispatchBackend;
@@ -380,6 +381,15 @@
         let Some(pending) = self.pending.get_mut(key) else {
             return;
         };
+        let latest = pending.claim.as_ref().map(ClaimTicket::send_before);
+        if latest.is_some_and(|latest| Instant::now() > latest) {
+            let message = "the claim of the request became too old before it was sent".to_owned();
+            self.refuse(key, NotRunReason::QueueTimeout, message, Some(RETRY_AFTER));
+            let now = self.now();
+            let actions = self.core.cancel(now, key);
+            self.execute(actions);
+            return;
+        }
         pending.sent = true;
         let request = Arc::clone(&pending.request);
         let retry_is_safe = pending.idempotent || pending.join.is_some();
@@ -387,7 +397,9 @@
         let events = self.events.clone();
         let task = self.backend.runtime.spawn(async move {
             let start = Instant::now();
-            let result = endpoint.send(address, &request, time_left).await;
+            let result = endpoint
+                .send_before(address, &request, time_left, latest)
+                .await;
             let latency = start.elapsed();
             let (report, outcome) = match result {
                 Ok(answer) if answer.status < 500 => (
--- a/crates/tanager-node/src/endpoint.rs
+++ b/crates/tanager-node/src/endpoint.rs
@@ -75,6 +75,8 @@
     Down,
 }
 
+/// A request, its id, and the latest time at which it may be sent.
+type OutgoingRequest<'a> = (&'a HttpRequest, &'a str, Option<Instant>);
 type IdleConnections = Arc<Mutex<Vec<ClientConnection>>>;
 
 /// Client of all endpoints, with reusable connections per address.
@@ -107,10 +109,27 @@
         address: SocketAddr,
         request: &ForwardRequest,
         timeout: Duration,
+    ) -> Result<EndpointAnswer, SendFailure> {
+        self.send_before(address, request, timeout, None).await
+    }
+
+    /// Like [`Self::send`], but does not send a request whose latest time has passed, in
+    /// particular after connecting.
+    ///
+    /// # Errors
+    ///
+    /// A [`SendFailure`] that tells whether the request may have run.
+    pub async fn send_before(
+        &self,
+        address: SocketAddr,
+        request: &ForwardRequest,
+        timeout: Duration,
+        latest: Option<Instant>,
     ) -> Result<EndpointAnswer, SendFailure> {
         let outgoing = build_request(address, request)?;
         let id = &request.request_id;
-        let response = self.exchange(address, &outgoing, id, timeout).await?;
+        let outgoing = (&outgoing, id.as_str(), latest);
+        let response = self.exchange(address, outgoing, timeout).await?;
         let closes = connection_options(&response.headers).any(|option| option == "close");
         if response.status == StatusCode::SERVICE_UNAVAILABLE && closes {
             (self.on_leaving)(address);
@@ -127,7 +146,7 @@
     /// Asks an endpoint for its state with GET. Any status below 500 means that it is up.
     pub async fn probe(&self, address: SocketAddr, path: &str, timeout: Duration) -> ProbeOutcome {
         let request = HttpRequest::new(Method::GET, path, "");
-        match self.exchange(address, &request, "", timeout).await {
+        match self.exchange(address, (&request, "", None), timeout).await {
             Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                 ProbeOutcome::Leaving
             }
@@ -149,14 +168,13 @@
     async fn exchange(
         &self,
         address: SocketAddr,
-        request: &HttpRequest,
-        id: &str,
+        outgoing: OutgoingRequest<'_>,
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
         let start = Instant::now();
         let idle = Arc::clone(self.lock().entry(address).or_default());
         if let Some(connection) = take_connection(&idle, self.limits.max_idle) {
-            let attempt = self.attempt(&idle, connection, (address, request, id), timeout);
+            let attempt = self.attempt(&idle, connection, (address, outgoing), timeout);
             match attempt.await {
                 Err(error) if error.kind == ErrorKind::NotSent => {}
                 result => return result,
@@ -180,7 +198,7 @@
                 "no time left after connecting",
             ));
         }
-        self.attempt(&idle, connection, (address, request, id), left)
+        self.attempt(&idle, connection, (address, outgoing), left)
             .await
     }
 
@@ -188,9 +206,17 @@
         &self,
         idle: &IdleConnections,
         mut connection: ClientConnection,
-        (address, request, id): (SocketAddr, &HttpRequest, &str),
+        (address, (request, id, latest)): (SocketAddr, OutgoingRequest<'_>),
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
+        if latest.is_some_and(|latest| Instant::now() > latest) {
+            return Err(TanagerError::new(
+                ErrorKind::NotSent,
+                "send",
+                address.to_string(),
+                "the claim of the request is too old",
+            ));
+        }
         let exchange = connection.exchange(request.clone(), timeout, self.limits.max_body);
         let result = exchange.await.and_then(|response| {
             check_response(address, &response, id)?;
--- a/crates/tanager-node/src/node.rs
+++ b/crates/tanager-node/src/node.rs
@@ -38,6 +38,8 @@
 use crate::caller::CallerLimits;
 use crate::caller::CallerServer;
 use crate::claims::ClaimService;
+use crate::claims::ClaimSettings;
+use crate::claims::HomeCheck;
 use crate::dispatcher::DispatchBackend;
 use crate::dispatcher::DispatchService;
 use crate::endpoint::EndpointClient;
@@ -125,8 +127,9 @@
         ));
         let claims = Arc::new(ClaimService::spawn(
             Arc::clone(&platform),
-            settings.name.clone(),
-            incarnation,
+            (settings.name.clone(), incarnation),
+            ClaimSettings::default(),
+            home_check(&control_cell),
         ));
         let dispatch = spawn_dispatch(&settings, &claims)?;
         let peers = Arc::new(PeerClient::new());
@@ -246,6 +249,11 @@
     }
 }
 
+fn home_check(control: &ControlCell) -> HomeCheck {
+    let control = Arc::clone(control);
+    Arc::new(move |name| control.get().is_some_and(|control| control.is_home(name)))
+}
+
 fn spawn_dispatch(
     settings: &NodeSettings,
     claims: &Arc<ClaimService>,
@@ -466,6 +474,7 @@
             "conflicts": counters.conflicts,
             "lost_responses": counters.lost_responses,
             "dropped_records": counters.dropped_records,
+            "removed_rows": counters.removed_rows,
         })
     });
     kernel.register::<ClaimName>(Arc::clone(claims), claim_hooks)?;
--- a/crates/tanager-node/src/node_metrics.rs
+++ b/crates/tanager-node/src/node_metrics.rs
@@ -128,7 +128,7 @@
 /// Name, help and value of one counter of the claim service.
 type ClaimColumn = (&'static str, &'static str, fn(&ClaimCounters) -> u64);
 
-const CLAIM_COLUMNS: [ClaimColumn; 5] = [
+const CLAIM_COLUMNS: [ClaimColumn; 6] = [
     ("claim_rows", "Claim rows written", |row| row.writes),
     ("claim_batches", "Transactions of claims", |row| row.batches),
     ("claim_conflicts", "Claim conditions that failed", |row| {
@@ -144,6 +144,11 @@
         "Completion records dropped for lack of space",
         |row| row.dropped_records,
     ),
+    (
+        "claim_removed_rows",
+        "Rows of old claim generations removed",
+        |row| row.removed_rows,
+    ),
 ];
 
 fn claim_sources(claims: &Arc<ClaimService>) -> Vec<MetricSource> {
--- a/crates/tanager-node/tests/claims.rs
+++ b/crates/tanager-node/tests/claims.rs
@@ -13,6 +13,7 @@
 use tanager_http::HttpServer;
 use tanager_node::claims::ClaimResult;
 use tanager_node::claims::ClaimService;
+use tanager_node::claims::ClaimSettings;
 use tanager_node::claims::ClaimTicket;
 use tanager_node::claims::KeyHistory;
 use tanager_node::claims::fingerprint::RequestFingerprint;
@@ -26,10 +27,15 @@
 use common::request;
 use common::wait_until;
 
-const ROW: &str = "claim/intake/k1";
+const ROW: &str = "claim/00000000/intake/k1";
 
 fn service(server: &HttpServer, node: &str) -> ClaimService {
-    ClaimService::spawn(platform(server), node.to_owned(), 7)
+    ClaimService::spawn(
+        platform(server),
+        (node.to_owned(), 7),
+        ClaimSettings::default(),
+        Arc::new(|_| false),
+    )
 }
 
 fn fingerprint(body: &str) -> RequestFingerprint {
@@ -124,7 +130,7 @@
         let ticket = granted(&first, "k1").await;
         // The frozen write of k2 keeps the removal of k1 waiting.
         store.faults.frozen.store(true, Ordering::SeqCst);
-        abandoned(&first, "k2", || store.state("claim/intake/k2").is_some()).await;
+        abandoned(&first, "k2", || store.state("claim/00000000/intake/k2").is_some()).await;
         first.release(ticket);
         let (result, ()) = tokio::join!(claim_for(&first, "k1", "other"), async {
             store.faults.frozen.store(false, Ordering::SeqCst);
@@ -234,7 +240,7 @@
         store.faults.land.notify_waiters();
         wait_until(|| store.state(ROW).is_some()).await;
         granted(&first, "k1").await;
-        wait_until(|| store.state("claim/intake/k2").is_none()).await;
+        wait_until(|| store.state("claim/00000000/intake/k2").is_none()).await;
         assert_eq!(store.state(ROW).as_deref(), Some("started"));
     }
 
@@ -262,7 +268,7 @@
         // The frozen write of k2 keeps the removal of k1 waiting.
         let ticket = granted(&first, "k1").await;
         store.faults.frozen.store(true, Ordering::SeqCst);
-        abandoned(&first, "k2", || store.state("claim/intake/k2").is_some()).await;
+        abandoned(&first, "k2", || store.state("claim/00000000/intake/k2").is_some()).await;
         first.release(ticket);
         store.faults.outage.store(true, Ordering::SeqCst);
         let (again, ()) = tokio::join!(granted(&first, "k1"), async {
@@ -299,12 +305,12 @@
     claims_share_transactions => {
         let (store, server) = FakeStore::bind().await;
         let first = Arc::new(service(&server, "n1"));
-        store.put("claim/intake/b7", json!({"foreign": true}));
+        store.put("claim/00000000/intake/b7", json!({"foreign": true}));
         store.faults.frozen.store(true, Ordering::SeqCst);
         let mut claims = tokio::task::JoinSet::new();
         let batch = Arc::clone(&first);
         claims.spawn(async move { claim(&batch, "opener").await });
-        wait_until(|| store.state("claim/intake/opener").is_some()).await;
+        wait_until(|| store.state("claim/00000000/intake/opener").is_some()).await;
         let sent = Arc::new(AtomicUsize::new(0));
         for number in 0..64 {
             let (batch, sent) = (Arc::clone(&first), Arc::clone(&sent));
--- a/crates/tanager-node/tests/keys.rs
+++ b/crates/tanager-node/tests/keys.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::StatusCode;
 use serde_json::json;
@@ -21,6 +22,9 @@
 use tanager_http::pool::PoolLimits;
 use tanager_http::server::ResponseFuture;
 use tanager_node::claims::ClaimService;
+use tanager_node::claims::ClaimSettings;
+use tanager_node::claims::KeyHistory;
+use tanager_node::claims::fingerprint::RequestFingerprint;
 use tanager_node::dispatcher::DispatchBackend;
 use tanager_node::dispatcher::DispatchService;
 use tanager_node::endpoint::EndpointClient;
@@ -91,10 +95,15 @@
 }
 
 impl DispatchSite {
-    async fn spawn() -> Self {
+    async fn spawn(settings: ClaimSettings) -> Self {
         let (_, store) = FakeStore::bind().await;
         let (endpoint, server) = EchoEndpoint::bind().await;
-        let claims = ClaimService::spawn(platform(&store), "n1".to_owned(), 7);
+        let claims = ClaimService::spawn(
+            platform(&store),
+            ("n1".to_owned(), 7),
+            settings,
+            Arc::new(|_| false),
+        );
         let claims = Arc::new(claims);
         let client = EndpointClient::new(PoolLimits::default(), Arc::new(|_| {}));
         let backend = DispatchBackend {
@@ -138,7 +147,7 @@
 async_cases! {
     /// Guards against a request that joins another one in progress which has the same key.
     other_request_does_not_join => {
-        let site = DispatchSite::spawn().await;
+        let site = DispatchSite::spawn(ClaimSettings::default()).await;
         site.endpoint.held.store(true, Ordering::SeqCst);
         let release = async {
             wait_until(|| site.endpoint.received.load(Ordering::SeqCst) == 1).await;
@@ -154,7 +163,7 @@
     /// Guards against the recorded answer of another request, and against one that a refusal in
     /// between takes away from its own request.
     recorded_answer_belongs_to_its_request => {
-        let site = DispatchSite::spawn().await;
+        let site = DispatchSite::spawn(ClaimSettings::default()).await;
         assert_answered(&site.dispatch.submit(keyed("first")).await, "first");
         site.claims.flush().await;
         assert_refused(&site.dispatch.submit(keyed("other")).await);
@@ -163,4 +172,21 @@
         assert_answered(&site.dispatch.submit(keyed("first")).await, "first");
         assert_eq!(site.endpoint.received.load(Ordering::SeqCst), 1);
     }
+
+    /// Guards against sending a request long after its grant, as when the process was paused: its
+    /// claim may have been removed and its key used again.
+    old_grant_is_not_sent => {
+        let settings = ClaimSettings { send_within: Duration::ZERO, ..ClaimSettings::default() };
+        let site = DispatchSite::spawn(settings).await;
+        match site.dispatch.submit(keyed("first")).await {
+            RequestOutcome::NotRun(refusal) => assert!(refusal.retry_after.is_some()),
+            other => panic!("not refused: {other:?}"),
+        }
+        assert_eq!(site.endpoint.received.load(Ordering::SeqCst), 0);
+        site.claims.flush().await;
+        // The claim was released, so another request may use the key.
+        let other = RequestFingerprint::new(&keyed("other"));
+        let history = site.claims.history("intake", "k1", &other).await;
+        assert_eq!(history, KeyHistory::Absent);
+    }
 }
