Derive the peer message limit from max_body and keep lengths of HEAD

Cause: messages between nodes were limited to 5 MiB whatever max_body allowed, so larger bodies were accepted from callers and then failed as unknown. Responses to HEAD lost the endpoint's Content-Length as a hop-by-hop header, and no body is there to set it anew.

Change: PeerClient and PeerServer take max_body and allow 1 MiB more. The endpoint client keeps Content-Length in responses to HEAD.

Nodes with different settings answer a body above the smaller limit as unknown, so max_body must be the same on all nodes.

--- a/crates/tanager-node/src/endpoint.rs
+++ b/crates/tanager-node/src/endpoint.rs
@@ -134,7 +134,11 @@
         if response.status == StatusCode::SERVICE_UNAVAILABLE && closes {
             (self.on_leaving)(address);
         }
-        let headers = end_to_end_headers(&response.headers);
+        // A response to HEAD has no body from which the length could be set anew.
+        let length = response.headers.get(header::CONTENT_LENGTH);
+        let length = length.filter(|_| request.method == "HEAD");
+        let length = length.map(|value| (&header::CONTENT_LENGTH, value));
+        let headers = end_to_end_headers(&response.headers).chain(length);
         let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
         Ok(EndpointAnswer {
             status: response.status.as_u16(),
--- a/crates/tanager-node/src/node.rs
+++ b/crates/tanager-node/src/node.rs
@@ -132,7 +132,7 @@
             home_check(&control_cell),
         ));
         let dispatch = spawn_dispatch(&settings, &claims)?;
-        let peers = Arc::new(PeerClient::new());
+        let peers = Arc::new(PeerClient::new(settings.max_body));
         let tickets = Arc::new(TicketTable::new(
             settings.name.clone(),
             incarnation,
@@ -148,6 +148,7 @@
         );
         let peer = PeerServer::bind(
             settings.peer_address,
+            settings.max_body,
             peer_handlers(&requests, &control_cell),
         )
         .await?;
--- a/crates/tanager-node/src/peer/client.rs
+++ b/crates/tanager-node/src/peer/client.rs
@@ -39,8 +39,8 @@
 use tanager_protocol::peer::NodeStatus;
 use tanager_protocol::peer::peer_client;
 
-use crate::peer::MAX_MESSAGE_BYTES;
 use crate::peer::convert::outcome_from_reply;
+use crate::peer::message_limit;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -114,16 +114,21 @@
 }
 
 /// Client of all other nodes.
-#[derive(Default)]
 pub struct PeerClient {
+    message_limit: usize,
     slots: Mutex<HashMap<SocketAddr, Arc<PeerSlot>>>,
     connections: AtomicU64,
 }
 
 impl PeerClient {
-    /// Creates a client; it connects when it is first used.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a client for requests with bodies of up to `max_body` bytes; it connects when it is
+    /// first used.
+    pub fn new(max_body: usize) -> Self {
+        Self {
+            message_limit: message_limit(max_body),
+            slots: Mutex::default(),
+            connections: AtomicU64::new(0),
+        }
     }
 
     /// Forwards a request to the home of its pool.
@@ -210,7 +215,7 @@
             };
             let client = GeneratedClient::new(live.channel)
                 .max_decoding_message_size(usize::MAX)
-                .max_encoding_message_size(MAX_MESSAGE_BYTES);
+                .max_encoding_message_size(self.message_limit);
             let result = time::timeout_at(deadline.into(), operation(client)).await;
             let status = match result {
                 Ok(Ok(reply)) => return Ok(reply.into_inner()),
--- a/crates/tanager-node/src/peer/mod.rs
+++ b/crates/tanager-node/src/peer/mod.rs
@@ -9,6 +9,11 @@
 pub use server::PeerHandlers;
 pub use server::PeerServer;
 
-/// Largest message: a body of 4 MiB, the headers of a request, and the fields around them. hyper
-/// accepts at most about 400 KiB of headers.
-pub const MAX_MESSAGE_BYTES: usize = 5 << 20;
+/// Room in a message for headers and the fields around the body, in bytes. hyper accepts at most
+/// about 400 KiB of headers.
+const MESSAGE_OVERHEAD: usize = 1 << 20;
+
+/// Returns the largest message between nodes whose callers may send bodies of `max_body` bytes.
+pub fn message_limit(max_body: usize) -> usize {
+    max_body.saturating_add(MESSAGE_OVERHEAD)
+}
--- a/crates/tanager-node/src/peer/server.rs
+++ b/crates/tanager-node/src/peer/server.rs
@@ -25,8 +25,8 @@
 use tanager_protocol::peer::peer_server;
 use tanager_protocol::peer::peer_server::Peer;
 
-use crate::peer::MAX_MESSAGE_BYTES;
 use crate::peer::convert::reply_from_outcome;
+use crate::peer::message_limit;
 use crate::router::BoxFuture;
 
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -82,12 +82,16 @@
 }
 
 impl PeerServer {
-    /// Binds a server.
+    /// Binds a server for requests with bodies of up to `max_body` bytes.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::Invalid`] when the address cannot be bound.
-    pub async fn bind(address: SocketAddr, handlers: PeerHandlers) -> TanagerResult<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        max_body: usize,
+        handlers: PeerHandlers,
+    ) -> TanagerResult<Self> {
         let failed = |error: std::io::Error| {
             TanagerError::new(ErrorKind::Invalid, "bind", address.to_string(), error)
         };
@@ -95,7 +99,7 @@
         let address = listener.local_addr().map_err(failed)?;
         let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let service = peer_server::PeerServer::new(handlers)
-            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_decoding_message_size(message_limit(max_body))
             .max_encoding_message_size(usize::MAX);
         let (stop, mut stopped) = watch::channel(false);
         let work = Server::builder()
--- a/crates/tanager-node/tests/peer.rs
+++ b/crates/tanager-node/tests/peer.rs
@@ -44,6 +44,8 @@
 use common::request;
 use common::wait_until;
 
+const MAX_BODY: usize = 4 << 20;
+
 /// Outcome by the path of the request; the default returns its body.
 fn outcome(request: ForwardRequest) -> RequestOutcome {
     let retry_after = Some(Duration::from_millis(1_500));
@@ -88,7 +90,9 @@
 }
 
 async fn bind(address: SocketAddr) -> PeerServer {
-    PeerServer::bind(address, handlers()).await.unwrap()
+    PeerServer::bind(address, MAX_BODY, handlers())
+        .await
+        .unwrap()
 }
 
 /// Forwards to a server; its first `silent` connections accept and never answer.
@@ -121,7 +125,7 @@
                 let mut request = request("POST", "k1");
                 request.path = $path.to_owned();
                 request.body = vec![0, 255];
-                let result = PeerClient::new().forward(server.address(), request.clone(), LONG).await;
+                let result = PeerClient::new(MAX_BODY).forward(server.address(), request.clone(), LONG).await;
                 assert_eq!(result, Ok(outcome(request)));
             })*
         }
@@ -145,14 +149,14 @@
         request.body = (0..4_u32 << 20).map(|byte| (byte % 251) as u8).collect();
         let value = vec![b'h'; 400 << 10];
         request.headers = vec![Header { name: "x-large".to_owned(), value }];
-        let result = PeerClient::new().forward(server.address(), request.clone(), LONG).await;
+        let result = PeerClient::new(MAX_BODY).forward(server.address(), request.clone(), LONG).await;
         assert!(result == Ok(outcome(request)));
     }
 
     /// Guards against wrong wiring of the other calls.
     gossip_and_fetch => {
         let server = bind(LOCALHOST).await;
-        let client = PeerClient::new();
+        let client = PeerClient::new(MAX_BODY);
         let status = NodeStatus { node: "n1".to_owned(), version: 4, ..NodeStatus::default() };
         let reply = client.gossip(server.address(), status, LONG).await.unwrap();
         assert_eq!((reply.node.as_str(), reply.version), ("n1", 5));
@@ -165,7 +169,7 @@
 
     /// Guards against "unknown" for a request that never left, which would stop its failover.
     refused_connection_is_not_sent => {
-        let result = forward(&PeerClient::new(), closed_address().await).await;
+        let result = forward(&PeerClient::new(MAX_BODY), closed_address().await).await;
         assert!(matches!(result, Err(ForwardFailure::NotSent(_))), "{result:?}");
     }
 
@@ -173,7 +177,7 @@
     silent_connection_is_replaced_after_a_timeout => {
         let server = bind(LOCALHOST).await;
         let (address, accepted) = silent_first(&server, 1).await;
-        let client = PeerClient::new();
+        let client = PeerClient::new(MAX_BODY);
         let timeout = Duration::from_millis(200);
         let result = client.forward(address, request("GET", ""), timeout).await;
         assert!(matches!(result, Err(ForwardFailure::Unknown(_))), "{result:?}");
@@ -188,7 +192,7 @@
     keepalive_ends_calls_on_a_silent_connection => {
         let server = bind(LOCALHOST).await;
         let (address, _) = silent_first(&server, 1).await;
-        let client = PeerClient::new();
+        let client = PeerClient::new(MAX_BODY);
         let Err(ForwardFailure::Unknown(message)) = forward(&client, address).await else {
             panic!("the silent connection answered");
         };
@@ -201,7 +205,7 @@
     restart_of_a_peer => {
         let server = bind(LOCALHOST).await;
         let address = server.address();
-        let client = PeerClient::new();
+        let client = PeerClient::new(MAX_BODY);
         assert!(forward(&client, address).await.is_ok());
         server.stop().await;
         let result = forward(&client, address).await;
@@ -215,7 +219,7 @@
     closed_idle_connection_is_replaced => {
         let server = bind(LOCALHOST).await;
         let address = server.address();
-        let client = PeerClient::new();
+        let client = PeerClient::new(MAX_BODY);
         assert!(forward(&client, address).await.is_ok());
         server.stop().await;
         let _server = bind(address).await;
@@ -236,7 +240,7 @@
             }),
             ..handlers()
         };
-        let server = PeerServer::bind(LOCALHOST, counting).await.unwrap();
+        let server = PeerServer::bind(LOCALHOST, MAX_BODY, counting).await.unwrap();
         let target = server.address();
         let (address, accepted) = raw_server(move |number, mut stream| async move {
             let mut upstream = TcpStream::connect(target).await.unwrap();
@@ -245,7 +249,7 @@
             let _ = tokio::time::timeout(lifetime, copy).await;
         })
         .await;
-        let client = Arc::new(PeerClient::new());
+        let client = Arc::new(PeerClient::new(MAX_BODY));
         let mut calls = tokio::task::JoinSet::new();
         for number in 0..2_000 {
             let client = Arc::clone(&client);
@@ -285,9 +289,9 @@
             }),
             ..handlers()
         };
-        let server = PeerServer::bind(LOCALHOST, slow).await.unwrap();
+        let server = PeerServer::bind(LOCALHOST, MAX_BODY, slow).await.unwrap();
         let address = server.address();
-        let call = tokio::spawn(async move { forward(&PeerClient::new(), address).await });
+        let call = tokio::spawn(async move { forward(&PeerClient::new(MAX_BODY), address).await });
         wait_until(|| started.load(Ordering::SeqCst)).await;
         let stop = tokio::spawn(server.stop());
         // The listener is closed once the stop has begun.
@@ -320,8 +324,8 @@
             }),
             ..handlers()
         };
-        let server = PeerServer::bind(LOCALHOST, stuck).await.unwrap();
-        let client = PeerClient::new();
+        let server = PeerServer::bind(LOCALHOST, MAX_BODY, stuck).await.unwrap();
+        let client = PeerClient::new(MAX_BODY);
         tokio::select! {
             result = forward(&client, server.address()) => panic!("{result:?}"),
             () = wait_until(|| flags[0].load(Ordering::SeqCst)) => {}
@@ -340,8 +344,8 @@
             }),
             ..handlers()
         };
-        let server = PeerServer::bind(LOCALHOST, stuck).await.unwrap();
-        let client = Arc::new(PeerClient::new());
+        let server = PeerServer::bind(LOCALHOST, MAX_BODY, stuck).await.unwrap();
+        let client = Arc::new(PeerClient::new(MAX_BODY));
         let mut calls = tokio::task::JoinSet::new();
         for _ in 0..1_000 {
             let (client, address) = (Arc::clone(&client), server.address());
