--- a/crates/tanager-node/src/lib.rs
+++ b/crates/tanager-node/src/lib.rs
@@ -1,4 +1,4 @@
-//! The node: caller face, endpoint client, peer link, dispatch and administration API.
+//! The node: caller interface, endpoint client, peer link, dispatch and administration API.
 
 pub mod admin;
 pub mod caller;
