Separate the decisions about claims from the calls to the store

Cause: claims/worker.rs had 520 lines and two jobs: it called the store, and it decided what rows and results mean for each claim.

No change of behaviour.

--- a/crates/tanager-node/src/claims/mod.rs
+++ b/crates/tanager-node/src/claims/mod.rs
@@ -4,6 +4,7 @@
 pub mod generation;
 mod queue;
 pub mod record;
+mod resolver;
 mod retention;
 mod transaction;
 mod unsent;
@@ -38,6 +39,7 @@
 use crate::claims::generation::ClaimGeneration;
 use crate::claims::generation::row_key;
 use crate::claims::record::ClaimRow;
+use crate::claims::resolver::ClaimResolver;
 use crate::claims::retention::RetentionTask;
 use crate::claims::worker::ClaimWorker;
 
@@ -221,14 +223,13 @@
     ) -> Self {
         let (commands, receiver) = mpsc::unbounded_channel();
         let stats = Arc::new(ClaimStats::default());
-        let worker = ClaimWorker::new(
-            Arc::clone(&platform),
+        let resolver = ClaimResolver::new(
             owner.clone(),
-            commands.downgrade(),
-            receiver,
             Arc::clone(&stats),
-            settings,
+            commands.downgrade(),
+            settings.send_within,
         );
+        let worker = ClaimWorker::new(Arc::clone(&platform), resolver, receiver, settings);
         tokio::spawn(worker.run());
         let retention = RetentionTask {
             platform: Arc::clone(&platform),
--- a/crates/tanager-node/src/claims/worker.rs
+++ b/crates/tanager-node/src/claims/worker.rs
@@ -10,30 +10,18 @@
 use tokio::time;
 
 use tanager_platform::PlatformClient;
-use tanager_platform::RowVersion;
 use tanager_platform::TableRow;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 
 use crate::claims::ClaimCommand;
-use crate::claims::ClaimDelivery;
-use crate::claims::ClaimOwner;
-use crate::claims::ClaimResult;
 use crate::claims::ClaimSettings;
-use crate::claims::ClaimStats;
-use crate::claims::ClaimTicket;
 use crate::claims::add;
-use crate::claims::fingerprint::RequestFingerprint;
 use crate::claims::generation::ClaimGeneration;
-use crate::claims::queue::WriteQueue;
-use crate::claims::record::ClaimRow;
-use crate::claims::record::ClaimState;
+use crate::claims::resolver::ClaimResolver;
 use crate::claims::transaction::BatchResult;
 use crate::claims::transaction::BatchTransaction;
-use crate::claims::unsent::FULL_CHECKS;
 use crate::claims::write::PendingWrite;
-use crate::claims::write::RowView;
-use crate::claims::write::WriteAction;
 
 /// Rows read at a time; the platform's client keeps as many connections.
 const MAX_READS: usize = 16;
@@ -48,16 +36,11 @@
 /// Task that writes claims.
 pub(super) struct ClaimWorker {
     platform: Arc<PlatformClient>,
-    owner: ClaimOwner,
-    sender: mpsc::WeakUnboundedSender<ClaimCommand>,
     commands: mpsc::UnboundedReceiver<ClaimCommand>,
-    stats: Arc<ClaimStats>,
-    queue: WriteQueue,
+    resolver: ClaimResolver,
     flushes: Vec<oneshot::Sender<()>>,
-    tokens: u64,
     /// The generation as last read; `None` when it must be read before the next insert.
     generation: Option<ClaimGeneration>,
-    send_within: Duration,
     /// Largest batch of the settings.
     batch_limit: usize,
     /// Largest batch that the store is expected to accept.
@@ -68,24 +51,17 @@
 impl ClaimWorker {
     pub(super) fn new(
         platform: Arc<PlatformClient>,
-        owner: ClaimOwner,
-        sender: mpsc::WeakUnboundedSender<ClaimCommand>,
+        resolver: ClaimResolver,
         commands: mpsc::UnboundedReceiver<ClaimCommand>,
-        stats: Arc<ClaimStats>,
         settings: ClaimSettings,
     ) -> Self {
         let batch_limit = settings.max_batch.max(1);
         Self {
             platform,
-            owner,
-            sender,
             commands,
-            stats,
-            queue: WriteQueue::default(),
+            resolver,
             flushes: Vec::new(),
-            tokens: 0,
             generation: None,
-            send_within: settings.send_within,
             batch_limit,
             max_batch: batch_limit,
             backoff: MIN_BACKOFF,
@@ -95,12 +71,12 @@
     /// Runs until the service is dropped; then no longer waits for the end of an outage.
     pub(super) async fn run(mut self) {
         loop {
-            if self.queue.is_empty() {
+            if self.resolver.queue.is_empty() {
                 for flush in self.flushes.drain(..) {
                     // Fails when the caller no longer waits.
                     let _ = flush.send(());
                 }
-                let check = self.queue.unsent.next_check();
+                let check = self.resolver.queue.unsent.next_check();
                 tokio::select! {
                     command = self.commands.recv() => match command {
                         Some(command) => self.accept(command),
@@ -112,9 +88,9 @@
             while let Ok(command) = self.commands.try_recv() {
                 self.accept(command);
             }
-            self.queue.check_unsent();
-            self.queue.drop_abandoned();
-            let batch = self.queue.take_batch(self.max_batch);
+            self.resolver.queue.check_unsent();
+            self.resolver.queue.drop_abandoned();
+            let batch = self.resolver.queue.take_batch(self.max_batch);
             if batch.is_empty() {
                 continue;
             }
@@ -130,93 +106,17 @@
 
     fn accept(&mut self, command: ClaimCommand) {
         match command {
-            ClaimCommand::Claim {
-                name,
-                fingerprint,
-                reply,
-                permit,
-            } => {
-                let action = WriteAction::Insert {
-                    fingerprint,
-                    reply,
-                    _permit: permit,
-                };
-                self.accept_claim(name, action);
-            }
-            ClaimCommand::Complete {
-                ticket,
-                row,
-                permit,
-            } => {
-                let action = WriteAction::Record {
-                    row,
-                    _permit: permit,
-                };
-                let generation = ticket.generation;
-                let mut write = PendingWrite::new(ticket.name, generation, ticket.token, action);
-                write.version = ticket.version;
-                self.queue.writes.push_back(write);
-            }
-            ClaimCommand::Release(ticket) => {
-                let action = WriteAction::Delete {
-                    checks_left: FULL_CHECKS,
-                };
-                let generation = ticket.generation;
-                let mut write = PendingWrite::new(ticket.name, generation, ticket.token, action);
-                write.version = ticket.version;
-                write.maybe_written = ticket.maybe_written;
-                write.granted = Some((ticket.send_before, ticket.fingerprint));
-                self.queue.push_delete(write);
-            }
             ClaimCommand::Flush(reply) => self.flushes.push(reply),
+            command => self.resolver.accept(command),
         }
     }
 
-    fn accept_claim(&mut self, name: String, action: WriteAction) {
-        if let Some(delete) = self.queue.deletes.remove(&name) {
-            if delete.maybe_deleted {
-                // The removal may still take effect, so its token must not be used again.
-                self.queue.deletes.insert(name.clone(), delete);
-            } else if let Some((send_before, fingerprint)) = &delete.granted
-                && !delete.check_row
-                && action.has_fingerprint(fingerprint)
-                && Instant::now() + self.send_within / 2 < *send_before
-            {
-                // Needs no access to the store while half of the time to send is left.
-                let (version, send_before) = (delete.version, *send_before);
-                self.grant(PendingWrite { action, ..delete }, version, send_before);
-                return;
-            } else {
-                let mut write = PendingWrite::new(name, delete.generation, delete.token, action);
-                write.check_row = true;
-                write.maybe_written = true;
-                self.queue.writes.push_back(write);
-                return;
-            }
-        }
-        let unsent = self.queue.unsent.take(&name);
-        let maybe_written = unsent.is_some();
-        let (generation, token) = unsent.map_or_else(
-            || (0, self.new_token()),
-            |claim| (claim.generation, claim.token),
-        );
-        let mut write = PendingWrite::new(name, generation, token, action);
-        write.maybe_written = maybe_written;
-        self.queue.writes.push_back(write);
-    }
-
-    fn new_token(&mut self) -> String {
-        self.tokens += 1;
-        let (node, incarnation) = &self.owner;
-        format!("{node}-{incarnation}-{}", self.tokens)
-    }
-
     async fn process(&mut self, mut batch: Vec<PendingWrite>) -> Result<(), BackOff> {
         let generation = match self.generation {
             Some(generation) => generation,
             None if batch.iter().any(PendingWrite::is_insert) => {
                 let Ok(generation) = ClaimGeneration::read(&self.platform).await else {
-                    self.queue.put_back(batch);
+                    self.resolver.queue.put_back(batch);
                     return Err(BackOff);
                 };
                 *self.generation.insert(generation)
@@ -236,17 +136,17 @@
             let current = ClaimGeneration::read(&self.platform).await;
             self.generation = current.as_ref().ok().copied();
             if self.generation != Some(generation) {
-                self.queue.put_back(unchecked);
-                self.queue.put_back(ready);
+                self.resolver.queue.put_back(unchecked);
+                self.resolver.queue.put_back(ready);
                 return current.map(|_| ()).map_err(|_| BackOff);
             }
         }
         let mut unread = Vec::new();
         for (mut write, rows) in unchecked.into_iter().zip(rows) {
             match rows {
-                Ok(rows) => ready.extend(self.resolve(write, rows, confirmed)),
+                Ok(rows) => ready.extend(self.resolver.resolve(write, rows, confirmed)),
                 Err(error) if error.kind == ErrorKind::Refused && write.failures > MAX_FAILURES => {
-                    self.give_up(write);
+                    self.resolver.give_up(write);
                 }
                 Err(error) => {
                     write.failures += u32::from(error.kind == ErrorKind::Refused);
@@ -255,7 +155,7 @@
             }
         }
         let failed = !unread.is_empty();
-        self.queue.put_back(unread);
+        self.resolver.queue.put_back(unread);
         if ready.is_empty() {
             return if failed { Err(BackOff) } else { Ok(()) };
         }
@@ -272,35 +172,38 @@
             if ready.is_empty() {
                 break Ok(());
             }
-            let Ok(built) = BatchTransaction::build(&ready, generation, &self.owner) else {
+            let Ok(built) = BatchTransaction::build(&ready, generation, &self.resolver.owner)
+            else {
                 // Rows consist of strings and numbers, which always have a JSON form.
-                ready.into_iter().for_each(|write| self.give_up(write));
+                ready
+                    .into_iter()
+                    .for_each(|write| self.resolver.give_up(write));
                 break Ok(());
             };
-            add(&self.stats.batches, 1);
+            add(&self.resolver.stats.batches, 1);
             let start = Instant::now();
             let result = self.platform.transact(&built.transaction).await;
             match result.map(|result| built.view(result)) {
                 Ok(Some(BatchResult::Committed(versions))) => {
-                    add(&self.stats.writes, ready.len());
+                    add(&self.resolver.stats.writes, ready.len());
                     self.backoff = MIN_BACKOFF;
                     self.max_batch = (self.max_batch * 2).min(self.batch_limit);
                     for (write, version) in ready.into_iter().zip(versions) {
-                        self.committed(write, version, start);
+                        self.resolver.committed(write, version, start);
                     }
                     break Ok(());
                 }
                 Ok(Some(BatchResult::GenerationEnded)) => {
                     self.generation = None;
-                    add(&self.stats.conflicts, 1);
-                    self.queue.put_back(ready);
+                    add(&self.resolver.stats.conflicts, 1);
+                    self.resolver.queue.put_back(ready);
                     break Ok(());
                 }
                 Ok(Some(BatchResult::Conflict(failed))) => {
                     let writes = ready.into_iter().enumerate();
                     let (out, left): (Vec<_>, Vec<_>) =
                         writes.partition(|(index, _)| failed.contains(index));
-                    add(&self.stats.conflicts, out.len());
+                    add(&self.resolver.stats.conflicts, out.len());
                     ready = left.into_iter().map(|(_, write)| write).collect();
                     conflicting.extend(out.into_iter().map(|(_, mut write)| {
                         write.check_row = true;
@@ -313,13 +216,13 @@
                     break Err(BackOff);
                 }
                 Err(error) if error.kind == ErrorKind::NotSent => {
-                    self.queue.put_back(ready);
+                    self.resolver.queue.put_back(ready);
                     break Err(BackOff);
                 }
                 _ => {
-                    add(&self.stats.lost_responses, 1);
+                    add(&self.resolver.stats.lost_responses, 1);
                     ready.iter_mut().for_each(PendingWrite::mark_unknown);
-                    self.queue.put_back(ready);
+                    self.resolver.queue.put_back(ready);
                     break Err(BackOff);
                 }
             }
@@ -328,7 +231,7 @@
         let stuck = conflicting
             .iter()
             .any(|write| write.failures > MAX_FAILURES);
-        self.queue.put_back(conflicting);
+        self.resolver.queue.put_back(conflicting);
         if stuck { Err(BackOff) } else { result }
     }
 
@@ -339,136 +242,13 @@
         if let [write] = ready.as_mut_slice() {
             write.failures += 1;
             if write.failures > MAX_FAILURES {
-                ready.into_iter().for_each(|write| self.give_up(write));
+                ready
+                    .into_iter()
+                    .for_each(|write| self.resolver.give_up(write));
                 return;
             }
         }
-        self.queue.put_back(ready);
-    }
-
-    fn give_up(&mut self, write: PendingWrite) {
-        match write.action {
-            WriteAction::Insert { .. } if write.maybe_written => {
-                self.queue.unsent.remember(&write, FULL_CHECKS);
-                self.deliver(write, ClaimResult::Unavailable);
-            }
-            WriteAction::Insert { .. } => self.deliver(write, ClaimResult::Unavailable),
-            WriteAction::Record { .. } => add(&self.stats.dropped_records, 1),
-            WriteAction::Delete { .. } => {}
-        }
-    }
-
-    fn committed(&mut self, write: PendingWrite, version: RowVersion, start: Instant) {
-        match write.action {
-            WriteAction::Insert { .. } => self.grant(write, version, start + self.send_within),
-            WriteAction::Record { .. } => {}
-            WriteAction::Delete { checks_left } => self.deleted(&write, checks_left),
-        }
-    }
-
-    fn deleted(&mut self, write: &PendingWrite, checks_left: usize) {
-        if write.maybe_written {
-            self.queue.unsent.remember(write, checks_left);
-        }
-    }
-
-    /// Decides a write by its rows as they are; returns the write if it is still to be done.
-    fn resolve(
-        &mut self,
-        mut write: PendingWrite,
-        rows: Vec<Option<TableRow>>,
-        confirmed: Instant,
-    ) -> Option<PendingWrite> {
-        let mut rows = rows.into_iter();
-        let view = write.view(rows.next().flatten());
-        let previous = write.view(rows.next().flatten());
-        write.check_row = false;
-        if let WriteAction::Insert { fingerprint, .. } = &write.action {
-            let fingerprint = fingerprint.clone();
-            return self.resolve_insert(write, (view, previous), &fingerprint, confirmed);
-        }
-        match (&write.action, view) {
-            (
-                WriteAction::Record { .. } | WriteAction::Delete { .. },
-                RowView::Own(version, claim),
-            ) if claim.state == ClaimState::Started => {
-                write.version = version;
-                return Some(write);
-            }
-            (WriteAction::Record { .. }, RowView::Own(..)) => {}
-            (WriteAction::Record { .. }, RowView::Absent | RowView::Other(_)) => {
-                add(&self.stats.dropped_records, 1);
-            }
-            (WriteAction::Insert { .. }, _) => {}
-            (WriteAction::Delete { checks_left }, _) => {
-                let checks_left = *checks_left;
-                self.deleted(&write, checks_left);
-            }
-        }
-        None
-    }
-
-    fn resolve_insert(
-        &mut self,
-        mut write: PendingWrite,
-        views: (RowView, RowView),
-        fingerprint: &RequestFingerprint,
-        confirmed: Instant,
-    ) -> Option<PendingWrite> {
-        let result = match views {
-            (RowView::Other(claim), _) | (_, RowView::Other(claim)) => {
-                if write.maybe_written {
-                    self.queue.unsent.remember(&write, FULL_CHECKS);
-                }
-                refusal(claim, fingerprint)
-            }
-            (RowView::Own(_, claim), _) | (_, RowView::Own(_, claim))
-                if claim.state == ClaimState::Done =>
-            {
-                ClaimResult::Held
-            }
-            (RowView::Own(version, claim), RowView::Absent)
-                if claim.fingerprint == *fingerprint =>
-            {
-                self.grant(write, version, confirmed + self.send_within);
-                return None;
-            }
-            // A row of this claim from the previous generation, or of another request that was
-            // not sent, is replaced.
-            (view, previous) => {
-                write.version = view.version();
-                write.previous_version = previous.version();
-                return Some(write);
-            }
-        };
-        self.deliver(write, result);
-        None
-    }
-
-    fn grant(&self, write: PendingWrite, version: RowVersion, send_before: Instant) {
-        let WriteAction::Insert { fingerprint, .. } = &write.action else {
-            return;
-        };
-        let ticket = ClaimTicket {
-            fingerprint: fingerprint.clone(),
-            send_before,
-            generation: write.generation,
-            name: write.name.clone(),
-            token: write.token.clone(),
-            version,
-            maybe_written: write.maybe_written,
-        };
-        self.deliver(write, ClaimResult::Granted(ticket));
-    }
-
-    fn deliver(&self, write: PendingWrite, result: ClaimResult) {
-        if let WriteAction::Insert { reply, .. } = write.action {
-            // When the claimer no longer waits, the dropped delivery releases a grant.
-            let _ = reply.send(ClaimDelivery {
-                result: Some(result),
-                commands: self.sender.clone(),
-            });
-        }
+        self.resolver.queue.put_back(ready);
     }
 
     /// Reads the rows of each write.
@@ -501,17 +281,6 @@
     }
 }
 
-/// Result of a claim whose key has the row of another claim; `None` when it cannot be decoded.
-fn refusal(claim: Option<Box<ClaimRow>>, fingerprint: &RequestFingerprint) -> ClaimResult {
-    match claim {
-        Some(claim) if claim.fingerprint != *fingerprint => ClaimResult::KeyReused,
-        Some(claim) => claim
-            .answer()
-            .map_or(ClaimResult::Held, ClaimResult::Recorded),
-        None => ClaimResult::Held,
-    }
-}
-
 async fn sleep_until(time: Option<Instant>) {
     match time {
         Some(time) => time::sleep_until(time.into()).await,
