--- a/crates/tanager-node/tests/endpoint.rs
+++ b/crates/tanager-node/tests/endpoint.rs
@@ -126,6 +126,16 @@
         assert_eq!(accepted.load(Ordering::SeqCst), 0);
     }
 
+    /// Guards against sending a request whose time to send passed while its connection was opened.
+    passed_latest_time_is_not_sent => {
+        let (address, accepted) = first_answer(OK, false).await;
+        let latest = Some(std::time::Instant::now());
+        let client = client();
+        let result = client.send_before(address, &request("POST", "k"), LONG, latest).await;
+        assert_eq!(result.unwrap_err().kind, SendFailureKind::NotSent);
+        assert_eq!(accepted.load(Ordering::SeqCst), 1);
+    }
+
     /// Guards against an endpoint that holds a slot by sending its response byte by byte.
     trickled_answer_times_out => {
         let (address, _) = raw_server(|_, mut stream| async move {
