Set the retention of claims in the settings file

Cause: the retention of claims could not be changed on a site. Change: [limits] claim_retention, default 720m, at least 120m, twice the longest timeout of a request.

--- a/crates/tanager-node/src/node.rs
+++ b/crates/tanager-node/src/node.rs
@@ -128,7 +128,10 @@
         let claims = Arc::new(ClaimService::spawn(
             Arc::clone(&platform),
             (settings.name.clone(), incarnation),
-            ClaimSettings::default(),
+            ClaimSettings {
+                retention: settings.claim_retention,
+                ..ClaimSettings::default()
+            },
             home_check(&control_cell),
         ));
         let dispatch = spawn_dispatch(&settings, &claims)?;
--- a/crates/tanager-settings/src/lib.rs
+++ b/crates/tanager-settings/src/lib.rs
@@ -44,12 +44,17 @@
     pub default_timeout: Duration,
     /// `[limits] probe_interval`: time between probes of one idle worker.
     pub probe_interval: Duration,
+    /// `[limits] claim_retention`: least time for which the key of a request is remembered.
+    pub claim_retention: Duration,
     /// `[admin] root_token`: bearer token that may do everything.
     pub root_token: String,
 }
 
 /// Largest accepted `max_body`; a forwarded body must fit one message between nodes.
 const MAX_BODY_LIMIT: usize = 64 << 20;
+/// Shortest accepted `claim_retention`: twice the longest timeout of a request (1 h), so that a key
+/// is remembered while its request may still run.
+const MIN_CLAIM_RETENTION: Duration = Duration::from_secs(7_200);
 /// Shortest accepted root token, so that it cannot be guessed by trial.
 const MIN_TOKEN_BYTES: usize = 16;
 
@@ -88,6 +93,7 @@
             max_body: reader.optional("limits", "max_body", max_body, "4MiB")?,
             default_timeout: reader.optional("limits", "default_timeout", positive, "30s")?,
             probe_interval: reader.optional("limits", "probe_interval", positive, "1s")?,
+            claim_retention: reader.optional("limits", "claim_retention", retention, "720m")?,
             root_token: reader.required("admin", "root_token", token)?,
         };
         reader.finish()?;
@@ -111,6 +117,14 @@
     Ok(duration)
 }
 
+fn retention(text: &str) -> Result<Duration, String> {
+    let duration = value::duration(text)?;
+    if duration < MIN_CLAIM_RETENTION {
+        return Err("a time of at least 120m, such as 720m".to_owned());
+    }
+    Ok(duration)
+}
+
 fn token(text: &str) -> Result<String, String> {
     let graphic = text.bytes().all(|byte| byte.is_ascii_graphic());
     if text.len() < MIN_TOKEN_BYTES || !graphic {
--- a/crates/tanager-settings/tests/settings.rs
+++ b/crates/tanager-settings/tests/settings.rs
@@ -25,6 +25,7 @@
 fn defaults_apply() {
     let settings = NodeSettings::parse("node.ini", VALID).expect("valid");
     assert_eq!(settings.max_body, 4 << 20);
+    assert_eq!(settings.claim_retention, Duration::from_secs(12 * 3_600));
     assert_eq!(settings.stop_delay, Duration::from_secs(5));
     assert!(settings.seeds.is_empty());
 }
@@ -82,6 +83,8 @@
         => "[limits] max_body", "KiB or MiB";
     body_too_large: replace "[admin]", with "[limits]\nmax_body = 65MiB\n[admin]"
         => "[limits] max_body", "64MiB";
+    short_retention: replace "[admin]", with "[limits]\nclaim_retention = 119m\n[admin]"
+        => "[limits] claim_retention", "120m";
     short_token: replace "0123456789abcdef", with "secret" => "[admin] root_token", "16 visible";
     bad_name: replace "entry-1", with "Entry 1" => "[node] name", "a-z";
 }
