Make the test of the latest time to send independent of accept order

Cause: passed_latest_time_is_not_sent failed once in a run of the whole workspace (tests/endpoint.rs:136): it compared the number of accepted connections, which the server may count after the client has returned. Change: the test waits for the connection and checks that it closed without a byte, which is stricter.

--- a/crates/tanager-node/tests/endpoint.rs
+++ b/crates/tanager-node/tests/endpoint.rs
@@ -128,12 +128,19 @@
 
     /// Guards against sending a request whose time to send passed while its connection was opened.
     passed_latest_time_is_not_sent => {
-        let (address, accepted) = first_answer(OK, false).await;
+        let (heads, mut received) = tokio::sync::mpsc::unbounded_channel();
+        let (address, _) = raw_server(move |_, mut stream| {
+            let heads = heads.clone();
+            async move {
+                let _ = heads.send(read_head(&mut stream).await);
+            }
+        }).await;
         let latest = Some(std::time::Instant::now());
         let client = client();
         let result = client.send_before(address, &request("POST", "k"), LONG, latest).await;
         assert_eq!(result.unwrap_err().kind, SendFailureKind::NotSent);
-        assert_eq!(accepted.load(Ordering::SeqCst), 1);
+        // The connection was opened, and closed without a byte.
+        assert_eq!(received.recv().await.as_deref(), Some(""));
     }
 
     /// Guards against an endpoint that holds a slot by sending its response byte by byte.
