--- a/crates/tanager-node/tests/peer.rs
+++ b/crates/tanager-node/tests/peer.rs
@@ -153,6 +153,17 @@
         assert!(result == Ok(outcome(request)));
     }
 
+    /// Guards against a `max_body` that callers may use but that no node can forward.
+    body_above_the_default => {
+        let max_body = 8 << 20;
+        let server = PeerServer::bind(LOCALHOST, max_body, handlers()).await.unwrap();
+        let mut request = request("PUT", "");
+        request.body = vec![7; max_body];
+        let client = PeerClient::new(max_body);
+        let result = client.forward(server.address(), request.clone(), LONG).await;
+        assert!(result == Ok(outcome(request)));
+    }
+
     /// Guards against wrong wiring of the other calls.
     gossip_and_fetch => {
         let server = bind(LOCALHOST).await;
