--- a/crates/tanager-node/src/claims/worker.rs
+++ b/crates/tanager-node/src/claims/worker.rs
@@ -1,9 +1,6 @@
 //! Task that writes claims to the store, one transaction at a time.
 
-use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,27 +10,19 @@
 use tokio::time;
 
 use tanager_platform::PlatformClient;
-use tanager_platform::RowVersion;
 use tanager_platform::TableRow;
-use tanager_platform::TableTransaction;
-use tanager_platform::TransactionResult;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 
 use crate::claims::ClaimCommand;
-use crate::claims::ClaimDelivery;
-use crate::claims::ClaimResult;
-use crate::claims::ClaimStats;
-use crate::claims::ClaimTicket;
-use crate::claims::queue::WriteQueue;
-use crate::claims::record::ClaimRow;
-use crate::claims::record::ClaimState;
-use crate::claims::unsent::FULL_CHECKS;
+use crate::claims::ClaimSettings;
+use crate::claims::add;
+use crate::claims::generation::ClaimGeneration;
+use crate::claims::resolver::ClaimResolver;
+use crate::claims::transaction::BatchResult;
+use crate::claims::transaction::BatchTransaction;
 use crate::claims::write::PendingWrite;
-use crate::claims::write::RowView;
-use crate::claims::write::WriteAction;
 
-const MAX_BATCH: usize = 64;
 /// Rows read at a time; the platform's client keeps as many connections.
 const MAX_READS: usize = 16;
 /// A write that conflicts or is refused more often waits, and a refused one is given up.
@@ -47,14 +36,14 @@
 /// Task that writes claims.
 pub(super) struct ClaimWorker {
     platform: Arc<PlatformClient>,
-    /// Row of a new claim, without its token.
-    owner: ClaimRow,
-    sender: mpsc::WeakUnboundedSender<ClaimCommand>,
     commands: mpsc::UnboundedReceiver<ClaimCommand>,
-    stats: Arc<ClaimStats>,
-    queue: WriteQueue,
+    resolver: ClaimResolver,
     flushes: Vec<oneshot::Sender<()>>,
-    tokens: u64,
+    /// The generation as last read; `None` when it must be read before the next insert.
+    generation: Option<ClaimGeneration>,
+    /// Largest batch of the settings.
+    batch_limit: usize,
+    /// Largest batch that the store is expected to accept.
     max_batch: usize,
     backoff: Duration,
 }
@@ -62,21 +51,19 @@
 impl ClaimWorker {
     pub(super) fn new(
         platform: Arc<PlatformClient>,
-        owner: ClaimRow,
-        sender: mpsc::WeakUnboundedSender<ClaimCommand>,
+        resolver: ClaimResolver,
         commands: mpsc::UnboundedReceiver<ClaimCommand>,
-        stats: Arc<ClaimStats>,
+        settings: ClaimSettings,
     ) -> Self {
+        let batch_limit = settings.max_batch.max(1);
         Self {
             platform,
-            owner,
-            sender,
             commands,
-            stats,
-            queue: WriteQueue::default(),
+            resolver,
             flushes: Vec::new(),
-            tokens: 0,
-            max_batch: MAX_BATCH,
+            generation: None,
+            batch_limit,
+            max_batch: batch_limit,
             backoff: MIN_BACKOFF,
         }
     }
@@ -84,12 +71,12 @@
     /// Runs until the service is dropped; then no longer waits for the end of an outage.
     pub(super) async fn run(mut self) {
         loop {
-            if self.queue.is_empty() {
+            if self.resolver.queue.is_empty() {
                 for flush in self.flushes.drain(..) {
                     // Fails when the caller no longer waits.
                     let _ = flush.send(());
                 }
-                let check = self.queue.unsent.next_check();
+                let check = self.resolver.queue.unsent.next_check();
                 tokio::select! {
                     command = self.commands.recv() => match command {
                         Some(command) => self.accept(command),
@@ -101,9 +88,9 @@
             while let Ok(command) = self.commands.try_recv() {
                 self.accept(command);
             }
-            self.queue.check_unsent();
-            self.queue.drop_abandoned();
-            let batch = self.queue.take_batch(self.max_batch);
+            self.resolver.queue.check_unsent();
+            self.resolver.queue.drop_abandoned();
+            let batch = self.resolver.queue.take_batch(self.max_batch);
             if batch.is_empty() {
                 continue;
             }
@@ -119,84 +106,47 @@
 
     fn accept(&mut self, command: ClaimCommand) {
         match command {
-            ClaimCommand::Claim {
-                row_key,
-                reply,
-                permit,
-            } => {
-                let action = WriteAction::Insert {
-                    reply,
-                    _permit: permit,
-                };
-                self.accept_claim(row_key, action);
-            }
-            ClaimCommand::Complete {
-                ticket,
-                row,
-                permit,
-            } => {
-                let action = WriteAction::Record {
-                    row,
-                    _permit: permit,
-                };
-                let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
-                write.version = ticket.version;
-                self.queue.writes.push_back(write);
-            }
-            ClaimCommand::Release(ticket) => {
-                let action = WriteAction::Delete {
-                    checks_left: FULL_CHECKS,
-                };
-                let mut write = PendingWrite::new(ticket.row_key, ticket.token, action);
-                write.version = ticket.version;
-                write.maybe_written = ticket.maybe_written;
-                self.queue.push_delete(write);
-            }
             ClaimCommand::Flush(reply) => self.flushes.push(reply),
+            command => self.resolver.accept(command),
         }
     }
 
-    fn accept_claim(&mut self, row_key: String, action: WriteAction) {
-        if let Some(delete) = self.queue.deletes.remove(&row_key) {
-            if delete.maybe_deleted {
-                // The removal may still take effect, so its token must not be used again.
-                self.queue.deletes.insert(row_key.clone(), delete);
-            } else if delete.check_row {
-                let mut write = PendingWrite::new(row_key, delete.token, action);
-                write.check_row = true;
-                write.maybe_written = true;
-                self.queue.writes.push_back(write);
-                return;
-            } else {
-                let version = delete.version;
-                self.grant(PendingWrite { action, ..delete }, version);
-                return;
+    async fn process(&mut self, mut batch: Vec<PendingWrite>) -> Result<(), BackOff> {
+        let generation = match self.generation {
+            Some(generation) => generation,
+            None if batch.iter().any(PendingWrite::is_insert) => {
+                let Ok(generation) = ClaimGeneration::read(&self.platform).await else {
+                    self.resolver.queue.put_back(batch);
+                    return Err(BackOff);
+                };
+                *self.generation.insert(generation)
             }
+            None => ClaimGeneration::default(),
+        };
+        for write in &mut batch {
+            write.enter(generation.number);
         }
-        let unsent = self.queue.unsent.take(&row_key);
-        let maybe_written = unsent.is_some();
-        let token = unsent.map_or_else(|| self.new_token(), |claim| claim.token);
-        let mut write = PendingWrite::new(row_key, token, action);
-        write.maybe_written = maybe_written;
-        self.queue.writes.push_back(write);
-    }
-
-    fn new_token(&mut self) -> String {
-        self.tokens += 1;
-        let owner = &self.owner;
-        format!("{}-{}-{}", owner.node, owner.incarnation, self.tokens)
-    }
-
-    async fn process(&mut self, batch: Vec<PendingWrite>) -> Result<(), BackOff> {
         let (unchecked, mut ready): (Vec<_>, Vec<_>) =
             batch.into_iter().partition(|write| write.check_row);
         let rows = self.read_rows(&unchecked).await;
+        // A claim is granted by its row only if the generation is still current after the row was
+        // read.
+        let confirmed = Instant::now();
+        if unchecked.iter().any(PendingWrite::is_insert) {
+            let current = ClaimGeneration::read(&self.platform).await;
+            self.generation = current.as_ref().ok().copied();
+            if self.generation != Some(generation) {
+                self.resolver.queue.put_back(unchecked);
+                self.resolver.queue.put_back(ready);
+                return current.map(|_| ()).map_err(|_| BackOff);
+            }
+        }
         let mut unread = Vec::new();
-        for (mut write, row) in unchecked.into_iter().zip(rows) {
-            match row {
-                Ok(row) => ready.extend(self.resolve(write, row)),
+        for (mut write, rows) in unchecked.into_iter().zip(rows) {
+            match rows {
+                Ok(rows) => ready.extend(self.resolver.resolve(write, rows, confirmed)),
                 Err(error) if error.kind == ErrorKind::Refused && write.failures > MAX_FAILURES => {
-                    self.give_up(write);
+                    self.resolver.give_up(write);
                 }
                 Err(error) => {
                     write.failures += u32::from(error.kind == ErrorKind::Refused);
@@ -205,46 +155,55 @@
             }
         }
         let failed = !unread.is_empty();
-        self.queue.put_back(unread);
+        self.resolver.queue.put_back(unread);
         if ready.is_empty() {
             return if failed { Err(BackOff) } else { Ok(()) };
         }
-        self.transact(ready).await
+        self.transact(ready, generation).await
     }
 
-    async fn transact(&mut self, mut ready: Vec<PendingWrite>) -> Result<(), BackOff> {
+    async fn transact(
+        &mut self,
+        mut ready: Vec<PendingWrite>,
+        generation: ClaimGeneration,
+    ) -> Result<(), BackOff> {
         let mut conflicting = Vec::new();
         let result = loop {
             if ready.is_empty() {
                 break Ok(());
             }
-            let writes = ready.iter().map(|write| write.row_write(&self.owner));
-            let Ok(writes) = writes.collect() else {
+            let Ok(built) = BatchTransaction::build(&ready, generation, &self.resolver.owner)
+            else {
                 // Rows consist of strings and numbers, which always have a JSON form.
-                ready.into_iter().for_each(|write| self.give_up(write));
+                ready
+                    .into_iter()
+                    .for_each(|write| self.resolver.give_up(write));
                 break Ok(());
             };
-            let conditions = ready.iter().map(PendingWrite::condition).collect();
-            let transaction = TableTransaction { conditions, writes };
-            add(&self.stats.batches, 1);
-            match self.platform.transact(&transaction).await {
-                Ok(TransactionResult::Committed(versions)) if versions.len() == ready.len() => {
-                    add(&self.stats.writes, ready.len());
+            add(&self.resolver.stats.batches, 1);
+            let start = Instant::now();
+            let result = self.platform.transact(&built.transaction).await;
+            match result.map(|result| built.view(result)) {
+                Ok(Some(BatchResult::Committed(versions))) => {
+                    add(&self.resolver.stats.writes, ready.len());
                     self.backoff = MIN_BACKOFF;
-                    self.max_batch = (self.max_batch * 2).min(MAX_BATCH);
+                    self.max_batch = (self.max_batch * 2).min(self.batch_limit);
                     for (write, version) in ready.into_iter().zip(versions) {
-                        self.committed(write, version);
+                        self.resolver.committed(write, version, start);
                     }
                     break Ok(());
                 }
-                Ok(TransactionResult::Conflict(failed))
-                    if failed.iter().any(|index| *index < ready.len()) =>
-                {
-                    let failed: HashSet<usize> = failed.into_iter().collect();
+                Ok(Some(BatchResult::GenerationEnded)) => {
+                    self.generation = None;
+                    add(&self.resolver.stats.conflicts, 1);
+                    self.resolver.queue.put_back(ready);
+                    break Ok(());
+                }
+                Ok(Some(BatchResult::Conflict(failed))) => {
                     let writes = ready.into_iter().enumerate();
                     let (out, left): (Vec<_>, Vec<_>) =
                         writes.partition(|(index, _)| failed.contains(index));
-                    add(&self.stats.conflicts, out.len());
+                    add(&self.resolver.stats.conflicts, out.len());
                     ready = left.into_iter().map(|(_, write)| write).collect();
                     conflicting.extend(out.into_iter().map(|(_, mut write)| {
                         write.check_row = true;
@@ -257,13 +216,13 @@
                     break Err(BackOff);
                 }
                 Err(error) if error.kind == ErrorKind::NotSent => {
-                    self.queue.put_back(ready);
+                    self.resolver.queue.put_back(ready);
                     break Err(BackOff);
                 }
                 _ => {
-                    add(&self.stats.lost_responses, 1);
+                    add(&self.resolver.stats.lost_responses, 1);
                     ready.iter_mut().for_each(PendingWrite::mark_unknown);
-                    self.queue.put_back(ready);
+                    self.resolver.queue.put_back(ready);
                     break Err(BackOff);
                 }
             }
@@ -272,7 +231,7 @@
         let stuck = conflicting
             .iter()
             .any(|write| write.failures > MAX_FAILURES);
-        self.queue.put_back(conflicting);
+        self.resolver.queue.put_back(conflicting);
         if stuck { Err(BackOff) } else { result }
     }
 
@@ -283,130 +242,45 @@
         if let [write] = ready.as_mut_slice() {
             write.failures += 1;
             if write.failures > MAX_FAILURES {
-                ready.into_iter().for_each(|write| self.give_up(write));
+                ready
+                    .into_iter()
+                    .for_each(|write| self.resolver.give_up(write));
                 return;
             }
         }
-        self.queue.put_back(ready);
-    }
-
-    fn give_up(&mut self, write: PendingWrite) {
-        match write.action {
-            WriteAction::Insert { .. } if write.maybe_written => {
-                self.queue
-                    .unsent
-                    .remember(write.row_key.clone(), write.token.clone(), FULL_CHECKS);
-                self.deliver(write, ClaimResult::Unavailable);
-            }
-            WriteAction::Insert { .. } => self.deliver(write, ClaimResult::Unavailable),
-            WriteAction::Record { .. } => add(&self.stats.dropped_records, 1),
-            WriteAction::Delete { .. } => {}
-        }
-    }
-
-    fn committed(&mut self, write: PendingWrite, version: RowVersion) {
-        match write.action {
-            WriteAction::Insert { .. } => self.grant(write, version),
-            WriteAction::Record { .. } => {}
-            WriteAction::Delete { checks_left } => self.deleted(write, checks_left),
-        }
-    }
-
-    fn deleted(&mut self, write: PendingWrite, checks_left: usize) {
-        if write.maybe_written {
-            self.queue
-                .unsent
-                .remember(write.row_key, write.token, checks_left);
-        }
-    }
-
-    /// Decides a write by the row as it is; returns the write if it is still to be done.
-    fn resolve(&mut self, mut write: PendingWrite, row: Option<TableRow>) -> Option<PendingWrite> {
-        let view = write.view(row);
-        write.check_row = false;
-        match (&write.action, view) {
-            (WriteAction::Insert { .. }, RowView::Absent) => {
-                write.version = 0;
-                return Some(write);
-            }
-            (WriteAction::Insert { .. }, RowView::Own(version, ClaimState::Started)) => {
-                self.grant(write, version);
-            }
-            (WriteAction::Insert { .. }, RowView::Own(_, ClaimState::Done)) => {
-                self.deliver(write, ClaimResult::Held);
-            }
-            (WriteAction::Insert { .. }, RowView::Other(claim)) => {
-                if write.maybe_written {
-                    self.queue.unsent.remember(
-                        write.row_key.clone(),
-                        write.token.clone(),
-                        FULL_CHECKS,
-                    );
-                }
-                let answer = claim.and_then(|claim| claim.answer());
-                let result = answer.map_or(ClaimResult::Held, ClaimResult::Recorded);
-                self.deliver(write, result);
-            }
-            (
-                WriteAction::Record { .. } | WriteAction::Delete { .. },
-                RowView::Own(version, ClaimState::Started),
-            ) => {
-                write.version = version;
-                return Some(write);
-            }
-            (WriteAction::Record { .. }, RowView::Own(_, ClaimState::Done)) => {}
-            (WriteAction::Record { .. }, RowView::Absent | RowView::Other(_)) => {
-                add(&self.stats.dropped_records, 1);
-            }
-            (WriteAction::Delete { checks_left }, _) => {
-                let checks_left = *checks_left;
-                self.deleted(write, checks_left);
-            }
-        }
-        None
-    }
-
-    fn grant(&self, write: PendingWrite, version: RowVersion) {
-        let ticket = ClaimTicket {
-            row_key: write.row_key.clone(),
-            token: write.token.clone(),
-            version,
-            maybe_written: write.maybe_written,
-        };
-        self.deliver(write, ClaimResult::Granted(ticket));
-    }
-
-    fn deliver(&self, write: PendingWrite, result: ClaimResult) {
-        if let WriteAction::Insert { reply, .. } = write.action {
-            // When the claimer no longer waits, the dropped delivery releases a grant.
-            let _ = reply.send(ClaimDelivery {
-                result: Some(result),
-                commands: self.sender.clone(),
-            });
-        }
+        self.resolver.queue.put_back(ready);
     }
 
-    async fn read_rows(&self, writes: &[PendingWrite]) -> Vec<TanagerResult<Option<TableRow>>> {
+    /// Reads the rows of each write.
+    async fn read_rows(
+        &self,
+        writes: &[PendingWrite],
+    ) -> Vec<TanagerResult<Vec<Option<TableRow>>>> {
         let mut rows = Vec::with_capacity(writes.len());
         for chunk in writes.chunks(MAX_READS) {
             let mut reads = JoinSet::new();
             for (index, write) in chunk.iter().enumerate() {
                 let platform = Arc::clone(&self.platform);
-                let row_key = write.row_key.clone();
-                reads.spawn(async move { (index, platform.read(&row_key).await) });
+                let row_keys = write.row_keys();
+                reads.spawn(async move {
+                    let mut rows = Vec::with_capacity(row_keys.len());
+                    for row_key in row_keys {
+                        match platform.read(&row_key).await {
+                            Ok(row) => rows.push(row),
+                            Err(error) => return (index, Err(error)),
+                        }
+                    }
+                    (index, Ok(rows))
+                });
             }
             let mut results = reads.join_all().await;
             results.sort_by_key(|(index, _)| *index);
-            rows.extend(results.into_iter().map(|(_, row)| row));
+            rows.extend(results.into_iter().map(|(_, rows)| rows));
         }
         rows
     }
 }
 
-fn add(counter: &AtomicU64, count: usize) {
-    counter.fetch_add(count as u64, Ordering::Relaxed);
-}
-
 async fn sleep_until(time: Option<Instant>) {
     match time {
         Some(time) => time::sleep_until(time.into()).await,
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -34,6 +34,9 @@
 use tanager_protocol::request::is_idempotent_method;
 
 use crate::claims::ClaimResult;
+use crate::claims::ClaimTicket;
+use crate::claims::fingerprint::RequestFingerprint;
+use crate::claims::fingerprint::key_reused;
 use crate::dispatcher::DispatchBackend;
 use crate::dispatcher::DispatchReport;
 use crate::dispatcher::event::DispatchEvent;
@@ -154,8 +157,13 @@
     fn handle(&mut self, event: DispatchEvent) {
         let now = self.now();
         let actions = match event {
-            DispatchEvent::Submit { id, request, reply } => {
-                self.submit(now, id, request, reply);
+            DispatchEvent::Submit {
+                id,
+                request,
+                fingerprint,
+                reply,
+            } => {
+                self.submit(now, (id, reply), request, fingerprint);
                 return;
             }
             DispatchEvent::Cancel(id) => self.cancel(now, id),
@@ -213,17 +221,22 @@
     fn submit(
         &mut self,
         now: Duration,
-        id: ReplyId,
+        (id, reply): (ReplyId, OutcomeSender),
         request: Arc<ForwardRequest>,
-        reply: OutcomeSender,
+        fingerprint: Option<RequestFingerprint>,
     ) {
         let idempotent = is_idempotent_method(&request.method);
-        let needs_claim = !idempotent && !request.idempotency_key.is_empty();
+        let needs_claim = fingerprint.is_some();
         let join = needs_claim.then(|| (request.pool.clone(), request.idempotency_key.clone()));
         if let Some(join) = &join
-            && let Some((key, _)) = self.pending.find_join(join)
+            && let Some((key, pending)) = self.pending.find_join(join)
         {
-            self.pending.wait(key, id, reply);
+            if pending.fingerprint == fingerprint {
+                self.pending.wait(key, id, reply);
+            } else {
+                // The caller may have disconnected.
+                let _ = reply.send(RequestOutcome::NotRun(key_reused()));
+            }
             return;
         }
         let summary = RequestSummary {
@@ -239,6 +252,7 @@
             request,
             idempotent,
             join,
+            fingerprint,
             waiting: vec![(id, reply)],
             claim: None,
             sent: false,
@@ -288,6 +302,10 @@
                 pending.outcome = Some(unknown(UnknownReason::KeyHistory, message, true));
                 ClaimVerdict::Resolved
             }
+            ClaimResult::KeyReused => {
+                pending.outcome = Some(RequestOutcome::NotRun(key_reused()));
+                ClaimVerdict::Resolved
+            }
             ClaimResult::Unavailable => {
                 let message = "the history of this key cannot be read now";
                 pending.outcome = Some(unknown(UnknownReason::KeyHistory, message, true));
@@ -342,13 +360,21 @@
         let Some(pending) = self.pending.get_mut(key) else {
             return;
         };
+        let Some(fingerprint) = pending.fingerprint.clone() else {
+            return;
+        };
         let request = Arc::clone(&pending.request);
         let claims = Arc::clone(&self.backend.claims);
         let events = self.events.clone();
         let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
         self.backend.runtime.spawn(async move {
             let result = claims
-                .claim(&request.pool, &request.idempotency_key, deadline)
+                .claim(
+                    &request.pool,
+                    &request.idempotency_key,
+                    fingerprint,
+                    deadline,
+                )
                 .await;
             // Fails only after the thread has ended.
             let _ = events.send(DispatchEvent::Claimed { key, result });
@@ -359,6 +385,15 @@
         let Some(pending) = self.pending.get_mut(key) else {
             return;
         };
+        let latest = pending.claim.as_ref().map(ClaimTicket::send_before);
+        if latest.is_some_and(|latest| Instant::now() > latest) {
+            let message = "the claim of the request became too old before it was sent".to_owned();
+            self.refuse(key, NotRunReason::QueueTimeout, message, Some(RETRY_AFTER));
+            let now = self.now();
+            let actions = self.core.cancel(now, key);
+            self.execute(actions);
+            return;
+        }
         pending.sent = true;
         let request = Arc::clone(&pending.request);
         let retry_is_safe = pending.idempotent || pending.join.is_some();
@@ -366,7 +401,9 @@
         let events = self.events.clone();
         let task = self.backend.runtime.spawn(async move {
             let start = Instant::now();
-            let result = endpoint.send(address, &request, time_left).await;
+            let result = endpoint
+                .send_before(address, &request, time_left, latest)
+                .await;
             let latency = start.elapsed();
             let (report, outcome) = match result {
                 Ok(answer) if answer.status < 500 => (
--- a/crates/tanager-node/tests/claims.rs
+++ b/crates/tanager-node/tests/claims.rs
@@ -13,23 +13,47 @@
 use tanager_http::HttpServer;
 use tanager_node::claims::ClaimResult;
 use tanager_node::claims::ClaimService;
+use tanager_node::claims::ClaimSettings;
 use tanager_node::claims::ClaimTicket;
+use tanager_node::claims::KeyHistory;
+use tanager_node::claims::fingerprint::RequestFingerprint;
 use tanager_node::claims::record::MAX_RECORDED_BODY;
 use tanager_protocol::outcome::EndpointAnswer;
+use tanager_protocol::peer::ForwardRequest;
 
 use common::FakeStore;
 use common::LONG;
 use common::platform;
+use common::request;
 use common::wait_until;
 
-const ROW: &str = "claim/intake/k1";
+const ROW: &str = "claim/00000000/intake/k1";
 
 fn service(server: &HttpServer, node: &str) -> ClaimService {
-    ClaimService::spawn(platform(server), node.to_owned(), 7)
+    ClaimService::spawn(
+        platform(server),
+        (node.to_owned(), 7),
+        ClaimSettings::default(),
+        Arc::new(|_| false),
+    )
+}
+
+fn fingerprint(body: &str) -> RequestFingerprint {
+    RequestFingerprint::new(&ForwardRequest {
+        body: body.as_bytes().to_vec(),
+        ..request("POST", "")
+    })
 }
 
 async fn claim(service: &ClaimService, key: &str) -> ClaimResult {
-    service.claim("intake", key, Instant::now() + LONG).await
+    claim_for(service, key, "first").await
+}
+
+async fn claim_for(service: &ClaimService, key: &str, body: &str) -> ClaimResult {
+    let deadline = Instant::now() + LONG;
+    service
+        .claim("intake", key, fingerprint(body), deadline)
+        .await
 }
 
 async fn granted(service: &ClaimService, key: &str) -> ClaimTicket {
@@ -41,7 +65,8 @@
 
 async fn unavailable(service: &ClaimService, key: &str) {
     let deadline = Instant::now() + Duration::from_millis(300);
-    let result = service.claim("intake", key, deadline).await;
+    let result = service.claim("intake", key, fingerprint("first"), deadline);
+    let result = result.await;
     assert!(matches!(result, ClaimResult::Unavailable), "{result:?}");
 }
 
@@ -77,6 +102,52 @@
         assert_eq!(recorded, answer(b"\x00body"));
     }
 
+    /// Guards against an answer, or the news that something ran, that goes to a different request
+    /// with the same key, from another node or before a refusal.
+    key_of_another_request_is_refused => {
+        let (_store, server) = FakeStore::bind().await;
+        let (first, second) = (service(&server, "n1"), service(&server, "n2"));
+        let ticket = granted(&first, "k1").await;
+        for service in [&first, &second] {
+            let result = claim_for(service, "k1", "other").await;
+            assert!(matches!(result, ClaimResult::KeyReused), "{result:?}");
+        }
+        first.complete(ticket, &answer(b"first"));
+        first.flush().await;
+        let result = claim_for(&second, "k1", "other").await;
+        assert!(matches!(result, ClaimResult::KeyReused), "{result:?}");
+        let history = second.history("intake", "k1", &fingerprint("other")).await;
+        assert_eq!(history, KeyHistory::KeyReused);
+        let history = second.history("intake", "k1", &fingerprint("first")).await;
+        assert_eq!(history, KeyHistory::Recorded(answer(b"first")));
+    }
+
+    /// Guards against the fingerprint of a request that was not sent: a different request that
+    /// takes over its claim must put its own fingerprint into the row.
+    unsent_claim_passes_to_another_request => {
+        let (store, server) = FakeStore::bind().await;
+        let first = service(&server, "n1");
+        let ticket = granted(&first, "k1").await;
+        // The frozen write of k2 keeps the removal of k1 waiting.
+        store.faults.frozen.store(true, Ordering::SeqCst);
+        abandoned(&first, "k2", || store.state("claim/00000000/intake/k2").is_some()).await;
+        first.release(ticket);
+        let (result, ()) = tokio::join!(claim_for(&first, "k1", "other"), async {
+            store.faults.frozen.store(false, Ordering::SeqCst);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            store.faults.land.notify_waiters();
+        });
+        let ClaimResult::Granted(ticket) = result else {
+            panic!("not granted: {result:?}");
+        };
+        let second = service(&server, "n2");
+        assert!(matches!(claim_for(&second, "k1", "other").await, ClaimResult::Held));
+        assert!(matches!(claim(&second, "k1").await, ClaimResult::KeyReused));
+        first.complete(ticket, &answer(b"other"));
+        first.flush().await;
+        assert!(matches!(claim_for(&second, "k1", "other").await, ClaimResult::Recorded(_)));
+    }
+
     /// Guards against a second run of a request whose response was too large to record.
     large_answer_is_held => {
         let (store, server) = FakeStore::bind().await;
@@ -169,7 +240,7 @@
         store.faults.land.notify_waiters();
         wait_until(|| store.state(ROW).is_some()).await;
         granted(&first, "k1").await;
-        wait_until(|| store.state("claim/intake/k2").is_none()).await;
+        wait_until(|| store.state("claim/00000000/intake/k2").is_none()).await;
         assert_eq!(store.state(ROW).as_deref(), Some("started"));
     }
 
@@ -197,7 +268,7 @@
         // The frozen write of k2 keeps the removal of k1 waiting.
         let ticket = granted(&first, "k1").await;
         store.faults.frozen.store(true, Ordering::SeqCst);
-        abandoned(&first, "k2", || store.state("claim/intake/k2").is_some()).await;
+        abandoned(&first, "k2", || store.state("claim/00000000/intake/k2").is_some()).await;
         first.release(ticket);
         store.faults.outage.store(true, Ordering::SeqCst);
         let (again, ()) = tokio::join!(granted(&first, "k1"), async {
@@ -234,12 +305,12 @@
     claims_share_transactions => {
         let (store, server) = FakeStore::bind().await;
         let first = Arc::new(service(&server, "n1"));
-        store.put("claim/intake/b7", json!({"foreign": true}));
+        store.put("claim/00000000/intake/b7", json!({"foreign": true}));
         store.faults.frozen.store(true, Ordering::SeqCst);
         let mut claims = tokio::task::JoinSet::new();
         let batch = Arc::clone(&first);
         claims.spawn(async move { claim(&batch, "opener").await });
-        wait_until(|| store.state("claim/intake/opener").is_some()).await;
+        wait_until(|| store.state("claim/00000000/intake/opener").is_some()).await;
         let sent = Arc::new(AtomicUsize::new(0));
         for number in 0..64 {
             let (batch, sent) = (Arc::clone(&first), Arc::clone(&sent));
