Adapt the key and limit tests to the close signal

Cause: the listener of the endpoint client takes the signal beside the address, so the merged tests did not compile.

Change: the tests ignore both arguments; no check changes.

--- a/crates/tanager-node/tests/keys.rs
+++ b/crates/tanager-node/tests/keys.rs
@@ -105,7 +105,7 @@
             Arc::new(|_| false),
         );
         let claims = Arc::new(claims);
-        let client = EndpointClient::new(PoolLimits::default(), Arc::new(|_| {}));
+        let client = EndpointClient::new(PoolLimits::default(), Arc::new(|_, _| {}));
         let backend = DispatchBackend {
             claims: Arc::clone(&claims),
             endpoint: Arc::new(client),
--- a/crates/tanager-node/tests/limits.rs
+++ b/crates/tanager-node/tests/limits.rs
@@ -31,7 +31,7 @@
                 let _ = stream.write_all(answer).await;
             }
         }).await;
-        let endpoint = Arc::new(EndpointClient::new(PoolLimits::default(), Arc::new(|_| {})));
+        let endpoint = Arc::new(EndpointClient::new(PoolLimits::default(), Arc::new(|_, _| {})));
         let handlers = CallerHandlers {
             submit: Arc::new(move |request| {
                 let endpoint = Arc::clone(&endpoint);
