Log configuration changes as typed patches

The proposer turns an accepted `Configure` into an `Amend` against exactly the state it was checked against; each attempt computes it anew. The check and the fold treat an amendment as the resulting document. A lost response resolves to the entry as it was written. The first document, and a change of more objects than a patch may have, stays whole: its patch would be as large. The history names the pools, VMs and teams that were set and removed; the operator's command recognises its own amendment after a lost answer.

--- a/crates/tanager-command/src/submit.rs
+++ b/crates/tanager-command/src/submit.rs
@@ -59,7 +59,7 @@
 impl ChangeObject {
     fn is_changed_by(&self, entry: &Value) -> bool {
         match self {
-            Self::Document => entry["kind"] == "configure",
+            Self::Document => entry["kind"] == "configure" || entry["kind"] == "amend",
             // Health reports and steps of a wave say nothing about an operator's change.
             Self::Vm(vm) => entry["kind"] != "report_vm" && entry["detail"]["vm"] == vm.as_str(),
             Self::Wave(wave) => {
--- a/crates/tanager-control/src/propose.rs
+++ b/crates/tanager-control/src/propose.rs
@@ -17,7 +17,10 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
 use tanager_protocol::ids::LogVersion;
+use tanager_protocol::patch::ConfigPatch;
+use tanager_protocol::patch::MAX_PATCH_OBJECTS;
 
 use crate::core::ControlCore;
 use crate::core::HeadRow;
@@ -39,8 +42,8 @@
     token: String,
     change: FleetChange,
     context: CheckContext,
-    /// Version at which an earlier attempt may still be accepted.
-    uncertain: Option<LogVersion>,
+    /// Entry of an earlier attempt that may still be accepted.
+    uncertain: Option<ChangeEntry>,
 }
 
 impl ControlCore {
@@ -65,9 +68,9 @@
         let result = self.run_proposal(&mut proposal).await;
         result.map_err(|error| match proposal.uncertain {
             // An earlier attempt may still be in transit, whatever the last error says.
-            Some(version) => TanagerError {
+            Some(entry) => TanagerError {
                 kind: ErrorKind::Unknown,
-                message: format!("{}; entry {version} may be accepted", error.message),
+                message: format!("{}; entry {} may be accepted", error.message, entry.version),
                 ..error
             },
             None => error,
@@ -102,7 +105,8 @@
                 // A peer was ahead of the answer; read `head` again.
                 continue;
             }
-            if let Some(entry) = self.attempt(proposal, head).await? {
+            let change = logged_change(&state, &proposal.change);
+            if let Some(entry) = self.attempt(proposal, change, head).await? {
                 return Ok(entry);
             }
             self.status().counters.conflicts += 1;
@@ -120,13 +124,14 @@
     async fn attempt(
         &self,
         proposal: &mut PendingProposal,
+        change: FleetChange,
         head: HeadRow,
     ) -> TanagerResult<Option<ChangeEntry>> {
         let entry = ChangeEntry {
             version: head.version + 1,
             author: proposal.author.clone(),
             token: proposal.token.clone(),
-            change: proposal.change.clone(),
+            change,
         };
         let transaction = entry_transaction(&entry, head)?;
         match self.backend.platform.transact(&transaction).await {
@@ -138,7 +143,7 @@
             Ok(TransactionResult::Conflict(_)) => Ok(None),
             Err(error) if matches!(error.kind, ErrorKind::Unknown | ErrorKind::Timeout) => {
                 self.status().counters.lost_responses += 1;
-                proposal.uncertain = Some(entry.version);
+                proposal.uncertain = Some(entry.clone());
                 self.resolve(proposal, entry, error).await
             }
             Err(error) => {
@@ -182,9 +187,10 @@
         &self,
         proposal: &mut PendingProposal,
     ) -> TanagerResult<Option<ChangeEntry>> {
-        let Some(version) = proposal.uncertain else {
+        let Some(entry) = proposal.uncertain.clone() else {
             return Ok(None);
         };
+        let version = entry.version;
         if self.state().version < version {
             return Ok(None);
         }
@@ -194,15 +200,7 @@
             None => self.read_entry(version).await?.map(|entry| entry.token),
         };
         proposal.uncertain = None;
-        if token.as_deref() != Some(&proposal.token) {
-            return Ok(None);
-        }
-        Ok(Some(ChangeEntry {
-            version,
-            author: proposal.author.clone(),
-            token: proposal.token.clone(),
-            change: proposal.change.clone(),
-        }))
+        Ok((token.as_ref() == Some(&entry.token)).then_some(entry))
     }
 
     fn accept(&self, entry: &ChangeEntry, row_version: Option<u64>) -> TanagerResult<()> {
@@ -222,7 +220,10 @@
         let version = record_version(&self.state(), change);
         if error.kind != ErrorKind::Conflict
             || version == 0
-            || matches!(change, FleetChange::Configure { .. })
+            || matches!(
+                change,
+                FleetChange::Configure { .. } | FleetChange::Amend { .. }
+            )
         {
             return error;
         }
@@ -244,6 +245,20 @@
     }
 }
 
+/// The form in which a change that is legal in `state` is written to the log: a document becomes
+/// a patch of the document in force, because a document of the design size takes up to 2.1 MB.
+/// The first document, and one that changes more than a patch may, stays whole.
+fn logged_change(state: &FleetState, change: &FleetChange) -> FleetChange {
+    let FleetChange::Configure { document } = change else {
+        return change.clone();
+    };
+    let patch = ConfigPatch::between(&state.document, document);
+    if state.configured_version == 0 || patch.size() > MAX_PATCH_OBJECTS {
+        return change.clone();
+    }
+    FleetChange::Amend { patch }
+}
+
 fn entry_transaction(entry: &ChangeEntry, head: HeadRow) -> TanagerResult<TableTransaction> {
     let value = serde_json::to_value(entry)
         .map_err(|error| TanagerError::new(ErrorKind::Internal, "encode", "entry", error))?;
--- a/crates/tanager-control/tests/proposals.rs
+++ b/crates/tanager-control/tests/proposals.rs
@@ -6,8 +6,10 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tanager_control::ControlService;
+use tanager_control::ControlTiming;
 use tanager_protocol::change::FleetChange;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::fleet::VmHealth;
@@ -17,6 +19,8 @@
 use support::FakePlatform;
 use support::Faults;
 use support::configure;
+use support::document;
+use support::fast_timing;
 use support::start_drain;
 use support::start_move;
 use support::wait_state;
@@ -64,6 +68,42 @@
     late_write_is_recognised: late_writes, 1;
 }
 
+/// Guards against a whole document in the log, and against a patch that is written for another
+/// state than the one it is folded into: the second proposer has not seen the first change.
+#[tokio::test]
+async fn configuration_is_amended_against_the_newest_state() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let timing = ControlTiming {
+        poll_interval: Duration::from_secs(3_600),
+        ..fast_timing()
+    };
+    let second = cluster.spawn(&platform, 1, 2, timing);
+    wait_until(|| second.may_dispatch()).await;
+    // The second node learns nothing until its own proposal reads the store.
+    let first_cut = cluster.cut(0);
+    assert!(first_cut.is_some());
+    let mut reversed = document();
+    reversed.pools.get_mut("b").expect("a pool").floor = 0;
+    let mut floors = document();
+    floors.pools.get_mut("a").expect("a pool").floor = 2;
+    let change = |document| FleetChange::Configure { document };
+    platform.faults.lose_responses.store(1, Ordering::SeqCst);
+    let entry = first.propose("alice", change(floors), None).await;
+    assert_eq!(entry.expect("accepted").change.kind(), "amend");
+    assert_eq!(second.state().configured_version, 2);
+    let entry = second.propose("bob", change(reversed.clone()), None).await;
+    let FleetChange::Amend { patch } = entry.expect("accepted").change else {
+        panic!("not an amendment");
+    };
+    // Bob's document also takes Alice's floor back.
+    assert!(patch.set_pools.keys().eq(["a", "b"]));
+    assert_eq!(second.state().document, reversed);
+    assert_eq!(second.state().configured_author, "bob");
+}
+
 /// Guards against lost or doubled entries when proposers race on `head`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn racing_proposers_lose_nothing() {
--- a/crates/tanager-fleet/src/apply.rs
+++ b/crates/tanager-fleet/src/apply.rs
@@ -1,6 +1,7 @@
 //! Fold of the change log into the fleet state.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use tanager_protocol::change::ChangeEntry;
 use tanager_protocol::change::FleetChange;
@@ -21,6 +22,8 @@
 
 use crate::check::CheckContext;
 use crate::check::check_change;
+use crate::configure::amend_document;
+use crate::configure::check_configure;
 
 /// Finished waves kept in the state; older ones are found in the log. Bounds the state.
 pub const MAX_FINISHED_WAVES: usize = 20;
@@ -46,10 +49,19 @@
             ),
         ));
     }
-    let legal = check_change(state, &entry.change, &CheckContext::default()).is_ok();
+    let checked = match &entry.change {
+        // The patch is applied once for both steps, because its result is a large document.
+        FleetChange::Amend { patch } => amend_document(state, patch).and_then(|document| {
+            check_configure(state, &document, &BTreeSet::new())?;
+            Ok(Some(document))
+        }),
+        change => check_change(state, change, &CheckContext::default()).map(|()| None),
+    };
     state.version = entry.version;
-    if legal {
-        apply_change(state, entry);
+    match checked {
+        Ok(Some(document)) => apply_configure(state, document, entry),
+        Ok(None) => apply_change(state, entry),
+        Err(_) => {}
     }
     Ok(())
 }
@@ -58,9 +70,10 @@
     let version = entry.version;
     match &entry.change {
         FleetChange::Configure { document } => {
-            apply_configure(state, document, version);
-            state.configured_author.clone_from(&entry.author);
+            apply_configure(state, document.clone(), entry);
         }
+        // `apply_entry` puts its document in force.
+        FleetChange::Amend { .. } => {}
         FleetChange::JoinNode { node, record } => {
             let record = NodeRecord {
                 since: version,
@@ -109,7 +122,8 @@
     }
 }
 
-fn apply_configure(state: &mut FleetState, document: &ConfigDocument, version: LogVersion) {
+fn apply_configure(state: &mut FleetState, document: ConfigDocument, entry: &ChangeEntry) {
+    let version = entry.version;
     let mut previous = std::mem::take(&mut state.vms);
     let vms: BTreeMap<VmId, VmRecord> = document
         .vms
@@ -125,8 +139,9 @@
         })
         .collect();
     state.vms = vms;
-    state.document = document.clone();
+    state.document = document;
     state.configured_version = version;
+    state.configured_author.clone_from(&entry.author);
 }
 
 fn change_vm(
--- a/crates/tanager-fleet/src/check.rs
+++ b/crates/tanager-fleet/src/check.rs
@@ -17,6 +17,7 @@
 use tanager_protocol::ids::VmId;
 use tanager_protocol::ids::check_name;
 
+use crate::configure::amend_document;
 use crate::configure::check_configure;
 use crate::floor::check_floor;
 
@@ -49,6 +50,9 @@
     let suspects = &context.suspects;
     match change {
         FleetChange::Configure { document } => check_configure(state, document, suspects),
+        FleetChange::Amend { patch } => {
+            check_configure(state, &amend_document(state, patch)?, suspects)
+        }
         FleetChange::JoinNode { node, record } => {
             if !check_name(node) {
                 return Err(invalid(node, "not a valid name of a node"));
@@ -112,7 +116,7 @@
 /// VM, a wave or a node; 0 when there is no such record.
 pub fn record_version(state: &FleetState, change: &FleetChange) -> LogVersion {
     match change {
-        FleetChange::Configure { .. } => state.configured_version,
+        FleetChange::Configure { .. } | FleetChange::Amend { .. } => state.configured_version,
         FleetChange::JoinNode { node, .. } | FleetChange::LeaveNode { node, .. } => {
             state.nodes.get(node).map_or(0, |record| record.since)
         }
@@ -150,7 +154,9 @@
         )),
         Some(expected) if expected < current => {
             let author = match change {
-                FleetChange::Configure { .. } if !state.configured_author.is_empty() => {
+                FleetChange::Configure { .. } | FleetChange::Amend { .. }
+                    if !state.configured_author.is_empty() =>
+                {
                     format!(" by {}", state.configured_author)
                 }
                 _ => String::new(),
--- a/crates/tanager-fleet/src/configure.rs
+++ b/crates/tanager-fleet/src/configure.rs
@@ -9,12 +9,23 @@
 use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::fleet::VmRecord;
 use tanager_protocol::ids::VmId;
+use tanager_protocol::patch::ConfigPatch;
 
 use crate::check::invalid;
 use crate::check::refused;
 use crate::check::unfinished_waves;
 use crate::floor::is_available;
 
+/// Computes the document that a patch makes of the configuration in force.
+pub(crate) fn amend_document(
+    state: &FleetState,
+    patch: &ConfigPatch,
+) -> TanagerResult<ConfigDocument> {
+    patch
+        .apply(&state.document)
+        .map_err(|message| invalid("amend", message))
+}
+
 pub(crate) fn check_configure(
     state: &FleetState,
     document: &ConfigDocument,
--- a/crates/tanager-fleet/tests/rules.rs
+++ b/crates/tanager-fleet/tests/rules.rs
@@ -13,6 +13,7 @@
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::ids::LogVersion;
+use tanager_protocol::patch::ConfigPatch;
 
 /// Pool a: v0 to v3 in two racks, floor 2. Pool b: empty, floor 0.
 fn document() -> ConfigDocument {
@@ -145,6 +146,33 @@
     invalid_document: [], |document| reassign(document, "v0", "nowhere") => Err("not configured");
 }
 
+/// Guards against an amendment that escapes the rules of a whole document, or that is folded into
+/// another state.
+#[test]
+fn amendments_follow_the_rules_of_documents() {
+    let edits: [fn(&mut ConfigDocument); 5] = [
+        |document| set_floor(document, 1),
+        |document| reassign(document, "v0", "b"),
+        |document| reassign(document, "v0", "nowhere"),
+        |document| document.vms.retain(|vm, _| vm == "v0"),
+        |document| drop(document.pools.remove("b")),
+    ];
+    for edit in edits {
+        let mut whole = configured();
+        let mut amended = whole.clone();
+        let mut document = whole.document.clone();
+        edit(&mut document);
+        let patch = ConfigPatch::between(&whole.document, &document);
+        let result = append(&mut whole, FleetChange::Configure { document });
+        assert_eq!(append(&mut amended, FleetChange::Amend { patch }), result);
+        assert_eq!(amended, whole);
+    }
+    let mut state = configured();
+    let patch = change(r#"{"amend":{"patch":{"removed_pools":["c"]}}}"#);
+    let error = append(&mut state, patch).expect_err("not its document");
+    assert_eq!(error.kind, ErrorKind::Invalid);
+}
+
 /// Guards against an operator's change that is based on an older state, and checks that the
 /// author of the change in between is named.
 #[test]
@@ -164,6 +192,9 @@
     assert_eq!(error.kind, ErrorKind::Conflict);
     assert!(error.message.contains("version 1 by operator"), "{error}");
     assert_eq!(conflict(&configure, 1), Ok(()));
+    let amend = change(r#"{"amend":{"patch":{}}}"#);
+    let error = conflict(&amend, 0).expect_err("stale");
+    assert!(error.message.contains("version 1 by operator"), "{error}");
     let error = conflict(&change(MOVE_V0), 7).expect_err("stale");
     assert_eq!(error.kind, ErrorKind::Conflict);
 }
--- a/crates/tanager-node/src/admin/reads.rs
+++ b/crates/tanager-node/src/admin/reads.rs
@@ -13,6 +13,7 @@
 use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::fleet::VmHealth;
 use tanager_protocol::fleet::WaveStatus;
+use tanager_protocol::patch::ConfigPatch;
 
 use super::reply::json_response;
 use super::routes::RouteContext;
@@ -90,6 +91,7 @@
             "vms": document.vms.len(),
             "teams": document.teams.len(),
         }),
+        FleetChange::Amend { patch } => show_patch(patch),
         change => serde_json::to_value(change)
             .ok()
             .and_then(|value| value.get(change.kind()).cloned())
@@ -103,6 +105,28 @@
     })
 }
 
+/// Names what a patch sets and removes; empty groups are left out.
+fn show_patch(patch: &ConfigPatch) -> Value {
+    let mut detail = serde_json::Map::new();
+    if let Some(site) = &patch.site {
+        detail.insert("site".to_owned(), json!(site));
+    }
+    let groups: [(&str, Vec<&String>); 6] = [
+        ("set_pools", patch.set_pools.keys().collect()),
+        ("removed_pools", patch.removed_pools.iter().collect()),
+        ("set_vms", patch.set_vms.keys().collect()),
+        ("removed_vms", patch.removed_vms.iter().collect()),
+        ("set_teams", patch.set_teams.keys().collect()),
+        ("removed_teams", patch.removed_teams.iter().collect()),
+    ];
+    for (group, names) in groups {
+        if !names.is_empty() {
+            detail.insert(group.to_owned(), json!(names));
+        }
+    }
+    Value::Object(detail)
+}
+
 fn show_pools(state: &FleetState) -> Vec<Value> {
     let show = |(pool, config): (&String, &tanager_protocol::config::PoolConfig)| {
         let records = || state.vms.values().filter(|record| record.pool == *pool);
--- a/crates/tanager-node/tests/admin.rs
+++ b/crates/tanager-node/tests/admin.rs
@@ -199,6 +199,23 @@
     server.stop();
 }
 
+/// Guards against a history that hides what an amendment changed.
+#[test]
+fn history_names_what_an_amendment_changes() {
+    let server = TestServer::start();
+    let patch = json!({"set_pools": {"intake": {"removed_quotas": ["clinic"]}},
+        "removed_vms": ["vm-4"], "set_teams": {"new": {}}});
+    let entry = json!({"version": 2, "author": "root", "token": "t",
+        "change": {"amend": {"patch": patch}}});
+    let entry = serde_json::from_value(entry).unwrap();
+    server.fleet.log.lock().unwrap().push(entry);
+    let (_, body) = server.call(ROOT, "GET", "/v1/history?limit=1", b"");
+    let expected = json!({"version": 2, "author": "root", "kind": "amend", "detail":
+        {"set_pools": ["intake"], "removed_vms": ["vm-4"], "set_teams": ["new"]}});
+    assert_eq!(body["entries"], json!([expected]));
+    server.stop();
+}
+
 /// Guards against a restore over an existing fleet, and against one that loses state.
 #[test]
 fn snapshot_restores_only_into_an_empty_store() {
--- a/crates/tanager-protocol/src/change.rs
+++ b/crates/tanager-protocol/src/change.rs
@@ -13,6 +13,7 @@
 use crate::ids::PoolId;
 use crate::ids::VmId;
 use crate::ids::WaveId;
+use crate::patch::ConfigPatch;
 
 /// One accepted change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -37,6 +38,11 @@
         /// The whole new document.
         document: ConfigDocument,
     },
+    /// Changes the configuration document of the preceding entries.
+    Amend {
+        /// What changes.
+        patch: ConfigPatch,
+    },
     /// Registers a node, replacing an earlier incarnation of the same name.
     JoinNode {
         /// Node that joins.
@@ -127,6 +133,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Configure { .. } => "configure",
+            Self::Amend { .. } => "amend",
             Self::JoinNode { .. } => "join_node",
             Self::LeaveNode { .. } => "leave_node",
             Self::ReportVm { .. } => "report_vm",
--- a/crates/tanager-protocol/src/lib.rs
+++ b/crates/tanager-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod outcome;
+pub mod patch;
 pub mod request;
 
 /// Peer protocol between nodes, generated from `proto/peer.proto` by the `generate_protocol`
