--- a/crates/tanager-command/src/commands/history.rs
+++ b/crates/tanager-command/src/commands/history.rs
@@ -28,6 +28,12 @@
     session.show(&history, |history| {
         let entries = history["entries"].as_array().cloned().unwrap_or_default();
         output::print_objects(&["version", "author", "kind", "detail"], &entries);
+        if let Some(version) = history["missing_before"].as_u64() {
+            output::print_note(&format!(
+                "entries before version {version} are not available: they were deleted after a \
+                 snapshot, or the store does not answer"
+            ));
+        }
     });
     Ok(())
 }
--- a/crates/tanager-control/src/core.rs
+++ b/crates/tanager-control/src/core.rs
@@ -60,6 +60,11 @@
     pub(crate) head: HeadRow,
     /// Newest version known to have a snapshot in the store.
     pub(crate) snapshot: LogVersion,
+    /// Version of the newest snapshot that was read back, and the version up to which the
+    /// snapshots make entries superfluous.
+    pub(crate) checked_snapshot: (LogVersion, LogVersion),
+    /// Entries up to this version are known to be deleted.
+    pub(crate) trimmed: LogVersion,
     pub(crate) joined: bool,
     pub(crate) superseded: bool,
     pub(crate) leaving: bool,
@@ -82,6 +87,7 @@
     pub(crate) store_failures: u64,
     pub(crate) peer_fetches: u64,
     pub(crate) snapshots: u64,
+    pub(crate) deletions: u64,
 }
 
 impl ControlCore {
--- a/crates/tanager-control/src/lib.rs
+++ b/crates/tanager-control/src/lib.rs
@@ -12,6 +12,7 @@
 mod restore;
 mod service;
 mod settings;
+mod snapshots;
 mod store;
 mod tasks;
 
--- a/crates/tanager-control/src/propose.rs
+++ b/crates/tanager-control/src/propose.rs
@@ -197,7 +197,20 @@
         let held = lock(&self.log).token(version).map(str::to_owned);
         let token = match held {
             Some(token) => Some(token),
-            None => self.read_entry(version).await?.map(|entry| entry.token),
+            None => match self.read_entry(version).await? {
+                Some(found) => Some(found.token),
+                // Deleted after a snapshot; another attempt could apply the change twice.
+                None => {
+                    let message = "the entry is no longer in the log";
+                    let key = log_key(version);
+                    return Err(TanagerError::new(
+                        ErrorKind::Unknown,
+                        "resolve",
+                        key,
+                        message,
+                    ));
+                }
+            },
         };
         proposal.uncertain = None;
         Ok((token.as_ref() == Some(&entry.token)).then_some(entry))
--- a/crates/tanager-control/src/restore.rs
+++ b/crates/tanager-control/src/restore.rs
@@ -1,5 +1,7 @@
 //! Restores an exported state into an empty store.
 
+use rand::RngExt;
+
 use tanager_platform::RowCondition;
 use tanager_platform::RowWrite;
 use tanager_platform::TableTransaction;
@@ -13,10 +15,10 @@
 
 use crate::core::ControlCore;
 use crate::replica::encode;
+use crate::snapshots::SNAPSHOT_KEY;
+use crate::snapshots::SnapshotName;
 use crate::store::HEAD_KEY;
-use crate::store::SNAPSHOT_KEY;
 use crate::store::log_key;
-use crate::store::snapshot_object;
 
 impl ControlCore {
     pub(crate) async fn restore(&self, state: FleetState) -> TanagerResult<LogVersion> {
@@ -47,26 +49,24 @@
         let restored = merge(state, &current)?;
         let version = restored.version;
         let platform = &self.backend.platform;
-        let snapshot = platform.read(SNAPSHOT_KEY).await?;
+        let (_, snapshot_version) = self.read_snapshot_name().await?;
         let content = encode(&restored)?;
-        platform
-            .put_object(&snapshot_object(version), content)
-            .await?;
+        // Another restore may write its object at the same time, and if neither transaction is
+        // committed, no node may mistake the object for a state of the log.
+        let key = format!("snapshot/restored-{:016x}", rand::rng().random::<u64>());
+        platform.put_object(&key, content).await?;
         let condition = |key: String, version| RowCondition { key, version };
-        let write = |key: &str| RowWrite {
-            key: key.to_owned(),
+        let head_write = RowWrite {
+            key: HEAD_KEY.to_owned(),
             value: Some(version.into()),
         };
         let transaction = TableTransaction {
             conditions: vec![
                 condition(HEAD_KEY.to_owned(), head.row_version),
-                condition(
-                    SNAPSHOT_KEY.to_owned(),
-                    snapshot.map_or(0, |row| row.version),
-                ),
+                condition(SNAPSHOT_KEY.to_owned(), snapshot_version),
                 condition(log_key(version), 0),
             ],
-            writes: vec![write(HEAD_KEY), write(SNAPSHOT_KEY)],
+            writes: vec![head_write, SnapshotName { key, version }.write()?],
         };
         match platform.transact(&transaction).await? {
             TransactionResult::Committed(_) => {
--- a/crates/tanager-control/src/service.rs
+++ b/crates/tanager-control/src/service.rs
@@ -37,6 +37,7 @@
         let core = Arc::new(ControlCore::new(settings, backend));
         let tasks = vec![
             tokio::spawn(tasks::poll_store(Arc::clone(&core))),
+            tokio::spawn(tasks::trim_log(Arc::clone(&core))),
             tokio::spawn(tasks::gossip(Arc::clone(&core))),
             tokio::spawn(tasks::coordinate(Arc::clone(&core))),
             tokio::spawn(tasks::read_vm_list(Arc::clone(&core))),
@@ -75,7 +76,8 @@
 
     /// Newest entries of the log, at most `limit` and 1,000, in version order.
     ///
-    /// In a store outage only the entries that this node holds are returned.
+    /// Fewer are returned when older entries were deleted, and in a store outage, when only the
+    /// entries that this node holds are available.
     ///
     /// # Errors
     ///
@@ -208,6 +210,7 @@
                 "store_failures": counters.store_failures,
                 "peer_fetches": counters.peer_fetches,
                 "snapshots": counters.snapshots,
+                "deletions": counters.deletions,
             },
         })
     }
--- a/crates/tanager-control/src/settings.rs
+++ b/crates/tanager-control/src/settings.rs
@@ -40,6 +40,10 @@
     pub reboot_timeout: Duration,
     /// Entries between two snapshots.
     pub snapshot_interval: u64,
+    /// Entries kept before the newest snapshot.
+    pub log_retention: u64,
+    /// Pause between two transactions that delete old entries.
+    pub trim_pause: Duration,
 }
 
 impl Default for ControlTiming {
@@ -54,6 +58,8 @@
             reboot_settle: Duration::from_secs(30),
             reboot_timeout: Duration::from_secs(600),
             snapshot_interval: 200,
+            log_retention: 2_000,
+            trim_pause: Duration::from_secs(1),
         }
     }
 }
--- a/crates/tanager-control/src/store.rs
+++ b/crates/tanager-control/src/store.rs
@@ -1,26 +1,18 @@
-//! Reads of the change log and snapshots in the platform's store.
+//! Reads of the change log in the platform's store.
 
-use tanager_platform::RowCondition;
-use tanager_platform::RowWrite;
 use tanager_platform::TableRow;
-use tanager_platform::TableTransaction;
-use tanager_platform::TransactionResult;
 use tanager_protocol::change::ChangeEntry;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
-use tanager_protocol::fleet::FleetState;
 use tanager_protocol::ids::LogVersion;
 
 use crate::core::ControlCore;
 use crate::core::HeadRow;
 use crate::core::lock;
-use crate::replica::decode;
-use crate::replica::encode;
 
 pub(crate) const HEAD_KEY: &str = "head";
-pub(crate) const SNAPSHOT_KEY: &str = "snapshot";
-const LOG_PREFIX: &str = "log/";
+pub(crate) const LOG_PREFIX: &str = "log/";
 /// Rows of one scan. A configuration of the design size in which every team has a quota in every
 /// pool takes 2.1 MB, and the client accepts pages up to 64 MiB.
 const PAGE_ROWS: usize = 8;
@@ -31,10 +23,6 @@
     format!("{LOG_PREFIX}{version:012}")
 }
 
-pub(crate) fn snapshot_object(version: LogVersion) -> String {
-    format!("snapshot/{version:012}")
-}
-
 impl ControlCore {
     /// Reads `head` and applies the entries up to it.
     ///
@@ -92,7 +80,7 @@
             if entries.first().map(|entry| entry.version) == Some(before + 1) {
                 self.apply(&entries)?;
             } else {
-                // The log was restored from a snapshot, which has no entries before it.
+                // The entry was deleted after a snapshot, or the log was restored from one.
                 self.load_snapshot().await?;
             }
             if self.state().version <= before {
@@ -134,56 +122,6 @@
         row.map(decode_entry).transpose()
     }
 
-    async fn load_snapshot(&self) -> TanagerResult<()> {
-        let platform = &self.backend.platform;
-        let Some(row) = platform.read(SNAPSHOT_KEY).await? else {
-            return Ok(());
-        };
-        let version = row_number(&row)?;
-        let Some(content) = platform.get_object(&snapshot_object(version)).await? else {
-            return Ok(());
-        };
-        self.install(decode::<FleetState>(&content)?);
-        Ok(())
-    }
-
-    /// Writes a snapshot when enough entries follow the newest one.
-    pub(crate) async fn write_snapshot_if_due(&self) -> TanagerResult<()> {
-        let state = self.state();
-        let interval = self.settings.timing.snapshot_interval;
-        let is_due = |snapshot| state.version >= interval.saturating_add(snapshot);
-        if !is_due(self.status().snapshot) || !self.is_home("control") {
-            return Ok(());
-        }
-        let platform = &self.backend.platform;
-        let row = platform.read(SNAPSHOT_KEY).await?;
-        let newest = row.as_ref().map_or(Ok(0), row_number)?;
-        self.status().snapshot = newest;
-        if !is_due(newest) {
-            return Ok(());
-        }
-        // The row must never name an object that does not exist.
-        let object = snapshot_object(state.version);
-        platform.put_object(&object, encode(&*state)?).await?;
-        let transaction = TableTransaction {
-            conditions: vec![RowCondition {
-                key: SNAPSHOT_KEY.to_owned(),
-                version: row.map_or(0, |row| row.version),
-            }],
-            writes: vec![RowWrite {
-                key: SNAPSHOT_KEY.to_owned(),
-                value: Some(state.version.into()),
-            }],
-        };
-        // After a lost response or a conflict the next period reads the row again.
-        if let TransactionResult::Committed(_) = platform.transact(&transaction).await? {
-            let mut status = self.status();
-            status.snapshot = state.version;
-            status.counters.snapshots += 1;
-        }
-        Ok(())
-    }
-
     pub(crate) async fn history(&self, limit: usize) -> TanagerResult<Vec<ChangeEntry>> {
         let limit = limit.min(MAX_HISTORY);
         let newest = self.state().version;
--- a/crates/tanager-control/src/tasks.rs
+++ b/crates/tanager-control/src/tasks.rs
@@ -49,6 +49,17 @@
     }
 }
 
+/// Deletes old entries of the log in small transactions.
+pub(crate) async fn trim_log(core: Arc<ControlCore>) {
+    let mut ticks = interval(core.settings.timing.trim_pause);
+    loop {
+        ticks.tick().await;
+        if let Err(error) = core.trim_log().await {
+            log::debug!("{}: {error}", core.settings.node);
+        }
+    }
+}
+
 /// Exchanges statuses with every registered node and seed, and fetches entries from peers that
 /// are ahead.
 pub(crate) async fn gossip(core: Arc<ControlCore>) {
--- a/crates/tanager-control/tests/support/mod.rs
+++ b/crates/tanager-control/tests/support/mod.rs
@@ -55,6 +55,10 @@
     /// So many transactions are answered with 503 and committed only after the client looked for
     /// the entry in vain.
     pub late_writes: AtomicU32,
+    /// So many transactions that delete rows are committed, but answered with 503.
+    pub lose_deletions: AtomicU32,
+    /// So many reads of objects are answered only when `gate` has a permit.
+    pub slow_objects: AtomicU32,
     /// So many reads of `head` are answered only when `gate` has a permit.
     pub slow_reads: AtomicU32,
 }
@@ -65,6 +69,9 @@
     pub objects: BTreeMap<String, Vec<u8>>,
     pub listed: BTreeMap<String, &'static str>,
     pub reboots: Vec<String>,
+    /// Number of deleted rows of each transaction that deleted any.
+    pub deletions: Vec<usize>,
+    pub object_reads: usize,
     /// A transaction that is committed late.
     pub in_transit: Option<Vec<u8>>,
 }
@@ -97,6 +104,11 @@
     if !failed.is_empty() {
         return reply(StatusCode::CONFLICT, &json!({ "failed": failed }));
     }
+    let writes = transaction.writes.iter();
+    let deletions = writes.filter(|write| write.value.is_none()).count();
+    if deletions > 0 {
+        tables.deletions.push(deletions);
+    }
     let mut versions = Vec::new();
     for write in transaction.writes {
         // Row versions differ from the values of `head`, so that confusing them is noticed.
@@ -127,7 +139,12 @@
         tables.lock().unwrap().in_transit = Some(body);
         return unavailable;
     }
+    let before = tables.lock().unwrap().deletions.len();
     let response = commit(tables, &body);
+    let deleted = tables.lock().unwrap().deletions.len() > before;
+    if deleted && take(&faults.lose_deletions) {
+        return unavailable;
+    }
     if take(&faults.lose_responses) {
         return unavailable;
     }
@@ -191,6 +208,12 @@
                     return HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, "");
                 }
                 if request.method == Method::GET {
+                    if request.path.starts_with("/objects/") {
+                        tables.lock().unwrap().object_reads += 1;
+                        if take(&faults.slow_objects) {
+                            gate.acquire().await.expect("open").forget();
+                        }
+                    }
                     let response = get(&mut tables.lock().unwrap(), &request.path);
                     if request.path.starts_with("/table/rows/log/") {
                         let late = tables.lock().unwrap().in_transit.take();
--- a/crates/tanager-node/src/admin/reads.rs
+++ b/crates/tanager-node/src/admin/reads.rs
@@ -30,9 +30,14 @@
 ) -> TanagerResult<HttpResponse> {
     let backend = &context.backend;
     if segments == ["v1", "history"] {
-        let entries = (backend.history)(parse_limit(query)?).await?;
+        let limit = parse_limit(query)?;
+        let entries = (backend.history)(limit).await?;
+        let oldest = entries.last().map(|entry| entry.version);
+        let missing_before = oldest.filter(|oldest| entries.len() < limit && *oldest > 1);
         let entries: Vec<Value> = entries.iter().map(show_entry).collect();
-        return Ok(json_response(&json!({"entries": entries})));
+        return Ok(json_response(
+            &json!({"entries": entries, "missing_before": missing_before}),
+        ));
     }
     if !query.is_empty() {
         return Err(invalid("this path takes no query"));
--- a/crates/tanager-node/tests/admin.rs
+++ b/crates/tanager-node/tests/admin.rs
@@ -216,6 +216,19 @@
     server.stop();
 }
 
+/// Guards against a history that seems complete when its older entries are gone.
+#[test]
+fn history_tells_that_older_entries_are_gone() {
+    let server = TestServer::start();
+    server.register("node-1");
+    let missing = |path| server.call(ROOT, "GET", path, b"").1["missing_before"].clone();
+    assert_eq!(missing("/v1/history"), Value::Null);
+    server.fleet.log.lock().unwrap().remove(0);
+    assert_eq!(missing("/v1/history"), json!(2));
+    assert_eq!(missing("/v1/history?limit=1"), Value::Null);
+    server.stop();
+}
+
 /// Guards against a restore over an existing fleet, and against one that loses state.
 #[test]
 fn snapshot_restores_only_into_an_empty_store() {
