Remove only VMs that are drained or gone

Cause: a document could remove an active VM and configure its address under another name in another pool. That is a move without the protocol of moves: a node with an older view still sent the old pool's work to the VM (R2).

Change: the check and the fold refuse to remove a VM that is neither draining outside of a wave nor gone ("drain it first"). The proposer refuses the removal of a draining VM until every registered node has acknowledged the drain and none has work in flight. A VM may not get an address that another VM has in the configuration in force; this covers a removal in the same document and also two VMs that swap addresses. Only VMs that are not available can be removed now, so the floor check of a document no longer compares the availability before and after; it keeps the rule for raised floors.

As with every change of rules, all nodes of a site must run the same version before an entry is written that the versions judge differently.

Not covered: a VM that is reported gone is removed without acknowledgements, and the address of an active VM may be changed.

Conclusion: an address changes its pool by configuration only after no node has work on it, except where the platform itself reports the VM gone.

--- a/crates/tanager-control/src/propose.rs
+++ b/crates/tanager-control/src/propose.rs
@@ -18,7 +18,9 @@
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::ids::LogVersion;
+use tanager_protocol::ids::VmId;
 use tanager_protocol::patch::ConfigPatch;
 use tanager_protocol::patch::MAX_PATCH_OBJECTS;
 
@@ -97,7 +99,9 @@
                 return Ok(entry);
             }
             let state = self.state();
-            if let Err(error) = check_change(&state, &proposal.change, &proposal.context) {
+            let checked = check_change(&state, &proposal.change, &proposal.context)
+                .and_then(|()| self.check_removals(&state, &proposal.change));
+            if let Err(error) = checked {
                 return Err(self.name_author(error, &proposal.change).await);
             }
             let head = self.status().head;
@@ -119,6 +123,27 @@
         ))
     }
 
+    /// Refuses to remove a draining VM on which a registered node may still have work.
+    fn check_removals(&self, state: &FleetState, change: &FleetChange) -> TanagerResult<()> {
+        let is_kept = |vm: &VmId| match change {
+            FleetChange::Configure { document } => document.vms.contains_key(vm),
+            FleetChange::Amend { patch } => !patch.removed_vms.contains(vm),
+            _ => true,
+        };
+        for (vm, record) in &state.vms {
+            let draining = matches!(record.activity, VmActivity::Draining { .. });
+            if draining && !is_kept(vm) && !self.is_drained(vm) {
+                return Err(TanagerError::new(
+                    ErrorKind::Refused,
+                    "check",
+                    vm.clone(),
+                    "the VM cannot be removed: it is not drained yet",
+                ));
+            }
+        }
+        Ok(())
+    }
+
     /// Tries the version after `head`; `None` when the proposal has to be tried again, because
     /// nothing was written or it is not known whether something was.
     async fn attempt(
--- a/crates/tanager-control/tests/coordination.rs
+++ b/crates/tanager-control/tests/coordination.rs
@@ -9,6 +9,7 @@
 use tanager_control::ControlService;
 use tanager_control::rendezvous_home;
 use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::fleet::VmHealth;
@@ -20,7 +21,9 @@
 use support::Cluster;
 use support::FakePlatform;
 use support::configure;
+use support::document;
 use support::node_record;
+use support::start_drain;
 use support::start_move;
 use support::wait_state;
 use support::wait_until;
@@ -160,6 +163,38 @@
     assert_eq!(first.state().vms["a2"].health, VmHealth::Up);
 }
 
+/// Guards R2 against a VM that is removed, and configured again under another name, while a node
+/// still has work of the old pool on it.
+#[tokio::test]
+async fn removal_waits_for_work_in_flight() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let _second = cluster.join(&platform, 1).await;
+    let set_work = |requests| {
+        let load = [("a0".to_owned(), requests)].into();
+        let mut work = cluster.work.lock().unwrap();
+        work.insert("n1".to_owned(), load);
+    };
+    set_work(1);
+    let entry = first.propose("operator", start_drain("a0"), None).await;
+    entry.expect("drain");
+    let mut document = document();
+    document.vms.remove("a0");
+    let change = FleetChange::Configure { document };
+    run_rounds().await;
+    let result = first.propose("operator", change.clone(), None).await;
+    let error = result.expect_err("the other node still has work");
+    assert_eq!(error.kind, ErrorKind::Refused);
+    assert!(error.message.contains("not drained yet"), "{error}");
+    set_work(0);
+    wait_until(|| first.is_drained("a0")).await;
+    let entry = first.propose("operator", change, None).await;
+    entry.expect("drained");
+    assert!(!first.state().vms.contains_key("a0"));
+}
+
 /// Guards R1 during a wave, the order of its steps, and against a second reboot of a VM.
 #[tokio::test]
 async fn wave_maintains_every_vm_within_the_floor() {
--- a/crates/tanager-fleet/src/configure.rs
+++ b/crates/tanager-fleet/src/configure.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use tanager_protocol::config::ConfigDocument;
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::fleet::VmHealth;
 use tanager_protocol::fleet::VmRecord;
 use tanager_protocol::ids::VmId;
 use tanager_protocol::patch::ConfigPatch;
@@ -40,6 +42,7 @@
             None => check_removed_vm(state, vm, record)?,
         }
     }
+    check_addresses(state, document)?;
     for (wave, record) in unfinished_waves(state) {
         if !document.pools.contains_key(&record.pool) {
             return Err(refused(
@@ -48,8 +51,7 @@
             ));
         }
     }
-    // A removed VM that the proposer suspects costs the proposer nothing, but costs a replica
-    // without the suspicion an available VM; both must accept the entry.
+    // The proposer's suspicions must not let it accept what a replica without them refuses.
     check_floors(state, document, suspects)?;
     check_floors(state, document, &BTreeSet::new())
 }
@@ -86,26 +88,47 @@
     Ok(())
 }
 
+/// Refuses to remove a VM that nodes may still send work to. Its address may be configured again
+/// under another name and in another pool, which is a move without the protocol of moves (R2).
 fn check_removed_vm(state: &FleetState, vm: &str, record: &VmRecord) -> TanagerResult<()> {
-    let reason = match &record.activity {
-        VmActivity::Moving { to, .. } => format!("moving to pool {to}"),
-        VmActivity::Draining { reason, .. } => format!("draining: {reason}"),
-        VmActivity::Active => {
-            let wave = unfinished_waves(state).find(|(_, wave)| {
-                let running = wave.running.iter().map(|(vm, _)| vm);
-                wave.waiting.iter().chain(running).any(|other| other == vm)
-            });
-            match wave {
-                Some((wave, _)) => format!("in wave {wave}"),
-                None => return Ok(()),
-            }
-        }
+    let wave = unfinished_waves(state).find(|(_, wave)| {
+        let running = wave.running.iter().map(|(vm, _)| vm);
+        wave.waiting.iter().chain(running).any(|other| other == vm)
+    });
+    let reason = match (&record.activity, wave) {
+        (VmActivity::Moving { to, .. }, _) => format!("moving to pool {to}"),
+        (_, Some((wave, _))) => format!("in wave {wave}"),
+        (VmActivity::Draining { .. }, None) => return Ok(()),
+        (VmActivity::Active, None) if record.health == VmHealth::Gone => return Ok(()),
+        (VmActivity::Active, None) => "in service; drain it first".to_owned(),
     };
     Err(refused(vm, format!("the VM cannot be removed: {reason}")))
 }
 
-/// Refuses a document that takes available VMs from a pool below its floor, or that raises the
-/// floor above the availability while planned work holds VMs of the pool out of service.
+/// Refuses an address that belongs to another VM of the configuration in force: nodes with an
+/// older view may still send that VM's work to it. A later document may use it.
+fn check_addresses(state: &FleetState, document: &ConfigDocument) -> TanagerResult<()> {
+    let configured = state.document.vms.iter();
+    let owners: BTreeMap<SocketAddr, &VmId> = configured
+        .map(|(vm, config)| (config.address, vm))
+        .collect();
+    for (vm, config) in &document.vms {
+        if let Some(owner) = owners.get(&config.address).filter(|owner| **owner != vm) {
+            return Err(refused(
+                vm,
+                format!(
+                    "address {} still belongs to vm {owner}; use it in a later document",
+                    config.address
+                ),
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Refuses a document that raises a floor above the availability while planned work holds VMs of
+/// the pool out of service. It cannot lower the availability: only VMs that are draining or gone
+/// are removed.
 fn check_floors(
     state: &FleetState,
     document: &ConfigDocument,
@@ -114,16 +137,16 @@
     let mut counts = count_pools(state, document, suspects);
     for (pool, config) in &document.pools {
         let count = counts.remove(pool.as_str()).unwrap_or_default();
-        if count.after >= config.floor {
+        if count.available >= config.floor {
             continue;
         }
         let previous = state.document.pools.get(pool).map_or(0, |pool| pool.floor);
-        if count.after < count.before || (count.planned && config.floor > previous) {
+        if count.planned && config.floor > previous {
             return Err(refused(
                 pool,
                 format!(
                     "the pool would have {} available VMs, its floor is {}",
-                    count.after, config.floor
+                    count.available, config.floor
                 ),
             ));
         }
@@ -131,11 +154,10 @@
     Ok(())
 }
 
-/// Availability of a pool under the old and the new document.
+/// Availability of a pool under the new document.
 #[derive(Clone, Copy, Default)]
 struct PoolCount {
-    before: u32,
-    after: u32,
+    available: u32,
     /// Whether planned work holds a VM of the pool out of service.
     planned: bool,
 }
@@ -152,13 +174,12 @@
         let count = counts.entry(&record.pool).or_default();
         count.planned |= record.activity != VmActivity::Active;
         if is_available(vm, record, suspects) {
-            count.before += 1;
-            count.after += u32::from(document.vms.contains_key(vm));
+            count.available += u32::from(document.vms.contains_key(vm));
         }
     }
     for (vm, config) in &document.vms {
         if !state.vms.contains_key(vm) && !suspects.contains(vm) {
-            counts.entry(&config.pool).or_default().after += 1;
+            counts.entry(&config.pool).or_default().available += 1;
         }
     }
     counts
