Let operators abort a maintenance wave

Cause: a paused wave could only be resumed. Until it had maintained every VM, the pool could have no other wave and its VMs could not be removed.

Change: `AbortWave { wave }` ends a running or paused wave. VMs that are draining return to service and count as not maintained. VMs that were sent a reboot stay drained until they are healthy: seen down and up again, or up for the settling time; the coordinator asks for no further reboot. A wave is over when it is finished, or aborted with no VM in maintenance; only then can the pool have its next one. Operators use `POST /v1/waves/{wave}/abort` and `tanagerladder wave abort WAVE`, with the access rules of pause and resume.

Conclusion: a wave can be ended at any time without leaving a VM drained by it.

--- a/crates/tanager-command/src/commands/wave.rs
+++ b/crates/tanager-command/src/commands/wave.rs
@@ -1,4 +1,4 @@
-//! `wave`: starts, pauses, resumes and shows maintenance waves.
+//! `wave`: starts, pauses, resumes, aborts and shows maintenance waves.
 
 use serde_json::Value;
 use serde_json::json;
@@ -14,18 +14,20 @@
 
 pub(super) const SPEC: CommandSpec = CommandSpec {
     name: "wave",
-    summary: "start, pause, resume or show a maintenance wave",
+    summary: "start, pause, resume, abort or show a maintenance wave",
     help: "\
 Usage: tanagerladder wave start POOL [--wait]
        tanagerladder wave pause WAVE [--reason TEXT]
        tanagerladder wave resume WAVE
+       tanagerladder wave abort WAVE
        tanagerladder wave status [WAVE] [--wait]
 
 A wave drains, reboots and returns to service each VM of a pool, as far as its floor permits. It
-pauses by itself when a VM of the pool fails.
+pauses by itself when a VM of the pool fails. An aborted wave starts no further VM: its draining VMs
+return to service at once, those that are being rebooted when they are healthy.
 
   --wait               print progress until the wave is finished (status: without WAVE, all
-                       waves); a paused wave is waited for
+                       waves); a paused wave is waited for, an aborted one ends with exit code 5
   --wait-timeout TIME  default 10m
   --reason TEXT        why, 1 to 200 bytes; default: paused by an operator
   --expected N         version the change is based on; default: the version read first
@@ -40,15 +42,15 @@
     run,
 };
 
-/// Attempts to pause or resume a wave that makes steps meanwhile.
+/// Attempts to pause, resume or abort a wave that makes steps meanwhile.
 const MAX_ATTEMPTS: u32 = 5;
 
 fn run(session: &Session) -> Result<(), Failure> {
     let needs_name = match session.value(0) {
-        "start" | "pause" | "resume" => true,
+        "start" | "pause" | "resume" | "abort" => true,
         "status" => false,
         other => {
-            let message = format!("wave {other}: start, pause, resume or status is needed");
+            let message = format!("wave {other}: start, pause, resume, abort or status is needed");
             return Err(Failure::Usage(message));
         }
     };
@@ -56,7 +58,7 @@
     if session.options.reason.is_some() && action != "pause" {
         return Err(Failure::Usage(format!("wave {action} has no --reason")));
     }
-    if session.options.wait && matches!(action, "pause" | "resume") {
+    if session.options.wait && matches!(action, "pause" | "resume" | "abort") {
         return Err(Failure::Usage(format!("wave {action} has no --wait")));
     }
     let name = session.value(1);
@@ -152,7 +154,11 @@
             return Ok(Err("the node asked is behind".to_owned()));
         }
         let waves = select(&reply, wave)?;
-        let open = waves.iter().filter(|wave| wave["status"] != "finished");
+        let is_over = |wave: &Value| {
+            let running = wave["running"].as_array().map_or(0, Vec::len);
+            wave["status"] == "finished" || wave["status"] == "aborted" && running == 0
+        };
+        let open = waves.iter().filter(|wave| !is_over(wave));
         let progress: Vec<String> = open
             .map(|wave| {
                 let row = show_row(wave);
@@ -164,6 +170,9 @@
             })
             .collect();
         if progress.is_empty() {
+            if wave.is_some() && waves[0]["status"] == "aborted" {
+                return Err(Failure::Unknown("the wave was aborted".to_owned()));
+            }
             return Ok(Ok(reply));
         }
         Ok(Err(progress.join("; ")))
--- a/crates/tanager-command/tests/command.rs
+++ b/crates/tanager-command/tests/command.rs
@@ -364,6 +364,30 @@
     server.stop();
 }
 
+/// Guards against an abort that does not reach the wave, and a script that takes an aborted wave
+/// for a finished one.
+#[test]
+fn aborted_wave_is_no_success() {
+    let server = TestServer::start();
+    assert_eq!(run(&server, &["wave", "start", "files"], "").0, 0);
+    let mut child = start(&server, &["wave", "status", "files-2", "--wait"], "");
+    wait_for_note(&mut child, "files-2 running");
+    let arguments = ["wave", "abort", "files-2", "--expected", "1"];
+    assert_eq!(run(&server, &arguments, "").0, 3);
+    for (arguments, code) in [
+        (vec!["wave", "abort", "files-3"], 1),
+        (vec!["wave", "abort", "files-2", "--wait"], 2),
+        (vec!["wave", "abort", "files-2"], 0),
+    ] {
+        let (actual, text) = run(&server, &arguments, "");
+        assert_eq!(actual, code, "{arguments:?}: {text}");
+    }
+    assert_eq!(finish(child).0, 5);
+    let (_, text) = run(&server, &["wave", "status", "files-2"], "");
+    assert!(text.contains("aborted"), "{text}");
+    server.stop();
+}
+
 /// Guards against an export that cannot be restored, and a watch that misses a change.
 #[test]
 fn snapshot_and_watch() {
--- a/crates/tanager-control/src/tasks.rs
+++ b/crates/tanager-control/src/tasks.rs
@@ -17,6 +17,7 @@
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::WaveStatus;
 use tanager_protocol::fleet::WaveStep;
 use tanager_protocol::ids::LogVersion;
 
@@ -227,13 +228,15 @@
     }
 
     /// Asks the platform to reboot a VM that a wave has drained; `None` when the newest state no
-    /// longer says so, because another coordinator returned the VM to service.
+    /// longer says so, because another coordinator returned the VM to service or the wave was
+    /// aborted.
     async fn reboot(&self, vm: &str) -> Option<RebootResult> {
         self.catch_up().await.ok()?;
         let state = self.state();
         let rebooting = state.waves.values().any(|wave| {
             let mut running = wave.running.iter();
-            running.any(|(other, step)| other == vm && *step == WaveStep::Reboot)
+            wave.status != WaveStatus::Aborted
+                && running.any(|(other, step)| other == vm && *step == WaveStep::Reboot)
         });
         if !rebooting {
             return None;
--- a/crates/tanager-control/src/waves.rs
+++ b/crates/tanager-control/src/waves.rs
@@ -81,7 +81,7 @@
         let mut rebooting = BTreeSet::new();
         let mut homes = BTreeSet::new();
         for (wave, record) in &view.state.waves {
-            if record.status == WaveStatus::Finished || !(view.is_home)(&record.pool) {
+            if record.is_over() || !(view.is_home)(&record.pool) {
                 continue;
             }
             homes.insert(wave);
@@ -140,6 +140,13 @@
             return Some(returned);
         }
         let up = health == VmHealth::Up && !view.suspects.contains(vm);
+        if record.status == WaveStatus::Aborted {
+            // No reboot is asked for any more, but an earlier one may still be under way.
+            progress.seen_down |= !up;
+            let since = progress.asked.map_or(progress.started, |(asked, _)| asked);
+            let settled = now.saturating_duration_since(since) >= self.settle;
+            return (up && (progress.seen_down || settled)).then_some(returned);
+        }
         if !progress.overdue
             && record.status == WaveStatus::Running
             && now.saturating_duration_since(progress.started) >= self.timeout
--- a/crates/tanager-control/tests/coordination.rs
+++ b/crates/tanager-control/tests/coordination.rs
@@ -272,6 +272,31 @@
     assert_eq!(a0_reboots, 1, "a finished VM is not maintained again");
 }
 
+/// Guards against a wave that cannot be ended, and VMs that stay drained by it.
+#[tokio::test]
+async fn aborted_wave_returns_every_vm() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    // Work on a0 holds it in its drain; a1 is rebooted and does not come back for a while.
+    let load = [("a0".to_owned(), 1)].into();
+    cluster.work.lock().unwrap().insert("n0".to_owned(), load);
+    cluster.suspects.lock().unwrap().insert("a1".to_owned());
+    start_wave(&first).await;
+    wait_until(|| platform.reboots() == ["a1"]).await;
+    let wave = "w".to_owned();
+    let abort = FleetChange::AbortWave { wave };
+    first.propose("operator", abort, None).await.expect("abort");
+    assert_eq!(first.state().vms["a0"].activity, VmActivity::Active);
+    run_rounds().await;
+    assert_ne!(first.state().vms["a1"].activity, VmActivity::Active);
+    cluster.suspects.lock().unwrap().clear();
+    wait_state(&first, |state| state.waves["w"].is_over()).await;
+    assert_eq!(first.state().vms["a1"].activity, VmActivity::Active);
+    assert_eq!(platform.reboots(), ["a1"]);
+}
+
 /// Guards against a wave that goes on after a VM of its pool failed.
 #[tokio::test]
 async fn wave_pauses_on_failure_and_resumes() {
--- a/crates/tanager-control/tests/planning.rs
+++ b/crates/tanager-control/tests/planning.rs
@@ -141,6 +141,33 @@
     assert!(!plan(TIMEOUT * 2).contains(&WaveAction::Propose(pause)));
 }
 
+/// Guards against a reboot that is asked for after the wave was aborted, and against a VM that
+/// returns before an earlier reboot can be over, or never.
+#[test]
+fn aborted_wave_returns_a_healthy_vm_without_a_reboot() {
+    let mut state = rebooting();
+    append(&mut state, parse(r#"{"abort_wave":{"wave":"w"}}"#));
+    let start = Instant::now();
+    for (observations, expected) in [
+        (vec![(29, vec![])], Vec::new()),
+        (vec![(30, vec![])], step_return()),
+        (vec![(5, vec!["a0"]), (31, vec!["a0"])], Vec::new()),
+        (vec![(5, vec!["a0"]), (6, vec![])], step_return()),
+    ] {
+        let mut waves = WaveCoordinator::new(SETTLE, TIMEOUT);
+        let mut plan = |after, suspects: &[&str]| {
+            let now = start + Duration::from_secs(after);
+            with_view(&state, suspects, now, |view| waves.plan(view))
+        };
+        assert_eq!(plan(0, &[]), []);
+        let answers: Vec<_> = observations
+            .iter()
+            .map(|(after, suspects)| plan(*after, suspects))
+            .collect();
+        assert_eq!(answers.last(), Some(&expected), "{observations:?}");
+    }
+}
+
 /// Guards against a VM that no longer exists and holds its wave open.
 #[test]
 fn gone_vm_leaves_its_wave() {
--- a/crates/tanager-fleet/src/apply.rs
+++ b/crates/tanager-fleet/src/apply.rs
@@ -25,7 +25,7 @@
 use crate::configure::amend_document;
 use crate::configure::check_configure;
 
-/// Finished waves kept in the state; older ones are found in the log. Bounds the state.
+/// Finished and aborted waves kept in the state; older ones are found in the log. Bounds the state.
 pub const MAX_FINISHED_WAVES: usize = 20;
 
 /// Applies the next entry of the log.
@@ -115,6 +115,7 @@
             set_status(state, wave, version, WaveStatus::Running);
         }
         FleetChange::StepWave { wave, vm, step } => step_wave(state, wave, vm, *step, version),
+        FleetChange::AbortWave { wave } => abort_wave(state, wave, version),
         FleetChange::FinishWave { wave } => {
             set_status(state, wave, version, WaveStatus::Finished);
             drop_old_waves(state);
@@ -228,15 +229,36 @@
             record.running.retain(|(running, _)| running != vm);
             record.finished.push(vm.to_owned());
             set_activity(state, vm, version, VmActivity::Active);
+            drop_old_waves(state);
         }
     }
 }
 
+/// Ends a wave: VMs that are not yet being rebooted return to service and count as not maintained.
+fn abort_wave(state: &mut FleetState, wave: &str, version: LogVersion) {
+    let Some(record) = state.waves.get_mut(wave) else {
+        return;
+    };
+    record.status = WaveStatus::Aborted;
+    record.version = version;
+    let running = std::mem::take(&mut record.running);
+    let (draining, rebooting): (Vec<_>, Vec<_>) = running
+        .into_iter()
+        .partition(|(_, step)| *step == WaveStep::Drain);
+    record.running = rebooting;
+    let draining: Vec<VmId> = draining.into_iter().map(|(vm, _)| vm).collect();
+    record.waiting.splice(0..0, draining.iter().cloned());
+    for vm in &draining {
+        set_activity(state, vm, version, VmActivity::Active);
+    }
+    drop_old_waves(state);
+}
+
 fn drop_old_waves(state: &mut FleetState) {
     let mut finished: Vec<(LogVersion, String)> = state
         .waves
         .iter()
-        .filter(|(_, record)| record.status == WaveStatus::Finished)
+        .filter(|(_, record)| record.is_over())
         .map(|(wave, record)| (record.version, wave.clone()))
         .collect();
     finished.sort();
--- a/crates/tanager-fleet/src/check.rs
+++ b/crates/tanager-fleet/src/check.rs
@@ -108,6 +108,10 @@
         FleetChange::StepWave { wave, vm, step } => {
             check_step_wave(state, wave, vm, *step, suspects)
         }
+        FleetChange::AbortWave { wave } => match find_wave(state, wave)?.status {
+            WaveStatus::Running | WaveStatus::Paused { .. } => Ok(()),
+            _ => Err(refused(wave, "already finished or aborted")),
+        },
         FleetChange::FinishWave { wave } => check_finish_wave(state, wave),
     }
 }
@@ -130,6 +134,7 @@
         | FleetChange::PauseWave { wave, .. }
         | FleetChange::ResumeWave { wave }
         | FleetChange::StepWave { wave, .. }
+        | FleetChange::AbortWave { wave }
         | FleetChange::FinishWave { wave } => {
             state.waves.get(wave).map_or(0, |record| record.version)
         }
@@ -267,8 +272,8 @@
 
 fn check_finish_wave(state: &FleetState, wave: &str) -> TanagerResult<()> {
     let record = find_wave(state, wave)?;
-    if record.status == WaveStatus::Finished {
-        return Err(refused(wave, "already finished"));
+    if matches!(record.status, WaveStatus::Finished | WaveStatus::Aborted) {
+        return Err(refused(wave, "already finished or aborted"));
     }
     if let Some((vm, _)) = record.running.first() {
         return Err(refused(wave, format!("vm {vm} is in maintenance")));
@@ -285,10 +290,7 @@
 }
 
 pub(crate) fn unfinished_waves(state: &FleetState) -> impl Iterator<Item = (&String, &WaveRecord)> {
-    state
-        .waves
-        .iter()
-        .filter(|(_, record)| record.status != WaveStatus::Finished)
+    state.waves.iter().filter(|(_, record)| !record.is_over())
 }
 
 fn find_vm<'state>(state: &'state FleetState, vm: &str) -> TanagerResult<&'state VmRecord> {
--- a/crates/tanager-fleet/tests/invariants.rs
+++ b/crates/tanager-fleet/tests/invariants.rs
@@ -92,6 +92,7 @@
         2 => (wave(), pool()).prop_map(|(wave, pool)| FleetChange::StartWave { wave, pool }),
         1 => wave().prop_map(|wave| FleetChange::PauseWave { wave, reason: "test".to_owned() }),
         1 => wave().prop_map(|wave| FleetChange::ResumeWave { wave }),
+        1 => wave().prop_map(|wave| FleetChange::AbortWave { wave }),
         6 => (wave(), vm(), step)
             .prop_map(|(wave, vm, step)| FleetChange::StepWave { wave, vm, step }),
         2 => wave().prop_map(|wave| FleetChange::FinishWave { wave }),
@@ -181,6 +182,10 @@
         }
     }
     for wave in state.waves.values() {
+        if wave.status == WaveStatus::Aborted {
+            let mut steps = wave.running.iter().map(|(_, step)| *step);
+            assert!(steps.all(|step| step == WaveStep::Reboot));
+        }
         if wave.status == WaveStatus::Finished {
             assert!(wave.running.is_empty());
         }
--- a/crates/tanager-fleet/tests/rules.rs
+++ b/crates/tanager-fleet/tests/rules.rs
@@ -12,6 +12,7 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::ids::LogVersion;
 use tanager_protocol::patch::ConfigPatch;
 
@@ -69,6 +70,8 @@
 const DRAIN_V2: &str = r#"{"start_drain":{"vm":"v2","reason":"disk"}}"#;
 const WAVE: &str = r#"{"start_wave":{"wave":"w","pool":"a"}}"#;
 const WAVE_V3: &str = r#"{"step_wave":{"wave":"w","vm":"v3","step":"drain"}}"#;
+const REBOOT_V3: &str = r#"{"step_wave":{"wave":"w","vm":"v3","step":"reboot"}}"#;
+const ABORT: &str = r#"{"abort_wave":{"wave":"w"}}"#;
 const DOWN_V3: &str = r#"{"report_vm":{"vm":"v3","health":"down"}}"#;
 
 refusal_cases! {
@@ -91,6 +94,14 @@
         WAVE_V3 => Refused, "not running";
     undrain_of_wave_vm: [WAVE, WAVE_V3], r#"{"end_drain":{"vm":"v3"}}"# => Refused, "wave w";
     finish_before_end: [WAVE], r#"{"finish_wave":{"wave":"w"}}"# => Refused, "not maintained";
+    abort_of_aborted_wave: [WAVE, ABORT], ABORT => Refused, "finished or aborted";
+    step_after_abort: [WAVE, ABORT], WAVE_V3 => Refused, "not running";
+    finish_after_abort: [WAVE, ABORT], r#"{"finish_wave":{"wave":"w"}}"# => Refused, "aborted";
+    resume_after_abort: [WAVE, ABORT], r#"{"resume_wave":{"wave":"w"}}"# => Refused, "not paused";
+    wave_while_vm_reboots: [WAVE, WAVE_V3, REBOOT_V3, ABORT],
+        r#"{"start_wave":{"wave":"x","pool":"a"}}"# => Refused, "wave w";
+    undrain_after_abort: [WAVE, WAVE_V3, REBOOT_V3, ABORT],
+        r#"{"end_drain":{"vm":"v3"}}"# => Refused, "wave w";
     leave_of_unknown_node: [],
         r#"{"leave_node":{"node":"n","incarnation":1}}"# => NotFound, "registered";
 }
@@ -262,6 +273,40 @@
     assert!(check_change(&state, &change, &context).is_err());
 }
 
+/// Guards against VMs that stay out of service after their wave was aborted, and against one that
+/// serves while it is being rebooted.
+#[test]
+fn aborted_wave_returns_its_vms() {
+    let mut state = configured();
+    let drain_v1 = r#"{"step_wave":{"wave":"x","vm":"v1","step":"drain"}}"#;
+    let return_v3 = r#"{"step_wave":{"wave":"w","vm":"v3","step":"return"}}"#;
+    for text in [WAVE, WAVE_V3, ABORT] {
+        append(&mut state, change(text)).expect(text);
+    }
+    assert_eq!(state.vms["v3"].activity, VmActivity::Active);
+    assert_eq!(state.waves["w"].waiting, ["v3", "v2", "v0", "v1"]);
+    assert!(state.waves["w"].is_over());
+    state.waves.clear();
+    let pause = r#"{"pause_wave":{"wave":"w","reason":"x"}}"#;
+    for text in [WAVE, WAVE_V3, REBOOT_V3, pause, ABORT] {
+        append(&mut state, change(text)).expect(text);
+    }
+    assert!(matches!(
+        state.vms["v3"].activity,
+        VmActivity::Draining { .. }
+    ));
+    assert!(!state.waves["w"].is_over());
+    append(&mut state, change(return_v3)).expect("it is healthy");
+    assert_eq!(state.vms["v3"].activity, VmActivity::Active);
+    assert!(state.waves["w"].is_over());
+    append(
+        &mut state,
+        change(r#"{"start_wave":{"wave":"x","pool":"a"}}"#),
+    )
+    .expect("next");
+    append(&mut state, change(drain_v1)).expect("any rack may be first");
+}
+
 /// Guards the order of a wave and the bound on finished waves, without which the state grows
 /// with every wave.
 #[test]
--- a/crates/tanager-node/src/admin/changes.rs
+++ b/crates/tanager-node/src/admin/changes.rs
@@ -179,6 +179,12 @@
             let wave = wave.to_owned();
             Ok((FleetChange::ResumeWave { wave }, body.expected))
         }
+        ["v1", "waves", wave, "abort"] => {
+            let body: ExpectedBody = parse_optional_body(request)?;
+            check_wave(role, state, wave)?;
+            let wave = wave.to_owned();
+            Ok((FleetChange::AbortWave { wave }, body.expected))
+        }
         _ => Err(not_found("no such path".to_owned())),
     }
 }
--- a/crates/tanager-node/src/admin/reads.rs
+++ b/crates/tanager-node/src/admin/reads.rs
@@ -12,7 +12,6 @@
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::fleet::VmHealth;
-use tanager_protocol::fleet::WaveStatus;
 use tanager_protocol::patch::ConfigPatch;
 
 use super::reply::json_response;
@@ -141,7 +140,7 @@
         let wave = state
             .waves
             .iter()
-            .find(|(_, wave)| wave.pool == *pool && wave.status != WaveStatus::Finished)
+            .find(|(_, wave)| wave.pool == *pool && !wave.is_over())
             .map(|(name, _)| name);
         json!({
             "pool": pool,
--- a/crates/tanager-node/src/admin/routes.rs
+++ b/crates/tanager-node/src/admin/routes.rs
@@ -41,9 +41,8 @@
         ["v1", "config" | "snapshot"] => "GET, PUT",
         ["v1", "waves"] => "GET, POST",
         ["v1", "history" | "pools" | "vms" | "quotas" | "nodes"] | ["dump"] => "GET",
-        ["v1", "vms", _, "move" | "drain" | "undrain"] | ["v1", "waves", _, "pause" | "resume"] => {
-            "POST"
-        }
+        ["v1", "vms", _, "move" | "drain" | "undrain"]
+        | ["v1", "waves", _, "pause" | "resume" | "abort"] => "POST",
         _ => {
             let error = TanagerError::new(ErrorKind::NotFound, "route", "", "no such path");
             return error_response(&error);
--- a/crates/tanager-node/tests/admin.rs
+++ b/crates/tanager-node/tests/admin.rs
@@ -133,6 +133,35 @@
     team_restores: "PUT" "/v1/snapshot" b"{}".to_vec() => 403;
 }
 
+/// Guards against a team that stops the maintenance of a pool it does not own, and against an
+/// abort of a wave that has changed.
+#[test]
+fn waves_are_aborted_by_their_owners() {
+    let server = TestServer::start();
+    for (pool, status) in [("intake", 200), ("spare", 403)] {
+        let change = FleetChange::StartWave {
+            wave: format!("{pool}-wave"),
+            pool: pool.to_owned(),
+        };
+        let entry = server.fleet.change(change);
+        let path = format!("/v1/waves/{pool}-wave/abort");
+        let stale = json!({"expected": entry.version - 1}).to_string();
+        let (actual, body) = server.call(ROOT, "POST", &path, stale.as_bytes());
+        assert_eq!(actual, 409, "{body}");
+        let (actual, body) = server.call(CLINIC, "POST", &path, b"");
+        assert_eq!(actual, status, "{body}");
+        assert_eq!(server.call(ROOT, "GET", &path, b"").0, 405);
+        assert_eq!(server.call(ROOT, "POST", &path, b"").0, 200);
+        let waves = server.call(ROOT, "GET", "/v1/waves", b"").1;
+        assert_eq!(waves["waves"][format!("{pool}-wave")]["status"], "aborted");
+    }
+    assert_eq!(
+        server.call(ROOT, "POST", "/v1/waves/none/abort", b"").0,
+        404
+    );
+    server.stop();
+}
+
 /// Guards against ownership by the document's first pool instead of the current one.
 #[test]
 fn a_moved_vm_belongs_to_its_new_pool() {
--- a/crates/tanager-node/tests/admin_input.rs
+++ b/crates/tanager-node/tests/admin_input.rs
@@ -237,6 +237,7 @@
             ),
             (format!("/v1/vms/{name}/drain"), ""),
             (format!("/v1/waves/{name}/pause"), ""),
+            (format!("/v1/waves/{name}/abort"), ""),
             (format!("/v1/{name}"), "{}"),
         ] {
             assert_rejected(&server, "POST", &path, body.as_bytes());
--- a/crates/tanager-node/tests/support/fold.rs
+++ b/crates/tanager-node/tests/support/fold.rs
@@ -18,9 +18,9 @@
         FleetChange::StartMove { vm, .. }
         | FleetChange::StartDrain { vm, .. }
         | FleetChange::EndDrain { vm } => state.vms[vm].version,
-        FleetChange::PauseWave { wave, .. } | FleetChange::ResumeWave { wave } => {
-            state.waves[wave].version
-        }
+        FleetChange::PauseWave { wave, .. }
+        | FleetChange::ResumeWave { wave }
+        | FleetChange::AbortWave { wave } => state.waves[wave].version,
         _ => 0,
     }
 }
@@ -97,6 +97,11 @@
         FleetChange::ResumeWave { wave } => {
             state.waves.get_mut(wave).unwrap().status = WaveStatus::Running;
         }
+        FleetChange::AbortWave { wave } => {
+            let record = state.waves.get_mut(wave).unwrap();
+            record.status = WaveStatus::Aborted;
+            record.version = version;
+        }
         FleetChange::FinishWave { wave } => {
             let record = state.waves.get_mut(wave).unwrap();
             record.status = WaveStatus::Finished;
--- a/crates/tanager-protocol/src/change.rs
+++ b/crates/tanager-protocol/src/change.rs
@@ -121,6 +121,12 @@
         /// The step that begins.
         step: WaveStep,
     },
+    /// Ends a wave before every VM was maintained. Its draining VMs return to service; those that
+    /// are being rebooted return when they are healthy.
+    AbortWave {
+        /// The wave.
+        wave: WaveId,
+    },
     /// Ends a wave in which every VM was maintained.
     FinishWave {
         /// The wave.
@@ -146,6 +152,7 @@
             Self::PauseWave { .. } => "pause_wave",
             Self::ResumeWave { .. } => "resume_wave",
             Self::StepWave { .. } => "step_wave",
+            Self::AbortWave { .. } => "abort_wave",
             Self::FinishWave { .. } => "finish_wave",
         }
     }
--- a/crates/tanager-protocol/src/fleet.rs
+++ b/crates/tanager-protocol/src/fleet.rs
@@ -115,6 +115,19 @@
     },
     /// Every VM was maintained.
     Finished,
+    /// No further VM is started; VMs that are being rebooted return to service.
+    Aborted,
+}
+
+impl WaveRecord {
+    /// Whether the wave is over: no VM is in maintenance and none will be.
+    pub fn is_over(&self) -> bool {
+        match self.status {
+            WaveStatus::Finished => true,
+            WaveStatus::Aborted => self.running.is_empty(),
+            WaveStatus::Running | WaveStatus::Paused { .. } => false,
+        }
+    }
 }
 
 /// Step of one VM in a wave.
