Test superseded runs and commits of an earlier move

Cause: two rules of R2 had no test: a run of a node that another run of the same name replaced must stop dispatching, and a `CommitMove` must belong to the move whose acknowledgements the coordinator saw.

Change: superseded_run_stops_dispatching starts a second run of a registered node; the first one stops dispatching, answers `/ready` with "another run of this node is registered" and does not register again. commit_belongs_to_one_move holds the coordinator back between its decision and its proposal, while another node aborts the move and starts it anew.

Conclusion: both rules hold; the shipped code did not change.

--- a/crates/tanager-control/tests/coordination.rs
+++ b/crates/tanager-control/tests/coordination.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time;
 
 use tanager_control::ControlService;
+use tanager_control::ControlTiming;
 use tanager_control::rendezvous_home;
 use tanager_protocol::change::FleetChange;
 use tanager_protocol::error::ErrorKind;
@@ -22,6 +25,7 @@
 use support::FakePlatform;
 use support::configure;
 use support::document;
+use support::fast_timing;
 use support::node_record;
 use support::start_drain;
 use support::start_move;
@@ -163,6 +167,66 @@
     assert_eq!(first.state().vms["a2"].health, VmHealth::Up);
 }
 
+/// Guards R2 against a commit that relies on the acknowledgements of an earlier move: the
+/// coordinator decides on the first move and is held back until the second one has begun.
+#[tokio::test]
+async fn commit_belongs_to_one_move() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let timing = ControlTiming {
+        poll_interval: Duration::from_secs(3_600),
+        ..fast_timing()
+    };
+    let second = cluster.spawn(&platform, 1, 2, timing);
+    wait_until(|| second.may_dispatch()).await;
+    // A leaving node is no home, so the first node coordinates every move.
+    second.set_leaving();
+    wait_until(|| first.live_nodes() == ["n0"]).await;
+    let set_work = |requests| {
+        let load = [("a0".to_owned(), requests)].into();
+        let mut work = cluster.work.lock().unwrap();
+        work.insert("n0".to_owned(), load);
+    };
+    set_work(1);
+    let entry = first.propose("operator", start_move("a0", "b"), None).await;
+    let started = entry.expect("start").version;
+    wait_state(&second, |state| state.version == started).await;
+    // The poll and a proposal that is refused wait for `head`; other proposals queue behind it.
+    let slow_reads = &platform.faults.slow_reads;
+    slow_reads.store(2, Ordering::SeqCst);
+    wait_until(|| slow_reads.load(Ordering::SeqCst) == 1).await;
+    let vm = "a1".to_owned();
+    let refused = FleetChange::EndDrain { vm };
+    let blocking = Arc::clone(&first);
+    let blocked = tokio::spawn(async move { blocking.propose("operator", refused, None).await });
+    wait_until(|| slow_reads.load(Ordering::SeqCst) == 0).await;
+    set_work(0);
+    wait_until(|| first.is_drained("a0")).await;
+    run_rounds().await;
+    set_work(1);
+    let vm = "a0".to_owned();
+    for change in [FleetChange::AbortMove { vm }, start_move("a0", "b")] {
+        second
+            .propose("operator", change, None)
+            .await
+            .expect("accepted");
+    }
+    let restarted = second.state().version;
+    wait_state(&first, |state| state.version == restarted).await;
+    platform.gate.add_permits(2);
+    let result = blocked.await.expect("no panic");
+    assert_eq!(result.expect_err("not draining").kind, ErrorKind::Refused);
+    run_rounds().await;
+    assert!(
+        is_moving(&first.state(), "a0"),
+        "committed with work of the old pool in flight"
+    );
+    set_work(0);
+    wait_state(&first, |state| state.vms["a0"].pool == "b").await;
+}
+
 /// Guards R2 against a VM that is removed, and configured again under another name, while a node
 /// still has work of the old pool on it.
 #[tokio::test]
--- a/crates/tanager-control/tests/startup.rs
+++ b/crates/tanager-control/tests/startup.rs
@@ -272,3 +272,31 @@
     wait_state(&service, |state| state.version == 3).await;
     wait_until(|| service.dump()["fault"].is_null()).await;
 }
+
+/// Guards R2 against two runs of one node that both dispatch: moves wait only for the registered
+/// run, so the other one must stop, stay unregistered and tell why it is not ready.
+#[tokio::test]
+async fn superseded_run_stops_dispatching() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let second = cluster.spawn(&platform, 0, 77, fast_timing());
+    wait_until(|| second.may_dispatch() && second.ready().is_ok()).await;
+    wait_until(|| !first.may_dispatch()).await;
+    wait_until(|| {
+        let ready = first.ready();
+        ready.is_err_and(|reason| reason == "another run of this node is registered")
+    })
+    .await;
+    assert_eq!(first.dump()["superseded"], true);
+    // The first run still polls the store; the two must not replace each other in turn.
+    let since = second.state().nodes["n0"].since;
+    for _ in 0..20 {
+        time::sleep(Duration::from_millis(5)).await;
+        assert!(!first.may_dispatch() && second.may_dispatch());
+    }
+    let state = second.state();
+    assert_eq!(state.nodes["n0"].incarnation, 77);
+    assert_eq!(state.nodes["n0"].since, since);
+}
