--- a/crates/tanager-control/src/propose.rs
+++ b/crates/tanager-control/src/propose.rs
@@ -17,7 +17,12 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::ids::LogVersion;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::patch::ConfigPatch;
+use tanager_protocol::patch::MAX_PATCH_OBJECTS;
 
 use crate::core::ControlCore;
 use crate::core::HeadRow;
@@ -39,8 +44,8 @@
     token: String,
     change: FleetChange,
     context: CheckContext,
-    /// Version at which an earlier attempt may still be accepted.
-    uncertain: Option<LogVersion>,
+    /// Entry of an earlier attempt that may still be accepted.
+    uncertain: Option<ChangeEntry>,
 }
 
 impl ControlCore {
@@ -65,9 +70,9 @@
         let result = self.run_proposal(&mut proposal).await;
         result.map_err(|error| match proposal.uncertain {
             // An earlier attempt may still be in transit, whatever the last error says.
-            Some(version) => TanagerError {
+            Some(entry) => TanagerError {
                 kind: ErrorKind::Unknown,
-                message: format!("{}; entry {version} may be accepted", error.message),
+                message: format!("{}; entry {} may be accepted", error.message, entry.version),
                 ..error
             },
             None => error,
@@ -94,7 +99,9 @@
                 return Ok(entry);
             }
             let state = self.state();
-            if let Err(error) = check_change(&state, &proposal.change, &proposal.context) {
+            let checked = check_change(&state, &proposal.change, &proposal.context)
+                .and_then(|()| self.check_removals(&state, &proposal.change));
+            if let Err(error) = checked {
                 return Err(self.name_author(error, &proposal.change).await);
             }
             let head = self.status().head;
@@ -102,7 +109,8 @@
                 // A peer was ahead of the answer; read `head` again.
                 continue;
             }
-            if let Some(entry) = self.attempt(proposal, head).await? {
+            let change = logged_change(&state, &proposal.change);
+            if let Some(entry) = self.attempt(proposal, change, head).await? {
                 return Ok(entry);
             }
             self.status().counters.conflicts += 1;
@@ -115,18 +123,40 @@
         ))
     }
 
+    /// Refuses to remove a draining VM on which a registered node may still have work.
+    fn check_removals(&self, state: &FleetState, change: &FleetChange) -> TanagerResult<()> {
+        let is_kept = |vm: &VmId| match change {
+            FleetChange::Configure { document } => document.vms.contains_key(vm),
+            FleetChange::Amend { patch } => !patch.removed_vms.contains(vm),
+            _ => true,
+        };
+        for (vm, record) in &state.vms {
+            let draining = matches!(record.activity, VmActivity::Draining { .. });
+            if draining && !is_kept(vm) && !self.is_drained(vm) {
+                return Err(TanagerError::new(
+                    ErrorKind::Refused,
+                    "check",
+                    vm.clone(),
+                    "the VM cannot be removed: it is not drained yet",
+                ));
+            }
+        }
+        Ok(())
+    }
+
     /// Tries the version after `head`; `None` when the proposal has to be tried again, because
     /// nothing was written or it is not known whether something was.
     async fn attempt(
         &self,
         proposal: &mut PendingProposal,
+        change: FleetChange,
         head: HeadRow,
     ) -> TanagerResult<Option<ChangeEntry>> {
         let entry = ChangeEntry {
             version: head.version + 1,
             author: proposal.author.clone(),
             token: proposal.token.clone(),
-            change: proposal.change.clone(),
+            change,
         };
         let transaction = entry_transaction(&entry, head)?;
         match self.backend.platform.transact(&transaction).await {
@@ -138,7 +168,7 @@
             Ok(TransactionResult::Conflict(_)) => Ok(None),
             Err(error) if matches!(error.kind, ErrorKind::Unknown | ErrorKind::Timeout) => {
                 self.status().counters.lost_responses += 1;
-                proposal.uncertain = Some(entry.version);
+                proposal.uncertain = Some(entry.clone());
                 self.resolve(proposal, entry, error).await
             }
             Err(error) => {
@@ -182,27 +212,33 @@
         &self,
         proposal: &mut PendingProposal,
     ) -> TanagerResult<Option<ChangeEntry>> {
-        let Some(version) = proposal.uncertain else {
+        let Some(entry) = proposal.uncertain.clone() else {
             return Ok(None);
         };
+        let version = entry.version;
         if self.state().version < version {
             return Ok(None);
         }
         let held = lock(&self.log).token(version).map(str::to_owned);
         let token = match held {
             Some(token) => Some(token),
-            None => self.read_entry(version).await?.map(|entry| entry.token),
+            None => match self.read_entry(version).await? {
+                Some(found) => Some(found.token),
+                // Deleted after a snapshot; another attempt could apply the change twice.
+                None => {
+                    let message = "the entry is no longer in the log";
+                    let key = log_key(version);
+                    return Err(TanagerError::new(
+                        ErrorKind::Unknown,
+                        "resolve",
+                        key,
+                        message,
+                    ));
+                }
+            },
         };
         proposal.uncertain = None;
-        if token.as_deref() != Some(&proposal.token) {
-            return Ok(None);
-        }
-        Ok(Some(ChangeEntry {
-            version,
-            author: proposal.author.clone(),
-            token: proposal.token.clone(),
-            change: proposal.change.clone(),
-        }))
+        Ok((token.as_ref() == Some(&entry.token)).then_some(entry))
     }
 
     fn accept(&self, entry: &ChangeEntry, row_version: Option<u64>) -> TanagerResult<()> {
@@ -222,7 +258,10 @@
         let version = record_version(&self.state(), change);
         if error.kind != ErrorKind::Conflict
             || version == 0
-            || matches!(change, FleetChange::Configure { .. })
+            || matches!(
+                change,
+                FleetChange::Configure { .. } | FleetChange::Amend { .. }
+            )
         {
             return error;
         }
@@ -244,6 +283,20 @@
     }
 }
 
+/// The form in which a change that is legal in `state` is written to the log: a document becomes
+/// a patch of the document in force, because a document of the design size takes up to 2.1 MB.
+/// The first document, and one that changes more than a patch may, stays whole.
+fn logged_change(state: &FleetState, change: &FleetChange) -> FleetChange {
+    let FleetChange::Configure { document } = change else {
+        return change.clone();
+    };
+    let patch = ConfigPatch::between(&state.document, document);
+    if state.configured_version == 0 || patch.size() > MAX_PATCH_OBJECTS {
+        return change.clone();
+    }
+    FleetChange::Amend { patch }
+}
+
 fn entry_transaction(entry: &ChangeEntry, head: HeadRow) -> TanagerResult<TableTransaction> {
     let value = serde_json::to_value(entry)
         .map_err(|error| TanagerError::new(ErrorKind::Internal, "encode", "entry", error))?;
--- a/crates/tanager-control/tests/coordination.rs
+++ b/crates/tanager-control/tests/coordination.rs
@@ -2,13 +2,17 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time;
 
 use tanager_control::ControlService;
+use tanager_control::ControlTiming;
 use tanager_control::rendezvous_home;
 use tanager_protocol::change::FleetChange;
+use tanager_protocol::error::ErrorKind;
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::fleet::VmHealth;
@@ -20,7 +24,10 @@
 use support::Cluster;
 use support::FakePlatform;
 use support::configure;
+use support::document;
+use support::fast_timing;
 use support::node_record;
+use support::start_drain;
 use support::start_move;
 use support::wait_state;
 use support::wait_until;
@@ -160,6 +167,98 @@
     assert_eq!(first.state().vms["a2"].health, VmHealth::Up);
 }
 
+/// Guards R2 against a commit that relies on the acknowledgements of an earlier move: the
+/// coordinator decides on the first move and is held back until the second one has begun.
+#[tokio::test]
+async fn commit_belongs_to_one_move() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let timing = ControlTiming {
+        poll_interval: Duration::from_secs(3_600),
+        ..fast_timing()
+    };
+    let second = cluster.spawn(&platform, 1, 2, timing);
+    wait_until(|| second.may_dispatch()).await;
+    // A leaving node is no home, so the first node coordinates every move.
+    second.set_leaving();
+    wait_until(|| first.live_nodes() == ["n0"]).await;
+    let set_work = |requests| {
+        let load = [("a0".to_owned(), requests)].into();
+        let mut work = cluster.work.lock().unwrap();
+        work.insert("n0".to_owned(), load);
+    };
+    set_work(1);
+    let entry = first.propose("operator", start_move("a0", "b"), None).await;
+    let started = entry.expect("start").version;
+    wait_state(&second, |state| state.version == started).await;
+    // The poll and a proposal that is refused wait for `head`; other proposals queue behind it.
+    let slow_reads = &platform.faults.slow_reads;
+    slow_reads.store(2, Ordering::SeqCst);
+    wait_until(|| slow_reads.load(Ordering::SeqCst) == 1).await;
+    let vm = "a1".to_owned();
+    let refused = FleetChange::EndDrain { vm };
+    let blocking = Arc::clone(&first);
+    let blocked = tokio::spawn(async move { blocking.propose("operator", refused, None).await });
+    wait_until(|| slow_reads.load(Ordering::SeqCst) == 0).await;
+    set_work(0);
+    wait_until(|| first.is_drained("a0")).await;
+    run_rounds().await;
+    set_work(1);
+    let vm = "a0".to_owned();
+    for change in [FleetChange::AbortMove { vm }, start_move("a0", "b")] {
+        second
+            .propose("operator", change, None)
+            .await
+            .expect("accepted");
+    }
+    let restarted = second.state().version;
+    wait_state(&first, |state| state.version == restarted).await;
+    platform.gate.add_permits(2);
+    let result = blocked.await.expect("no panic");
+    assert_eq!(result.expect_err("not draining").kind, ErrorKind::Refused);
+    run_rounds().await;
+    assert!(
+        is_moving(&first.state(), "a0"),
+        "committed with work of the old pool in flight"
+    );
+    set_work(0);
+    wait_state(&first, |state| state.vms["a0"].pool == "b").await;
+}
+
+/// Guards R2 against a VM that is removed, and configured again under another name, while a node
+/// still has work of the old pool on it.
+#[tokio::test]
+async fn removal_waits_for_work_in_flight() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    let _second = cluster.join(&platform, 1).await;
+    let set_work = |requests| {
+        let load = [("a0".to_owned(), requests)].into();
+        let mut work = cluster.work.lock().unwrap();
+        work.insert("n1".to_owned(), load);
+    };
+    set_work(1);
+    let entry = first.propose("operator", start_drain("a0"), None).await;
+    entry.expect("drain");
+    let mut document = document();
+    document.vms.remove("a0");
+    let change = FleetChange::Configure { document };
+    run_rounds().await;
+    let result = first.propose("operator", change.clone(), None).await;
+    let error = result.expect_err("the other node still has work");
+    assert_eq!(error.kind, ErrorKind::Refused);
+    assert!(error.message.contains("not drained yet"), "{error}");
+    set_work(0);
+    wait_until(|| first.is_drained("a0")).await;
+    let entry = first.propose("operator", change, None).await;
+    entry.expect("drained");
+    assert!(!first.state().vms.contains_key("a0"));
+}
+
 /// Guards R1 during a wave, the order of its steps, and against a second reboot of a VM.
 #[tokio::test]
 async fn wave_maintains_every_vm_within_the_floor() {
@@ -237,6 +336,31 @@
     assert_eq!(a0_reboots, 1, "a finished VM is not maintained again");
 }
 
+/// Guards against a wave that cannot be ended, and VMs that stay drained by it.
+#[tokio::test]
+async fn aborted_wave_returns_every_vm() {
+    let platform = FakePlatform::bind().await;
+    let cluster = Cluster::default();
+    let first = cluster.join(&platform, 0).await;
+    configure(&first).await;
+    // Work on a0 holds it in its drain; a1 is rebooted and does not come back for a while.
+    let load = [("a0".to_owned(), 1)].into();
+    cluster.work.lock().unwrap().insert("n0".to_owned(), load);
+    cluster.suspects.lock().unwrap().insert("a1".to_owned());
+    start_wave(&first).await;
+    wait_until(|| platform.reboots() == ["a1"]).await;
+    let wave = "w".to_owned();
+    let abort = FleetChange::AbortWave { wave };
+    first.propose("operator", abort, None).await.expect("abort");
+    assert_eq!(first.state().vms["a0"].activity, VmActivity::Active);
+    run_rounds().await;
+    assert_ne!(first.state().vms["a1"].activity, VmActivity::Active);
+    cluster.suspects.lock().unwrap().clear();
+    wait_state(&first, |state| state.waves["w"].is_over()).await;
+    assert_eq!(first.state().vms["a1"].activity, VmActivity::Active);
+    assert_eq!(platform.reboots(), ["a1"]);
+}
+
 /// Guards against a wave that goes on after a VM of its pool failed.
 #[tokio::test]
 async fn wave_pauses_on_failure_and_resumes() {
--- a/crates/tanager-fleet/src/apply.rs
+++ b/crates/tanager-fleet/src/apply.rs
@@ -1,6 +1,7 @@
 //! Fold of the change log into the fleet state.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use tanager_protocol::change::ChangeEntry;
 use tanager_protocol::change::FleetChange;
@@ -21,8 +22,10 @@
 
 use crate::check::CheckContext;
 use crate::check::check_change;
+use crate::configure::amend_document;
+use crate::configure::check_configure;
 
-/// Finished waves kept in the state; older ones are found in the log. Bounds the state.
+/// Finished and aborted waves kept in the state; older ones are found in the log. Bounds the state.
 pub const MAX_FINISHED_WAVES: usize = 20;
 
 /// Applies the next entry of the log.
@@ -46,10 +49,19 @@
             ),
         ));
     }
-    let legal = check_change(state, &entry.change, &CheckContext::default()).is_ok();
+    let checked = match &entry.change {
+        // The patch is applied once for both steps, because its result is a large document.
+        FleetChange::Amend { patch } => amend_document(state, patch).and_then(|document| {
+            check_configure(state, &document, &BTreeSet::new())?;
+            Ok(Some(document))
+        }),
+        change => check_change(state, change, &CheckContext::default()).map(|()| None),
+    };
     state.version = entry.version;
-    if legal {
-        apply_change(state, entry);
+    match checked {
+        Ok(Some(document)) => apply_configure(state, document, entry),
+        Ok(None) => apply_change(state, entry),
+        Err(_) => {}
     }
     Ok(())
 }
@@ -58,9 +70,10 @@
     let version = entry.version;
     match &entry.change {
         FleetChange::Configure { document } => {
-            apply_configure(state, document, version);
-            state.configured_author.clone_from(&entry.author);
+            apply_configure(state, document.clone(), entry);
         }
+        // `apply_entry` puts its document in force.
+        FleetChange::Amend { .. } => {}
         FleetChange::JoinNode { node, record } => {
             let record = NodeRecord {
                 since: version,
@@ -102,6 +115,7 @@
             set_status(state, wave, version, WaveStatus::Running);
         }
         FleetChange::StepWave { wave, vm, step } => step_wave(state, wave, vm, *step, version),
+        FleetChange::AbortWave { wave } => abort_wave(state, wave, version),
         FleetChange::FinishWave { wave } => {
             set_status(state, wave, version, WaveStatus::Finished);
             drop_old_waves(state);
@@ -109,7 +123,8 @@
     }
 }
 
-fn apply_configure(state: &mut FleetState, document: &ConfigDocument, version: LogVersion) {
+fn apply_configure(state: &mut FleetState, document: ConfigDocument, entry: &ChangeEntry) {
+    let version = entry.version;
     let mut previous = std::mem::take(&mut state.vms);
     let vms: BTreeMap<VmId, VmRecord> = document
         .vms
@@ -125,8 +140,9 @@
         })
         .collect();
     state.vms = vms;
-    state.document = document.clone();
+    state.document = document;
     state.configured_version = version;
+    state.configured_author.clone_from(&entry.author);
 }
 
 fn change_vm(
@@ -213,15 +229,36 @@
             record.running.retain(|(running, _)| running != vm);
             record.finished.push(vm.to_owned());
             set_activity(state, vm, version, VmActivity::Active);
+            drop_old_waves(state);
         }
     }
 }
 
+/// Ends a wave: VMs that are not yet being rebooted return to service and count as not maintained.
+fn abort_wave(state: &mut FleetState, wave: &str, version: LogVersion) {
+    let Some(record) = state.waves.get_mut(wave) else {
+        return;
+    };
+    record.status = WaveStatus::Aborted;
+    record.version = version;
+    let running = std::mem::take(&mut record.running);
+    let (draining, rebooting): (Vec<_>, Vec<_>) = running
+        .into_iter()
+        .partition(|(_, step)| *step == WaveStep::Drain);
+    record.running = rebooting;
+    let draining: Vec<VmId> = draining.into_iter().map(|(vm, _)| vm).collect();
+    record.waiting.splice(0..0, draining.iter().cloned());
+    for vm in &draining {
+        set_activity(state, vm, version, VmActivity::Active);
+    }
+    drop_old_waves(state);
+}
+
 fn drop_old_waves(state: &mut FleetState) {
     let mut finished: Vec<(LogVersion, String)> = state
         .waves
         .iter()
-        .filter(|(_, record)| record.status == WaveStatus::Finished)
+        .filter(|(_, record)| record.is_over())
         .map(|(wave, record)| (record.version, wave.clone()))
         .collect();
     finished.sort();
--- a/crates/tanager-fleet/src/check.rs
+++ b/crates/tanager-fleet/src/check.rs
@@ -17,6 +17,7 @@
 use tanager_protocol::ids::VmId;
 use tanager_protocol::ids::check_name;
 
+use crate::configure::amend_document;
 use crate::configure::check_configure;
 use crate::floor::check_floor;
 
@@ -49,6 +50,9 @@
     let suspects = &context.suspects;
     match change {
         FleetChange::Configure { document } => check_configure(state, document, suspects),
+        FleetChange::Amend { patch } => {
+            check_configure(state, &amend_document(state, patch)?, suspects)
+        }
         FleetChange::JoinNode { node, record } => {
             if !check_name(node) {
                 return Err(invalid(node, "not a valid name of a node"));
@@ -104,6 +108,10 @@
         FleetChange::StepWave { wave, vm, step } => {
             check_step_wave(state, wave, vm, *step, suspects)
         }
+        FleetChange::AbortWave { wave } => match find_wave(state, wave)?.status {
+            WaveStatus::Running | WaveStatus::Paused { .. } => Ok(()),
+            _ => Err(refused(wave, "already finished or aborted")),
+        },
         FleetChange::FinishWave { wave } => check_finish_wave(state, wave),
     }
 }
@@ -112,7 +120,7 @@
 /// VM, a wave or a node; 0 when there is no such record.
 pub fn record_version(state: &FleetState, change: &FleetChange) -> LogVersion {
     match change {
-        FleetChange::Configure { .. } => state.configured_version,
+        FleetChange::Configure { .. } | FleetChange::Amend { .. } => state.configured_version,
         FleetChange::JoinNode { node, .. } | FleetChange::LeaveNode { node, .. } => {
             state.nodes.get(node).map_or(0, |record| record.since)
         }
@@ -126,6 +134,7 @@
         | FleetChange::PauseWave { wave, .. }
         | FleetChange::ResumeWave { wave }
         | FleetChange::StepWave { wave, .. }
+        | FleetChange::AbortWave { wave }
         | FleetChange::FinishWave { wave } => {
             state.waves.get(wave).map_or(0, |record| record.version)
         }
@@ -150,7 +159,9 @@
         )),
         Some(expected) if expected < current => {
             let author = match change {
-                FleetChange::Configure { .. } if !state.configured_author.is_empty() => {
+                FleetChange::Configure { .. } | FleetChange::Amend { .. }
+                    if !state.configured_author.is_empty() =>
+                {
                     format!(" by {}", state.configured_author)
                 }
                 _ => String::new(),
@@ -261,8 +272,8 @@
 
 fn check_finish_wave(state: &FleetState, wave: &str) -> TanagerResult<()> {
     let record = find_wave(state, wave)?;
-    if record.status == WaveStatus::Finished {
-        return Err(refused(wave, "already finished"));
+    if matches!(record.status, WaveStatus::Finished | WaveStatus::Aborted) {
+        return Err(refused(wave, "already finished or aborted"));
     }
     if let Some((vm, _)) = record.running.first() {
         return Err(refused(wave, format!("vm {vm} is in maintenance")));
@@ -279,10 +290,7 @@
 }
 
 pub(crate) fn unfinished_waves(state: &FleetState) -> impl Iterator<Item = (&String, &WaveRecord)> {
-    state
-        .waves
-        .iter()
-        .filter(|(_, record)| record.status != WaveStatus::Finished)
+    state.waves.iter().filter(|(_, record)| !record.is_over())
 }
 
 fn find_vm<'state>(state: &'state FleetState, vm: &str) -> TanagerResult<&'state VmRecord> {
--- a/crates/tanager-node/tests/admin.rs
+++ b/crates/tanager-node/tests/admin.rs
@@ -133,6 +133,35 @@
     team_restores: "PUT" "/v1/snapshot" b"{}".to_vec() => 403;
 }
 
+/// Guards against a team that stops the maintenance of a pool it does not own, and against an
+/// abort of a wave that has changed.
+#[test]
+fn waves_are_aborted_by_their_owners() {
+    let server = TestServer::start();
+    for (pool, status) in [("intake", 200), ("spare", 403)] {
+        let change = FleetChange::StartWave {
+            wave: format!("{pool}-wave"),
+            pool: pool.to_owned(),
+        };
+        let entry = server.fleet.change(change);
+        let path = format!("/v1/waves/{pool}-wave/abort");
+        let stale = json!({"expected": entry.version - 1}).to_string();
+        let (actual, body) = server.call(ROOT, "POST", &path, stale.as_bytes());
+        assert_eq!(actual, 409, "{body}");
+        let (actual, body) = server.call(CLINIC, "POST", &path, b"");
+        assert_eq!(actual, status, "{body}");
+        assert_eq!(server.call(ROOT, "GET", &path, b"").0, 405);
+        assert_eq!(server.call(ROOT, "POST", &path, b"").0, 200);
+        let waves = server.call(ROOT, "GET", "/v1/waves", b"").1;
+        assert_eq!(waves["waves"][format!("{pool}-wave")]["status"], "aborted");
+    }
+    assert_eq!(
+        server.call(ROOT, "POST", "/v1/waves/none/abort", b"").0,
+        404
+    );
+    server.stop();
+}
+
 /// Guards against ownership by the document's first pool instead of the current one.
 #[test]
 fn a_moved_vm_belongs_to_its_new_pool() {
@@ -199,6 +228,36 @@
     server.stop();
 }
 
+/// Guards against a history that hides what an amendment changed.
+#[test]
+fn history_names_what_an_amendment_changes() {
+    let server = TestServer::start();
+    let patch = json!({"set_pools": {"intake": {"removed_quotas": ["clinic"]}},
+        "removed_vms": ["vm-4"], "set_teams": {"new": {}}});
+    let entry = json!({"version": 2, "author": "root", "token": "t",
+        "change": {"amend": {"patch": patch}}});
+    let entry = serde_json::from_value(entry).unwrap();
+    server.fleet.log.lock().unwrap().push(entry);
+    let (_, body) = server.call(ROOT, "GET", "/v1/history?limit=1", b"");
+    let expected = json!({"version": 2, "author": "root", "kind": "amend", "detail":
+        {"set_pools": ["intake"], "removed_vms": ["vm-4"], "set_teams": ["new"]}});
+    assert_eq!(body["entries"], json!([expected]));
+    server.stop();
+}
+
+/// Guards against a history that seems complete when its older entries are gone.
+#[test]
+fn history_tells_that_older_entries_are_gone() {
+    let server = TestServer::start();
+    server.register("node-1");
+    let missing = |path| server.call(ROOT, "GET", path, b"").1["missing_before"].clone();
+    assert_eq!(missing("/v1/history"), Value::Null);
+    server.fleet.log.lock().unwrap().remove(0);
+    assert_eq!(missing("/v1/history"), json!(2));
+    assert_eq!(missing("/v1/history?limit=1"), Value::Null);
+    server.stop();
+}
+
 /// Guards against a restore over an existing fleet, and against one that loses state.
 #[test]
 fn snapshot_restores_only_into_an_empty_store() {
--- a/crates/tanager-protocol/src/change.rs
+++ b/crates/tanager-protocol/src/change.rs
@@ -13,6 +13,7 @@
 use crate::ids::PoolId;
 use crate::ids::VmId;
 use crate::ids::WaveId;
+use crate::patch::ConfigPatch;
 
 /// One accepted change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -37,6 +38,11 @@
         /// The whole new document.
         document: ConfigDocument,
     },
+    /// Changes the configuration document of the preceding entries.
+    Amend {
+        /// What changes.
+        patch: ConfigPatch,
+    },
     /// Registers a node, replacing an earlier incarnation of the same name.
     JoinNode {
         /// Node that joins.
@@ -115,6 +121,12 @@
         /// The step that begins.
         step: WaveStep,
     },
+    /// Ends a wave before every VM was maintained. Its draining VMs return to service; those that
+    /// are being rebooted return when they are healthy.
+    AbortWave {
+        /// The wave.
+        wave: WaveId,
+    },
     /// Ends a wave in which every VM was maintained.
     FinishWave {
         /// The wave.
@@ -127,6 +139,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::Configure { .. } => "configure",
+            Self::Amend { .. } => "amend",
             Self::JoinNode { .. } => "join_node",
             Self::LeaveNode { .. } => "leave_node",
             Self::ReportVm { .. } => "report_vm",
@@ -139,6 +152,7 @@
             Self::PauseWave { .. } => "pause_wave",
             Self::ResumeWave { .. } => "resume_wave",
             Self::StepWave { .. } => "step_wave",
+            Self::AbortWave { .. } => "abort_wave",
             Self::FinishWave { .. } => "finish_wave",
         }
     }
