--- a/crates/tanager-control/src/store.rs
+++ b/crates/tanager-control/src/store.rs
@@ -21,9 +21,9 @@
 pub(crate) const HEAD_KEY: &str = "head";
 pub(crate) const SNAPSHOT_KEY: &str = "snapshot";
 const LOG_PREFIX: &str = "log/";
-/// Rows of one scan. A page of configuration entries of the design size (300 KB) stays below the
-/// client's limit of 64 MiB.
-const PAGE_ROWS: usize = 32;
+/// Rows of one scan. A configuration of the design size in which every team has a quota in every
+/// pool takes 2.1 MB, and the client accepts pages up to 64 MiB.
+const PAGE_ROWS: usize = 8;
 /// Most entries returned by one call of `history`.
 const MAX_HISTORY: usize = 1_000;
 
@@ -49,11 +49,30 @@
             )
         });
         self.note_store(unreachable);
+        if !unreachable {
+            self.note_fault(result.as_ref().err());
+        }
         result?;
         self.status().synced = true;
         Ok(())
     }
 
+    /// Records whether the content of the store could be applied. The node stays ready otherwise:
+    /// an entry that no node can read must not take all of them out of service.
+    fn note_fault(&self, error: Option<&TanagerError>) {
+        let fault = error.map(ToString::to_string);
+        let mut status = self.status();
+        if status.fault != fault {
+            if let Some(fault) = &fault {
+                log::error!(
+                    "{} cannot follow the change log: {fault}",
+                    self.settings.node
+                );
+            }
+            status.fault = fault;
+        }
+    }
+
     async fn read_log(&self) -> TanagerResult<()> {
         let row = self.backend.platform.read(HEAD_KEY).await?;
         let head = match &row {
--- a/crates/tanager-dispatch/src/lib.rs
+++ b/crates/tanager-dispatch/src/lib.rs
@@ -4,23 +4,28 @@
 //! from one monotonic clock, and must not decrease between calls.
 
 pub mod action;
+mod admission;
 pub mod core;
 pub mod counters;
 pub mod dump;
 mod ejection;
 pub mod home;
+pub mod lending;
 mod lifecycle;
 mod limit;
 mod pool;
 mod probing;
 mod queue;
 mod quota;
+pub mod rebalance;
+mod report;
 mod request;
 mod retry;
 mod select;
 pub mod settings;
 mod timer;
 mod view;
+pub mod wave;
 mod worker;
 
 pub use crate::action::ClaimVerdict;
--- a/crates/tanager-standin/src/report.rs
+++ b/crates/tanager-standin/src/report.rs
@@ -11,6 +11,9 @@
 use crate::judge::CallerOutcome;
 use crate::judge::CallerRecord;
 
+/// Latencies above one hour are recorded as one hour, in microseconds.
+const MAX_LATENCY: u64 = 3_600_000_000;
+
 /// Result of a load run.
 #[derive(Clone, Debug, Default)]
 pub struct LoadReport {
@@ -32,7 +35,7 @@
             *self.outcomes.entry(outcome.name()).or_default() += 1;
             if matches!(outcome, CallerOutcome::Answered { .. }) {
                 let histogram = self.latencies.entry(priority).or_insert_with(|| {
-                    Histogram::new(3).expect("3 significant digits are supported")
+                    Histogram::new_with_bounds(1, MAX_LATENCY, 3).expect("the bounds are valid")
                 });
                 histogram.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
             }
