Measure offered load per pool and add the settings of moves by load

A node did not know the load offered to its pools in slots, and the decider would have counted a gap between two reports as lasting load or room.

Requests refused for a full queue count, those over a quota do not. MoveDecider::forget drops the history of a pool, and a report that is presented again adds no observation.

--- a/crates/tanager-dispatch/src/admission.rs
+++ b/crates/tanager-dispatch/src/admission.rs
@@ -50,6 +50,10 @@
         let weight = pool.weight(&entry.team);
         let (name, team) = (entry.pool.clone(), entry.team.clone());
         let key = self.requests.insert(entry);
+        if matches!(refusal, None | Some((NotRunReason::QueueFull, ..))) {
+            let run_time = pool.queue.mean(priority, &team).as_secs_f64();
+            pool.arrived += f64::from(slots) * run_time;
+        }
         pool.queue
             .push(now, (priority, &team), weight, key, slots, false);
         if let Some((reason, message, retry_after)) = refusal {
--- a/crates/tanager-dispatch/src/core.rs
+++ b/crates/tanager-dispatch/src/core.rs
@@ -54,6 +54,8 @@
     pub(crate) random: StdRng,
     /// Pools in which a request may have become able to start.
     pub(crate) touched: BTreeSet<PoolId>,
+    /// Start of the present measurement of usage.
+    pub(crate) usage_since: Duration,
 }
 
 impl DispatchCore {
@@ -72,6 +74,7 @@
             wake: Duration::ZERO,
             random: StdRng::seed_from_u64(seed),
             touched: BTreeSet::new(),
+            usage_since: Duration::ZERO,
         }
     }
 
--- a/crates/tanager-dispatch/src/lib.rs
+++ b/crates/tanager-dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod select;
 pub mod settings;
 mod timer;
+pub mod usage;
 mod view;
 pub mod wave;
 mod worker;
--- a/crates/tanager-dispatch/src/pool.rs
+++ b/crates/tanager-dispatch/src/pool.rs
@@ -30,6 +30,8 @@
     pub(crate) open: usize,
     /// Claims being written that hold no slot, because the store is slow.
     pub(crate) parked: usize,
+    /// Work that arrived since the usage was last measured, in slot-seconds.
+    pub(crate) arrived: f64,
 }
 
 impl PoolState {
@@ -45,6 +47,7 @@
             largest: 0,
             open: 0,
             parked: 0,
+            arrived: 0.0,
         }
     }
 
--- a/crates/tanager-dispatch/src/rebalance.rs
+++ b/crates/tanager-dispatch/src/rebalance.rs
@@ -43,6 +43,8 @@
 struct LoadRun {
     start: Duration,
     last: Duration,
+    /// Time of the newest report, whether or not the condition held in it.
+    seen: Duration,
     sum: f64,
     count: f64,
 }
@@ -107,10 +109,22 @@
             to: to.pool.clone(),
         })
     }
+
+    /// Drops what is known of a pool. The caller does so when reports are missing, because the
+    /// times of the next report would otherwise bridge the gap and count silence as load or room.
+    pub fn forget(&mut self, pool: &str) {
+        self.overloaded.remove(pool);
+        self.spare.remove(pool);
+    }
 }
 
 fn track(runs: &mut BTreeMap<PoolId, LoadRun>, pool: &PoolPressure, holds: bool, gap: Duration) {
     if let Some(run) = runs.get_mut(&pool.pool) {
+        // A report that is presented again adds no observation.
+        if pool.measured <= run.seen {
+            return;
+        }
+        run.seen = pool.measured;
         if holds {
             run.last = pool.measured;
         }
@@ -125,6 +139,7 @@
         let run = LoadRun {
             start: pool.measured,
             last: pool.measured,
+            seen: pool.measured,
             sum: pool.offered,
             count: 1.0,
         };
--- a/crates/tanager-dispatch/tests/decisions.rs
+++ b/crates/tanager-dispatch/tests/decisions.rs
@@ -216,6 +216,22 @@
         }
     }
 
+    /// A report that is presented several times and then outweighs later ones in the mean.
+    repeated_reports_count_once {
+        let mut decider = MoveDecider::default();
+        let cost = Duration::from_secs(30);
+        let mut moves = 0;
+        for second in 0..40 {
+            // Above the 80 slots only if the first report counts more than once.
+            let offered = if second == 0 { 200.0 } else if second % 2 == 0 { 81.0 } else { 70.0 };
+            let pools = [pressure("hot", offered, 10, second), pressure("cold", 5.0, 10, second)];
+            for _ in 0..if second == 0 { 20 } else { 1 } {
+                moves += usize::from(decider.decide(Duration::from_secs(second), &pools, cost).is_some());
+            }
+        }
+        assert_eq!(moves, 0);
+    }
+
     /// A wave that spreads over zones without need, or takes far longer than its floor requires.
     waves_stay_in_one_zone_when_that_is_affordable {
         assert_eq!(run_wave(&wave_vms(&[4, 3, 3]), 6), (3, 1));
--- a/crates/tanager-settings/src/lib.rs
+++ b/crates/tanager-settings/src/lib.rs
@@ -44,6 +44,11 @@
     pub default_timeout: Duration,
     /// `[limits] probe_interval`: time between probes of one idle worker.
     pub probe_interval: Duration,
+    /// `[control] rebalance`: whether VMs are moved to pools with a lasting overload.
+    pub rebalance: bool,
+    /// `[control] move_cost`: time for which a move takes a VM out of service; load must last
+    /// longer to cause a move.
+    pub move_cost: Duration,
     /// `[admin] root_token`: bearer token that may do everything.
     pub root_token: String,
 }
@@ -88,6 +93,8 @@
             max_body: reader.optional("limits", "max_body", max_body, "4MiB")?,
             default_timeout: reader.optional("limits", "default_timeout", positive, "30s")?,
             probe_interval: reader.optional("limits", "probe_interval", positive, "1s")?,
+            rebalance: reader.optional("control", "rebalance", value::switch, "off")?,
+            move_cost: reader.optional("control", "move_cost", positive, "30s")?,
             root_token: reader.required("admin", "root_token", token)?,
         };
         reader.finish()?;
--- a/crates/tanager-settings/src/value.rs
+++ b/crates/tanager-settings/src/value.rs
@@ -38,6 +38,14 @@
         .ok_or_else(|| "a whole number with a unit: B, KiB or MiB, such as 4MiB".to_owned())
 }
 
+pub(crate) fn switch(text: &str) -> Result<bool, String> {
+    match text {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        _ => Err("on or off".to_owned()),
+    }
+}
+
 /// Parses a whole number followed by one of the units; longer units come first.
 fn scaled(text: &str, units: &[(&str, u64)]) -> Option<u64> {
     let (digits, factor) = units
--- a/crates/tanager-settings/tests/settings.rs
+++ b/crates/tanager-settings/tests/settings.rs
@@ -27,19 +27,24 @@
     assert_eq!(settings.max_body, 4 << 20);
     assert_eq!(settings.stop_delay, Duration::from_secs(5));
     assert!(settings.seeds.is_empty());
+    assert!(!settings.rebalance);
+    assert_eq!(settings.move_cost, Duration::from_secs(30));
 }
 
 #[test]
 fn all_values_are_read() {
     let text = format!(
         "{VALID}\n[peers]\nseeds = 127.0.0.1:1, 127.0.0.1:2\n[limits]\nmax_body = 64KiB\n\
-         default_timeout = 2m\nprobe_interval = 250ms\n"
+         default_timeout = 2m\nprobe_interval = 250ms\n\
+         [control]\nrebalance = on\nmove_cost = 10s\n"
     );
     let settings = NodeSettings::parse("node.ini", &text).expect("valid");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.max_body, 65_536);
     assert_eq!(settings.default_timeout, Duration::from_secs(120));
     assert_eq!(settings.probe_interval, Duration::from_millis(250));
+    assert!(settings.rebalance);
+    assert_eq!(settings.move_cost, Duration::from_secs(10));
 }
 
 macro_rules! error_cases {
@@ -83,6 +88,12 @@
     body_too_large: replace "[admin]", with "[limits]\nmax_body = 65MiB\n[admin]"
         => "[limits] max_body", "64MiB";
     short_token: replace "0123456789abcdef", with "secret" => "[admin] root_token", "16 visible";
+    switch_in_other_words: replace "[admin]", with "[control]\nrebalance = true\n[admin]"
+        => "[control] rebalance", "on or off";
+    zero_move_cost: replace "[admin]", with "[control]\nmove_cost = 0s\n[admin]"
+        => "[control] move_cost", "above 0";
+    misspelt_control_key: replace "[admin]", with "[control]\nrebalanse = on\n[admin]"
+        => "[control] rebalanse", "unknown key";
     bad_name: replace "entry-1", with "Entry 1" => "[node] name", "a-z";
 }
 
