Move VMs to pools with a lasting overload

Cause: VMs changed pools only when an operator asked.

Change: each home reports offered load and capacity of its pools in NodeStatus.usage, once a second and only in calls to the home of the name `rebalance`; pools without load and without a spare VM are omitted. That home feeds the reports, dated by their age on its own clock, to MoveDecider each second and proposes StartMove with author `rebalance` and the version of the VM. A missing report, or one older than 5 s, and a move in progress drop the history of their pools. The log's floor check decides; a refusal is counted, and the load must last again before the next proposal. Counters are in the dump and on the metrics page. The coordinator runs only with `[control] rebalance = on`.

--- a/crates/tanager-control/src/backend.rs
+++ b/crates/tanager-control/src/backend.rs
@@ -15,6 +15,8 @@
 use tanager_protocol::peer::FetchReply;
 use tanager_protocol::peer::NodeStatus;
 
+use crate::rebalance::UsageReport;
+
 /// Future returned by the closures of a [`ControlBackend`].
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
@@ -37,6 +39,8 @@
     pub platform: Arc<PlatformClient>,
     /// Returns the progress of the local dispatcher.
     pub progress: Arc<dyn Fn() -> NodeProgress + Send + Sync>,
+    /// Returns the newest measurement of the load of this node's pools.
+    pub usage: Arc<dyn Fn() -> UsageReport + Send + Sync>,
     /// Returns the VMs that local probes believe to be unavailable.
     pub suspects: Arc<dyn Fn() -> BTreeSet<VmId> + Send + Sync>,
     /// Fetches the entries after a version from a peer.
--- a/crates/tanager-control/src/core.rs
+++ b/crates/tanager-control/src/core.rs
@@ -1,6 +1,7 @@
 //! State shared by the handle and the tasks of the control service.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -26,6 +27,8 @@
 use crate::backend::ControlBackend;
 use crate::home::rendezvous_home;
 use crate::peers::PeerTable;
+use crate::rebalance::REBALANCE_NAME;
+use crate::rebalance::UsageTable;
 use crate::replica::ReplicaLog;
 use crate::replica::decode;
 use crate::settings::ControlSettings;
@@ -37,6 +40,7 @@
     pub(crate) log: Mutex<ReplicaLog>,
     pub(crate) sender: watch::Sender<Arc<FleetState>>,
     pub(crate) peers: Mutex<PeerTable>,
+    pub(crate) usage: Mutex<UsageTable>,
     pub(crate) status: Mutex<CoreStatus>,
     /// When this node first saw each VM out of service, with the version at which that began.
     pub(crate) drains: Mutex<BTreeMap<VmId, (LogVersion, Instant)>>,
@@ -82,6 +86,9 @@
     pub(crate) store_failures: u64,
     pub(crate) peer_fetches: u64,
     pub(crate) snapshots: u64,
+    pub(crate) moves_proposed: u64,
+    pub(crate) moves_refused: u64,
+    pub(crate) reports_missing: u64,
 }
 
 impl ControlCore {
@@ -93,6 +100,7 @@
             log: Mutex::default(),
             sender,
             peers: Mutex::default(),
+            usage: Mutex::default(),
             status: Mutex::default(),
             drains: Mutex::default(),
             proposing: tokio::sync::Mutex::default(),
@@ -222,9 +230,30 @@
                 .map(|(vm, requests)| VmLoad { vm, requests })
                 .collect(),
             peer_address: self.settings.record.peer_address.to_string(),
+            ..NodeStatus::default()
         }
     }
 
+    /// This node's status for a call to a peer. Only the coordinator of moves by load gets the
+    /// usage, because at the design size it is several times as large as the rest.
+    pub(crate) fn status_for(&self, address: SocketAddr) -> NodeStatus {
+        let mut status = self.own_status();
+        if self.settings.rebalance.enabled {
+            let state = self.state();
+            let home = self.home_of(REBALANCE_NAME);
+            let record = home.and_then(|home| state.nodes.get(&home));
+            if record.is_some_and(|record| record.peer_address == address) {
+                self.attach_usage(&state, &mut status);
+            }
+        }
+        status
+    }
+
+    pub(crate) fn attach_usage(&self, state: &FleetState, status: &mut NodeStatus) {
+        let suspects = (self.backend.suspects)();
+        (self.backend.usage)().attach(state, &suspects, status);
+    }
+
     pub(crate) fn record_status(&self, status: NodeStatus) {
         if status.node == self.settings.node
             && status.incarnation == self.settings.record.incarnation
@@ -232,6 +261,7 @@
             return;
         }
         let now = Instant::now();
+        lock(&self.usage).record(&status, now);
         lock(&self.peers).record(status, now);
         self.status().peer_contact = Some(now);
     }
--- a/crates/tanager-control/src/lib.rs
+++ b/crates/tanager-control/src/lib.rs
@@ -1,6 +1,6 @@
 //! Replicates the change log, proposes changes and runs moves, drains and waves.
 //!
-//! The decisions of the coordinators ([`health`], [`moves`], [`waves`]) take the time as an
+//! The decisions of the coordinators ([`health`], [`moves`], [`rebalance`], [`waves`]) take the time as an
 //! argument and perform no I/O; the service calls them and carries out what they return.
 
 mod backend;
@@ -17,6 +17,7 @@
 
 pub mod health;
 pub mod moves;
+pub mod rebalance;
 pub mod waves;
 
 pub use backend::BoxFuture;
@@ -26,5 +27,7 @@
 pub use backend::NodeProgress;
 pub use home::rendezvous_home;
 pub use service::ControlService;
+pub use service::RebalanceCounters;
 pub use settings::ControlSettings;
 pub use settings::ControlTiming;
+pub use settings::RebalanceSettings;
--- /dev/null
+++ b/crates/tanager-control/src/rebalance.rs
@@ -0,0 +1,229 @@
+//! Moves of VMs to pools whose load has exceeded their slots for a long time.
+//!
+//! Each home measures the load of its pools and reports it to the home of the name
+//! [`REBALANCE_NAME`], which decides with [`MoveDecider`].
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use tanager_dispatch::rebalance::MoveDecider;
+use tanager_dispatch::rebalance::PoolPressure;
+use tanager_fleet::available_vms;
+use tanager_protocol::change::FleetChange;
+use tanager_protocol::fleet::FleetState;
+use tanager_protocol::fleet::VmActivity;
+use tanager_protocol::fleet::VmHealth;
+use tanager_protocol::ids::Incarnation;
+use tanager_protocol::ids::NodeId;
+use tanager_protocol::ids::PoolId;
+use tanager_protocol::ids::VmId;
+use tanager_protocol::peer::NodeStatus;
+use tanager_protocol::peer::PoolUsage;
+
+/// Name whose home runs the coordinator, and author of its proposals.
+pub const REBALANCE_NAME: &str = "rebalance";
+/// A report older than this counts as missing: five intervals of measurement and gossip. One more
+/// than four lost or late messages is taken for a home that is silent, not idle.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+/// A report of a run of a node is dropped after this time. Bounds the table when nodes are
+/// replaced under new names.
+const KEEP_REPORT: Duration = Duration::from_secs(60);
+
+/// The newest measurement of a node of the load of its pools.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UsageReport {
+    /// Number of the measurement, from 1; 0 before the first one.
+    pub window: u64,
+    /// Time since the end of the measurement.
+    pub age: Duration,
+    /// Load of each pool for which the node is home.
+    pub pools: Vec<PoolUsage>,
+}
+
+impl UsageReport {
+    /// Writes the report into a status, without the pools that can neither need nor give a VM.
+    pub fn attach(self, state: &FleetState, suspects: &BTreeSet<VmId>, status: &mut NodeStatus) {
+        status.usage_window = self.window;
+        status.usage_age_ms = u32::try_from(self.age.as_millis()).unwrap_or(u32::MAX);
+        let pools = self.pools.into_iter();
+        status.usage = pools
+            .filter(|usage| {
+                usage.offered_millislots > 0 || has_spare_vm(state, &usage.pool, suspects)
+            })
+            .collect();
+    }
+}
+
+fn has_spare_vm(state: &FleetState, pool: &str, suspects: &BTreeSet<VmId>) -> bool {
+    available_vms(state, pool, suspects) > floor_of(state, pool)
+}
+
+fn floor_of(state: &FleetState, pool: &str) -> u32 {
+    let pool = state.document.pools.get(pool);
+    pool.map_or(0, |config| config.floor)
+}
+
+#[derive(Clone, Debug)]
+struct ReceivedUsage {
+    window: u64,
+    /// End of the measurement by the clock of this process.
+    measured: Instant,
+    pools: BTreeMap<PoolId, PoolUsage>,
+}
+
+/// Newest usage report of each run of each node.
+#[derive(Clone, Debug, Default)]
+pub struct UsageTable {
+    reports: BTreeMap<(NodeId, Incarnation), ReceivedUsage>,
+}
+
+impl UsageTable {
+    /// Records the usage of a status, if it has any that is newer than the one known.
+    pub fn record(&mut self, status: &NodeStatus, now: Instant) {
+        let key = (status.node.clone(), status.incarnation);
+        let known = self.reports.get(&key).map_or(0, |report| report.window);
+        if status.usage_window <= known {
+            return;
+        }
+        let age = Duration::from_millis(status.usage_age_ms.into());
+        let usage = status.usage.iter();
+        let report = ReceivedUsage {
+            window: status.usage_window,
+            measured: now.checked_sub(age).unwrap_or(now),
+            pools: usage
+                .map(|usage| (usage.pool.clone(), usage.clone()))
+                .collect(),
+        };
+        self.reports.insert(key, report);
+        self.reports
+            .retain(|_, report| now.saturating_duration_since(report.measured) < KEEP_REPORT);
+    }
+
+    /// Newest report of the registered run of a node, unless it is too old.
+    fn find_fresh(&self, state: &FleetState, node: &str, now: Instant) -> Option<&ReceivedUsage> {
+        let record = state.nodes.get(node)?;
+        self.reports
+            .get(&(node.to_owned(), record.incarnation))
+            .filter(|report| now.saturating_duration_since(report.measured) <= MAX_REPORT_AGE)
+    }
+}
+
+/// What the coordinator knows when it decides.
+#[derive(Clone, Copy)]
+pub struct LoadView<'view> {
+    /// Newest applied state.
+    pub state: &'view FleetState,
+    /// VMs that local probes believe to be unavailable.
+    pub suspects: &'view BTreeSet<VmId>,
+    /// Monotonic time of the decision.
+    pub now: Instant,
+    /// Reports of all nodes, including this one.
+    pub reports: &'view UsageTable,
+    /// Home of a pool among the live nodes.
+    pub home_of: &'view dyn Fn(&str) -> Option<NodeId>,
+}
+
+impl fmt::Debug for LoadView<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("LoadView")
+            .field("version", &self.state.version)
+            .field("suspects", &self.suspects)
+            .field("reports", &self.reports)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Result of one round of the coordinator.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RebalanceRound {
+    /// Move to be proposed.
+    pub change: Option<FleetChange>,
+    /// Homes without a recent report.
+    pub missing: u64,
+}
+
+/// Decides moves by load. It has no durable state: a new coordinator waits again until the load
+/// has lasted.
+#[derive(Debug)]
+pub struct RebalanceCoordinator {
+    start: Instant,
+    cost: Duration,
+    decider: MoveDecider,
+}
+
+impl RebalanceCoordinator {
+    /// Starts without history at `now`. `cost` is the time that a move takes a VM out of service.
+    pub fn new(now: Instant, cost: Duration) -> Self {
+        Self {
+            start: now,
+            cost,
+            decider: MoveDecider::default(),
+        }
+    }
+
+    /// Decides at most one move. Whatever becomes of its proposal, the load must last for the cost
+    /// of a move again before the next one, so a refused proposal is not repeated at once.
+    pub fn plan(&mut self, view: &LoadView<'_>) -> RebalanceRound {
+        let state = view.state;
+        let moving = moving_pools(state);
+        let mut silent = BTreeSet::new();
+        let mut pressures = Vec::new();
+        for (pool, config) in &state.document.pools {
+            let home = (view.home_of)(pool);
+            let report = home
+                .as_ref()
+                .and_then(|home| view.reports.find_fresh(state, home, view.now));
+            if report.is_none() {
+                silent.insert(home);
+            }
+            let usage = report.and_then(|report| Some((report, report.pools.get(pool)?)));
+            let Some((report, usage)) = usage.filter(|_| !moving.contains(pool)) else {
+                // Silence is neither load nor room, and during a move the reports show its cost,
+                // not its effect.
+                self.decider.forget(pool);
+                continue;
+            };
+            pressures.push(PoolPressure {
+                pool: pool.clone(),
+                available: available_vms(state, pool, view.suspects),
+                floor: config.floor,
+                slots: usage.capacity,
+                offered: f64::from(usage.offered_millislots) / 1_000.0,
+                measured: report.measured.saturating_duration_since(self.start),
+            });
+        }
+        let now = view.now.saturating_duration_since(self.start);
+        let plan = self.decider.decide(now, &pressures, self.cost);
+        let change = plan.and_then(|plan| {
+            let vm = spare_vm(state, &plan.from, view.suspects)?;
+            Some(FleetChange::StartMove { vm, to: plan.to })
+        });
+        RebalanceRound {
+            change,
+            missing: silent.len() as u64,
+        }
+    }
+}
+
+/// Pools that give up or receive a VM by a move in progress.
+fn moving_pools(state: &FleetState) -> BTreeSet<PoolId> {
+    let moves = state.vms.values().filter_map(|vm| match &vm.activity {
+        VmActivity::Moving { to, .. } => Some([vm.pool.clone(), to.clone()]),
+        _ => None,
+    });
+    moves.flatten().collect()
+}
+
+fn spare_vm(state: &FleetState, pool: &str, suspects: &BTreeSet<VmId>) -> Option<VmId> {
+    let mut vms = state.vms.iter().filter(|(vm, record)| {
+        record.pool == pool
+            && record.activity == VmActivity::Active
+            && record.health == VmHealth::Up
+            && !suspects.contains(*vm)
+    });
+    vms.next().map(|(vm, _)| vm.clone())
+}
--- a/crates/tanager-control/src/service.rs
+++ b/crates/tanager-control/src/service.rs
@@ -24,6 +24,17 @@
 use crate::settings::ControlSettings;
 use crate::tasks;
 
+/// Counters of moves by load. They grow only on the node that coordinates.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RebalanceCounters {
+    /// Moves proposed.
+    pub moves_proposed: u64,
+    /// Proposals that the log did not accept.
+    pub moves_refused: u64,
+    /// Homes without a recent report, added up over the rounds of the coordinator.
+    pub reports_missing: u64,
+}
+
 /// A running control service. Dropping it stops its tasks.
 #[derive(Debug)]
 pub struct ControlService {
@@ -39,6 +50,7 @@
             tokio::spawn(tasks::poll_store(Arc::clone(&core))),
             tokio::spawn(tasks::gossip(Arc::clone(&core))),
             tokio::spawn(tasks::coordinate(Arc::clone(&core))),
+            tokio::spawn(tasks::rebalance(Arc::clone(&core))),
             tokio::spawn(tasks::read_vm_list(Arc::clone(&core))),
         ];
         Self { core, tasks }
@@ -167,6 +179,16 @@
         }
     }
 
+    /// Counters of moves by load since the start of this process.
+    pub fn rebalance_counters(&self) -> RebalanceCounters {
+        let counters = self.core.status().counters;
+        RebalanceCounters {
+            moves_proposed: counters.moves_proposed,
+            moves_refused: counters.moves_refused,
+            reports_missing: counters.reports_missing,
+        }
+    }
+
     /// State of the service for diagnosis.
     pub fn dump(&self) -> Value {
         let state = self.core.state();
@@ -208,6 +230,9 @@
                 "store_failures": counters.store_failures,
                 "peer_fetches": counters.peer_fetches,
                 "snapshots": counters.snapshots,
+                "moves_proposed": counters.moves_proposed,
+                "moves_refused": counters.moves_refused,
+                "reports_missing": counters.reports_missing,
             },
         })
     }
--- a/crates/tanager-control/src/settings.rs
+++ b/crates/tanager-control/src/settings.rs
@@ -15,10 +15,30 @@
     pub record: NodeRecord,
     /// Peer addresses of other nodes that are contacted before any node is known.
     pub seeds: Vec<SocketAddr>,
+    /// Moves by load.
+    pub rebalance: RebalanceSettings,
     /// Periods and limits.
     pub timing: ControlTiming,
 }
 
+/// Moves of VMs to pools with a lasting overload.
+#[derive(Clone, Copy, Debug)]
+pub struct RebalanceSettings {
+    /// Whether this node reports its load and may coordinate moves.
+    pub enabled: bool,
+    /// Time for which a move takes a VM out of service; load must last longer to cause a move.
+    pub move_cost: Duration,
+}
+
+impl Default for RebalanceSettings {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            move_cost: Duration::from_secs(30),
+        }
+    }
+}
+
 /// Periods and limits of the control service. Tests shorten them.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlTiming {
@@ -28,6 +48,9 @@
     pub gossip_interval: Duration,
     /// Period of the coordinators.
     pub coordinate_interval: Duration,
+    /// Period of the coordinator of moves by load. Each report is to be read once, because the
+    /// decision tolerates gaps of only a twentieth of the cost of a move.
+    pub rebalance_interval: Duration,
     /// A node without contact for this time is not considered as a home.
     pub contact_timeout: Duration,
     /// A node without store and peers for this time is not ready.
@@ -48,6 +71,7 @@
             poll_interval: Duration::from_secs(1),
             gossip_interval: Duration::from_secs(1),
             coordinate_interval: Duration::from_millis(250),
+            rebalance_interval: Duration::from_secs(1),
             contact_timeout: Duration::from_secs(3),
             isolation_timeout: Duration::from_secs(4),
             peer_timeout: Duration::from_secs(2),
--- a/crates/tanager-control/src/tasks.rs
+++ b/crates/tanager-control/src/tasks.rs
@@ -27,6 +27,9 @@
 use crate::home::rendezvous_home;
 use crate::moves::FleetView;
 use crate::moves::plan_moves;
+use crate::rebalance::LoadView;
+use crate::rebalance::REBALANCE_NAME;
+use crate::rebalance::RebalanceCoordinator;
 use crate::waves::RebootResult;
 use crate::waves::WaveAction;
 use crate::waves::WaveCoordinator;
@@ -110,6 +113,38 @@
     }
 }
 
+/// Moves VMs to pools with a lasting overload while this node is the home of `rebalance`.
+pub(crate) async fn rebalance(core: Arc<ControlCore>) {
+    let settings = core.settings.rebalance;
+    if !settings.enabled {
+        return;
+    }
+    let mut ticks = interval(core.settings.timing.rebalance_interval);
+    let mut coordinator = None;
+    loop {
+        ticks.tick().await;
+        if !core.may_coordinate() || !core.is_home(REBALANCE_NAME) {
+            coordinator = None;
+            continue;
+        }
+        let coordinator = coordinator
+            .get_or_insert_with(|| RebalanceCoordinator::new(Instant::now(), settings.move_cost));
+        let Some((change, expected)) = core.plan_rebalance(coordinator) else {
+            continue;
+        };
+        let result = core.propose(REBALANCE_NAME, change, Some(expected)).await;
+        let mut status = core.status();
+        status.counters.moves_proposed += 1;
+        match result {
+            Ok(entry) => log::info!("move by load in version {}", entry.version),
+            Err(error) => {
+                status.counters.moves_refused += 1;
+                log::debug!("move by load: {error}");
+            }
+        }
+    }
+}
+
 /// Reads the platform's list of VMs while this node is the home of `vm-list`.
 pub(crate) async fn read_vm_list(core: Arc<ControlCore>) {
     let mut ticks = interval(core.settings.timing.poll_interval);
@@ -196,6 +231,34 @@
         actions
     }
 
+    /// Returns the move to be proposed and the version of its VM on which it is based.
+    fn plan_rebalance(
+        &self,
+        coordinator: &mut RebalanceCoordinator,
+    ) -> Option<(FleetChange, LogVersion)> {
+        let state = self.state();
+        let mut own = self.own_status();
+        self.attach_usage(&state, &mut own);
+        let live = self.live_nodes();
+        let suspects = (self.backend.suspects)();
+        let round = {
+            let mut reports = lock(&self.usage);
+            let now = Instant::now();
+            reports.record(&own, now);
+            coordinator.plan(&LoadView {
+                state: &state,
+                suspects: &suspects,
+                now,
+                reports: &reports,
+                home_of: &|pool| rendezvous_home(pool, &live).cloned(),
+            })
+        };
+        self.status().counters.reports_missing += round.missing;
+        let change = round.change?;
+        let expected = record_version(&state, &change);
+        Some((change, expected))
+    }
+
     /// Whether this node takes part in coordination: it can propose and others count on it.
     fn may_coordinate(&self) -> bool {
         let reachable = {
@@ -266,7 +329,7 @@
             let message = format!("no answer within {limit:?}");
             TanagerError::new(ErrorKind::Timeout, step, address.to_string(), message)
         };
-        let call = (self.backend.gossip)(address, self.own_status());
+        let call = (self.backend.gossip)(address, self.status_for(address));
         let status = time::timeout(limit, call)
             .await
             .map_err(|_| silent("gossip"))??;
--- a/crates/tanager-control/tests/support/mod.rs
+++ b/crates/tanager-control/tests/support/mod.rs
@@ -24,6 +24,8 @@
 use tanager_control::ControlSettings;
 use tanager_control::ControlTiming;
 use tanager_control::NodeProgress;
+use tanager_control::RebalanceSettings;
+use tanager_control::rebalance::UsageReport;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
 use tanager_http::HttpServer;
@@ -42,6 +44,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Only stops a test that hangs; no result depends on it.
 const HANG_LIMIT: Duration = Duration::from_secs(60);
+/// Cost of a move in clusters; short, so that tests need not wait.
+const MOVE_COST: Duration = Duration::from_millis(300);
 
 /// Faults of the fake platform.
 #[derive(Default)]
@@ -245,6 +249,8 @@
     /// Work in flight that each node reports, by VM.
     pub work: Arc<Mutex<BTreeMap<String, BTreeMap<String, u32>>>>,
     pub suspects: Arc<Mutex<BTreeSet<String>>>,
+    /// Usage that each node measures.
+    pub usage: Arc<Mutex<BTreeMap<String, UsageReport>>>,
 }
 
 impl Drop for Cluster {
@@ -274,6 +280,7 @@
         poll_interval: Duration::from_millis(20),
         gossip_interval: Duration::from_millis(20),
         coordinate_interval: Duration::from_millis(10),
+        rebalance_interval: Duration::from_millis(10),
         reboot_settle: Duration::from_millis(50),
         ..ControlTiming::default()
     }
@@ -293,6 +300,10 @@
             node: node.clone(),
             record: node_record(index, incarnation),
             seeds: (0..4).map(node_address).collect(),
+            rebalance: RebalanceSettings {
+                enabled: true,
+                move_cost: MOVE_COST,
+            },
             timing,
         };
         let find = {
@@ -306,6 +317,8 @@
         let own = node_address(index);
         let (find_gossip, find_progress) = (find.clone(), find.clone());
         let work = Arc::clone(&self.work);
+        let usage = Arc::clone(&self.usage);
+        let usage_node = node.clone();
         let suspects = Arc::clone(&self.suspects);
         let backend = ControlBackend {
             platform: Arc::new(PlatformClient::new(platform.address, CALL_TIMEOUT)),
@@ -313,6 +326,14 @@
                 version: find_progress(own).map_or(0, |service| service.state().version),
                 in_flight: work.lock().unwrap().get(&node).cloned().unwrap_or_default(),
             }),
+            usage: Arc::new(move || {
+                usage
+                    .lock()
+                    .unwrap()
+                    .get(&usage_node)
+                    .cloned()
+                    .unwrap_or_default()
+            }),
             suspects: Arc::new(move || suspects.lock().unwrap().clone()),
             fetch: Arc::new(move |address, after| {
                 let found = find(address);
--- a/crates/tanager-node/src/dispatcher/mod.rs
+++ b/crates/tanager-node/src/dispatcher/mod.rs
@@ -13,6 +13,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
 
 use crossbeam::channel;
 use crossbeam::channel::Sender;
@@ -20,9 +22,11 @@
 use tokio::sync::oneshot;
 
 use tanager_control::NodeProgress;
+use tanager_control::rebalance::UsageReport;
 use tanager_dispatch::DispatchCore;
 use tanager_dispatch::DispatchSettings;
 use tanager_dispatch::counters::DispatchCounters;
+use tanager_dispatch::usage::PoolUsage;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
@@ -32,6 +36,7 @@
 use tanager_protocol::outcome::NotRunOutcome;
 use tanager_protocol::outcome::NotRunReason;
 use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::peer;
 use tanager_protocol::peer::ForwardRequest;
 use tanager_protocol::request::RequestPriority;
 
@@ -63,6 +68,17 @@
     progress: NodeProgress,
     suspects: BTreeSet<VmId>,
     open: usize,
+    usage: MeasuredUsage,
+}
+
+/// The newest measurement of the load of this node's pools.
+#[derive(Debug, Default)]
+struct MeasuredUsage {
+    /// Number of the measurement, from 1; 0 before the first one.
+    window: u64,
+    /// `None` before the first measurement.
+    measured: Option<Instant>,
+    pools: Vec<PoolUsage>,
 }
 
 /// A running dispatch service.
@@ -148,6 +164,23 @@
             .clone()
     }
 
+    /// The newest measurement of the load of this node's pools.
+    pub fn usage(&self) -> UsageReport {
+        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        let usage = &report.usage;
+        let pools = usage.pools.iter().map(|pool| peer::PoolUsage {
+            pool: pool.pool.clone(),
+            // The conversion saturates.
+            offered_millislots: (pool.offered * 1_000.0).round() as u32,
+            capacity: pool.capacity,
+        });
+        UsageReport {
+            window: usage.window,
+            age: usage.measured.map_or(Duration::ZERO, |time| time.elapsed()),
+            pools: pools.collect(),
+        }
+    }
+
     /// VMs that the dispatch thread counts as unavailable.
     pub fn suspects(&self) -> BTreeSet<VmId> {
         self.report
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -52,6 +52,8 @@
 /// for each request. A report that is late only delays moves: after a view is applied, the
 /// requests in flight on a draining VM only decrease.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
+/// Period of the measurement of the pools' load; that of the measured reports in docs/POLICY.md.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Events handled before the report is published again.
 const MAX_BATCH: usize = 256;
 /// Time after which a request with unknown outcome may be retried where that is safe.
@@ -71,6 +73,8 @@
     start: Instant,
     /// Time of the newest report; `None` when a new one is due at once.
     published: Option<Duration>,
+    /// Time of the newest measurement of usage.
+    measured: Duration,
 }
 
 impl DispatchThread {
@@ -93,6 +97,7 @@
             probe_timeout: tanager_dispatch::DispatchSettings::default().probe_timeout,
             start: Instant::now(),
             published: None,
+            measured: Duration::ZERO,
         }
     }
 
@@ -108,7 +113,12 @@
             } else {
                 Duration::MAX
             };
-            let wait = deadline.min(limit).saturating_sub(self.now()).min(MAX_WAIT);
+            let measure = self.measured + USAGE_INTERVAL;
+            let wait = deadline
+                .min(limit)
+                .min(measure)
+                .saturating_sub(self.now())
+                .min(MAX_WAIT);
             match self.receiver.recv_timeout(wait) {
                 Ok(event) => {
                     if !self.handle_batch(event) {
@@ -120,6 +130,9 @@
             }
             let actions = self.core.tick(self.now());
             self.execute(actions);
+            if self.now() >= self.measured + USAGE_INTERVAL {
+                self.measure();
+            }
             if self
                 .published
                 .is_none_or(|time| self.now() >= time + PUBLISH_INTERVAL)
@@ -460,6 +473,15 @@
         }
     }
 
+    fn measure(&mut self) {
+        self.measured = self.now();
+        let pools = self.core.measure_usage(self.measured);
+        let mut report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        report.usage.window += 1;
+        report.usage.measured = Some(Instant::now());
+        report.usage.pools = pools;
+    }
+
     fn publish(&mut self) {
         self.published = Some(self.now());
         let draining = self
--- a/crates/tanager-node/src/node.rs
+++ b/crates/tanager-node/src/node.rs
@@ -18,6 +18,7 @@
 use tanager_control::ControlService;
 use tanager_control::ControlSettings;
 use tanager_control::ControlTiming;
+use tanager_control::RebalanceSettings;
 use tanager_dispatch::DispatchSettings;
 use tanager_http::ServerLimits;
 use tanager_http::pool::PoolLimits;
@@ -180,6 +181,10 @@
             node: settings.name.clone(),
             record,
             seeds: settings.seeds.clone(),
+            rebalance: RebalanceSettings {
+                enabled: settings.rebalance,
+                move_cost: settings.move_cost,
+            },
             timing: ControlTiming::default(),
         };
         let backend = control_backend(&platform, &dispatch, &peers);
@@ -430,11 +435,13 @@
     let peer_timeout = ControlTiming::default().peer_timeout;
     let progress = Arc::clone(dispatch);
     let suspects = Arc::clone(dispatch);
+    let usage = Arc::clone(dispatch);
     let fetch = Arc::clone(peers);
     let gossip = Arc::clone(peers);
     ControlBackend {
         platform: Arc::clone(platform),
         progress: Arc::new(move || progress.progress()),
+        usage: Arc::new(move || usage.usage()),
         suspects: Arc::new(move || suspects.suspects()),
         fetch: Arc::new(move |address, after_version| {
             let peers = Arc::clone(&fetch);
--- a/crates/tanager-node/src/node_metrics.rs
+++ b/crates/tanager-node/src/node_metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::OnceLock;
 
 use tanager_control::ControlService;
+use tanager_control::RebalanceCounters;
 use tanager_dispatch::counters::DispatchCounters;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
@@ -32,6 +33,7 @@
     sources.extend(dispatch_sources(dispatch));
     sources.extend(claim_sources(claims));
     sources.extend(control_sources(control));
+    sources.extend(rebalance_sources(control));
     sources
 }
 
@@ -193,3 +195,40 @@
         },
     ]
 }
+
+/// Name, help and value of one counter of moves by load.
+type RebalanceColumn = (&'static str, &'static str, fn(&RebalanceCounters) -> u64);
+
+const REBALANCE_COLUMNS: [RebalanceColumn; 3] = [
+    (
+        "rebalance_moves_proposed",
+        "Moves by load that this node proposed",
+        |row| row.moves_proposed,
+    ),
+    (
+        "rebalance_moves_refused",
+        "Moves by load that the log did not accept",
+        |row| row.moves_refused,
+    ),
+    (
+        "rebalance_reports_missing",
+        "Homes without a recent usage report, added up over the rounds of the coordinator",
+        |row| row.reports_missing,
+    ),
+];
+
+fn rebalance_sources(control: &Arc<OnceLock<Arc<ControlService>>>) -> Vec<MetricSource> {
+    let sources = REBALANCE_COLUMNS.iter().map(|(name, help, column)| {
+        let control = Arc::clone(control);
+        MetricSource {
+            name,
+            help,
+            kind: MetricKind::Counter,
+            read: Box::new(move || match control.get() {
+                Some(control) => MetricSample::plain(column(&control.rebalance_counters()) as f64),
+                None => Vec::new(),
+            }),
+        }
+    });
+    sources.collect()
+}
--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -55,6 +55,8 @@
     pub floor: u32,
     /// Time limit of the nodes' calls to the platform.
     pub platform_timeout: Duration,
+    /// Lines of the section `[control]` of the nodes' settings.
+    pub control: &'static str,
     /// Changes the first document.
     pub edit: fn(&mut Value),
 }
@@ -66,6 +68,7 @@
             endpoints: 12,
             floor: 1,
             platform_timeout: Duration::from_millis(500),
+            control: "",
             edit: |_| {},
         }
     }
@@ -78,6 +81,7 @@
     pub nodes: Vec<NodeProcess>,
     _reboots: WirePort,
     platform_timeout: Duration,
+    control: &'static str,
     next_node: usize,
 }
 
@@ -120,6 +124,7 @@
             nodes: Vec::new(),
             _reboots: reboots,
             platform_timeout: options.platform_timeout,
+            control: options.control,
             next_node: 1,
         };
         for _ in 0..options.nodes {
@@ -179,7 +184,13 @@
     pub fn add_seeded_node(&mut self, seeds: &[SocketAddr]) -> &mut NodeProcess {
         let name = format!("entry-{}", self.next_node);
         self.next_node += 1;
-        let node = NodeProcess::spawn(&name, self.platform.address(), self.platform_timeout, seeds);
+        let node = NodeProcess::spawn(
+            &name,
+            self.platform.address(),
+            self.platform_timeout,
+            seeds,
+            self.control,
+        );
         self.nodes.push(node);
         self.nodes.last_mut().expect("just added")
     }
--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -10,6 +10,7 @@
 mod moves;
 mod nodes;
 mod process;
+mod rebalance;
 mod refusals;
 mod requests;
 mod store;
--- a/crates/tanager-node/tests/site/process.rs
+++ b/crates/tanager-node/tests/site/process.rs
@@ -37,6 +37,7 @@
         platform: SocketAddr,
         platform_timeout: Duration,
         seeds: &[SocketAddr],
+        control: &str,
     ) -> Self {
         let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -51,6 +52,7 @@
              caller_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\n\
              admin_address = 127.0.0.1:0\nstop_delay = 300ms\n\
              [platform]\naddress = {platform}\ntimeout = {timeout}ms\n{peers}\
+             [control]\n{control}\
              [admin]\nroot_token = {ROOT_TOKEN}\n",
             timeout = platform_timeout.as_millis(),
         );
