--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -11,6 +11,7 @@
 mod nodes;
 mod pairs;
 mod process;
+mod rebalance;
 mod refusals;
 mod requests;
 mod store;
--- a/crates/tanager-settings/src/lib.rs
+++ b/crates/tanager-settings/src/lib.rs
@@ -46,6 +46,11 @@
     pub probe_interval: Duration,
     /// `[limits] claim_retention`: least time for which the key of a request is remembered.
     pub claim_retention: Duration,
+    /// `[control] rebalance`: whether VMs are moved to pools with a lasting overload.
+    pub rebalance: bool,
+    /// `[control] move_cost`: time for which a move takes a VM out of service; load must last
+    /// longer to cause a move.
+    pub move_cost: Duration,
     /// `[admin] root_token`: bearer token that may do everything.
     pub root_token: String,
 }
@@ -94,6 +99,8 @@
             default_timeout: reader.optional("limits", "default_timeout", positive, "30s")?,
             probe_interval: reader.optional("limits", "probe_interval", positive, "1s")?,
             claim_retention: reader.optional("limits", "claim_retention", retention, "720m")?,
+            rebalance: reader.optional("control", "rebalance", value::switch, "off")?,
+            move_cost: reader.optional("control", "move_cost", positive, "30s")?,
             root_token: reader.required("admin", "root_token", token)?,
         };
         reader.finish()?;
