--- a/crates/tanager-command/src/commands/diff.rs
+++ b/crates/tanager-command/src/commands/diff.rs
@@ -44,7 +44,7 @@
             });
         }
         let version = &current["version"];
-        output::print_note(&format!("{} changes to version {version}", changes.len()));
+        output::print_note(&format!("changes to version {version}: {}", changes.len()));
     });
     Ok(())
 }
--- a/crates/tanager-command/src/commands/move_vm.rs
+++ b/crates/tanager-command/src/commands/move_vm.rs
@@ -75,7 +75,7 @@
         return Ok(Ok(()));
     }
     if record["activity"]["moving"]["to"] != pool {
-        let state = output::show_cell(&record["activity"]);
+        let state = output::show_activity(&record["activity"]);
         let message = format!("the move of {vm} was abandoned; the VM is {state}");
         return Err(Failure::Refused(message));
     }
--- a/crates/tanager-command/src/commands/vms.rs
+++ b/crates/tanager-command/src/commands/vms.rs
@@ -25,7 +25,10 @@
 fn run(session: &Session) -> Result<(), Failure> {
     let reply = session.read_of_pool("/v1/vms", "vms")?;
     session.show(&reply, |reply| {
-        let objects = reply["vms"].as_array().cloned().unwrap_or_default();
+        let mut objects = reply["vms"].as_array().cloned().unwrap_or_default();
+        for object in &mut objects {
+            object["activity"] = output::show_activity(&object["activity"]).into();
+        }
         let fields = [
             "vm", "pool", "activity", "health", "zone", "rack", "address", "slots", "version",
         ];
--- a/crates/tanager-command/src/output.rs
+++ b/crates/tanager-command/src/output.rs
@@ -68,6 +68,15 @@
     }
 }
 
+/// Shows what planned work does with a VM: `active`, `moving (POOL)` or `draining (REASON)`.
+pub(crate) fn show_activity(activity: &Value) -> String {
+    match (&activity["moving"]["to"], &activity["draining"]["reason"]) {
+        (Value::String(pool), _) => format!("moving ({pool})"),
+        (_, Value::String(reason)) => format!("draining ({reason})"),
+        _ => show_cell(activity),
+    }
+}
+
 /// Prints objects as a table with the given fields as columns.
 pub(crate) fn print_objects(fields: &[&str], objects: &[Value]) {
     let rows: Vec<Vec<String>> = objects
--- a/crates/tanager-node/src/main.rs
+++ b/crates/tanager-node/src/main.rs
@@ -91,9 +91,7 @@
             other => return Err(other.unexpected()),
         }
     }
-    let config = config.ok_or(lexopt::Error::MissingValue {
-        option: Some("--config".into()),
-    })?;
+    let config = config.ok_or("--config FILE is required")?;
     Ok(Some(NodeArguments { config, check }))
 }
 
