--- a/crates/tanager-command/src/client.rs
+++ b/crates/tanager-command/src/client.rs
@@ -45,10 +45,18 @@
     pub(crate) fn message(&self) -> String {
         let error = &self.body["error"];
         let message = error["message"].as_str().unwrap_or("no message");
-        match error["peer"].as_str().filter(|peer| !peer.is_empty()) {
-            Some(peer) => format!("{message} (status {}, peer {peer})", self.status),
-            None => format!("{message} (status {})", self.status),
+        // The node's own message is only that of its connection to the platform.
+        let unreachable = match error["code"] == "not_sent" {
+            true => "the node cannot reach the store: ",
+            false => "",
+        };
+        let mut place = format!("status {}", self.status);
+        for field in ["step", "peer"] {
+            if let Some(text) = error[field].as_str().filter(|text| !text.is_empty()) {
+                place.push_str(&format!(", {field} {text}"));
+            }
         }
+        format!("{unreachable}{message} ({place})")
     }
 
     /// Classifies an error answer after which nothing changed.
--- a/crates/tanager-standin/examples/balancer.rs
+++ b/crates/tanager-standin/examples/balancer.rs
@@ -17,6 +17,19 @@
 use tanager_standin::balancer::BalancerStandin;
 use tanager_standin::options::parse_addresses;
 
+const HELP: &str = "\
+Runs the stand-in of the platform's load balancer.
+
+Usage: balancer --nodes ADDR,ADDR [--ready ADDR,ADDR] [--address ADDR]
+
+  --nodes ADDR,ADDR  caller addresses of the nodes; required
+  --ready ADDR,ADDR  addresses that serve /ready, in the order of the nodes; default: --nodes
+  --address ADDR     listener; default 127.0.0.1:0, a free port
+  --help             print this help
+
+Prints `listening ADDR`. Runs until it is stopped.
+";
+
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let mut address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -28,6 +41,10 @@
             Arg::Long("address") => address = parser.value()?.parse()?,
             Arg::Long("nodes") => callers = parser.value()?.parse_with(parse_addresses)?,
             Arg::Long("ready") => admins = Some(parser.value()?.parse_with(parse_addresses)?),
+            Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
             argument => return Err(argument.unexpected().into()),
         }
     }
--- a/crates/tanager-standin/examples/endpoint.rs
+++ b/crates/tanager-standin/examples/endpoint.rs
@@ -12,6 +12,22 @@
 use tanager_standin::EndpointOptions;
 use tanager_standin::EndpointStandin;
 
+const HELP: &str = "\
+Runs stand-ins of endpoints.
+
+Usage: endpoint [--count N] [--address ADDR] [--record FILE] [--prefix TEXT] [--slots N]
+
+  --count N       number of endpoints; default 50
+  --address ADDR  listeners; default 127.0.0.1:0, free ports
+  --record FILE   file to which each run of a request is written
+  --prefix TEXT   names are the prefix and a number; default vm-
+  --slots N       requests that one endpoint runs at once; default 8
+  --help          print this help
+
+Prints `control ADDR`, one line `endpoint NAME ADDR` per endpoint, then `ready`. Runs until it is
+stopped.
+";
+
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let mut options = EndpointOptions::default();
@@ -23,6 +39,10 @@
             Arg::Long("prefix") => options.prefix = parser.value()?.string()?,
             Arg::Long("record") => options.record = Some(parser.value()?.into()),
             Arg::Long("slots") => options.slots = parser.value()?.parse()?,
+            Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
             argument => return Err(argument.unexpected().into()),
         }
     }
--- a/crates/tanager-standin/examples/load.rs
+++ b/crates/tanager-standin/examples/load.rs
@@ -22,6 +22,31 @@
 use tanager_standin::options::parse_duration;
 use tanager_standin::plan::MixOptions;
 
+const HELP: &str = "\
+Sends a mixed load and prints a report.
+
+Usage: load --nodes ADDR,ADDR --pools NAME,NAME [OPTIONS]
+       load --direct ADDR,ADDR [OPTIONS]
+
+  --nodes ADDR,ADDR   caller addresses of nodes or of a balancer
+  --direct ADDR,ADDR  addresses of endpoints, without a node between
+  --pools NAME,NAME   pools that the requests name
+  --teams NAME,NAME   teams that the requests name
+  --priority NAME     urgent, normal or batch for every request; default: a mix
+  --rate N            requests per second
+  --duration TIME     length of the load (500ms, 10s, 1m)
+  --work TIME         time that an endpoint works on a request
+  --timeout TIME      timeout of a request
+  --seed N            seed of the mix
+  --keyed SHARE       share of requests with an Idempotency-Key, 0 to 1
+  --cancelled SHARE   share of requests that the caller gives up, 0 to 1
+  --retry             repeat requests whose outcome permits it
+  --verify ADDR       compare with the runs read from the control address of the endpoints
+  --help              print this help
+
+Exit codes: 0 done, 1 --verify found a violation or the options are wrong.
+";
+
 #[tokio::main]
 async fn main() -> Result<ExitCode, Box<dyn Error>> {
     let (options, verify) = read_options()?;
@@ -53,6 +78,10 @@
         };
         let mix = &mut options.mix;
         match name {
+            "help" => {
+                print!("{HELP}");
+                std::process::exit(0);
+            }
             "retry" => options.retry = true,
             "nodes" => options.targets = parser.value()?.parse_with(parse_addresses)?,
             "direct" => {
--- a/crates/tanager-standin/examples/platform.rs
+++ b/crates/tanager-standin/examples/platform.rs
@@ -13,6 +13,19 @@
 use tanager_standin::PlatformStandin;
 use tanager_standin::options::parse_duration;
 
+const HELP: &str = "\
+Runs the stand-in of the platform: table service, object store and VM list.
+
+Usage: platform [--address ADDR] [--control ADDR] [--list-lag TIME]
+
+  --address ADDR   listener of the service; default 127.0.0.1:0, a free port
+  --control ADDR   second listener for faults, statistics and VM states, open during an outage
+  --list-lag TIME  time after which the VM list shows a change (500ms, 2s, 1m); default 0ms
+  --help           print this help
+
+Prints `listening ADDR`, and `control ADDR` with --control. Runs until it is stopped.
+";
+
 #[tokio::main]
 async fn main() -> Result<(), Box<dyn Error>> {
     let mut options = PlatformOptions::default();
@@ -24,6 +37,10 @@
             Arg::Long("list-lag") => {
                 options.list_lag = parser.value()?.parse_with(parse_duration)?;
             }
+            Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
             argument => return Err(argument.unexpected().into()),
         }
     }
