Check that alarms name metrics of a node

Cause: the table of alarms could name a metric that no node prints.

Change: the test of the metrics table also reads the table of alarms.

Conclusion: the page is checked in settings, metrics, alarms and transcripts; the list of log lines is not.

--- a/crates/tanager-node/tests/operating_page.rs
+++ b/crates/tanager-node/tests/operating_page.rs
@@ -141,6 +141,13 @@
         assert!(!row[2].is_empty(), "no unit: {row:?}");
         documented.push(vec![row[0].clone(), row[1].clone(), row[3].clone()]);
     }
+    let names: Vec<&str> = documented.iter().map(|row| row[0].as_str()).collect();
+    for alarm in table("| value | what it means |") {
+        let words = alarm[0].split(' ');
+        let used: Vec<&str> = words.filter(|word| word.starts_with("tanager_")).collect();
+        assert!(!used.is_empty(), "{alarm:?}");
+        assert!(used.iter().all(|name| names.contains(name)), "{alarm:?}");
+    }
     documented.sort();
     printed.sort();
     assert_eq!(documented, printed);
