--- a/crates/tanager-node/src/node_metrics.rs
+++ b/crates/tanager-node/src/node_metrics.rs
@@ -6,8 +6,6 @@
 use tanager_control::ControlService;
 use tanager_control::RebalanceCounters;
 use tanager_dispatch::counters::DispatchCounters;
-use tanager_protocol::error::ErrorKind;
-use tanager_protocol::error::TanagerError;
 
 use crate::caller::CallerCounters;
 use crate::claims::ClaimCounters;
@@ -17,11 +15,6 @@
 use crate::metrics::MetricSample;
 use crate::metrics::MetricSource;
 
-/// Error of a call that arrives before the control service runs.
-pub(crate) fn starting() -> TanagerError {
-    TanagerError::new(ErrorKind::NotReady, "control", "", "the node is starting")
-}
-
 /// Returns all metrics of the node.
 pub(crate) fn sources(
     control: &Arc<OnceLock<Arc<ControlService>>>,
