Split the dispatch thread into loop and execution of actions

Change: thread.rs keeps the loop and the events, execute.rs carries out the actions of the state machine. Behaviour is unchanged.

--- a/crates/tanager-node/src/dispatcher/mod.rs
+++ b/crates/tanager-node/src/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 //! decisions of [`DispatchCore`].
 
 mod event;
+mod execute;
 mod pending;
 mod thread;
 
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -23,10 +23,7 @@
 use tanager_protocol::fleet::FleetState;
 use tanager_protocol::fleet::VmActivity;
 use tanager_protocol::ids::VmId;
-use tanager_protocol::outcome::NotRunOutcome;
-use tanager_protocol::outcome::NotRunReason;
 use tanager_protocol::outcome::RequestOutcome;
-use tanager_protocol::outcome::UnknownOutcome;
 use tanager_protocol::outcome::UnknownReason;
 use tanager_protocol::peer::ForwardRequest;
 use tanager_protocol::request::RequestPriority;
@@ -34,7 +31,6 @@
 use tanager_protocol::request::is_idempotent_method;
 
 use crate::claims::ClaimResult;
-use crate::claims::ClaimTicket;
 use crate::claims::fingerprint::RequestFingerprint;
 use crate::claims::fingerprint::key_reused;
 use crate::dispatcher::DispatchBackend;
@@ -42,12 +38,11 @@
 use crate::dispatcher::event::DispatchEvent;
 use crate::dispatcher::event::OutcomeSender;
 use crate::dispatcher::event::ReplyId;
+use crate::dispatcher::execute::unknown;
 use crate::dispatcher::pending::PendingRequest;
 use crate::dispatcher::pending::PendingTable;
 use crate::endpoint::CloseSignal;
 use crate::endpoint::ProbeOutcome;
-use crate::endpoint::SendFailure;
-use crate::endpoint::SendFailureKind;
 
 /// Longest wait for an event.
 const MAX_WAIT: Duration = Duration::from_secs(1);
@@ -59,20 +54,17 @@
 const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Events handled before the report is published again.
 const MAX_BATCH: usize = 256;
-/// Time after which a request with unknown outcome may be retried where that is safe.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// State of the dispatch thread.
 pub(crate) struct DispatchThread {
-    core: DispatchCore,
-    backend: DispatchBackend,
+    pub(super) core: DispatchCore,
+    pub(super) backend: DispatchBackend,
     receiver: Receiver<DispatchEvent>,
-    events: Sender<DispatchEvent>,
+    pub(super) events: Sender<DispatchEvent>,
     report: Arc<Mutex<DispatchReport>>,
-    pending: PendingTable,
+    pub(super) pending: PendingTable,
     view: Arc<FleetState>,
     vms_by_address: BTreeMap<SocketAddr, VmId>,
-    probe_timeout: Duration,
+    pub(super) probe_timeout: Duration,
     start: Instant,
     /// Time of the newest report; `None` when a new one is due at once.
     published: Option<Duration>,
@@ -341,175 +333,6 @@
         actions
     }
 
-    fn execute(&mut self, actions: Vec<DispatchAction>) {
-        for action in actions {
-            match action {
-                DispatchAction::Claim { key, .. } => self.start_claim(key),
-                DispatchAction::Send {
-                    key,
-                    address,
-                    time_left,
-                    ..
-                } => {
-                    self.start_send(key, address, time_left);
-                }
-                DispatchAction::Refuse {
-                    key,
-                    reason,
-                    message,
-                    retry_after,
-                } => {
-                    self.refuse(key, reason, message, retry_after);
-                }
-                DispatchAction::Finish { key } => self.finish(key),
-                DispatchAction::Probe { vm, address, path } => {
-                    self.start_probe(vm, address, path);
-                }
-            }
-        }
-    }
-
-    fn start_claim(&mut self, key: RequestKey) {
-        let Some(pending) = self.pending.get_mut(key) else {
-            return;
-        };
-        let Some(fingerprint) = pending.fingerprint.clone() else {
-            return;
-        };
-        let request = Arc::clone(&pending.request);
-        let claims = Arc::clone(&self.backend.claims);
-        let events = self.events.clone();
-        let deadline = Instant::now() + Duration::from_millis(request.timeout_ms);
-        self.backend.runtime.spawn(async move {
-            let result = claims
-                .claim(
-                    &request.pool,
-                    &request.idempotency_key,
-                    fingerprint,
-                    deadline,
-                )
-                .await;
-            // Fails only after the thread has ended.
-            let _ = events.send(DispatchEvent::Claimed { key, result });
-        });
-    }
-
-    fn start_send(&mut self, key: RequestKey, address: SocketAddr, time_left: Duration) {
-        let Some(pending) = self.pending.get_mut(key) else {
-            return;
-        };
-        let latest = pending.claim.as_ref().map(ClaimTicket::send_before);
-        if latest.is_some_and(|latest| Instant::now() > latest) {
-            let message = "the claim of the request became too old before it was sent".to_owned();
-            self.refuse(key, NotRunReason::QueueTimeout, message, Some(RETRY_AFTER));
-            let now = self.now();
-            let actions = self.core.cancel(now, key);
-            self.execute(actions);
-            return;
-        }
-        pending.sent = true;
-        let request = Arc::clone(&pending.request);
-        let retry_is_safe = pending.idempotent || pending.join.is_some();
-        let endpoint = Arc::clone(&self.backend.endpoint);
-        let events = self.events.clone();
-        let task = self.backend.runtime.spawn(async move {
-            let start = Instant::now();
-            let result = endpoint
-                .send_before(address, &request, time_left, latest)
-                .await;
-            let latency = start.elapsed();
-            let (report, outcome) = match result {
-                Ok(answer) if answer.status < 500 => (
-                    SendReport::Answered { latency },
-                    RequestOutcome::Answered(answer),
-                ),
-                Ok(answer) => (
-                    SendReport::Failed {
-                        latency,
-                        leaving: false,
-                    },
-                    RequestOutcome::Answered(answer),
-                ),
-                Err(failure) => failed_attempt(failure, retry_is_safe),
-            };
-            let _ = events.send(DispatchEvent::Sent {
-                key,
-                report,
-                outcome,
-            });
-        });
-        pending.attempt = Some(task.abort_handle());
-    }
-
-    fn start_probe(&self, vm: VmId, address: SocketAddr, path: String) {
-        let endpoint = Arc::clone(&self.backend.endpoint);
-        let events = self.events.clone();
-        let timeout = self.probe_timeout;
-        self.backend.runtime.spawn(async move {
-            let outcome = endpoint.probe(address, &path, timeout).await;
-            let _ = events.send(DispatchEvent::Probed { vm, outcome });
-        });
-    }
-
-    fn refuse(
-        &mut self,
-        key: RequestKey,
-        reason: NotRunReason,
-        message: String,
-        retry_after: Option<Duration>,
-    ) {
-        let Some(mut pending) = self.pending.remove(key) else {
-            return;
-        };
-        if let Some(ticket) = pending.claim.take() {
-            self.backend.claims.release(ticket);
-        }
-        let outcome = NotRunOutcome {
-            reason,
-            message,
-            retry_after,
-        };
-        answer(pending, &RequestOutcome::NotRun(outcome));
-    }
-
-    fn finish(&mut self, key: RequestKey) {
-        let Some(mut pending) = self.pending.remove(key) else {
-            return;
-        };
-        if let Some(attempt) = pending.attempt.take() {
-            attempt.abort();
-        }
-        let retry_is_safe = pending.idempotent || pending.join.is_some();
-        let outcome = pending.outcome.take().unwrap_or_else(|| {
-            if pending.sent {
-                unknown(UnknownReason::Timeout, "no response in time", retry_is_safe)
-            } else {
-                let message = "the history of this key could not be read in time";
-                unknown(UnknownReason::KeyHistory, message, retry_is_safe)
-            }
-        });
-        if let (Some(ticket), RequestOutcome::Answered(answer)) = (pending.claim.take(), &outcome) {
-            self.backend.claims.complete(ticket, answer);
-        }
-        answer(pending, &outcome);
-    }
-
-    /// Gives every open request the outcome that is true for it.
-    fn finish_all(&mut self) {
-        for key in self.pending.keys() {
-            let unsent = self
-                .pending
-                .get_mut(key)
-                .is_some_and(|pending| !pending.sent);
-            if unsent {
-                let message = "the node is stopping".to_owned();
-                self.refuse(key, NotRunReason::NotReady, message, Some(RETRY_AFTER));
-            } else {
-                self.finish(key);
-            }
-        }
-    }
-
     fn measure(&mut self) {
         self.measured = self.now();
         let pools = self.core.measure_usage(self.measured);
@@ -539,39 +362,7 @@
         report.open = self.pending.len();
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.start.elapsed()
     }
 }
-
-fn answer(pending: PendingRequest, outcome: &RequestOutcome) {
-    for (_, reply) in pending.waiting {
-        // The caller may have disconnected.
-        let _ = reply.send(outcome.clone());
-    }
-}
-
-fn failed_attempt(failure: SendFailure, retry_is_safe: bool) -> (SendReport, RequestOutcome) {
-    match failure.kind {
-        SendFailureKind::NotSent => {
-            let outcome = NotRunOutcome {
-                reason: NotRunReason::NoWorker,
-                message: failure.message,
-                retry_after: Some(RETRY_AFTER),
-            };
-            (SendReport::NotSent, RequestOutcome::NotRun(outcome))
-        }
-        SendFailureKind::Unknown(reason) => (
-            SendReport::Unknown,
-            unknown(reason, &failure.message, retry_is_safe),
-        ),
-    }
-}
-
-fn unknown(reason: UnknownReason, message: &str, retry_is_safe: bool) -> RequestOutcome {
-    RequestOutcome::Unknown(UnknownOutcome {
-        reason,
-        message: message.to_owned(),
-        retry_after: retry_is_safe.then_some(RETRY_AFTER),
-    })
-}
