Print idle traffic and added latency in the demo

Cause: the demo printed idle CPU and memory, but no traffic and no added latency.

Change: the demo samples the loopback interface while idle (an upper bound, valid only on a machine without other loopback traffic) and prints the difference of the medians of the same mix through the site and direct.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -101,12 +101,17 @@
         awk '{ print $14 + $15 }' "/proc/$(cat "$run/$name.pid")/stat"
     done | paste -sd' '
 }
+loopback() { awk -F: '/^ *lo:/ { split($2, count, " "); print count[1] }' /proc/net/dev; }
 before=$(sample)
+sent=$(loopback)
 sleep 10
 after=$(sample)
+sent=$(($(loopback) - sent))
 echo "cpu per node, % of a core: $(paste <(tr ' ' '\n' <<<"$before") <(tr ' ' '\n' <<<"$after") | awk '{ printf "%.1f ", ($2 - $1) / 10 }')"
 echo "resident memory per node, MiB: $(for name in "${names[@]}"; do awk '/VmRSS/ { printf "%.1f ", $2 / 1024 }' "/proc/$(cat "$run/$name.pid")/status"; done)"
 
+echo "traffic per node, KB/s: at most $(awk -v sent="$sent" -v nodes=$nodes 'BEGIN { printf "%.1f", 2 * sent / 10 / nodes / 1000 }') (all bytes of the loopback interface, each counted for two nodes)"
+
 echo "== $rate requests/s for $seconds s; a VM moves and a node is replaced meanwhile"
 callers=$(for name in "${names[@]}"; do address "$name" caller; done | paste -sd,)
 admins=$(for name in "${names[@]}"; do address "$name" admin; done | paste -sd,)
@@ -128,5 +133,8 @@
 
 echo "== the same mix sent directly to the endpoints"
 endpoints=$(awk '/^endpoint / { print $3 }' "$run/endpoint.out" | paste -sd,)
-"$bin/examples/load" --direct "$endpoints" --pools "$pools" --rate "$rate" --duration 5s --seed 1
+"$bin/examples/load" --direct "$endpoints" --pools "$pools" --rate "$rate" --duration 5s --seed 1 \
+    --keyed 1 | tee "$run/direct.txt"
+median() { sed -n 's/^latency normal .*p50=\([0-9.]*\)ms.*/\1/p' "$1"; }
+echo "== added latency of normal work, p50: $(awk -v a="$(median "$run/load.txt")" -v b="$(median "$run/direct.txt")" 'BEGIN { printf "%.1f", a - b }') ms"
 exit $verdict
