Answer without a pause when the platform stand-in has no delay

Cause: a sleep of 0 lasts up to the timer's resolution of 1 ms, twice per call, so every latency measured against the stand-in contained about 2 ms or, with the completion record of the request before, 4 ms that no store had caused.

Change: the stand-in does not sleep when no delay is set.

--- a/crates/tanager-standin/src/platform.rs
+++ b/crates/tanager-standin/src/platform.rs
@@ -151,6 +151,10 @@
         let mut changed = std::pin::pin!(self.delay_changed.notified());
         changed.as_mut().enable();
         let delay = self.lock().delay();
+        if delay.is_zero() {
+            // A sleep of 0 lasts up to the timer's resolution of 1 ms.
+            return;
+        }
         tokio::select! {
             () = time::sleep(delay / 2) => {}
             () = changed => {}
