Test floods, bursts of cancellations and requests too large for any worker

Cause: no site test showed flood protection, and none brought about a burst of cancellations or a request that no worker can hold.

Each pool and priority of the steady load must be answered at least 95% as often as without the flood. Each refusal must name a time to retry after. Two more tests let half of the callers of a full queue disconnect, and send requests that need 1,000 slots while a queue is full.

--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod fleet;
+mod floods;
 mod harness;
 mod leaving;
 mod moves;
