Test connections that go silent while new ones work

Cause: no site test brought about connections that carry nothing any more and stay open, to an endpoint or to the store.

Change: SilentProxy forwards connections until it is told to silence the open ones; new ones work.

--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -31,6 +31,7 @@
 use tanager_standin::wire::WireResponse;
 
 use crate::process::NodeProcess;
+use crate::proxy::SilentProxy;
 
 pub const ROOT_TOKEN: &str = "0123456789abcdef";
 /// Longest wait for a condition. It only bounds a test that would otherwise never end.
@@ -58,6 +59,8 @@
     pub platform_timeout: Duration,
     /// Lines of the section `[control]` of the nodes' settings.
     pub control: &'static str,
+    /// Puts a proxy between the nodes and the platform.
+    pub proxied_platform: bool,
     /// Changes the first document.
     pub edit: fn(&mut Value),
 }
@@ -70,6 +73,7 @@
             floor: 1,
             platform_timeout: Duration::from_millis(500),
             control: "",
+            proxied_platform: false,
             edit: |_| {},
         }
     }
@@ -78,6 +82,7 @@
 /// A site with pools `alpha`, `beta` and `gamma`.
 pub struct TestSite {
     pub platform: PlatformStandin,
+    pub platform_proxy: Option<SilentProxy>,
     pub endpoints: EndpointStandin,
     pub nodes: Vec<NodeProcess>,
     _reboots: WirePort,
@@ -119,8 +124,13 @@
         )
         .expect("reboot listener");
         let reboot_address = reboots.address();
+        let platform_proxy = match options.proxied_platform {
+            true => Some(SilentProxy::bind(platform.address()).await),
+            false => None,
+        };
         let mut site = Self {
             platform,
+            platform_proxy,
             endpoints,
             nodes: Vec::new(),
             _reboots: reboots,
@@ -185,13 +195,9 @@
     pub fn add_seeded_node(&mut self, seeds: &[SocketAddr]) -> &mut NodeProcess {
         let name = format!("entry-{}", self.next_node);
         self.next_node += 1;
-        let node = NodeProcess::spawn(
-            &name,
-            self.platform.address(),
-            self.platform_timeout,
-            seeds,
-            self.control,
-        );
+        let proxy = self.platform_proxy.as_ref();
+        let platform = proxy.map_or_else(|| self.platform.address(), SilentProxy::address);
+        let node = NodeProcess::spawn(&name, platform, self.platform_timeout, seeds, self.control);
         self.nodes.push(node);
         self.nodes.last_mut().expect("just added")
     }
