Test a node's stop during a store outage

Cause: no site test stopped a node while the store was out.

The node has 30 POST requests without a key in progress, 6 keyed ones that wait for their claims, and is home of a share of the load that the other two nodes receive. It must exit with 0, answer the 30 with their responses and the 6 with unknown and Retry-After, and all work without a key of the load must be answered.

The test does not compare the time of the stop with a figure.

--- a/crates/tanager-node/tests/site/store.rs
+++ b/crates/tanager-node/tests/site/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::Method;
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time;
@@ -19,6 +20,7 @@
 use crate::caller::ToldOutcome;
 use crate::caller::assert_one_answer;
 use crate::caller::assert_served;
+use crate::caller::insert;
 use crate::caller::keyed_post;
 use crate::caller::runs_of;
 use crate::caller::spawn_load;
@@ -200,6 +202,78 @@
     assert_served(&report, 90);
 }
 
+/// A node is stopped while the store is out. Guards against requests that the stop cuts off, and
+/// against a stop that fails or never ends because the node cannot leave the register.
+async fn node_stops(seed: u64, faults: PlatformFaults) {
+    let mut site = TestSite::open_with(SiteOptions {
+        platform_timeout: IMPATIENT,
+        ..SiteOptions::default()
+    })
+    .await;
+    site.set_platform(faults).await;
+    let mut options = short_load(&site, seed, 6);
+    options.retry = false;
+    // The balancer has stopped sending to the node that stops; requests sent to the others pass
+    // through its queues, for it is a home.
+    let stopping = options.targets.remove(0);
+    let load = spawn_load(options);
+    time::sleep(Duration::from_secs(1)).await;
+    let calls: Vec<_> = (0..30)
+        .map(|number| {
+            let path = format!("/{}/in-progress-{number}", POOLS[number % 3]);
+            let mut request = HttpRequest::new(Method::POST, path, "");
+            insert(&mut request, "x-work-ms", "1500");
+            tokio::spawn(tell(stopping, request))
+        })
+        .collect();
+    eventually("the requests are in progress", async || {
+        let runs = site.endpoints.runs();
+        (0..30).all(|number| runs_of(&runs, &format!("in-progress-{number}")) == 1)
+    })
+    .await;
+    // They wait for their claims until their time limit.
+    let keyed: Vec<_> = (0..6)
+        .map(|number| {
+            let key = format!("stop-{seed}-{number}");
+            let request = keyed_post(POOLS[number % 3], &key, Duration::from_millis(20));
+            tokio::spawn(tell(stopping, request))
+        })
+        .collect();
+    time::sleep(Duration::from_millis(200)).await;
+    site.nodes[0].signal(Signal::SIGTERM);
+    let start = time::Instant::now();
+    // The limits of a stop (stop delay, longest request, twice 10 s for the store) add up to half
+    // of the time that this waits at most.
+    assert_eq!(site.nodes[0].wait().await, Some(0));
+    println!("stopped after {:?}", start.elapsed());
+    for call in calls {
+        let told = call.await.expect("caller");
+        assert!(told.answer().is_some(), "{told:?}");
+    }
+    for call in keyed {
+        let told = call.await.expect("caller");
+        let unknown = ToldOutcome::Unknown {
+            reason: "key_history".to_owned(),
+            retry_after: true,
+        };
+        assert_eq!(told, unknown);
+    }
+    let report = load.await.expect("load");
+    site.set_platform(NO_FAULTS).await;
+    assert_verdict(&site, &report).await;
+    assert_keyless_served(&report);
+    assert_keyed_unknown(&report);
+    let runs = site.endpoints.runs();
+    for number in 0..30 {
+        let id = format!("in-progress-{number}");
+        assert_eq!(runs_of(&runs, &id), 1, "{id}");
+    }
+    for number in 0..6 {
+        let key = format!("stop-{seed}-{number}");
+        assert_eq!(runs_of(&runs, &key), 0, "{key}");
+    }
+}
+
 macro_rules! store_faults {
     ($($name:ident: $test:ident($seed:literal, $faults:expr);)*) => {$(
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -217,6 +291,8 @@
     lost_answers_run_nothing_twice: store_is_impaired(5, LOSSY);
     configuration_with_a_slow_store: configuration_changes(6, SLOW);
     configuration_with_lost_answers: configuration_changes(7, LOSSY);
+    node_stops_while_the_store_hangs: node_stops(90, HANGS);
+    node_stops_while_the_store_refuses: node_stops(91, REFUSES);
 }
 
 /// Guards against a new node that serves an outdated state in an outage, or none although a peer
