Make the flood tests fail without fairness

Cause: in a trial with all requests in one flow (not committed) both flood tests passed. The flood's time limit of 4 s bounded the queue to 4 s by the estimated wait, which the steady load's limit of 10 s covered.

Change: the steady load has a limit of 2 s and is not retried, so that a retry after the flood does not hide a refusal; the flood has a limit of 10 s. The bound of 95% for each pool and priority is unchanged.

Conclusion: the tests now show the effect of the fair queues.

--- a/crates/tanager-node/tests/site/floods.rs
+++ b/crates/tanager-node/tests/site/floods.rs
@@ -40,6 +40,10 @@
 const FLOOD_RATE: f64 = 320.0;
 /// Rate of the steady load on all three pools, about a fifth of what they hold.
 const STEADY_RATE: f64 = 45.0;
+/// Shorter than the wait that the flood builds up. With 10 s, and 4 s for the flood, the test also
+/// passed with a single queue, whose wait admission then bounded to 4 s.
+const STEADY_TIMEOUT: Duration = Duration::from_secs(2);
+const FLOOD_TIMEOUT: Duration = Duration::from_secs(10);
 const RUN: Duration = Duration::from_secs(8);
 
 /// Answered requests of the steady load by pool and priority.
@@ -76,7 +80,7 @@
             rate: FLOOD_RATE,
             duration: RUN,
             work: WORK,
-            timeout: Duration::from_secs(4),
+            timeout: FLOOD_TIMEOUT,
             cancelled: 0.0,
             ..MixOptions::default()
         };
@@ -113,6 +117,9 @@
     options.mix.teams = vec!["team-1".to_owned()];
     options.mix.priorities = vec![(RequestPriority::Urgent, 1), (RequestPriority::Normal, 1)];
     options.mix.work = WORK;
+    options.mix.timeout = STEADY_TIMEOUT;
+    // A retry after the flood would hide a refusal during it.
+    options.retry = false;
     options.mix.cancelled = 0.0;
     options
 }
