--- a/crates/tanager-node/tests/site/main.rs
+++ b/crates/tanager-node/tests/site/main.rs
@@ -5,15 +5,18 @@
 
 mod caller;
 mod fleet;
+mod floods;
 mod harness;
 mod leaving;
 mod moves;
 mod nodes;
 mod pairs;
 mod process;
+mod proxy;
 mod rebalance;
 mod refusals;
 mod requests;
+mod silence;
 mod store;
 mod watch;
 mod waves;
