--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -35,7 +35,7 @@
 
 pub const ROOT_TOKEN: &str = "0123456789abcdef";
 /// Longest wait for a condition. It only bounds a test that would otherwise never end.
-const PATIENCE: Duration = Duration::from_secs(60);
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
 /// Time for which a rebooted VM is down. With 1.5 s a coordinator sometimes saw the reports of
 /// the start and the end together, and waited 30 s for a VM that it had not seen to be down.
 const REBOOT_TIME: Duration = Duration::from_millis(2_500);
@@ -45,7 +45,7 @@
 pub async fn eventually(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let start = time::Instant::now();
     while !condition().await {
-        assert!(start.elapsed() < PATIENCE, "still waiting: {what}");
+        assert!(start.elapsed() < WAIT_LIMIT, "still waiting: {what}");
         time::sleep(POLL).await;
     }
 }
