State the guarded failure of generated test cases

Cause: the cases of two test macros did not say which failure they guard against.

Change: doc comments in the macros of the client and judge tests.

--- a/crates/tanager-http/tests/client.rs
+++ b/crates/tanager-http/tests/client.rs
@@ -41,16 +41,20 @@
 
 macro_rules! response_cases {
     ($($case:ident: $method:ident, $response:expr, $end:ident => $expected:expr;)*) => {
-        $(#[tokio::test]
-        async fn $case() {
-            let hold = stringify!($end) == "hold";
-            let expected: Result<&[u8], ErrorKind> = $expected;
-            // Only the responses that never end may run into the time limit.
-            let timeout = if expected == Err(ErrorKind::Timeout) { SHORT } else { LONG };
-            let address = serve_bytes($response, hold);
-            let result = exchange(address, Method::$method, timeout).await;
-            assert_eq!(result.as_deref().map_err(|kind| *kind), expected);
-        })*
+        $(
+            /// Guards against this response being classified as another kind, or a connection
+            /// being reused after a failure.
+            #[tokio::test]
+            async fn $case() {
+                let hold = stringify!($end) == "hold";
+                let expected: Result<&[u8], ErrorKind> = $expected;
+                // Only the responses that never end may run into the time limit.
+                let timeout = if expected == Err(ErrorKind::Timeout) { SHORT } else { LONG };
+                let address = serve_bytes($response, hold);
+                let result = exchange(address, Method::$method, timeout).await;
+                assert_eq!(result.as_deref().map_err(|kind| *kind), expected);
+            }
+        )*
     };
 }
 
--- a/crates/tanager-standin/tests/judge.rs
+++ b/crates/tanager-standin/tests/judge.rs
@@ -49,15 +49,18 @@
 
 macro_rules! verdict_cases {
     ($($case:ident: $record:expr, $runs:expr => $violations:expr;)*) => {
-        $(#[test]
-        fn $case() {
-            let runs: Vec<EndpointRun> = $runs;
-            let verdict = judge(&[$record], &runs);
-            let expected: [usize; 4] = $violations;
-            assert_eq!(violations(&verdict), expected, "{verdict}");
-            assert_eq!(verdict.passed(), expected == [0; 4]);
-            assert_eq!(verdict.to_string().contains("FAILED"), expected != [0; 4]);
-        })*
+        $(
+            /// Guards against a judge that misses this violation, or reports one that is none.
+            #[test]
+            fn $case() {
+                let runs: Vec<EndpointRun> = $runs;
+                let verdict = judge(&[$record], &runs);
+                let expected: [usize; 4] = $violations;
+                assert_eq!(violations(&verdict), expected, "{verdict}");
+                assert_eq!(verdict.passed(), expected == [0; 4]);
+                assert_eq!(verdict.to_string().contains("FAILED"), expected != [0; 4]);
+            }
+        )*
     };
 }
 
