Judge a load run while other requests reach the endpoints

Cause: the verdict waited until the whole record of the endpoints was stable. With the balancer in front, whose checks are requests too, this never happened: the load tool still waited when the endpoints were ended after 40 s, and reported an error.

Change: read_record returns the runs of the load's own requests and waits only for those.

--- a/crates/tanager-standin/examples/load.rs
+++ b/crates/tanager-standin/examples/load.rs
@@ -28,7 +28,8 @@
     let report = run_load(&options).await;
     println!("{report}");
     if let Some(control) = verify {
-        let verdict = judge(&report.records, &read_record(control).await?);
+        let runs = read_record(control, &report.records).await?;
+        let verdict = judge(&report.records, &runs);
         println!("{verdict}");
         if !verdict.passed() {
             return Ok(ExitCode::FAILURE);
--- a/crates/tanager-standin/src/load.rs
+++ b/crates/tanager-standin/src/load.rs
@@ -1,5 +1,6 @@
 //! Open-loop load generator over HTTP.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,12 +100,18 @@
     report.add(priority, record, latency);
 }
 
-/// Reads the endpoints' record once no run is in progress.
+/// Reads the runs of these requests from the endpoints' record once none is in progress. Runs of
+/// other requests are left out, because they may go on forever.
 ///
 /// # Errors
 ///
 /// As [`ClientPool::exchange`]; [`ErrorKind::Timeout`] when runs stay in progress.
-pub async fn read_record(control: SocketAddr) -> TanagerResult<Vec<EndpointRun>> {
+pub async fn read_record(
+    control: SocketAddr,
+    records: &[CallerRecord],
+) -> TanagerResult<Vec<EndpointRun>> {
+    let ids: HashSet<&str> = records.iter().map(|record| &*record.id).collect();
+    let keys: HashSet<&str> = records.iter().map(|record| &*record.key).collect();
     let limits = PoolLimits {
         max_body: 1 << 30,
         ..PoolLimits::default()
@@ -117,8 +124,12 @@
     for _ in 0..RECORD_READINGS {
         let request = HttpRequest::new(Method::GET, "/record", "");
         let response = pool.exchange(&request, Duration::from_secs(60)).await?;
-        let runs: Vec<EndpointRun> = serde_json::from_slice(&response.body)
+        let mut runs: Vec<EndpointRun> = serde_json::from_slice(&response.body)
             .map_err(|error| failed(ErrorKind::Unknown, error.to_string()))?;
+        runs.retain(|run| {
+            let keyed = !run.key.is_empty() && keys.contains(&*run.key);
+            keyed || ids.contains(caller_id(&run.path))
+        });
         // A request that a node still holds may start later, so the record must also be stable.
         if runs.iter().all(|run| run.finish.is_some()) && before == Some(runs.len()) {
             return Ok(runs);
--- a/crates/tanager-standin/tests/load.rs
+++ b/crates/tanager-standin/tests/load.rs
@@ -3,9 +3,17 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use http::HeaderValue;
+use http::Method;
+
+use tanager_http::ClientPool;
+use tanager_http::HttpRequest;
+use tanager_http::pool::PoolLimits;
 use tanager_standin::EndpointOptions;
 use tanager_standin::EndpointStandin;
 use tanager_standin::endpoint::EndpointFaults;
+use tanager_standin::judge::CallerOutcome;
+use tanager_standin::judge::CallerRecord;
 use tanager_standin::judge::Verdict;
 use tanager_standin::judge::judge;
 use tanager_standin::load::LoadOptions;
@@ -41,7 +49,9 @@
         },
     };
     let report = run_load(&options).await;
-    let runs = read_record(endpoint.control()).await.unwrap();
+    let runs = read_record(endpoint.control(), &report.records)
+        .await
+        .unwrap();
     let verdict = judge(&report.records, &runs);
     (report, verdict)
 }
@@ -121,3 +131,32 @@
         |request| request.method == "POST" && request.body.is_empty()
     ));
 }
+
+/// Guards against a verdict that waits forever for the end of other traffic, such as the checks
+/// of a load balancer.
+#[tokio::test]
+async fn other_traffic_does_not_delay_the_verdict() {
+    let endpoint = EndpointStandin::bind(&EndpointOptions::default()).unwrap();
+    let address = endpoint.endpoints()[0].1;
+    let send = |path: &'static str, work: &'static str| async move {
+        let mut request = HttpRequest::new(Method::POST, path, "");
+        let work = HeaderValue::from_static(work);
+        request.headers.insert("x-work-ms", work);
+        let pool = ClientPool::new(address, PoolLimits::default());
+        pool.exchange(&request, Duration::from_secs(600)).await
+    };
+    send("/load/a", "1").await.unwrap();
+    let other = tokio::spawn(send("/load/other", "600000"));
+    while endpoint.runs().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let record = CallerRecord {
+        id: "a".to_owned(),
+        key: String::new(),
+        method: "POST".to_owned(),
+        outcomes: vec![CallerOutcome::Answered { own: true }],
+    };
+    let runs = read_record(endpoint.control(), &[record]).await.unwrap();
+    assert_eq!(runs.len(), 1);
+    other.abort();
+}
--- a/crates/tanager-standin/tests/nodes.rs
+++ b/crates/tanager-standin/tests/nodes.rs
@@ -128,10 +128,8 @@
         },
     };
     let report = run_load(&options).await;
-    let verdict = judge(
-        &report.records,
-        &read_record(endpoint.control()).await.unwrap(),
-    );
+    let runs = read_record(endpoint.control(), &report.records);
+    let verdict = judge(&report.records, &runs.await.unwrap());
     (report, verdict)
 }
 
