Do not count a worker as empty before the new owner of its cell has heard of it

The owner that takes a cell answered the holder of the duty from its list of runs, which is empty until the worker's first report, and a released owner still answered. A worker without an entry in the view counted as empty too, although it may live on behind a cut.

Ruled out: gangs and timed jobs (the job is a plain lasting one); a stop of the old owner that the lists do not show (that wait was there).

Before: the new test worker_that_was_not_heard_is_not_empty failed. After: it passes, with all of cell and takeover (32).

Conclusion: the gap was in what counts as empty, not in the wave.

--- a/crates/tanager-schedule/src/evacuate.rs
+++ b/crates/tanager-schedule/src/evacuate.rs
@@ -18,10 +18,11 @@
 impl CellCore {
     /// Closes a worker for new tasks until `until`. Tasks that last are stopped as far as their
     /// step may miss them; others end by themselves. Returns whether nothing is on it, and whether
-    /// a task that lasts is.
+    /// a task that lasts may be. After a takeover nothing is known of a worker until it is heard.
     pub fn close_worker(&mut self, worker: &WorkerId, until: Duration) -> (bool, bool) {
+        let is_unheard = self.unsettled.contains_key(worker);
         let Some(&key) = self.workers_by_id.get(worker) else {
-            return (true, false);
+            return (!is_unheard, is_unheard);
         };
         let Some(slot) = self.workers.get_mut(key) else {
             return (true, false);
@@ -30,7 +31,7 @@
         let tasks: Vec<TaskKey> = slot.runs.keys().copied().collect();
         let lasting =
             (tasks.iter()).any(|task| self.spec(*task).is_none_or(|spec| spec.long_running));
-        (tasks.is_empty(), lasting)
+        (tasks.is_empty() && !is_unheard, lasting || is_unheard)
     }
 
     /// Stops tasks that last on workers that leave or are closed.
--- a/crates/tanager-schedule/tests/takeover.rs
+++ b/crates/tanager-schedule/tests/takeover.rs
@@ -185,6 +185,25 @@
     assert!(stopped_at >= settings().stop, "stopped at {stopped_at:?}");
 }
 
+/// Guards against maintenance of a VM whose runs the new owner has not heard of yet: a member of a
+/// lasting step ends while another is away (AVAIL).
+#[test]
+fn worker_that_was_not_heard_is_not_empty() {
+    let mut core = taken_cell(&["a", "b"], vec![lasting(2, 1)]);
+    let until = millis(1_000);
+    let worker = "a".to_owned();
+    let (is_empty, has_lasting) = core.close_worker(&worker, until);
+    assert!(!is_empty && has_lasting);
+    let key = (core.worker_keys().into_iter())
+        .find(|key| {
+            core.worker(*key)
+                .is_some_and(|slot| slot.entry.worker == worker)
+        })
+        .expect("known worker");
+    core.report(key, &report(vec![], vec![]), millis(5), millis(5), WALL_MS);
+    assert_eq!(core.close_worker(&worker, until), (true, false));
+}
+
 /// Guards against a row above the store's 64 KiB, which would block all of a cell's writes, and
 /// against done tasks that are forgotten with it.
 #[test]
--- a/crates/tanager-service/src/duty_cells.rs
+++ b/crates/tanager-service/src/duty_cells.rs
@@ -5,6 +5,7 @@
 
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::PoolName;
+use tanager_jobs::ids::WorkerId;
 use tanager_schedule::capacity::PoolLoad;
 use tanager_site::machines::MachineEntry;
 
@@ -18,44 +19,45 @@
 use crate::peers::LoadReport;
 use crate::view::cell_of_worker;
 
-/// Asks the owner of the VM's worker to empty it.
+/// Asks the owner of the VM's worker to empty it. If the view does not list the worker, which may
+/// live without an entry for a while, the owners of all cells of its pool are asked.
 pub(crate) async fn empty_vm(cell: &Arc<CellHandle>, entry: &MachineEntry) -> EmptyAnswer {
-    let nothing_runs = EmptyAnswer {
-        empty: true,
-        lasting: false,
+    let Some(worker) = &entry.worker else {
+        return EmptyAnswer::EMPTY;
     };
-    let unknown = EmptyAnswer {
-        empty: false,
-        lasting: true,
-    };
-    let Some(worker) = entry.worker.clone() else {
-        return nothing_runs;
-    };
-    let (name, owner) = {
+    let names = {
         let view = cell.context.view();
-        let Some(name) = cell_of_worker(&view, &worker) else {
-            return nothing_runs;
-        };
-        let owner = view.owner_of(&name);
-        (name, owner)
+        match cell_of_worker(&view, worker) {
+            Some(name) => vec![name],
+            None => view.cells_of(&entry.pool),
+        }
     };
-    let request = EmptyRequest { cell: name, worker };
-    if let Some(own) = cell.context.cell(&request.cell) {
-        return own.empty_worker(&request.worker);
+    let mut sum = EmptyAnswer::EMPTY;
+    for name in names {
+        let answer = empty_worker(cell, name, worker).await;
+        sum.empty &= answer.empty;
+        sum.lasting |= answer.lasting;
     }
-    let Some((_, address)) = owner else {
-        return unknown;
+    sum
+}
+
+async fn empty_worker(cell: &Arc<CellHandle>, name: CellName, worker: &WorkerId) -> EmptyAnswer {
+    if let Some(own) = cell.context.cell(&name) {
+        return own.empty_worker(worker);
+    }
+    let Some((_, address)) = cell.context.view().owner_of(&name) else {
+        return EmptyAnswer::UNKNOWN;
+    };
+    let request = EmptyRequest {
+        cell: name,
+        worker: worker.clone(),
     };
-    match cell
-        .context
-        .peers
-        .empty(address, &request, OWNER_TIMEOUT)
-        .await
-    {
+    let asked = cell.context.peers.empty(address, &request, OWNER_TIMEOUT);
+    match asked.await {
         Ok(answer) => answer,
         Err(error) => {
-            log::info!("event=vm_not_emptied vm={} error={error:?}", entry.machine);
-            unknown
+            log::info!("event=worker_not_emptied worker={worker} error={error:?}");
+            EmptyAnswer::UNKNOWN
         }
     }
 }
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -154,6 +154,19 @@
     pub lasting: bool,
 }
 
+impl EmptyAnswer {
+    /// No owner knows a run on the worker.
+    pub const EMPTY: Self = Self {
+        empty: true,
+        lasting: false,
+    };
+    /// What runs there is not known.
+    pub const UNKNOWN: Self = Self {
+        empty: false,
+        lasting: true,
+    };
+}
+
 #[derive(Deserialize, Serialize)]
 struct RelayRequest {
     method: String,
