Keep the slot of a cancelled request until its endpoint has noticed

A cancelled request at an endpoint gave its slot back at once; the next request could reach the endpoint before the endpoint had seen the closed connection, and got its refusal for lack of a slot.

Change: the connection's sending side is closed, and the request keeps its slot until the endpoint closes or answers. The stand-in can notice a closed connection late (late_close_ms).

Conclusion: a request that reaches its deadline at an endpoint still gives its slot back at once, because its caller must be answered then; a rejection in the moment after is possible there.

--- a/crates/tanager-http/src/client.rs
+++ b/crates/tanager-http/src/client.rs
@@ -1,9 +1,13 @@
 //! One client connection that carries one request at a time.
 
+use std::future;
+use std::future::Future;
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream as StdTcpStream;
 use std::os::fd::AsFd;
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -105,21 +109,51 @@
         request: HttpRequest,
         timeout: Duration,
         max_body: usize,
+    ) -> TanagerResult<HttpResponse> {
+        self.exchange_until(request, timeout, max_body, future::pending())
+            .await
+    }
+
+    /// Like [`Self::exchange`]. When `cancelled` completes, the sending side is closed, and the
+    /// call returns once the server has closed the connection or answered: from then on the server
+    /// no longer works on the request.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::exchange`].
+    pub async fn exchange_until(
+        &mut self,
+        request: HttpRequest,
+        timeout: Duration,
+        max_body: usize,
+        cancelled: impl Future<Output = ()>,
     ) -> TanagerResult<HttpResponse> {
         self.keep_alive = false;
         let address = self.address;
         let head = request.method == Method::HEAD;
-        let work = async {
+        let probe = &self.probe;
+        let exchange = async {
             let outgoing = build_request(address, request)?;
             self.sender.ready().await.map_err(|error| {
                 TanagerError::new(ErrorKind::NotSent, "send", address.to_string(), error)
             })?;
-            check_silence(&self.probe).map_err(|message| {
+            check_silence(probe).map_err(|message| {
                 TanagerError::new(ErrorKind::NotSent, "send", address.to_string(), message)
             })?;
             let response = send_request(&mut self.sender, address, outgoing).await?;
             read_response(address, response, head, max_body).await
         };
+        let work = async {
+            let mut exchange = pin!(exchange);
+            tokio::select! {
+                biased;
+                result = &mut exchange => return result,
+                () = cancelled => {}
+            }
+            // Fails only if the connection is closed already.
+            let _ = probe.shutdown(Shutdown::Write);
+            exchange.await
+        };
         let result = match time::timeout(timeout, work).await {
             Ok(result) => result,
             Err(_) => Err(TanagerError::new(
--- a/crates/tanager-node/src/dispatcher/execute.rs
+++ b/crates/tanager-node/src/dispatcher/execute.rs
@@ -1,10 +1,13 @@
 //! Carries out the actions of the state machine: claims, attempts, probes and final outcomes.
 
+use std::future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::oneshot;
+
 use tanager_dispatch::DispatchAction;
 use tanager_dispatch::RequestKey;
 use tanager_dispatch::SendReport;
@@ -18,6 +21,7 @@
 use crate::claims::ClaimTicket;
 use crate::dispatcher::event::DispatchEvent;
 use crate::dispatcher::pending::PendingRequest;
+use crate::dispatcher::pending::RequestAttempt;
 use crate::dispatcher::thread::DispatchThread;
 use crate::endpoint::SendFailure;
 use crate::endpoint::SendFailureKind;
@@ -97,10 +101,16 @@
         let retry_is_safe = pending.idempotent || pending.join.is_some();
         let endpoint = Arc::clone(&self.backend.endpoint);
         let events = self.events.clone();
+        let (cancel, cancelled) = oneshot::channel::<()>();
         let task = self.backend.runtime.spawn(async move {
             let start = Instant::now();
+            let cancelled = async {
+                if cancelled.await.is_err() {
+                    future::pending::<()>().await;
+                }
+            };
             let result = endpoint
-                .send_before(address, &request, time_left, latest)
+                .send_before(address, &request, time_left, (latest, cancelled))
                 .await;
             let latency = start.elapsed();
             let (report, outcome) = match result {
@@ -123,7 +133,10 @@
                 outcome,
             });
         });
-        pending.attempt = Some(task.abort_handle());
+        pending.attempt = Some(RequestAttempt {
+            task: task.abort_handle(),
+            cancel: Some(cancel),
+        });
     }
 
     fn start_probe(&self, vm: VmId, address: SocketAddr, path: String) {
@@ -162,7 +175,7 @@
             return;
         };
         if let Some(attempt) = pending.attempt.take() {
-            attempt.abort();
+            attempt.task.abort();
         }
         let retry_is_safe = pending.idempotent || pending.join.is_some();
         let outcome = pending.outcome.take().unwrap_or_else(|| {
--- a/crates/tanager-node/src/dispatcher/pending.rs
+++ b/crates/tanager-node/src/dispatcher/pending.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 
 use tanager_dispatch::RequestKey;
@@ -17,6 +18,14 @@
 /// Pool and idempotency key of a request that others may join.
 pub(crate) type JoinKey = (String, String);
 
+/// An attempt in progress.
+pub(crate) struct RequestAttempt {
+    /// Ends the task at once, whatever the endpoint does.
+    pub(crate) task: AbortHandle,
+    /// Closes the connection to the endpoint; the task ends when the endpoint has noticed.
+    pub(crate) cancel: Option<oneshot::Sender<()>>,
+}
+
 /// A request without an outcome.
 pub(crate) struct PendingRequest {
     pub(crate) request: Arc<ForwardRequest>,
@@ -30,7 +39,9 @@
     /// Whether an attempt began.
     pub(crate) sent: bool,
     /// The attempt in progress.
-    pub(crate) attempt: Option<AbortHandle>,
+    pub(crate) attempt: Option<RequestAttempt>,
+    /// All callers have left, and the attempt in progress was told so.
+    pub(crate) cancelled: bool,
     /// Outcome of the newest attempt or claim that left one.
     pub(crate) outcome: Option<RequestOutcome>,
 }
@@ -80,7 +91,7 @@
     }
 
     /// Removes a caller; returns its request if nobody else waits for it.
-    pub(crate) fn leave(&mut self, id: ReplyId) -> Option<(RequestKey, &PendingRequest)> {
+    pub(crate) fn leave(&mut self, id: ReplyId) -> Option<(RequestKey, &mut PendingRequest)> {
         let key = self.replies.remove(&id)?;
         let pending = self.requests.get_mut(&key)?;
         pending.waiting.retain(|(waiting, _)| *waiting != id);
--- a/crates/tanager-node/src/dispatcher/thread.rs
+++ b/crates/tanager-node/src/dispatcher/thread.rs
@@ -178,13 +178,19 @@
                 report,
                 outcome,
             } => {
+                let mut cancelled = false;
                 if let Some(pending) = self.pending.get_mut(key) {
                     pending.attempt = None;
                     if report != SendReport::NotSent {
                         pending.outcome = Some(outcome);
                     }
+                    cancelled = pending.cancelled;
+                }
+                if cancelled {
+                    self.core.cancel(now, key)
+                } else {
+                    self.core.send_finished(now, key, report)
                 }
-                self.core.send_finished(now, key, report)
             }
             DispatchEvent::Probed { vm, outcome } => {
                 let report = match outcome {
@@ -262,6 +268,7 @@
             claim: None,
             sent: false,
             attempt: None,
+            cancelled: false,
             outcome: None,
         };
         let (key, actions) = self.core.submit(now, summary);
@@ -270,14 +277,24 @@
     }
 
     /// A sent request that is not idempotent runs to its end, so that its result is recorded for
-    /// a retry with the same key.
+    /// a retry with the same key. Any other that is at an endpoint keeps its slot until that
+    /// endpoint has noticed, or it would reject the next request.
     fn cancel(&mut self, now: Duration, id: ReplyId) -> Vec<DispatchAction> {
-        match self.pending.leave(id) {
-            Some((key, pending)) if pending.idempotent || !pending.sent => {
-                self.core.cancel(now, key)
+        let Some((key, pending)) = self.pending.leave(id) else {
+            return Vec::new();
+        };
+        if pending.sent && !pending.idempotent {
+            return Vec::new();
+        }
+        if let Some(attempt) = &mut pending.attempt {
+            pending.cancelled = true;
+            if let Some(cancel) = attempt.cancel.take() {
+                // Fails only if the attempt has just ended; its report follows.
+                let _ = cancel.send(());
             }
-            _ => Vec::new(),
+            return Vec::new();
         }
+        self.core.cancel(now, key)
     }
 
     fn apply_claim(
--- a/crates/tanager-node/src/endpoint.rs
+++ b/crates/tanager-node/src/endpoint.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::future;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -119,11 +122,13 @@
         request: &ForwardRequest,
         timeout: Duration,
     ) -> Result<EndpointAnswer, SendFailure> {
-        self.send_before(address, request, timeout, None).await
+        self.send_before(address, request, timeout, (None, future::pending()))
+            .await
     }
 
     /// Like [`Self::send`], but does not send a request whose latest time has passed, in
-    /// particular after connecting.
+    /// particular after connecting. After a cancellation it returns once the endpoint no longer
+    /// works on the request.
     ///
     /// # Errors
     ///
@@ -133,12 +138,12 @@
         address: SocketAddr,
         request: &ForwardRequest,
         timeout: Duration,
-        latest: Option<Instant>,
+        (latest, cancelled): (Option<Instant>, impl Future<Output = ()>),
     ) -> Result<EndpointAnswer, SendFailure> {
         let outgoing = build_request(address, request)?;
         let id = &request.request_id;
         let outgoing = (&outgoing, id.as_str(), latest);
-        let response = self.exchange(address, outgoing, timeout).await?;
+        let response = self.exchange(address, outgoing, timeout, cancelled).await?;
         let closes = connection_options(&response.headers).any(|option| option == "close");
         if closes {
             let signal = match response.status {
@@ -163,7 +168,9 @@
     /// Asks an endpoint for its state with GET. Any status below 500 means that it is up.
     pub async fn probe(&self, address: SocketAddr, path: &str, timeout: Duration) -> ProbeOutcome {
         let request = HttpRequest::new(Method::GET, path, "");
-        match self.exchange(address, (&request, "", None), timeout).await {
+        let outgoing = (&request, "", None);
+        let exchange = self.exchange(address, outgoing, timeout, future::pending());
+        match exchange.await {
             Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                 ProbeOutcome::Leaving
             }
@@ -187,11 +194,14 @@
         address: SocketAddr,
         outgoing: OutgoingRequest<'_>,
         timeout: Duration,
+        cancelled: impl Future<Output = ()>,
     ) -> TanagerResult<HttpResponse> {
         let start = Instant::now();
+        let mut cancelled = pin!(cancelled);
         let idle = Arc::clone(self.lock().entry(address).or_default());
         if let Some(connection) = take_connection(&idle, self.limits.max_idle) {
-            let attempt = self.attempt(&idle, connection, (address, outgoing), timeout);
+            let target = (address, outgoing);
+            let attempt = self.attempt(&idle, connection, target, timeout, cancelled.as_mut());
             match attempt.await {
                 Err(error) if error.kind == ErrorKind::NotSent => {}
                 result => return result,
@@ -215,7 +225,7 @@
                 "no time left after connecting",
             ));
         }
-        self.attempt(&idle, connection, (address, outgoing), left)
+        self.attempt(&idle, connection, (address, outgoing), left, cancelled)
             .await
     }
 
@@ -225,6 +235,7 @@
         mut connection: ClientConnection,
         (address, (request, id, latest)): (SocketAddr, OutgoingRequest<'_>),
         timeout: Duration,
+        cancelled: impl Future<Output = ()>,
     ) -> TanagerResult<HttpResponse> {
         if latest.is_some_and(|latest| Instant::now() > latest) {
             return Err(TanagerError::new(
@@ -234,7 +245,8 @@
                 "the claim of the request is too old",
             ));
         }
-        let exchange = connection.exchange(request.clone(), timeout, self.limits.max_body);
+        let max_body = self.limits.max_body;
+        let exchange = connection.exchange_until(request.clone(), timeout, max_body, cancelled);
         let result = exchange.await.and_then(|response| {
             check_response(address, &response, id)?;
             Ok(response)
--- a/crates/tanager-node/tests/endpoint.rs
+++ b/crates/tanager-node/tests/endpoint.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeSet;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -138,7 +139,7 @@
         }).await;
         let latest = Some(std::time::Instant::now());
         let client = client();
-        let result = client.send_before(address, &request("POST", "k"), LONG, latest).await;
+        let result = client.send_before(address, &request("POST", "k"), LONG, (latest, pending())).await;
         assert_eq!(result.unwrap_err().kind, SendFailureKind::NotSent);
         // The connection was opened, and closed without a byte.
         assert_eq!(received.recv().await.as_deref(), Some(""));
--- a/crates/tanager-node/tests/site/floods.rs
+++ b/crates/tanager-node/tests/site/floods.rs
@@ -13,6 +13,7 @@
 
 use tanager_http::HttpRequest;
 use tanager_protocol::request::RequestPriority;
+use tanager_standin::endpoint::EndpointFaults;
 use tanager_standin::endpoint::REJECTED_HEADER;
 use tanager_standin::judge::CallerOutcome;
 use tanager_standin::judge::CallerRecord;
@@ -223,6 +224,40 @@
     wait_idle(&site).await;
 }
 
+/// Guards against the slot of a cancelled request that is used again before its endpoint has
+/// noticed the cancellation: the endpoint rejects the next request then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endpoints_notice_cancellations_late() {
+    let site = TestSite::open(2, 6, 1).await;
+    let faults = EndpointFaults {
+        late_close_ms: 60,
+        ..EndpointFaults::default()
+    };
+    for (name, _) in site.endpoints.endpoints() {
+        let set = site.endpoints.set_faults(&name, faults.clone()).await;
+        set.expect("faults");
+    }
+    let calls = fill_queue(&site, 86).await;
+    for (number, (_, call)) in calls.iter().enumerate() {
+        if number % 2 == 0 {
+            call.abort();
+        }
+    }
+    let mut report = LoadReport::default();
+    for (planned, call) in calls {
+        let outcome = call.await.unwrap_or(CallerOutcome::Cancelled);
+        report.add(
+            planned.priority,
+            record_of(&planned, outcome),
+            Duration::ZERO,
+        );
+    }
+    assert_eq!(report.count("rejected"), 0, "{report}");
+    let answered = report.records.len() as u64 - report.count("cancelled");
+    assert_eq!(report.count("answered"), answered, "{report}");
+    wait_idle(&site).await;
+}
+
 /// Guards against a request that waits in a full queue although no worker can ever hold it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_no_worker_can_hold_is_refused_at_once() {
--- a/crates/tanager-standin/src/endpoint.rs
+++ b/crates/tanager-standin/src/endpoint.rs
@@ -77,6 +77,8 @@
     pub close_delimited: bool,
     /// The endpoint's previous response is sent, with its request id.
     pub crossed: bool,
+    /// Milliseconds until a closed connection is noticed; its request keeps its slot until then.
+    pub late_close_ms: u64,
 }
 
 impl Default for EndpointFaults {
@@ -91,6 +93,7 @@
             truncate: false,
             close_delimited: false,
             crossed: false,
+            late_close_ms: 0,
         }
     }
 }
--- a/crates/tanager-standin/src/worker.rs
+++ b/crates/tanager-standin/src/worker.rs
@@ -163,7 +163,10 @@
             tokio::select! {
                 biased;
                 () = time::sleep(work.mul_f64(faults.slow_factor.clamp(0.0, 1e6))) => {}
-                () = connection.closed() => return None,
+                () = connection.closed() => {
+                    time::sleep(Duration::from_millis(faults.late_close_ms)).await;
+                    return None;
+                }
             }
         }
         guard.completed = true;
