Stop runs that keep their work on VMs that move; VMs at home move at once

And VMs that went home at 27.3 s, as a surge began, stayed there until 31.2 s: the shortest stay between moves held at home too.

Change: a VM that is emptied for a move (or for a wave that is short of time) stops runs that write checkpoints and would last longer than a stop takes; they go on elsewhere from where they were. The shortest stay does not hold at home.

--- a/crates/tanager-schedule/src/capacity.rs
+++ b/crates/tanager-schedule/src/capacity.rs
@@ -137,8 +137,9 @@
         let mut chosen = Vec::new();
         let mut free: Vec<&VmName> = (vms.iter())
             .filter(|(vm, place)| {
-                let stayed = (self.arrived.get(*vm))
-                    .is_none_or(|at| now.saturating_sub(*at) >= SHORTEST_STAY);
+                let stayed = place.pool == place.home
+                    || (self.arrived.get(*vm))
+                        .is_none_or(|at| now.saturating_sub(*at) >= SHORTEST_STAY);
                 place.is_movable
                     && place.is_spare
                     && stayed
--- a/crates/tanager-schedule/src/evacuate.rs
+++ b/crates/tanager-schedule/src/evacuate.rs
@@ -8,6 +8,7 @@
 use crate::action::CellNote;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
+use crate::worker::RunSlot;
 use crate::worker::RunStage;
 use crate::worker::WorkerKey;
 
@@ -15,11 +16,19 @@
 /// half second.
 const STALL_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// A stop is ordered only if the run would last this much longer than a stop takes.
+const EVICT_MARGIN: Duration = Duration::from_millis(200);
+
 impl CellCore {
     /// Closes a worker for new tasks until `until`. Tasks that last are stopped as far as their
     /// step may miss them; others end by themselves. Returns whether nothing is on it, and whether
     /// a task that lasts may be. After a takeover nothing is known of a worker until it is heard.
-    pub fn close_worker(&mut self, worker: &WorkerId, until: Duration) -> (bool, bool) {
+    pub fn close_worker(
+        &mut self,
+        worker: &WorkerId,
+        until: Duration,
+        evicts: bool,
+    ) -> (bool, bool) {
         let is_unheard = self.unsettled.contains_key(worker);
         let Some(&key) = self.workers_by_id.get(worker) else {
             return (!is_unheard, is_unheard);
@@ -28,6 +37,7 @@
             return (true, false);
         };
         slot.closed_until = slot.closed_until.max(until);
+        slot.evicts = evicts;
         let tasks: Vec<TaskKey> = slot.runs.keys().copied().collect();
         let lasting =
             (tasks.iter()).any(|task| self.spec(*task).is_none_or(|spec| spec.long_running));
@@ -37,6 +47,7 @@
     /// Stops tasks that last on workers that leave or are closed.
     pub(crate) fn empty_leaving(&mut self, now: Duration) {
         let mut stops = Vec::new();
+        let mut evicted = Vec::new();
         for (key, worker) in &self.workers {
             let is_closed = now < worker.closed_until;
             if !worker.entry.draining && !is_closed {
@@ -47,8 +58,14 @@
                 if is_lasting && run.stage == RunStage::Running {
                     stops.push((key, *task, worker.entry.draining));
                 }
+                if is_closed && worker.evicts && self.is_worth_stopping(*task, run, now) {
+                    evicted.push((key, *task));
+                }
             }
         }
+        for (key, task) in evicted {
+            self.order_stop(key, task);
+        }
         for (key, task, draining) in stops {
             let is_settled = now >= self.stops_settled;
             if draining || (is_settled && self.may_miss(task, now)) {
@@ -57,6 +74,24 @@
         }
     }
 
+    /// Returns whether a run keeps its work when it is stopped and is expected to last longer than
+    /// the stop takes.
+    fn is_worth_stopping(&self, task: TaskKey, run: &RunSlot, now: Duration) -> bool {
+        let Some(spec) = self.spec(task) else {
+            return false;
+        };
+        if !spec.checkpointing || spec.long_running || spec.gang || run.stage != RunStage::Running {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let expected = self.durations.expected(&job.record.queue, spec.estimate());
+        let begun = run.confirmed.unwrap_or(run.ordered);
+        let left = expected.saturating_sub(now.saturating_sub(begun));
+        left > self.settings.stop + EVICT_MARGIN
+    }
+
     /// Returns whether a task that lasts may be stopped without more of its step being away than
     /// its client allows.
     fn may_miss(&self, task: TaskKey, now: Duration) -> bool {
--- a/crates/tanager-schedule/src/wave.rs
+++ b/crates/tanager-schedule/src/wave.rs
@@ -137,6 +137,10 @@
                 (WaveStep::Accepted(since), _) => WaveStep::Accepted(since),
                 (WaveStep::Ordered(since), _) => WaveStep::Ordered(since),
                 (_, None) => WaveStep::Gone,
+                // It crashed while it was emptied, and is due again when it is back.
+                (WaveStep::Emptying(_), Some(fact)) if !fact.is_up && !fact.is_off => {
+                    WaveStep::Waiting
+                }
                 (WaveStep::Gone, Some(_)) => WaveStep::Waiting,
                 (step, Some(_)) => step,
             };
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -128,6 +128,8 @@
     pub health: WorkerHealth,
     /// No starts before this time, because the worker is being emptied.
     pub closed_until: Duration,
+    /// While it is closed, runs that lose nothing by a stop are stopped.
+    pub evicts: bool,
     /// No starts before this time, because a start did not fit.
     pub full_until: Duration,
 }
@@ -155,6 +157,7 @@
                 ..WorkerHealth::default()
             },
             closed_until: Duration::ZERO,
+            evicts: false,
             full_until: Duration::ZERO,
         }
     }
--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -328,15 +328,58 @@
     cell.tick();
     cell.pass(millis(100));
     cell.report_all();
-    cell.core.close_worker(&"a".to_owned(), millis(10_000));
-    cell.core.close_worker(&"b".to_owned(), millis(10_000));
-    cell.core.close_worker(&"c".to_owned(), millis(10_000));
+    cell.core
+        .close_worker(&"a".to_owned(), millis(10_000), false);
+    cell.core
+        .close_worker(&"b".to_owned(), millis(10_000), false);
+    cell.core
+        .close_worker(&"c".to_owned(), millis(10_000), false);
     assert_eq!(stops(&cell.tick()).len(), 1);
     cell.pass(millis(100));
     cell.report_all();
     assert!(stops(&cell.tick()).is_empty());
 }
 
+/// Guards against a VM that leaves a surge late, because it waits for runs that could go on from
+/// their checkpoint elsewhere, and against stopping runs whose work would be lost.
+#[test]
+fn moved_vm_stops_only_runs_that_keep_their_work() {
+    let long = |checkpointing| StepSpec {
+        checkpointing,
+        estimated_ms: 4_000,
+        ..step(1)
+    };
+    let mut cell = TestCell::new(vec![entry("a")]);
+    cell.accept(job(1, vec![long(true)]));
+    cell.accept(job(2, vec![long(false)]));
+    assert_eq!(starts(&cell.tick()).len(), 2);
+    cell.pass(millis(100));
+    cell.report_all();
+    let worker = "a".to_owned();
+    cell.core.close_worker(&worker, millis(10_000), false);
+    assert!(stops(&cell.tick()).is_empty());
+    cell.core.close_worker(&worker, millis(10_000), true);
+    assert_eq!(stops(&cell.tick()), vec![task(1, 0, 0)]);
+}
+
+/// Guards against stopping a run that ends sooner than the stop.
+#[test]
+fn moved_vm_waits_for_short_runs() {
+    let mut cell = TestCell::new(vec![entry("a")]);
+    let short = StepSpec {
+        checkpointing: true,
+        estimated_ms: 700,
+        ..step(1)
+    };
+    cell.accept(job(1, vec![short]));
+    cell.tick();
+    cell.pass(millis(100));
+    cell.report_all();
+    cell.core
+        .close_worker(&"a".to_owned(), millis(10_000), true);
+    assert!(stops(&cell.tick()).is_empty());
+}
+
 /// Guards against counting a member at a silent worker as at work (AVAIL; lt-hallein trouble-3).
 #[test]
 fn member_at_a_silent_worker_is_away() {
@@ -349,7 +392,7 @@
     cell.core.silent(silent);
     let name = cell.core.worker(well).map(|slot| slot.entry.worker.clone());
     cell.core
-        .close_worker(&name.expect("known"), millis(10_000));
+        .close_worker(&name.expect("known"), millis(10_000), false);
     cell.pass(millis(100));
     cell.report(well);
     assert!(stops(&cell.tick()).is_empty());
--- a/crates/tanager-schedule/tests/takeover.rs
+++ b/crates/tanager-schedule/tests/takeover.rs
@@ -175,7 +175,7 @@
         for (key, list) in keys.iter().zip(&lists) {
             core.report(*key, &report(list.clone(), vec![]), now, now, WALL_MS);
         }
-        core.close_worker(&names[0], now + millis(1_000));
+        core.close_worker(&names[0], now + millis(1_000), false);
         if !stops(&drive(&mut core, now)).is_empty() {
             stopped_at = Some(now);
         }
@@ -192,7 +192,7 @@
     let mut core = taken_cell(&["a", "b"], vec![lasting(2, 1)]);
     let until = millis(1_000);
     let worker = "a".to_owned();
-    let (is_empty, has_lasting) = core.close_worker(&worker, until);
+    let (is_empty, has_lasting) = core.close_worker(&worker, until, false);
     assert!(!is_empty && has_lasting);
     let key = (core.worker_keys().into_iter())
         .find(|key| {
@@ -201,7 +201,7 @@
         })
         .expect("known worker");
     core.report(key, &report(vec![], vec![]), millis(5), millis(5), WALL_MS);
-    assert_eq!(core.close_worker(&worker, until), (true, false));
+    assert_eq!(core.close_worker(&worker, until, false), (true, false));
 }
 
 /// Guards against a row above the store's 64 KiB, which would block all of a cell's writes, and
--- a/crates/tanager-service/src/duty.rs
+++ b/crates/tanager-service/src/duty.rs
@@ -184,7 +184,7 @@
             };
             match step {
                 WaveStep::Emptying(since) => {
-                    let answer = empty_vm(&self.cell, entry).await;
+                    let answer = empty_vm(&self.cell, entry, tracker.is_pressed(clock.now())).await;
                     let is_stuck = tracker.is_pressed(clock.now())
                         && clock.now().saturating_sub(since) > OWNER_TIMEOUT * 2;
                     if answer.empty || (is_stuck && !answer.lasting) {
@@ -194,7 +194,7 @@
                 }
                 WaveStep::Ordered(_) => {
                     // Keep the worker closed until the order is answered.
-                    empty_vm(&self.cell, entry).await;
+                    empty_vm(&self.cell, entry, tracker.is_pressed(clock.now())).await;
                     order_maintenance(&self.cell, machines, tracker, &vm).await;
                 }
                 _ => {}
@@ -262,9 +262,9 @@
                 continue;
             };
             let may_order = match entry.step {
-                MoveStep::Emptying => empty_vm(&self.cell, listed).await.empty,
+                MoveStep::Emptying => empty_vm(&self.cell, listed, true).await.empty,
                 MoveStep::Ordered => {
-                    empty_vm(&self.cell, listed).await;
+                    empty_vm(&self.cell, listed, true).await;
                     true
                 }
                 MoveStep::Accepted(_) => false,
--- a/crates/tanager-service/src/duty_cells.rs
+++ b/crates/tanager-service/src/duty_cells.rs
@@ -21,7 +21,11 @@
 
 /// Asks the owner of the VM's worker to empty it. If the view does not list the worker, which may
 /// live without an entry for a while, the owners of all cells of its pool are asked.
-pub(crate) async fn empty_vm(cell: &Arc<CellHandle>, entry: &MachineEntry) -> EmptyAnswer {
+pub(crate) async fn empty_vm(
+    cell: &Arc<CellHandle>,
+    entry: &MachineEntry,
+    evicts: bool,
+) -> EmptyAnswer {
     let Some(worker) = &entry.worker else {
         return EmptyAnswer::EMPTY;
     };
@@ -34,16 +38,21 @@
     };
     let mut sum = EmptyAnswer::EMPTY;
     for name in names {
-        let answer = empty_worker(cell, name, worker).await;
+        let answer = empty_worker(cell, name, worker, evicts).await;
         sum.empty &= answer.empty;
         sum.lasting |= answer.lasting;
     }
     sum
 }
 
-async fn empty_worker(cell: &Arc<CellHandle>, name: CellName, worker: &WorkerId) -> EmptyAnswer {
+async fn empty_worker(
+    cell: &Arc<CellHandle>,
+    name: CellName,
+    worker: &WorkerId,
+    evicts: bool,
+) -> EmptyAnswer {
     if let Some(own) = cell.context.cell(&name) {
-        return own.empty_worker(worker);
+        return own.empty_worker(worker, evicts);
     }
     let Some((_, address)) = cell.context.view().owner_of(&name) else {
         return EmptyAnswer::UNKNOWN;
@@ -51,6 +60,7 @@
     let request = EmptyRequest {
         cell: name,
         worker: worker.clone(),
+        evicts,
     };
     let asked = cell.context.peers.empty(address, &request, OWNER_TIMEOUT);
     match asked.await {
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -367,7 +367,7 @@
         },
         peers::EMPTY_PATH => match peers::decode::<EmptyRequest>(&request.body) {
             Ok(call) => match context.cell(&call.cell) {
-                Some(cell) => peers::reply(&cell.empty_worker(&call.worker)),
+                Some(cell) => peers::reply(&cell.empty_worker(&call.worker, call.evicts)),
                 None => HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, "not the owner"),
             },
             Err(error) => invalid(error),
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -142,6 +142,8 @@
     pub cell: CellName,
     /// Worker.
     pub worker: String,
+    /// Whether runs that lose nothing by a stop are stopped.
+    pub evicts: bool,
 }
 
 /// Answer to an [`EmptyRequest`].
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -50,13 +50,13 @@
     }
 
     /// Empties a worker; nothing is started there for a while.
-    pub fn empty_worker(self: &Arc<Self>, worker: &WorkerId) -> EmptyAnswer {
+    pub fn empty_worker(self: &Arc<Self>, worker: &WorkerId, evicts: bool) -> EmptyAnswer {
         // The next owner may start tasks there.
         if self.is_paused() || self.is_closed() {
             return EmptyAnswer::UNKNOWN;
         }
         let until = self.context.clock.now() + EMPTY_PERIOD;
-        let (empty, lasting) = self.core().close_worker(worker, until);
+        let (empty, lasting) = self.core().close_worker(worker, until, evicts);
         self.drive();
         EmptyAnswer { empty, lasting }
     }
