Advice: ask about other workers, one question at a time, ahead of the next step

Change: advice.rs keeps what was said per step and life of a worker, asks about workers of which nothing is known only for tasks that are left over, renews ended tickets alone, pauses after a failure, and asks for the next step while the one before it runs. A node asks one question at a time.

Questions of one node still go one after the other; with a service that takes 50 ms for 30 workers an owner gets 20 answers a second.

--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -162,6 +162,7 @@
         name: name.to_owned(),
         workers,
         spare: false,
+        advised: false,
     }
 }
 
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 
 mod faults;
 mod harness;
+mod policies;
 
 use std::time::Duration;
 
@@ -218,6 +219,7 @@
         name: "spare".to_owned(),
         workers: 2,
         spare: true,
+        advised: false,
     };
     let pools = [pool(POOL, 1), spare];
     let site = JobSite::start(2, &pools).await;
--- a/crates/tanager-schedule/src/job.rs
+++ b/crates/tanager-schedule/src/job.rs
@@ -1,7 +1,6 @@
 //! Jobs, occurrences, steps and tasks as the cell tracks them.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,10 +11,10 @@
 use tanager_jobs::StepSpec;
 use tanager_jobs::TaskProgress;
 use tanager_jobs::ids::RunNumber;
-use tanager_jobs::ids::WorkerId;
 use tanager_jobs::record::decode_done;
 use tanager_jobs::record::encode_done;
 
+use crate::advice::StepAdvice;
 use crate::worker::WorkerKey;
 
 /// A job in the memory of its owner.
@@ -65,12 +64,8 @@
     pub open: bool,
     /// Whether the runs of a gang are being stopped, to start again together.
     pub regroup: bool,
-    /// Tickets of the advice service.
-    pub tickets: HashMap<WorkerId, String>,
-    /// When the tickets end.
-    pub tickets_end: Duration,
-    /// Whether advice was asked for and not answered yet.
-    pub asking: bool,
+    /// What the advice service has said, where the queue needs it.
+    pub advice: StepAdvice,
 }
 
 /// Where a task is.
@@ -278,9 +273,7 @@
             idle: spec.count,
             open,
             regroup: false,
-            tickets: HashMap::new(),
-            tickets_end: Duration::ZERO,
-            asking: false,
+            advice: StepAdvice::default(),
         }
     }
 
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod action;
 pub mod admission;
+pub mod advice;
 pub mod capacity;
 pub mod core;
 pub mod evacuate;
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -125,7 +125,7 @@
         if answer == OrderAnswer::BadTicket
             && let Some(step) = self.step_mut(task)
         {
-            step.tickets.clear();
+            step.advice.drop_ticket(key);
         }
         self.release_run(key, task);
     }
@@ -198,12 +198,11 @@
         let Some(step) = self.step_mut(task) else {
             return;
         };
-        let tickets = step.tickets.clone();
+        let ticket = step.advice.ticket(key).cloned();
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
         let lease_until_ms = worker.lease_sent_ms;
-        let ticket = tickets.get(&worker.entry.worker).cloned();
         let Some(slot) = worker.runs.get_mut(&task) else {
             return;
         };
--- a/crates/tanager-schedule/src/place.rs
+++ b/crates/tanager-schedule/src/place.rs
@@ -6,12 +6,12 @@
 //! the other one needs.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::StepSpec;
 use tanager_jobs::TaskKey;
-use tanager_jobs::ids::WorkerId;
 
 use crate::action::CellAction;
 use crate::core::CellCore;
@@ -26,16 +26,12 @@
 const SLOW_WORKER: f64 = 2.0;
 /// A gang that wants one rack takes several when none had room for this long.
 const RACK_PATIENCE: Duration = Duration::from_millis(1_500);
-/// Most workers named in one question to the advice service; the platform's pages count 30.
-const ADVICE_WORKERS: usize = 30;
-/// Tickets that end sooner are not used for a start.
-const TICKET_MARGIN: Duration = Duration::from_millis(100);
 
 /// A worker that may get tasks.
 #[derive(Clone, Debug)]
-struct Candidate {
-    key: WorkerKey,
-    free: ResourceAmount,
+pub(crate) struct Candidate {
+    pub(crate) key: WorkerKey,
+    pub(crate) free: ResourceAmount,
     capacity_cpu: u64,
     runs: usize,
     rack: Option<String>,
@@ -48,7 +44,8 @@
     spec: &'a StepSpec,
     amount: ResourceAmount,
     avoid: Option<WorkerKey>,
-    tickets: Option<&'a HashMap<WorkerId, String>>,
+    /// Workers with a valid ticket, where the queue needs one.
+    allowed: Option<&'a HashSet<WorkerKey>>,
 }
 
 impl CellCore {
@@ -103,9 +100,6 @@
         let spec = &record.spec.steps[usize::from(step_number)];
         let needs_advice =
             (self.queues.get(&record.queue)).is_some_and(|policy| policy.advice.is_some());
-        if needs_advice && !self.has_tickets(key, candidates, now) {
-            return;
-        }
         let Some(step) = self.step(key) else { return };
         if step.regroup {
             let still_placed =
@@ -114,7 +108,7 @@
                 return;
             }
         }
-        let tickets = needs_advice.then(|| step.tickets.clone());
+        let allowed = needs_advice.then(|| step.advice.allowed(now));
         let mut used = self.tasks_by_worker(key);
         let idle: Vec<(usize, Option<WorkerKey>)> = (step.tasks.iter().enumerate())
             .filter(|(_, task)| task.phase == TaskPhase::Idle)
@@ -124,13 +118,16 @@
             spec,
             amount: spec.reserved(),
             avoid,
-            tickets: tickets.as_ref(),
+            allowed: allowed.as_ref(),
         };
         if spec.gang {
             if idle.len() == step.tasks.len() {
                 let chosen = self.choose_gang(&demand(None), idle.len(), candidates, key, now);
                 self.start_gang(key, chosen, now);
             }
+            if needs_advice {
+                self.follow_advice(key, spec, candidates, now);
+            }
             return;
         }
         for (index, avoid) in idle {
@@ -154,9 +151,28 @@
         if self.step(key).is_none_or(|step| step.idle == 0) {
             self.ready.remove(&key);
         }
+        if needs_advice {
+            self.follow_advice(key, spec, candidates, now);
+        }
     }
 
-    fn step(&self, (id, number, step): StepKey) -> Option<&crate::job::StepEntry> {
+    /// Asks about more workers for tasks that are left over, or else for the next steps.
+    fn follow_advice(
+        &mut self,
+        key: StepKey,
+        spec: &StepSpec,
+        candidates: &[Candidate],
+        now: Duration,
+    ) {
+        match self.step(key) {
+            Some(step) if step.idle > 0 => {
+                self.ask_advice(key, candidates, &spec.reserved(), now);
+            }
+            _ => self.ask_ahead(key, candidates, now),
+        }
+    }
+
+    pub(crate) fn step(&self, (id, number, step): StepKey) -> Option<&crate::job::StepEntry> {
         (self.jobs.get(&id)?.occurrences)
             .get(&number)?
             .steps
@@ -209,17 +225,12 @@
     }
 
     fn allows(&self, demand: &TaskDemand<'_>, candidate: &Candidate) -> bool {
-        if demand.spec.requirement.is_none() && demand.tickets.is_none() {
-            return true;
-        }
-        let Some(worker) = self.workers.get(candidate.key) else {
-            return false;
+        let Some(label) = &demand.spec.requirement else {
+            return (demand.allowed).is_none_or(|allowed| allowed.contains(&candidate.key));
         };
-        let labelled = (demand.spec.requirement.as_ref())
-            .is_none_or(|label| worker.entry.labels.contains(label));
-        let ticketed =
-            (demand.tickets).is_none_or(|tickets| tickets.contains_key(&worker.entry.worker));
-        labelled && ticketed
+        let labelled = (self.workers.get(candidate.key))
+            .is_some_and(|worker| worker.entry.labels.contains(label));
+        labelled && (demand.allowed).is_none_or(|allowed| allowed.contains(&candidate.key))
     }
 
     /// Chooses workers for all members of a gang; `None` when they do not all fit.
@@ -317,13 +328,12 @@
         };
         worker.lease_sent_ms = worker.lease_sent_ms.max(clock + lease);
         let lease_until_ms = worker.lease_sent_ms;
-        let id = worker.entry.worker.clone();
         let Some(step) = self.step_mut(task) else {
             return;
         };
         let index = task.index as usize;
         step.set_phase(index, TaskPhase::Placed(key));
-        let ticket = step.tickets.get(&id).cloned();
+        let ticket = step.advice.ticket(key).cloned();
         let entry = &mut step.tasks[index];
         let run = run.unwrap_or(entry.run + 1);
         entry.run = run;
@@ -340,61 +350,4 @@
             ticket,
         });
     }
-
-    /// Returns whether the step has tickets; asks for them otherwise.
-    fn has_tickets(&mut self, key: StepKey, candidates: &[Candidate], now: Duration) -> bool {
-        let (job, occurrence, step_number) = key;
-        let mut ordered: Vec<&Candidate> = candidates.iter().collect();
-        ordered.sort_by_key(|candidate| std::cmp::Reverse(candidate.free.cpu));
-        let workers: Vec<WorkerId> = (ordered.into_iter().take(ADVICE_WORKERS))
-            .filter_map(|candidate| self.workers.get(candidate.key))
-            .map(|worker| worker.entry.worker.clone())
-            .collect();
-        let task = TaskKey {
-            job,
-            occurrence,
-            step: step_number,
-            index: 0,
-        };
-        let Some(step) = self.step_mut(task) else {
-            return false;
-        };
-        if !step.tickets.is_empty() && now + TICKET_MARGIN < step.tickets_end {
-            return true;
-        }
-        if !step.asking {
-            step.asking = true;
-            self.actions.push(CellAction::AskAdvice {
-                job,
-                occurrence,
-                step: step_number,
-                workers,
-            });
-        }
-        false
-    }
-
-    /// Takes the answer of the advice service; `None` when there was none.
-    pub fn advice_answered(
-        &mut self,
-        key: StepKey,
-        tickets: Option<(HashMap<WorkerId, String>, Duration)>,
-        asked: Duration,
-    ) {
-        let (job, occurrence, step) = key;
-        let task = TaskKey {
-            job,
-            occurrence,
-            step,
-            index: 0,
-        };
-        if let Some(step) = self.step_mut(task) {
-            step.asking = false;
-            if let Some((tickets, validity)) = tickets {
-                step.tickets = tickets;
-                step.tickets_end = asked + validity;
-            }
-        }
-        self.placeable = true;
-    }
 }
--- /dev/null
+++ b/crates/tanager-schedule/tests/advice.rs
@@ -0,0 +1,197 @@
+//! Queues whose policy allows only some workers for a step. Each test names the failure that it
+//! guards against.
+
+#[allow(dead_code, reason = "the cell tests use the rest")]
+mod support;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tanager_jobs::AdviceCost;
+use tanager_jobs::EndCause;
+use tanager_jobs::OrderAnswer;
+use tanager_jobs::StepSpec;
+use tanager_jobs::ids::WorkerId;
+use tanager_schedule::CellAction;
+use tanager_schedule::QueuePolicy;
+use tanager_schedule::orders::OrderResult;
+
+use support::QUEUE;
+use support::TestCell;
+use support::entry;
+use support::job;
+use support::millis;
+use support::starts;
+use support::step;
+
+const VALIDITY: Duration = Duration::from_millis(3_000);
+
+fn advised_cell(workers: usize) -> TestCell {
+    let entries = (0..workers).map(|number| entry(&format!("w{number:02}")));
+    let mut cell = TestCell::new(entries.collect());
+    let policy = QueuePolicy {
+        advice: Some(AdviceCost {
+            decision: millis(5),
+            per_worker: millis(1),
+            validity: VALIDITY,
+        }),
+        ..QueuePolicy::default()
+    };
+    cell.core.set_queues([(QUEUE.to_owned(), policy)]);
+    cell
+}
+
+/// Step and workers of each question.
+fn questions(actions: &[CellAction]) -> Vec<(u16, Vec<WorkerId>)> {
+    (actions.iter())
+        .filter_map(|action| match action {
+            CellAction::AskAdvice { step, workers, .. } => Some((*step, workers.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn tickets(actions: &[CellAction]) -> Vec<Option<String>> {
+    (actions.iter())
+        .filter_map(|action| match action {
+            CellAction::Start { ticket, .. } => Some(ticket.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn answer(cell: &mut TestCell, step: u16, good: &[&str]) {
+    let tickets: HashMap<WorkerId, String> = (good.iter())
+        .map(|worker| ((*worker).to_owned(), format!("ticket-{worker}")))
+        .collect();
+    let key = (tanager_jobs::JobId(1), 0, step);
+    let now = cell.now;
+    cell.core
+        .advice_answered(key, Some((tickets, VALIDITY)), now, now);
+}
+
+/// Guards against a start without a ticket, or at a worker that may not run the step.
+#[test]
+fn tasks_start_only_with_tickets() {
+    let mut cell = advised_cell(3);
+    cell.accept(job(1, vec![step(4)]));
+    let actions = cell.tick();
+    assert!(starts(&actions).is_empty());
+    assert_eq!(questions(&actions).len(), 1);
+    // One question at a time.
+    cell.pass(millis(200));
+    assert!(questions(&cell.tick()).is_empty());
+    answer(&mut cell, 0, &["w01"]);
+    let actions = cell.tick();
+    assert_eq!(tickets(&actions), vec![Some("ticket-w01".to_owned()); 4]);
+}
+
+/// Guards against a step that asks about the same workers for ever although none of them may run
+/// it, while others could.
+#[test]
+fn other_workers_are_asked_about_when_none_is_good() {
+    let mut cell = advised_cell(40);
+    cell.accept(job(1, vec![step(1)]));
+    let first = questions(&cell.tick());
+    assert_eq!(first[0].1.len(), 30);
+    answer(&mut cell, 0, &[]);
+    let second = questions(&cell.tick());
+    assert_eq!(second[0].1.len(), 10);
+    assert!(
+        second[0]
+            .1
+            .iter()
+            .all(|worker| !first[0].1.contains(worker))
+    );
+    answer(&mut cell, 0, &[]);
+    for _ in 0..50 {
+        cell.pass(millis(100));
+        assert!(questions(&cell.tick()).is_empty());
+    }
+}
+
+/// Guards against a flood of questions while the service does not answer.
+#[test]
+fn failed_questions_are_repeated_after_a_pause() {
+    let mut cell = advised_cell(2);
+    cell.accept(job(1, vec![step(1)]));
+    let mut asked = 0;
+    for _ in 0..40 {
+        if !questions(&cell.tick()).is_empty() {
+            asked += 1;
+            let now = cell.now;
+            cell.core
+                .advice_answered((tanager_jobs::JobId(1), 0, 0), None, now, now);
+        }
+        cell.pass(millis(50));
+        cell.report_all();
+    }
+    assert!((3..=6).contains(&asked), "{asked} questions in 2 s");
+}
+
+/// Guards against tickets that are used after their time, and against asking again about workers
+/// that may not run the step.
+#[test]
+fn ended_tickets_are_renewed() {
+    let mut cell = advised_cell(3);
+    let short = StepSpec {
+        anti_affinity: 1,
+        ..step(2)
+    };
+    cell.accept(job(1, vec![short]));
+    cell.tick();
+    answer(&mut cell, 0, &["w02"]);
+    let started = starts(&cell.tick());
+    assert_eq!(started.len(), 1);
+    for _ in 0..40 {
+        cell.pass(millis(100));
+        cell.report_all();
+    }
+    let (worker, key, run) = started[0];
+    cell.end(worker, key, run, EndCause::Done);
+    cell.report_all();
+    let actions = cell.tick();
+    assert!(starts(&actions).is_empty());
+    assert_eq!(questions(&actions), vec![(0, vec!["w02".to_owned()])]);
+}
+
+/// Guards against a ticket that a worker refused and that is sent again for ever.
+#[test]
+fn refused_ticket_is_asked_for_again() {
+    let mut cell = advised_cell(1);
+    cell.accept(job(1, vec![step(1)]));
+    cell.tick();
+    answer(&mut cell, 0, &["w00"]);
+    // Not through the cell's own workers, which accept every order.
+    let now = cell.now;
+    cell.core.tick(now, cell.wall_ms(), true);
+    let actions = cell.core.take_actions();
+    let (worker, key, run) = starts(&actions)[0];
+    let refused = OrderResult::Answered(OrderAnswer::BadTicket);
+    cell.core.start_answered(worker, key, run, refused, now);
+    cell.pass(millis(100));
+    let actions = cell.tick();
+    assert!(starts(&actions).is_empty());
+    assert_eq!(questions(&actions).len(), 1);
+}
+
+/// Guards against a second step that waits for its advice only when it could start.
+#[test]
+fn next_step_asks_while_the_first_runs() {
+    let mut cell = advised_cell(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1)
+    };
+    cell.accept(job(1, vec![step(1), second]));
+    cell.tick();
+    answer(&mut cell, 0, &["w00"]);
+    let actions = cell.tick();
+    let (worker, key, run) = starts(&actions)[0];
+    assert_eq!(questions(&actions)[0].0, 1);
+    answer(&mut cell, 1, &["w01"]);
+    cell.pass(millis(200));
+    cell.end(worker, key, run, EndCause::Done);
+    cell.report_all();
+    assert_eq!(tickets(&cell.tick()), vec![Some("ticket-w01".to_owned())]);
+}
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -46,7 +46,7 @@
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// Connections to a worker that are idle for this long are closed.
 const LINK_IDLE: Duration = Duration::from_secs(20);
-/// Time limit of a call for advice, beyond what the service takes for its decisions.
+/// Time limit of a call for advice: many times what the service takes for 30 workers.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// A cell that this node owns.
@@ -430,9 +430,11 @@
     }
 
     async fn ask_advice(self: Arc<Self>, key: StepKey, workers: Vec<WorkerId>) {
-        let asked = self.context.clock.now();
         let (job, occurrence, step) = key;
         let name = format!("{job}.{occurrence}.{step}");
+        // The service takes one question of a node at a time; a ticket's life begins with it.
+        let turn = self.context.advice_turn.lock().await;
+        let asked = self.context.clock.now();
         let advice = match &self.context.advice {
             Some(client) => client.ask(&name, &workers, ADVICE_TIMEOUT).await,
             None => Err(TanagerError::new(
@@ -442,15 +444,26 @@
                 "the settings name no advice service",
             )),
         };
-        let tickets = match advice {
-            Ok(advice) => Some((advice.tickets.into_iter().collect(), advice.validity)),
+        drop(turn);
+        let now = self.context.clock.now();
+        let answer = match advice {
+            Ok(advice) => {
+                log::info!(
+                    "event=advice_taken job={job} step={name} asked={} good={} validity={:?} \
+                     after={:?}",
+                    workers.len(),
+                    advice.tickets.len(),
+                    advice.validity,
+                    now.saturating_sub(asked)
+                );
+                Some((advice.tickets.into_iter().collect(), advice.validity))
+            }
             Err(error) => {
                 log::warn!("event=advice_failed job={job} step={name} error={error:?}");
-                time::sleep(ORDER_TIMEOUT).await;
                 None
             }
         };
-        self.core().advice_answered(key, tickets, asked);
+        self.core().advice_answered(key, answer, asked, now);
         self.drive();
     }
 
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -72,6 +72,8 @@
     pub peers: Arc<PeerClient>,
     /// Advice service.
     pub advice: Option<AdviceClient>,
+    /// Held during a question to the advice service.
+    pub advice_turn: tokio::sync::Mutex<()>,
     /// Machine API.
     pub machines: Option<MachineClient>,
     /// Wakes the reader of owners.
@@ -245,6 +247,7 @@
         let incarnation = (clock.wall_ms() << 16) | u64::from(rand::random::<u16>());
         let context = Arc::new(NodeContext {
             advice: settings.advice_address.map(AdviceClient::new),
+            advice_turn: tokio::sync::Mutex::new(()),
             machines: settings.machines_address.map(MachineClient::new),
             incarnation,
             clock,
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -1,12 +1,14 @@
 //! A stand-in of the users' platform for the job service: the metadata store, workers and the
 //! machine API, as the platform's pages describe them. Everything listens on 127.0.0.1.
 
+mod advice;
 mod faults;
 mod machines;
 mod settings;
 mod table;
 mod worker;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -50,6 +52,8 @@
     pub workers: usize,
     /// Whether its VMs are off until they are moved.
     pub spare: bool,
+    /// Whether starts need a ticket of the advice service.
+    pub advised: bool,
 }
 
 /// State that all parts share.
@@ -60,6 +64,8 @@
     pub(crate) faults: SiteFaults,
     pub(crate) start: Instant,
     pub(crate) orders: Vec<String>,
+    /// Pools whose workers ask for tickets.
+    pub(crate) advised: BTreeSet<String>,
 }
 
 pub(crate) type SharedSite = Arc<Mutex<SiteState>>;
@@ -69,6 +75,7 @@
     state: SharedSite,
     store: HttpServer,
     machines: HttpServer,
+    advice: HttpServer,
     servers: Vec<HttpServer>,
     beats: JoinHandle<()>,
 }
@@ -91,6 +98,10 @@
             faults: SiteFaults::default(),
             start: Instant::now(),
             orders: Vec::new(),
+            advised: (pools.iter())
+                .filter(|pool| pool.advised)
+                .map(|pool| pool.name.clone())
+                .collect(),
         }));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let limits = ServerLimits::default();
@@ -108,6 +119,13 @@
             Arc::new(move |request| Box::pin(machines::handle(Arc::clone(&shared), request))),
         )
         .await?;
+        let shared = Arc::clone(&state);
+        let advice = HttpServer::bind(
+            any,
+            limits,
+            Arc::new(move |request| Box::pin(advice::handle(Arc::clone(&shared), request))),
+        )
+        .await?;
         let mut servers = Vec::new();
         for pool in pools {
             for number in 0..pool.workers {
@@ -132,6 +150,7 @@
             state,
             store,
             machines,
+            advice,
             servers,
             beats,
         })
@@ -147,6 +166,16 @@
         self.machines.address()
     }
 
+    /// Address of the advice service.
+    pub fn advice_address(&self) -> SocketAddr {
+        self.advice.address()
+    }
+
+    /// Time since the start, as in [`SeenRun`].
+    pub fn elapsed(&self) -> Duration {
+        lock(&self.state).start.elapsed()
+    }
+
     /// Changes the faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut SiteFaults)) {
         change(&mut lock(&self.state).faults);
@@ -167,7 +196,11 @@
         let routes: Vec<_> = (pools.iter())
             .filter(|pool| !pool.spare)
             .map(|pool| {
-                json!({"name": pool.name, "host": HOST, "path_prefix": format!("/{}/", pool.name),
+                let advice = pool.advised.then(|| {
+                    json!({"decision_ms": advice::DECISION_MS, "each_ms": advice::EACH_MS,
+                           "validity_ms": advice::VALIDITY_MS})
+                });
+                json!({"name": pool.name, "host": HOST, "advice": advice, "path_prefix": format!("/{}/", pool.name),
                        "service": pool.name, "priority": 0, "max_attempts": 3, "stretch": 2.0,
                        "target_latency_ms": 600})
             })
@@ -217,6 +250,7 @@
         self.beats.abort();
         self.store.stop().await;
         self.machines.stop().await;
+        self.advice.stop().await;
         for server in self.servers {
             server.stop().await;
         }
--- a/crates/tanager-standin/src/site/settings.rs
+++ b/crates/tanager-standin/src/site/settings.rs
@@ -92,7 +92,7 @@
             "heartbeat_ms": 500,
             "bounds": {"maximum_hold_ms": 6_000, "stop_ms": 200, "grace_s": 6, "status_s": 120,
                        "lease_ms": 1_000, "maintenance_s": 0.6, "move_s": 0.6},
-            "orders": "call", "advice": null,
+            "orders": "call", "advice": self.advice_address().to_string(),
             "platform": {"address": store.to_string(), "form": "table", "row_bytes": 65_536},
             "cloud_api": {"address": self.machines_address().to_string()},
         })
--- a/crates/tanager-standin/src/site/worker.rs
+++ b/crates/tanager-standin/src/site/worker.rs
@@ -15,6 +15,7 @@
 use super::SharedSite;
 use super::SiteState;
 use super::SiteTable;
+use super::advice;
 use super::answer;
 use super::body_of;
 use super::faults::happens;
@@ -224,6 +225,12 @@
         }
     }
 
+    fn has_ticket(&self, body: &Value, now: Duration) -> bool {
+        let ticket = body["ticket"].as_str().unwrap_or_default();
+        let task = body["task"].as_str().unwrap_or_default();
+        advice::admits(ticket, &self.id(), task, now)
+    }
+
     fn start(
         &mut self,
         body: &Value,
@@ -359,7 +366,12 @@
 ) -> Option<HttpResponse> {
     let now = state.start.elapsed();
     let fails = happens(state.faults.runs_fail);
-    let SiteState { workers, log, .. } = state;
+    let SiteState {
+        workers,
+        log,
+        advised,
+        ..
+    } = state;
     let worker = &mut workers[index];
     if !worker.is_up(now) {
         return None;
@@ -378,6 +390,9 @@
     }
     worker.token = token;
     let (status, reason) = match request.path.as_str() {
+        "/run-start" if advised.contains(&worker.pool) && !worker.has_ticket(body, now) => {
+            (409, "ticket")
+        }
         "/run-start" => worker.start(body, now, fails, log),
         "/run-stop" => worker.stop(body, now, log),
         "/hold" => {
