Pace: repeat lost orders, order it anew after a takeover, and do not call it a hang

Change: the pace of a run is known only once the worker has answered; otherwise it is ordered again with the next decision. Runs that are paced down are not watched for hanging.

--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -88,7 +88,7 @@
         /// Run.
         run: RunNumber,
     },
-    /// Order a change of pace. A lost order is repeated by later decisions.
+    /// Order a change of pace; the answer goes to `CellCore::pace_answered`.
     Pace {
         /// Worker.
         worker: WorkerKey,
--- a/crates/tanager-schedule/src/evacuate.rs
+++ b/crates/tanager-schedule/src/evacuate.rs
@@ -135,7 +135,10 @@
                 .clock
                 .map_or(Duration::ZERO, |(_, received)| received);
             for (task, run) in &worker.runs {
+                // A run that was paced down may stand still on order.
                 let is_stalled = run.stage == RunStage::Running
+                    && run.pace_known
+                    && run.pace == 100
                     && heard.saturating_sub(run.progressed) > STALL_LIMIT;
                 if is_stalled && !self.spec(*task).is_some_and(|spec| spec.long_running) {
                     stuck.push((key, *task));
--- a/crates/tanager-schedule/src/pace.rs
+++ b/crates/tanager-schedule/src/pace.rs
@@ -6,10 +6,13 @@
 
 use std::time::Duration;
 
+use tanager_jobs::OrderAnswer;
 use tanager_jobs::TaskKey;
+use tanager_jobs::ids::RunNumber;
 
 use crate::action::CellAction;
 use crate::core::CellCore;
+use crate::orders::OrderResult;
 use crate::worker::RunStage;
 use crate::worker::WorkerKey;
 
@@ -62,8 +65,10 @@
             } else {
                 run.pace
             };
-            if pace != run.pace {
+            if pace != run.pace || !run.pace_known {
                 run.pace = pace;
+                // Until the worker answers.
+                run.pace_known = false;
                 run.paced = now;
                 self.actions.push(CellAction::Pace {
                     worker: key,
@@ -74,4 +79,20 @@
             }
         }
     }
+
+    /// Takes the result of an order of pace. One that was not carried out is ordered again.
+    pub fn pace_answered(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        (run, percent): (RunNumber, u32),
+        result: OrderResult,
+    ) {
+        let slot = (self.workers.get_mut(key))
+            .and_then(|worker| worker.runs.get_mut(&task))
+            .filter(|slot| slot.run == run && slot.pace == percent);
+        if let Some(slot) = slot {
+            slot.pace_known = result == OrderResult::Answered(OrderAnswer::Accepted);
+        }
+    }
 }
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -320,6 +320,8 @@
         }
         let mut slot = RunSlot::starting(running.run, amount, now);
         slot.in_flight = false;
+        // The owner before may have paced it.
+        slot.pace_known = false;
         slot.note_listed(running, now);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.add_run(task, slot);
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -74,8 +74,10 @@
     pub progressed: Duration,
     /// Usage in the last report.
     pub usage: u64,
-    /// Pace in percent.
+    /// Pace in percent that was ordered last.
     pub pace: u32,
+    /// Whether the worker surely works at that pace.
+    pub pace_known: bool,
     /// Last change of pace.
     pub paced: Duration,
 }
@@ -285,6 +287,7 @@
             progressed: now,
             usage: 0,
             pace: 100,
+            pace_known: true,
             paced: Duration::ZERO,
         }
     }
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -427,6 +427,8 @@
             "event=run_paced job={} task={task} run={run} percent={percent} result={result:?}",
             task.job
         );
+        self.core()
+            .pace_answered(worker, task, (run, percent), result);
     }
 
     async fn ask_advice(self: Arc<Self>, key: StepKey, workers: Vec<WorkerId>) {
