Soak: faults overlap, with configurations, waves, reloads and any number of nodes

Before, the soak injected one fault after the other. Now a seed draws a timeline in which faults of nodes, of their connections, of the store and of workers overlap, beside new configurations, maintenance waves and reloads. SOAK_NODES and SOAK_WORKERS set the size of a site.

--- a/crates/tanager-node/tests/soak/main.rs
+++ b/crates/tanager-node/tests/soak/main.rs
@@ -5,10 +5,13 @@
 //!
 //! CI plays the seeds in `SEEDS`: one new kind of day and every seed that ever failed.
 //! `SOAK_SEEDS=50 cargo test -p tanager-node --test soak` plays seeds 0 to 49 instead.
+//! `SOAK_NODES` and `SOAK_WORKERS` set the size of each site: `SOAK_SEEDS=1 SOAK_NODES=200` goes to
+//! a few hundred processes.
 
 #[allow(dead_code, reason = "the harness serves the job tests too")]
 #[path = "../jobs/harness.rs"]
 mod harness;
+mod plan;
 mod proxy;
 
 use std::collections::BTreeMap;
@@ -24,7 +27,9 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde_json::json;
 use tanager_standin::site::SeenRun;
+use tanager_standin::site::SiteFaults;
 use tanager_standin::site::SiteStandin;
 use tokio::runtime::Runtime;
 use tokio::time;
@@ -33,14 +38,18 @@
 use harness::JobSite;
 use harness::pool;
 use harness::steps;
+use plan::FaultStep;
+use plan::SiteFault;
+use plan::draw_steps;
 use proxy::FaultProxy;
-use proxy::ProxyMode;
 
 /// Seeds played in CI. A seed that failed stays here with a line on its cause.
 const SEEDS: [u64; 1] = [1];
 const POOL: &str = "entry";
 const NODES: usize = 3;
 const WORKERS: usize = 4;
+/// Plays at a time; each has some ten processes and threads of its own.
+const PARALLEL: usize = 5;
 /// Time in which faults and jobs come.
 const BUSY: Duration = Duration::from_secs(12);
 /// Time for everything to end after that; covers leases, detection and late answers.
@@ -57,6 +66,19 @@
     cancelled: bool,
 }
 
+fn from_environment(name: &str, default: usize) -> usize {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn node_count() -> usize {
+    from_environment("SOAK_NODES", NODES)
+}
+
+fn worker_count() -> usize {
+    from_environment("SOAK_WORKERS", WORKERS)
+}
+
 type FateTable = Arc<Mutex<BTreeMap<String, JobFate>>>;
 
 fn set_fate(fates: &FateTable, id: &str, change: impl FnOnce(&mut JobFate)) {
@@ -64,64 +86,102 @@
     change(fates.entry(id.to_owned()).or_default());
 }
 
-/// Injects one random fault; returns how to end it after how long.
-async fn inject(site: &mut JobSite, proxies: &[FaultProxy], rng: &mut SmallRng) -> String {
-    let node = rng.random_range(0..NODES);
-    let pause = Duration::from_millis(rng.random_range(200..3_000));
-    let kind = rng.random_range(0..11);
-    match kind {
-        0 => {
-            site.nodes[node].kill();
-            time::sleep(pause / 4).await;
-            site.nodes[node].restart();
-        }
-        1 => {
-            site.nodes[node].signal(Signal::SIGSTOP);
-            time::sleep(pause * 2).await;
-            site.nodes[node].signal(Signal::SIGCONT);
+/// Carries out the steps of a play.
+struct FaultDriver<'a> {
+    site: &'a mut JobSite,
+    proxies: &'a [FaultProxy],
+    /// Nodes that were asked to end and are started again.
+    ending: BTreeSet<usize>,
+    version: u64,
+    wave: u64,
+}
+
+impl FaultDriver<'_> {
+    async fn play(&mut self, steps: &[(Duration, FaultStep)]) {
+        let begin = Instant::now();
+        for (at, step) in steps {
+            while begin.elapsed() < *at {
+                time::sleep(Duration::from_millis(20)).await;
+                self.restart_ended();
+            }
+            self.carry_out(*step);
         }
-        2 => {
-            site.nodes[node].signal(Signal::SIGTERM);
-            site.nodes[node].wait().await;
-            site.nodes[node].restart();
+        self.site
+            .site
+            .set_faults(|faults| *faults = SiteFaults::default());
+        for &node in &self.ending {
+            self.site.nodes[node].wait().await;
+            self.site.nodes[node].restart();
         }
-        3 => {
-            for node in &mut site.nodes {
-                node.kill();
+    }
+
+    fn restart_ended(&mut self) {
+        let nodes = &mut self.site.nodes;
+        self.ending.retain(|&node| {
+            let is_running = nodes[node].is_running();
+            if !is_running {
+                nodes[node].restart();
             }
-            for node in &mut site.nodes {
-                node.restart();
+            is_running
+        });
+    }
+
+    fn carry_out(&mut self, step: FaultStep) {
+        let nodes = &mut self.site.nodes;
+        match step {
+            FaultStep::Kill(node) => nodes[node].kill(),
+            FaultStep::Restart(node) => {
+                if !self.ending.contains(&node) && !nodes[node].is_running() {
+                    nodes[node].restart();
+                }
+            }
+            FaultStep::Freeze(node) => signal(&mut nodes[node], Signal::SIGSTOP),
+            FaultStep::Thaw(node) => signal(&mut nodes[node], Signal::SIGCONT),
+            FaultStep::Reload(node) => signal(&mut nodes[node], Signal::SIGHUP),
+            FaultStep::Terminate(node) => {
+                signal(&mut nodes[node], Signal::SIGTERM);
+                self.ending.insert(node);
+            }
+            FaultStep::Begin(fault) => self.site.site.set_faults(|faults| set(faults, fault, true)),
+            FaultStep::End(fault) => self
+                .site
+                .site
+                .set_faults(|faults| set(faults, fault, false)),
+            FaultStep::Proxy(node, mode) => self.proxies[node].set(mode),
+            FaultStep::Silence(node) => self.proxies[node].silence_open(),
+            FaultStep::CrashWorker(worker, pause) => self.site.site.crash_worker(worker, pause),
+            FaultStep::Configure => {
+                self.version += 1;
+                let pools = [pool(POOL, worker_count())];
+                self.site.site.put_config(self.version, &pools);
+            }
+            FaultStep::Wave => {
+                self.wave += 1;
+                let vms = self.site.site.vms(POOL);
+                let wave = json!({"wave": self.wave, "machines": vms, "duration_s": 10, "cap": 1});
+                let key = format!("wave/{}", self.wave);
+                let text = wave.to_string();
+                self.site.site.put_row("op", &key, text.as_bytes());
             }
         }
-        4 => with_fault(&site.site, pause, |faults| faults.store_refuses = true).await,
-        5 => with_fault(&site.site, pause, |faults| faults.store_silent = true).await,
-        6 => with_fault(&site.site, pause, |faults| faults.changes_lost = 0.3).await,
-        7 => with_fault(&site.site, pause, |faults| faults.orders_lost = 0.2).await,
-        8 => site.site.crash_worker(rng.random_range(0..WORKERS), pause),
-        9 => {
-            let modes = [
-                ProxyMode::Delay(Duration::from_millis(150)),
-                ProxyMode::CutRequests,
-                ProxyMode::CutAnswers,
-                ProxyMode::Reset,
-            ];
-            proxies[node].set(modes[rng.random_range(0..modes.len())]);
-            time::sleep(pause).await;
-            proxies[node].set(ProxyMode::Pass);
-        }
-        _ => proxies[node].silence_open(),
     }
-    format!("kind {kind} node {node} for {pause:?}")
 }
 
-async fn with_fault(
-    site: &SiteStandin,
-    pause: Duration,
-    change: impl FnOnce(&mut tanager_standin::site::SiteFaults),
-) {
-    site.set_faults(change);
-    time::sleep(pause).await;
-    site.set_faults(|faults| *faults = tanager_standin::site::SiteFaults::default());
+/// Sends a signal unless the process has ended: its id may belong to another one by now.
+fn signal(node: &mut JobProcess, signal: Signal) {
+    if node.is_running() {
+        node.signal(signal);
+    }
+}
+
+fn set(faults: &mut SiteFaults, fault: SiteFault, is_on: bool) {
+    let share = |share| if is_on { share } else { 0.0 };
+    match fault {
+        SiteFault::StoreRefuses => faults.store_refuses = is_on,
+        SiteFault::StoreSilent => faults.store_silent = is_on,
+        SiteFault::ChangesLost => faults.changes_lost = share(0.3),
+        SiteFault::OrdersLost => faults.orders_lost = share(0.2),
+    }
 }
 
 /// One attempt of a client.
@@ -157,20 +217,20 @@
 }
 
 async fn play(seed: u64) -> Result<(), String> {
-    let site = SiteStandin::spawn(&[pool(POOL, WORKERS)])
+    let site = SiteStandin::spawn(&[pool(POOL, worker_count())])
         .await
         .expect("stand-in");
-    site.put_config(1, &[pool(POOL, WORKERS)]);
+    site.put_config(1, &[pool(POOL, worker_count())]);
     let mut proxies = Vec::new();
     let mut nodes = Vec::new();
-    for number in 0..NODES {
+    for number in 0..node_count() {
         let proxy = FaultProxy::bind(site.store_address()).await;
         let name = format!("node-{number}");
         nodes.push(JobProcess::spawn_through(&site, &name, proxy.address));
         proxies.push(proxy);
     }
     let mut site = JobSite { site, nodes };
-    site.wait_until_owned(&[pool(POOL, WORKERS)]).await;
+    site.wait_until_owned(&[pool(POOL, worker_count())]).await;
     let addresses: Vec<_> = (site.nodes.iter())
         .map(|node| node.ports.client_address())
         .collect();
@@ -188,21 +248,21 @@
         }
         while attempts.join_next().await.is_some() {}
     });
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mut faults = Vec::new();
-    let begin = Instant::now();
-    while begin.elapsed() < BUSY {
-        let at = begin.elapsed();
-        let fault = inject(&mut site, &proxies, &mut rng).await;
-        faults.push(format!("{at:?} {fault}"));
-        time::sleep(Duration::from_millis(rng.random_range(50..700))).await;
-    }
+    let steps = draw_steps(seed, BUSY, node_count(), worker_count());
+    let mut driver = FaultDriver {
+        site: &mut site,
+        proxies: &proxies,
+        ending: BTreeSet::new(),
+        version: 1,
+        wave: 0,
+    };
+    driver.play(&steps).await;
     load.await.expect("the load ends");
     let fates = fates.lock().expect("fates").clone();
     let result = judge(&site, &fates).await;
     result.map_err(|error| {
         let logs: Vec<_> = site.nodes.iter().map(|node| node.log.clone()).collect();
-        format!("seed {seed}: {error}\nfaults: {faults:#?}\nlogs: {logs:?}")
+        format!("seed {seed}: {error}\nsteps: {steps:?}\nlogs: {logs:?}")
     })
 }
 
@@ -293,7 +353,7 @@
     };
     let mut failures = Vec::new();
     // Several sites at a time, within half of the machine.
-    for group in seeds.chunks(5) {
+    for group in seeds.chunks(PARALLEL) {
         let plays: Vec<_> = (group.iter())
             .map(|&seed| thread::spawn(move || play_alone(seed)))
             .collect();
