Model: moves, waves and handovers with tasks that last and checkpoints

A mover empties workers through the current owner and takes their VMs down; owners hand the cell over; jobs have lasting steps and steps that write checkpoints. Checked besides the rest: AVAIL, and that a start carries its own task's checkpoint.

(1) The model left a call to a worker that went down meanwhile without a timeout, so the owner never asked that worker again: mended in the model. (2) Behind it, a member counted as at work while its worker answered orders, though no list of runs had come for seconds; the answers may be those of another life.

--- a/crates/tanager-schedule/src/evacuate.rs
+++ b/crates/tanager-schedule/src/evacuate.rs
@@ -113,13 +113,13 @@
     }
 
     /// Returns whether a task that lasts is known to be at work. One at a worker that does not
-    /// answer may be away already.
+    /// answer may be away already, and so may one at a worker that answers orders in a new life.
     fn is_at_work(&self, task: TaskKey, phase: TaskPhase, now: Duration) -> bool {
         let TaskPhase::Placed(worker) = phase else {
             return false;
         };
         (self.workers.get(worker))
-            .filter(|worker| worker.is_in_contact(now) && !worker.failing)
+            .filter(|worker| worker.is_heard(now) && !worker.failing)
             .and_then(|worker| worker.runs.get(&task))
             .is_some_and(|run| run.stage == RunStage::Running && run.percent >= 100)
     }
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -183,6 +183,12 @@
             .is_some_and(|contacted| now.saturating_sub(contacted) < CONTACT_LIMIT)
     }
 
+    /// Returns whether the worker listed its runs lately.
+    pub fn is_heard(&self, now: Duration) -> bool {
+        self.clock
+            .is_some_and(|(_, received)| now.saturating_sub(received) < CONTACT_LIMIT)
+    }
+
     /// Returns whether new tasks may be placed here.
     pub fn is_usable(&self, now: Duration) -> bool {
         let missing = self
--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -398,6 +398,28 @@
     assert!(stops(&cell.tick()).is_empty());
 }
 
+/// Guards against counting a member as at work because its worker answers orders, while nothing was
+/// heard of its runs: it may be another life (AVAIL; model, moves_and_crashes, seed 172).
+#[test]
+fn member_that_is_not_listed_lately_is_away() {
+    let mut cell = two_workers();
+    cell.accept(job(1, vec![lasting(2, 1)]));
+    let started = starts(&cell.tick());
+    cell.pass(millis(100));
+    cell.report_all();
+    let (unheard, well) = (started[0], started[1].0);
+    let name = cell.core.worker(well).map(|slot| slot.entry.worker.clone());
+    cell.core
+        .close_worker(&name.expect("known"), millis(10_000), false);
+    cell.pass(millis(2_000));
+    cell.report(well);
+    let (worker, key, run) = unheard;
+    let answered = OrderResult::Answered(OrderAnswer::Accepted);
+    cell.core
+        .start_answered(worker, key, run, answered, cell.now);
+    assert!(stops(&cell.tick()).is_empty());
+}
+
 /// Guards against runs that nobody asked for and that go on (UNASKED).
 #[test]
 fn unknown_runs_are_stopped() {
--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -1,7 +1,8 @@
 //! The real scheduling and recovery code in a model of the store, the workers and the owners,
 //! under seeded faults. Guards against two runs of a task at once, starts after a task is done or
-//! has failed too often, starts in the wrong order or after a cancellation, and jobs that never
-//! end or end in a wrong state.
+//! has failed too often, starts in the wrong order or after a cancellation, a checkpoint of another
+//! task, too many members of a step that are away by orders, and jobs that never end or end in a
+//! wrong state.
 //!
 //! `MODEL_SEEDS=5000 cargo test --release -p tanager-schedule --test model` runs more seeds;
 //! `MODEL_TRACE=7` runs only seed 7 and prints what happens, with `MODEL_TASK=JOB.0.STEP.INDEX` also
@@ -10,6 +11,7 @@
 mod model {
     pub(crate) mod calls;
     pub(crate) mod check;
+    pub(crate) mod mover;
     pub(crate) mod owner;
     pub(crate) mod worker;
     pub(crate) mod world;
@@ -29,6 +31,8 @@
 const SEEDS: u64 = 40;
 /// Time in which faults are injected and jobs come.
 const BUSY: Duration = Duration::from_secs(20);
+/// Jobs that last are cancelled this long after the faults have ended.
+const LASTING: Duration = Duration::from_secs(10);
 /// Time for everything to end; covers late orders, leases and the detection of a dead owner.
 const QUIET: Duration = Duration::from_secs(45);
 
@@ -42,6 +46,8 @@
     store_outages: false,
     cuts: false,
     poison: 0.0,
+    moves: false,
+    handovers: false,
 };
 
 fn run_seed(seed: u64, plan: FaultPlan) -> Result<(), String> {
@@ -52,6 +58,7 @@
         .and_then(|text| text.parse().ok());
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
     let mut accepted = Vec::new();
+    let mut lasting = Vec::new();
     while world.now < BUSY + QUIET {
         world.step();
         if world.now < BUSY && rng.random_bool(0.02) {
@@ -60,6 +67,15 @@
                 .collect();
             accepted.extend(world.submit(&steps));
         }
+        if plan.moves && world.now < BUSY && rng.random_bool(0.002) {
+            lasting.extend(world.submit_lasting(rng.random_range(2..=3)));
+        }
+        // Tasks that last end only so.
+        if world.now >= BUSY + LASTING
+            && let Some(id) = lasting.pop()
+        {
+            world.cancel(id);
+        }
         if world.now < BUSY && !accepted.is_empty() && rng.random_bool(0.002) {
             let id = accepted[rng.random_range(0..accepted.len())];
             world.cancel(id);
@@ -135,6 +151,18 @@
     store_outages: FaultPlan { store_outages: true, crash_every: Duration::from_secs(8), ..CALM };
     cut_workers: FaultPlan { cuts: true, ..CALM };
     poison: FaultPlan { poison: 0.3, crash_every: Duration::from_secs(8), ..CALM };
+    moves: FaultPlan { moves: true, ..CALM };
+    moves_and_handovers: FaultPlan { moves: true, handovers: true, ..CALM };
+    moves_and_crashes: FaultPlan {
+        moves: true,
+        handovers: true,
+        answer_lost: 0.03,
+        call_lost: 0.03,
+        crash_every: Duration::from_secs(6),
+        freezes: true,
+        store_outages: true,
+        ..CALM
+    };
     late_orders_to_the_next_life: FaultPlan {
         late: 0.05,
         reaches_next_life: true,
@@ -151,5 +179,7 @@
         store_outages: true,
         cuts: true,
         poison: 0.1,
+        moves: false,
+        handovers: false,
     };
 }
--- a/crates/tanager-schedule/tests/model/calls.rs
+++ b/crates/tanager-schedule/tests/model/calls.rs
@@ -9,12 +9,16 @@
 use tanager_schedule::WorkerKey;
 use tanager_schedule::orders::OrderResult;
 
+use super::worker::ModelStart;
 use super::world::World;
 
 /// A late order reaches a later life of a worker only when that life is this old. The owner learns
 /// of the life by its next hold; a dead owner's orders meet a worker that knows no token before.
 const REBORN_MS: f64 = 4_500.0;
 
+/// Time limit of a call.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A call that is under way.
 #[derive(Clone)]
 pub(crate) enum Message {
@@ -22,6 +26,7 @@
         task: TaskKey,
         run: u64,
         until_ms: u64,
+        checkpoint: String,
     },
     Stop {
         task: TaskKey,
@@ -86,6 +91,10 @@
             _ => false,
         };
         let work = Duration::from_millis(self.rng.random_range(100..900));
+        let lasts = match &transit.message {
+            Message::Start { task, .. } => self.is_lasting(*task),
+            _ => false,
+        };
         let is_other_life = transit.born_ms != self.workers[number].born_ms;
         let sender = &self.owners[transit.owner];
         let is_sender_alive = sender.alive && self.now >= sender.frozen_until;
@@ -108,6 +117,14 @@
                 )
             });
         }
+        if let Message::Stop { task, run } = &transit.message {
+            self.trace(|| {
+                let (token, owner) = (transit.token, transit.owner);
+                format!(
+                    "stop of {task} run {run} at worker {number} by owner {owner} token {token}"
+                )
+            });
+        }
         let worker = &mut self.workers[number];
         let reply = match (&transit.message, worker.up) {
             (_, false) => Reply::Nothing,
@@ -116,9 +133,21 @@
                     task,
                     run,
                     until_ms,
+                    checkpoint,
                 },
                 true,
-            ) => Reply::Order(worker.start(*task, *run, *until_ms, transit.token, work, poisoned)),
+            ) => {
+                let task_run = (*task, *run);
+                let start = ModelStart {
+                    until_ms: *until_ms,
+                    token: transit.token,
+                    work,
+                    fails: poisoned,
+                    lasts,
+                    checkpoint,
+                };
+                Reply::Order(worker.start(task_run, &start))
+            }
             (Message::Stop { task, run }, true) => {
                 Reply::Order(worker.stop(*task, *run, transit.token))
             }
@@ -135,9 +164,14 @@
             },
         };
         self.collect(number, transit.is_late);
-        if transit.answers && !matches!(reply, Reply::Nothing) {
+        if transit.answers {
+            // A worker that went down meanwhile does not answer; the call times out.
+            let delay = match reply {
+                Reply::Nothing => TIMEOUT,
+                _ => Duration::from_millis(self.rng.random_range(1..8)),
+            };
             transit.reply = Some(reply);
-            transit.at = self.now + Duration::from_millis(self.rng.random_range(1..8));
+            transit.at = self.now + delay;
             self.transits.push(transit);
         }
     }
@@ -210,7 +244,7 @@
         let unanswered = lost || late || self.chance(self.plan.answer_lost);
         let token = self.owners[owner].token;
         let born_ms = self.workers[worker].born_ms;
-        let timeout = self.now + Duration::from_millis(400);
+        let timeout = self.now + TIMEOUT;
         if unanswered || !self.workers[worker].up {
             // The owner learns of it when the call times out.
             self.transits.push(Transit {
--- a/crates/tanager-schedule/tests/model/check.rs
+++ b/crates/tanager-schedule/tests/model/check.rs
@@ -63,6 +63,10 @@
                     seen.ended = Some((now, *cause, *number));
                 }
             }
+            WorkerEvent::Strange(task) => {
+                let text = format!("UNASKED: {task} began with another checkpoint at {now:?}");
+                self.violations.push(text);
+            }
             WorkerEvent::Noted(cursor) => {
                 for seen in self.runs.values_mut().flatten() {
                     let is_noted = seen.worker == worker
--- a/crates/tanager-schedule/tests/model/owner.rs
+++ b/crates/tanager-schedule/tests/model/owner.rs
@@ -121,12 +121,14 @@
                     task,
                     run,
                     lease_until_ms,
+                    checkpoint,
                     ..
                 } => {
                     let message = Message::Start {
                         task,
                         run,
                         until_ms: lease_until_ms,
+                        checkpoint,
                     };
                     self.send(number, worker, message);
                 }
@@ -193,6 +195,19 @@
         owner.core.note_registered(&commit.registered);
     }
 
+    /// The current owner gives the cell up, and another node takes it.
+    pub(crate) fn hand_over(&mut self) {
+        let now = self.now;
+        if let Some(owner) = self.current()
+            && owner.alive
+            && now >= owner.frozen_until
+            && owner.commit.is_none()
+        {
+            owner.alive = false;
+            self.take_over(true);
+        }
+    }
+
     /// Another node takes the cell of an owner that is dead or seems to be.
     pub(crate) fn replace_owner(&mut self) {
         let now = self.now;
--- a/crates/tanager-schedule/tests/model/worker.rs
+++ b/crates/tanager-schedule/tests/model/worker.rs
@@ -23,6 +23,17 @@
     pub(crate) left: Duration,
     pub(crate) work: Duration,
     pub(crate) fails: bool,
+    pub(crate) lasts: bool,
+}
+
+/// An order to start.
+pub(crate) struct ModelStart<'a> {
+    pub(crate) until_ms: u64,
+    pub(crate) token: u64,
+    pub(crate) work: Duration,
+    pub(crate) fails: bool,
+    pub(crate) lasts: bool,
+    pub(crate) checkpoint: &'a str,
 }
 
 /// Something that a worker did.
@@ -30,6 +41,8 @@
 pub(crate) enum WorkerEvent {
     Began(TaskKey, u64),
     Ended(TaskKey, u64, EndCause, u64),
+    /// A start carried the checkpoint of another task.
+    Strange(TaskKey),
     Noted(u64),
     /// The lease ended: ends that are not acknowledged by now never count as taken note of.
     LeaseLapsed,
@@ -55,6 +68,16 @@
     pub(crate) events: Vec<WorkerEvent>,
 }
 
+impl ModelRun {
+    fn percent(&self) -> u32 {
+        if self.lasts {
+            return 100;
+        }
+        let left = self.left.as_secs_f64() / self.work.as_secs_f64();
+        100 - (left.min(1.0) * 100.0).ceil() as u32
+    }
+}
+
 impl ModelWorker {
     pub(crate) fn new(number: usize, rate: f64) -> Self {
         Self {
@@ -127,6 +150,9 @@
         }
         let mut ends = Vec::new();
         for (task, run) in &mut self.running {
+            if run.lasts {
+                continue;
+            }
             run.left = run.left.saturating_sub(step);
             if run.left.is_zero() {
                 let cause = match run.fails {
@@ -147,12 +173,16 @@
         };
         let number = self.next_end;
         self.next_end += 1;
+        let checkpoint = match cause {
+            EndCause::Stopped => format!("{task}/{}", run.left.as_millis()),
+            _ => String::new(),
+        };
         self.ended.push(EndedRun {
             number,
             task,
             run: run.run,
             cause,
-            checkpoint: String::new(),
+            checkpoint,
         });
         self.barred.insert(task, run.run);
         self.events
@@ -166,17 +196,14 @@
 
     pub(crate) fn start(
         &mut self,
-        task: TaskKey,
-        run: u64,
-        until_ms: u64,
-        token: u64,
-        work: Duration,
-        fails: bool,
+        (task, run): (TaskKey, u64),
+        start: &ModelStart<'_>,
     ) -> OrderAnswer {
-        if token < self.token {
+        if start.token < self.token {
             return OrderAnswer::Fenced;
         }
-        self.token = token;
+        self.token = start.token;
+        let until_ms = start.until_ms;
         if until_ms <= self.clock_ms as u64 {
             return OrderAnswer::Late;
         }
@@ -191,14 +218,21 @@
         if (self.running.len() as u64 + 1) * 1_000 > self.capacity {
             return OrderAnswer::NoRoom;
         }
+        let saved = start.checkpoint.rsplit_once('/');
+        let is_own = saved.is_none_or(|(name, _)| name == task.to_string());
+        let left = saved.and_then(|(_, left)| left.parse().ok());
         let held = ModelRun {
             run,
-            left: work,
-            work,
-            fails,
+            left: left.map_or(start.work, Duration::from_millis),
+            work: start.work,
+            fails: start.fails,
+            lasts: start.lasts,
         };
         self.running.insert(task, held);
         self.events.push(WorkerEvent::Began(task, run));
+        if !is_own {
+            self.events.push(WorkerEvent::Strange(task));
+        }
         OrderAnswer::Accepted
     }
 
@@ -235,8 +269,7 @@
                 task: *task,
                 run: run.run,
                 checkpoint: String::new(),
-                percent: 100
-                    - (run.left.as_secs_f64() / run.work.as_secs_f64() * 100.0).ceil() as u32,
+                percent: run.percent(),
                 usage: 0,
             })
             .collect();
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tanager_jobs::EndCause;
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
 use tanager_jobs::JobSpec;
@@ -22,8 +23,10 @@
 
 use super::calls::Transit;
 use super::check::RunRecord;
+use super::mover::Emptying;
 use super::owner::Owner;
 use super::worker::ModelWorker;
+use super::worker::WorkerEvent;
 
 pub(crate) const STEP: Duration = Duration::from_millis(5);
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
@@ -54,6 +57,10 @@
     pub(crate) cuts: bool,
     /// Share of jobs whose tasks always fail.
     pub(crate) poison: f64,
+    /// Whether VMs are moved, and jobs have tasks that last or that write checkpoints.
+    pub(crate) moves: bool,
+    /// Whether owners hand the cell over.
+    pub(crate) handovers: bool,
 }
 
 pub(crate) struct World {
@@ -74,6 +81,9 @@
     /// When the cancelling of a job was acknowledged.
     pub(crate) cancelled: BTreeMap<JobId, Duration>,
     pub(crate) poisoned: Vec<JobId>,
+    /// Tasks that last and are not at work: since when, and whether an order ended them.
+    pub(crate) away: BTreeMap<TaskKey, (Duration, bool)>,
+    pub(crate) emptying: Option<Emptying>,
     pub(crate) record: RunRecord,
     pub(crate) next_job: u64,
     pub(crate) next_token: u64,
@@ -94,6 +104,17 @@
     }
 }
 
+fn small_step() -> StepSpec {
+    StepSpec {
+        request: ResourceAmount {
+            cpu: 1_000,
+            memory_mb: 10,
+            gpu: 0,
+        },
+        ..StepSpec::default()
+    }
+}
+
 impl World {
     pub(crate) fn new(
         seed: u64,
@@ -120,6 +141,8 @@
             comes_up: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             poisoned: Vec::new(),
+            away: BTreeMap::new(),
+            emptying: None,
             record: RunRecord::default(),
             next_job: 1,
             next_token: 1,
@@ -145,7 +168,7 @@
         self.now < self.faults_until && self.rng.random_bool(share)
     }
 
-    fn chance_every(&mut self, period: Duration) -> bool {
+    pub(crate) fn chance_every(&mut self, period: Duration) -> bool {
         !period.is_zero() && self.chance((STEP.as_secs_f64() / period.as_secs_f64()).min(1.0))
     }
 
@@ -158,23 +181,47 @@
 
     /// Submits a job; it is accepted when the current owner can store it.
     pub(crate) fn submit(&mut self, steps: &[(u32, u64)]) -> Option<JobId> {
+        let steps = (steps.iter().enumerate())
+            .map(|(number, &(count, estimated_ms))| StepSpec {
+                count,
+                estimated_ms,
+                checkpointing: self.plan.moves,
+                after: (0..number as u16).collect(),
+                ..small_step()
+            })
+            .collect();
+        self.submit_steps(steps)
+    }
+
+    /// Submits a job with a step that lasts, on workers of their own, of which one may be missed.
+    pub(crate) fn submit_lasting(&mut self, count: u32) -> Option<JobId> {
+        let step = StepSpec {
+            count,
+            long_running: true,
+            anti_affinity: 1,
+            may_miss: 1,
+            ..small_step()
+        };
+        let id = self.submit_steps(vec![step])?;
+        self.poisoned.retain(|poisoned| *poisoned != id);
+        for index in 0..count {
+            let task = TaskKey {
+                job: id,
+                occurrence: 0,
+                step: 0,
+                index,
+            };
+            self.away.insert(task, (self.now, false));
+        }
+        Some(id)
+    }
+
+    fn submit_steps(&mut self, steps: Vec<StepSpec>) -> Option<JobId> {
         let id = JobId(self.next_job);
         self.next_job += 1;
         let spec = JobSpec {
             specification: "work".to_owned(),
-            steps: (steps.iter().enumerate())
-                .map(|(number, &(count, estimated_ms))| StepSpec {
-                    count,
-                    request: ResourceAmount {
-                        cpu: 1_000,
-                        memory_mb: 10,
-                        gpu: 0,
-                    },
-                    estimated_ms,
-                    after: (0..number as u16).collect(),
-                    ..StepSpec::default()
-                })
-                .collect(),
+            steps,
             ..JobSpec::default()
         };
         let record = JobRecord {
@@ -221,6 +268,7 @@
     pub(crate) fn step(&mut self) {
         self.now += STEP;
         self.inject_faults();
+        self.step_moves();
         for number in 0..self.workers.len() {
             self.workers[number].advance(STEP);
             self.collect(number, false);
@@ -236,8 +284,16 @@
         let events = std::mem::take(&mut self.workers[number].events);
         for event in &events {
             self.trace(|| format!("worker {number} {event:?}"));
-            if let super::worker::WorkerEvent::Began(task, _) = event {
-                self.check_start(*task, is_late);
+            match event {
+                WorkerEvent::Began(task, _) => {
+                    self.away.remove(task);
+                    self.check_start(*task, is_late);
+                }
+                WorkerEvent::Ended(task, _, cause, _) => {
+                    // Orders that were held up do not count (the platform's pages).
+                    self.note_away(*task, *cause == EndCause::Stopped && !is_late);
+                }
+                _ => {}
             }
             self.record.take(number, event, self.now);
         }
@@ -282,7 +338,7 @@
                 continue;
             }
             if self.chance_every(self.plan.crash_every * self.workers.len() as u32) {
-                self.workers[number].crash();
+                self.take_down(number, false);
                 let pause = Duration::from_millis(self.rng.random_range(200..6_000));
                 self.comes_up.insert(number, self.now + pause);
             }
@@ -299,6 +355,12 @@
                 owner.silent_since.get_or_insert(now);
             }
         }
+        if self.plan.handovers
+            && self.now >= self.store_away_until
+            && self.chance_every(Duration::from_secs(4))
+        {
+            self.hand_over();
+        }
         if self.plan.store_outages && self.chance_every(Duration::from_secs(12)) {
             let pause = Duration::from_millis(self.rng.random_range(500..5_000));
             self.store_away_until = self.now + pause;
