Model: gangs; 'everything' has moves, gangs and handovers too

Members work only while all are there, wait 3 s for the others, end as broken when one is lost, and end done together. Checked: no member waits alone without faults, all resume from the same checkpoint, one done end stands for the step.

--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -190,30 +190,33 @@
             eventually("the node is ready", async || node.is_ready().await).await;
         }
         for pool in pools.iter().filter(|pool| !pool.spare) {
-            let name = format!("{}/0", pool.name);
-            eventually("the cell has an owner", async || {
-                match self.owner(&name).await {
-                    Some(node) => self.usable_workers(node, &name).await == pool.workers,
-                    None => false,
-                }
+            eventually("the cells have owners with workers", async || {
+                self.usable_workers(&pool.name).await == pool.workers
             })
             .await;
         }
     }
 
-    async fn usable_workers(&self, node: usize, cell: &str) -> usize {
-        let Some(dump) = self.nodes[node].dump().await else {
-            return 0;
-        };
-        let cells = dump["cells"].as_array().cloned().unwrap_or_default();
-        let found = cells.iter().find(|found| found["cell"] == cell);
-        let workers = found.and_then(|found| found["workers"].as_object().cloned());
-        (workers.unwrap_or_default().values())
-            .filter(|text| {
-                text.as_str()
-                    .is_some_and(|text| text.contains("usable true"))
-            })
-            .count()
+    /// Returns the number of usable workers in all cells of a pool.
+    async fn usable_workers(&self, pool: &str) -> usize {
+        let prefix = format!("{pool}/");
+        let mut usable = 0;
+        for node in &self.nodes {
+            let Some(dump) = node.dump().await else {
+                continue;
+            };
+            let cells = dump["cells"].as_array().cloned().unwrap_or_default();
+            usable += (cells.iter())
+                .filter(|cell| {
+                    (cell["cell"].as_str()).is_some_and(|name| name.starts_with(&prefix))
+                })
+                .filter_map(|cell| cell["workers"].as_object())
+                .flat_map(|workers| workers.values())
+                .filter_map(|text| text.as_str())
+                .filter(|text| text.contains("usable true"))
+                .count();
+        }
+        usable
     }
 
     /// Returns the node that owns a cell.
--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -11,6 +11,7 @@
 mod model {
     pub(crate) mod calls;
     pub(crate) mod check;
+    pub(crate) mod gang;
     pub(crate) mod mover;
     pub(crate) mod owner;
     pub(crate) mod worker;
@@ -47,6 +48,7 @@
     cuts: false,
     poison: 0.0,
     moves: false,
+    gangs: 0.0,
     handovers: false,
 };
 
@@ -151,6 +153,18 @@
     store_outages: FaultPlan { store_outages: true, crash_every: Duration::from_secs(8), ..CALM };
     cut_workers: FaultPlan { cuts: true, ..CALM };
     poison: FaultPlan { poison: 0.3, crash_every: Duration::from_secs(8), ..CALM };
+    gangs: FaultPlan { gangs: 0.5, ..CALM };
+    gangs_and_crashes: FaultPlan {
+        gangs: 0.5,
+        late: 0.02,
+        answer_lost: 0.03,
+        call_lost: 0.03,
+        crash_every: Duration::from_secs(6),
+        freezes: true,
+        poison: 0.1,
+        handovers: true,
+        ..CALM
+    };
     moves: FaultPlan { moves: true, ..CALM };
     moves_and_handovers: FaultPlan { moves: true, handovers: true, ..CALM };
     moves_and_crashes: FaultPlan {
@@ -179,7 +193,8 @@
         store_outages: true,
         cuts: true,
         poison: 0.1,
-        moves: false,
-        handovers: false,
+        moves: true,
+        gangs: 0.2,
+        handovers: true,
     };
 }
--- a/crates/tanager-schedule/tests/model/calls.rs
+++ b/crates/tanager-schedule/tests/model/calls.rs
@@ -91,9 +91,9 @@
             _ => false,
         };
         let work = Duration::from_millis(self.rng.random_range(100..900));
-        let lasts = match &transit.message {
-            Message::Start { task, .. } => self.is_lasting(*task),
-            _ => false,
+        let (lasts, members) = match &transit.message {
+            Message::Start { task, .. } => (self.is_lasting(*task), self.members(*task)),
+            _ => (false, 0),
         };
         let is_other_life = transit.born_ms != self.workers[number].born_ms;
         let sender = &self.owners[transit.owner];
@@ -144,6 +144,7 @@
                     work,
                     fails: poisoned,
                     lasts,
+                    members,
                     checkpoint,
                 };
                 Reply::Order(worker.start(task_run, &start))
--- a/crates/tanager-schedule/tests/model/check.rs
+++ b/crates/tanager-schedule/tests/model/check.rs
@@ -5,6 +5,7 @@
 
 use tanager_jobs::EndCause;
 use tanager_jobs::JobId;
+use tanager_jobs::StepSpec;
 use tanager_jobs::TaskKey;
 
 use super::worker::WorkerEvent;
@@ -93,9 +94,10 @@
         }
     }
 
-    /// Returns whether a step is done at the workers: every task has an end `done`.
-    pub(crate) fn is_step_done(&self, job: JobId, step: u16, count: u32) -> bool {
-        (0..count).all(|index| {
+    /// Returns whether a step is done at the workers: every task has an end `done`. One such end
+    /// of a gang stands for all.
+    pub(crate) fn is_step_done(&self, job: JobId, step: u16, spec: &StepSpec) -> bool {
+        let mut ends = (0..spec.count).map(|index| {
             let task = TaskKey {
                 job,
                 occurrence: 0,
@@ -105,7 +107,11 @@
             self.runs.get(&task).is_some_and(|runs| {
                 (runs.iter()).any(|seen| matches!(seen.ended, Some((_, EndCause::Done, _))))
             })
-        })
+        });
+        match spec.gang {
+            true => ends.any(|is_done| is_done),
+            false => ends.all(|is_done| is_done),
+        }
     }
 
     /// Checks the rules that depend on which ends were acknowledged later.
--- a/crates/tanager-schedule/tests/model/mover.rs
+++ b/crates/tanager-schedule/tests/model/mover.rs
@@ -93,6 +93,13 @@
         record.is_some_and(|record| record.spec.steps[usize::from(task.step)].long_running)
     }
 
+    /// Returns the size of a task's gang; 0 for a task of its own.
+    pub(crate) fn members(&self, task: TaskKey) -> u32 {
+        let record = self.jobs.get(&task.job).map(|(record, _)| record);
+        let spec = record.map(|record| &record.spec.steps[usize::from(task.step)]);
+        spec.filter(|spec| spec.gang).map_or(0, |spec| spec.count)
+    }
+
     /// Notes that a task that lasts is no longer at work.
     pub(crate) fn note_away(&mut self, task: TaskKey, on_order: bool) {
         let Some((record, _)) = self.jobs.get(&task.job) else {
--- a/crates/tanager-schedule/tests/model/worker.rs
+++ b/crates/tanager-schedule/tests/model/worker.rs
@@ -16,6 +16,9 @@
 /// Longest lease that a worker grants.
 const MAX_LEASE_MS: u64 = 6_000;
 
+/// A member of a gang waits for the others for this long.
+const GANG_LIMIT: Duration = Duration::from_secs(3);
+
 /// A run in progress.
 pub(crate) struct ModelRun {
     pub(crate) run: u64,
@@ -24,6 +27,14 @@
     pub(crate) work: Duration,
     pub(crate) fails: bool,
     pub(crate) lasts: bool,
+    /// Members of its gang; 0 for a task of its own.
+    pub(crate) members: u32,
+    /// Whether all members are there.
+    pub(crate) together: bool,
+    /// Checkpoint that the start carried.
+    pub(crate) checkpoint: String,
+    /// Time without the other members.
+    waited: Duration,
 }
 
 /// An order to start.
@@ -33,6 +44,7 @@
     pub(crate) work: Duration,
     pub(crate) fails: bool,
     pub(crate) lasts: bool,
+    pub(crate) members: u32,
     pub(crate) checkpoint: &'a str,
 }
 
@@ -153,6 +165,13 @@
             if run.lasts {
                 continue;
             }
+            if run.members > 0 && !run.together {
+                run.waited += step;
+                if run.waited >= GANG_LIMIT {
+                    ends.push((*task, EndCause::Alone));
+                }
+                continue;
+            }
             run.left = run.left.saturating_sub(step);
             if run.left.is_zero() {
                 let cause = match run.fails {
@@ -167,7 +186,7 @@
         }
     }
 
-    fn end(&mut self, task: TaskKey, cause: EndCause) {
+    pub(crate) fn end(&mut self, task: TaskKey, cause: EndCause) {
         let Some(run) = self.running.remove(&task) else {
             return;
         };
@@ -219,7 +238,12 @@
             return OrderAnswer::NoRoom;
         }
         let saved = start.checkpoint.rsplit_once('/');
-        let is_own = saved.is_none_or(|(name, _)| name == task.to_string());
+        let step_of = |name: &str| name.rsplit_once('.').map(|(step, _)| step.to_owned());
+        // A checkpoint of any member is valid for the whole gang.
+        let is_own = saved.is_none_or(|(name, _)| match start.members {
+            0 => name == task.to_string(),
+            _ => step_of(name) == step_of(&task.to_string()),
+        });
         let left = saved.and_then(|(_, left)| left.parse().ok());
         let held = ModelRun {
             run,
@@ -227,6 +251,10 @@
             work: start.work,
             fails: start.fails,
             lasts: start.lasts,
+            members: start.members,
+            together: false,
+            checkpoint: start.checkpoint.to_owned(),
+            waited: Duration::ZERO,
         };
         self.running.insert(task, held);
         self.events.push(WorkerEvent::Began(task, run));
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -59,6 +59,8 @@
     pub(crate) poison: f64,
     /// Whether VMs are moved, and jobs have tasks that last or that write checkpoints.
     pub(crate) moves: bool,
+    /// Share of steps whose tasks work only together.
+    pub(crate) gangs: f64,
     /// Whether owners hand the cell over.
     pub(crate) handovers: bool,
 }
@@ -186,6 +188,7 @@
                 count,
                 estimated_ms,
                 checkpointing: self.plan.moves,
+                gang: self.plan.gangs > 0.0 && self.rng.random_bool(self.plan.gangs),
                 after: (0..number as u16).collect(),
                 ..small_step()
             })
@@ -273,6 +276,7 @@
             self.workers[number].advance(STEP);
             self.collect(number, false);
         }
+        self.step_gangs();
         self.deliver();
         for number in 0..self.owners.len() {
             self.run_owner(number);
@@ -280,6 +284,17 @@
         self.replace_owner();
     }
 
+    /// Returns whether anything goes wrong besides jobs that cannot be done.
+    fn has_faults(&self) -> bool {
+        let plan = &self.plan;
+        plan.late + plan.answer_lost + plan.call_lost > 0.0
+            || !plan.crash_every.is_zero()
+            || plan.freezes
+            || plan.store_outages
+            || plan.cuts
+            || plan.handovers
+    }
+
     pub(crate) fn collect(&mut self, number: usize, is_late: bool) {
         let events = std::mem::take(&mut self.workers[number].events);
         for event in &events {
@@ -289,6 +304,10 @@
                     self.away.remove(task);
                     self.check_start(*task, is_late);
                 }
+                WorkerEvent::Ended(task, run, EndCause::Alone, _) if !self.has_faults() => {
+                    let text = format!("GANG: run {run} of {task} waited alone at {:?}", self.now);
+                    self.record.violations.push(text);
+                }
                 WorkerEvent::Ended(task, _, cause, _) => {
                     // Orders that were held up do not count (the platform's pages).
                     self.note_away(*task, *cause == EndCause::Stopped && !is_late);
@@ -310,8 +329,8 @@
         };
         let steps = &record.spec.steps;
         for &after in &steps[usize::from(task.step)].after {
-            let count = steps[usize::from(after)].count;
-            if !self.record.is_step_done(task.job, after, count) {
+            let before = &steps[usize::from(after)];
+            if !self.record.is_step_done(task.job, after, before) {
                 self.record.violations.push(format!(
                     "ORDER: {task} began at {:?} before step {after} was done",
                     self.now
