Operators hand jobs in and cancel them; the Python library builds jobs

tanagerladder submit-job ID QUEUE FILE and cancel-job ID, POST /v1/jobs/ID on the operator's address, new_job/add_step/print_job in the Python library. The job is in the project's own schema (JobSpec); only clients' bodies pass through platform/. The same id stays one job, so both commands ask the next node after a lost answer.

--- a/crates/tanager-command/src/client.rs
+++ b/crates/tanager-command/src/client.rs
@@ -102,6 +102,43 @@
         Err(unready.unwrap_or_else(|| Failure::Unreachable(problems.join("; "))))
     }
 
+    /// Makes a change that may be repeated: asks one node after the other until one confirms it.
+    pub(crate) fn repeat(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&str>,
+    ) -> Result<Value, Failure> {
+        let mut problems = Vec::new();
+        let mut is_open = false;
+        let mut unready = None;
+        for (index, node) in self.order() {
+            match self.exchange(node, method, path, body) {
+                Exchange::Answered(reply) if reply.status == 200 => {
+                    self.preferred.set(index);
+                    return Ok(reply.body);
+                }
+                Exchange::Answered(reply) if reply.status >= 500 => {
+                    // A gateway timeout leaves the outcome open.
+                    is_open |= reply.status == 504;
+                    problems.push(format!("{node}: {}", reply.message()));
+                    unready = Some(reply.failure());
+                }
+                Exchange::Answered(reply) => return Err(reply.failure()),
+                Exchange::NotSent(problem) => problems.push(format!("{node}: {problem}")),
+                Exchange::Lost(problem) => {
+                    is_open = true;
+                    problems.push(format!("{node}: {problem}"));
+                }
+            }
+        }
+        match (is_open, unready) {
+            (true, _) => Err(Failure::Unknown(problems.join("; "))),
+            (false, Some(failure)) => Err(failure),
+            (false, None) => Err(Failure::Unreachable(problems.join("; "))),
+        }
+    }
+
     /// Reads from one node.
     pub(crate) fn read_from(&self, node: SocketAddr, path: &str) -> Result<Value, String> {
         match self.exchange(node, "GET", path, None) {
--- a/crates/tanager-command/src/commands/job.rs
+++ b/crates/tanager-command/src/commands/job.rs
@@ -23,17 +23,20 @@
 };
 
 fn run(session: &Session) -> Result<(), Failure> {
-    let id = &session.values[0];
-    let is_id = id.len() == 16 && id.bytes().all(|byte| byte.is_ascii_hexdigit());
-    if !is_id {
-        let message = format!("{id:?} is not an id of 16 hexadecimal digits");
-        return Err(Failure::Usage(message));
-    }
-    let reply = session
-        .client
-        .read(&format!("/v1/jobs/{}", id.to_ascii_lowercase()))?;
+    let id = parse_id(session.value(0))?;
+    let reply = session.client.read(&format!("/v1/jobs/{id}"))?;
     session.show(&reply, |reply| {
         output::print_objects(&["job", "cell", "state"], std::slice::from_ref(reply));
     });
     Ok(())
 }
+
+/// Checks the id of a job.
+pub(super) fn parse_id(text: &str) -> Result<String, Failure> {
+    let is_id = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !is_id {
+        let message = format!("{text:?} is not an id of 16 hexadecimal digits");
+        return Err(Failure::Usage(message));
+    }
+    Ok(text.to_ascii_lowercase())
+}
--- a/crates/tanager-command/src/commands/mod.rs
+++ b/crates/tanager-command/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one per file.
 
 mod apply;
+mod cancel_job;
 mod cells;
 mod diff;
 mod drain;
@@ -13,6 +14,7 @@
 mod quotas;
 mod show;
 mod snapshot;
+mod submit_job;
 mod undrain;
 mod vms;
 mod watch;
@@ -55,4 +57,6 @@
     queues::SPEC,
     cells::SPEC,
     job::SPEC,
+    submit_job::SPEC,
+    cancel_job::SPEC,
 ];
--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -245,7 +245,18 @@
 
     /// Asks the operator's address of a node; a malformed answer is a null.
     pub(crate) async fn operator(&self, node: usize, method: Method, path: &str) -> Value {
-        let request = HttpRequest::new(method, path.to_owned(), "");
+        self.operator_send(node, method, path, &Value::Null).await
+    }
+
+    /// Like [`Self::operator`], with a body.
+    pub(crate) async fn operator_send(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Value {
+        let request = HttpRequest::new(method, path.to_owned(), body.to_string());
         let address = self.nodes[node].ports.admin_address();
         let response = exchange(address, request).await.expect("an answer");
         serde_json::from_slice(&response.body).unwrap_or_default()
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -273,6 +273,36 @@
     assert!(malformed["error"]["message"].is_string());
 }
 
+/// Guards against operators who cannot hand a job in, and against bad input that is accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_hand_jobs_in() {
+    let site = small_site(2).await;
+    let queues = site.operator(0, Method::GET, "/v1/queues").await;
+    let queue = queues["queues"][0]["queue"].clone();
+    let id = new_id();
+    let step = json!({"count": 2, "request": {"cpu": 1_000, "memory_mb": 100}});
+    let job = json!({"specification": "ms=100", "steps": [step]});
+    let path = format!("/v1/jobs/{id}");
+    let body = json!({"queue": queue, "job": job});
+    for node in [1, 0] {
+        let reply = site.operator_send(node, Method::POST, &path, &body).await;
+        assert_eq!(reply["job"], id, "{reply}");
+    }
+    site.wait_for(POOL, &id, "completed").await;
+    assert_eq!(site.site.runs().len(), 2);
+    let bad = [
+        json!({"queue": "nothing", "job": job}),
+        json!({"queue": queue, "job": {"specification": "x", "steps": []}}),
+        json!({"queue": queue, "job": {"specification": "x", "stepps": []}}),
+        json!([]),
+    ];
+    for body in bad {
+        let path = format!("/v1/jobs/{}", new_id());
+        let reply = site.operator_send(0, Method::POST, &path, &body).await;
+        assert!(reply["error"]["message"].is_string(), "{body}: {reply}");
+    }
+}
+
 /// Guards against a reload signal that ends the process.
 #[tokio::test(flavor = "multi_thread")]
 async fn reload_keeps_the_node_running() {
--- a/crates/tanager-service/src/admin.rs
+++ b/crates/tanager-service/src/admin.rs
@@ -1,19 +1,22 @@
-//! Readiness, metrics and the state dump.
+//! Readiness, metrics, the state dump, and what operators ask about queues, cells and jobs.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::Method;
 use http::StatusCode;
+use serde::Deserialize;
 use serde::Serialize;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
 use tanager_jobs::JobId;
+use tanager_jobs::JobSpec;
 
 use crate::face;
 use crate::node::NodeContext;
 use crate::peers::CellAnswer;
 use crate::peers::CellAsk;
+use crate::peers::SubmittedJob;
 
 /// Time limit of the question to each owner.
 const OPERATOR_TIMEOUT: Duration = Duration::from_millis(1_700);
@@ -54,6 +57,7 @@
     match (&request.method, job) {
         (&Method::GET, Some(Ok(id))) => return job_state(context, id).await,
         (&Method::DELETE, Some(Ok(id))) => return cancel_job(context, id).await,
+        (&Method::POST, Some(Ok(id))) => return submit_job(context, id, &request.body).await,
         (_, Some(Err(error))) => return refuse(StatusCode::BAD_REQUEST, &error.to_string()),
         _ => {}
     }
@@ -146,6 +150,41 @@
     }
 }
 
+/// A job that an operator hands in.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobRequest {
+    queue: String,
+    job: JobSpec,
+}
+
+async fn submit_job(context: &Arc<NodeContext>, id: JobId, body: &[u8]) -> HttpResponse {
+    let request: JobRequest = match serde_json::from_slice(body) {
+        Ok(request) => request,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let config = context.view().config.clone();
+    let queues = config.iter().flat_map(|config| &config.queues);
+    let Some(queue) = queues.into_iter().find(|queue| queue.key == request.queue) else {
+        let message = format!("no queue {:?}", request.queue);
+        return refuse(StatusCode::NOT_FOUND, &message);
+    };
+    let job = SubmittedJob::Spec(request.job);
+    match face::hand_in(context, queue, id, job, OPERATOR_TIMEOUT).await {
+        CellAnswer::Done => json_response(&serde_json::json!({"job": id, "queue": queue.key})),
+        CellAnswer::Invalid(error) => refuse(StatusCode::BAD_REQUEST, &error),
+        CellAnswer::Refused { reason, .. } => refuse(StatusCode::SERVICE_UNAVAILABLE, &reason),
+        CellAnswer::Uncertain => refuse(
+            StatusCode::GATEWAY_TIMEOUT,
+            "it is not known whether the job is stored; submit it again with the same id",
+        ),
+        _ => refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the cell of the job has no owner at the moment",
+        ),
+    }
+}
+
 fn json_response(value: &impl Serialize) -> HttpResponse {
     match serde_json::to_vec(value) {
         Ok(body) => HttpResponse::typed(StatusCode::OK, "application/json", body),
--- a/crates/tanager-service/src/face.rs
+++ b/crates/tanager-service/src/face.rs
@@ -22,6 +22,7 @@
 use crate::peers::CellAnswer;
 use crate::peers::CellAsk;
 use crate::peers::CellRequest;
+use crate::peers::SubmittedJob;
 
 /// Header with the time that the client waits for a response.
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-milliseconds");
@@ -96,25 +97,35 @@
     let Ok(body) = std::str::from_utf8(&request.body) else {
         return HttpResponse::new(StatusCode::BAD_REQUEST, "the body is not UTF-8");
     };
+    let job = SubmittedJob::Body(body.to_owned());
+    respond(hand_in(context, queue, id, job, limit).await)
+}
+
+/// Hands a job to the owner of its cell.
+pub async fn hand_in(
+    context: &Arc<NodeContext>,
+    queue: &QueueConfig,
+    id: JobId,
+    job: SubmittedJob,
+    limit: Duration,
+) -> CellAnswer {
+    let refused = |reason: &str| CellAnswer::Refused {
+        retry_after: 1,
+        overload: false,
+        reason: reason.to_owned(),
+    };
     // The same id may have been accepted before the queue was directed to another pool.
     for cell in former_cells(context, queue, id) {
         match ask(context, &cell, &queue.key, CellAsk::Known(id), limit).await {
-            CellAnswer::Done => return respond(CellAnswer::Done),
+            CellAnswer::Done => return CellAnswer::Done,
             CellAnswer::NotFound => {}
-            _ => return refusal(StatusCode::SERVICE_UNAVAILABLE, 1, "a former owner is away"),
+            _ => return refused("a former owner is away"),
         }
     }
     let Some(cell) = context.view().cell_of(&queue.pool, id) else {
-        return refusal(
-            StatusCode::SERVICE_UNAVAILABLE,
-            1,
-            "the pool has no workers yet",
-        );
-    };
-    let ask_submit = CellAsk::Submit {
-        id,
-        body: body.to_owned(),
+        return refused("the pool has no workers yet");
     };
+    let ask_submit = CellAsk::Submit { id, job };
     let answer = ask(context, &cell, &queue.key, ask_submit, limit).await;
     if answer != CellAnswer::Done {
         log::info!(
@@ -122,7 +133,7 @@
             queue.key
         );
     }
-    respond(answer)
+    answer
 }
 
 /// Returns the cells that a job of this queue may be in because of earlier configurations.
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -22,6 +22,7 @@
 use tanager_http::pool::ClientPool;
 use tanager_http::pool::PoolLimits;
 use tanager_jobs::JobId;
+use tanager_jobs::JobSpec;
 use tanager_jobs::ids::CellName;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
@@ -54,12 +55,12 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CellAsk {
-    /// Accept a job; the body is the client's.
+    /// Accept a job.
     Submit {
         /// Id.
         id: JobId,
-        /// Client's body.
-        body: String,
+        /// Job.
+        job: SubmittedJob,
     },
     /// Return whether the id is known.
     Known(JobId),
@@ -73,6 +74,16 @@
     Load,
 }
 
+/// A job as it was handed in. The owner decodes it, because it knows most ids that come again.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SubmittedJob {
+    /// Body of a client's request.
+    Body(String),
+    /// From an operator.
+    Spec(JobSpec),
+}
+
 /// Answer of the owner of a cell.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -5,6 +5,7 @@
 
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
+use tanager_jobs::JobSpec;
 use tanager_jobs::JobState;
 use tanager_jobs::ids::WorkerId;
 use tanager_jobs::record::encode_record;
@@ -21,6 +22,7 @@
 use crate::peers::CellRequest;
 use crate::peers::EmptyAnswer;
 use crate::peers::LoadReport;
+use crate::peers::SubmittedJob;
 use crate::records::pool_of;
 
 /// Time after which a client that waits for the store is told that the outcome is open.
@@ -30,11 +32,18 @@
 /// Retry time told while the store is away.
 const STORE_RETRY_S: u64 = 2;
 
+fn decode(job: SubmittedJob) -> Result<JobSpec, String> {
+    match job {
+        SubmittedJob::Body(body) => tanager_site::face::decode_job(body.as_bytes()),
+        SubmittedJob::Spec(spec) => spec.check().map(|()| spec),
+    }
+}
+
 impl CellHandle {
     /// Handles a request to the owner.
     pub async fn handle(self: &Arc<Self>, request: CellRequest) -> CellAnswer {
         match request.ask {
-            CellAsk::Submit { id, body } => self.submit(request.queue, id, &body).await,
+            CellAsk::Submit { id, job } => self.submit(request.queue, id, job).await,
             CellAsk::Known(id) => match self.core().show(id) {
                 Some(_) => CellAnswer::Done,
                 None => CellAnswer::NotFound,
@@ -74,7 +83,7 @@
         }
     }
 
-    async fn submit(self: &Arc<Self>, queue: String, id: JobId, body: &str) -> CellAnswer {
+    async fn submit(self: &Arc<Self>, queue: String, id: JobId, job: SubmittedJob) -> CellAnswer {
         let began = self.context.clock.now();
         if self.core().record(id).is_some() {
             return CellAnswer::Done;
@@ -82,7 +91,7 @@
         let receiver = match self.ledger.join(id) {
             Some(receiver) => receiver,
             None => {
-                let spec = match tanager_site::face::decode_job(body.as_bytes()) {
+                let spec = match decode(job) {
                     Ok(spec) => spec,
                     Err(error) => return CellAnswer::Invalid(error),
                 };
--- a/library/python/tanagerladder/__init__.py
+++ b/library/python/tanagerladder/__init__.py
@@ -1,4 +1,4 @@
-"""Functions that build the configuration document of tanagerladder and print it as JSON.
+"""Functions that build the configuration document and jobs of tanagerladder and print them as JSON.
 
 The schema is ``ConfigDocument`` of the crate ``tanager-protocol``; durations are in milliseconds.
 Every function raises ``DocumentError`` with a message that names the object.
@@ -13,6 +13,9 @@
 from .document import new_document
 from .document import print_document
 from .document import set_quota
+from .job import add_step
+from .job import new_job
+from .job import print_job
 from .layout import Endpoint
 from .layout import add_spread_vms
 from .layout import generate_endpoints
@@ -23,13 +26,16 @@
     "Endpoint",
     "add_pool",
     "add_spread_vms",
+    "add_step",
     "add_team",
     "add_vm",
     "check_document",
     "generate_endpoints",
     "hash_token",
     "new_document",
+    "new_job",
     "print_document",
+    "print_job",
     "read_endpoints",
     "set_quota",
 ]
