--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -1,5 +1,6 @@
 //! Single decisions of a cell. Each test names the failure that it guards against.
 
+#[allow(dead_code, reason = "other tests use the rest")]
 mod support;
 
 use std::time::Duration;
@@ -9,9 +10,7 @@
 use tanager_jobs::JobState;
 use tanager_jobs::OrderAnswer;
 use tanager_jobs::ResourceAmount;
-use tanager_jobs::RunningRun;
 use tanager_jobs::StepSpec;
-use tanager_jobs::WorkerReport;
 use tanager_schedule::AdmissionAnswer;
 use tanager_schedule::CellAction;
 use tanager_schedule::core::CancelResult;
@@ -184,23 +183,6 @@
     assert_eq!(jobs[0].progress.state, JobState::Cancelled);
 }
 
-/// Guards against starts on a worker that is about to leave (DRAIN).
-#[test]
-fn draining_worker_gets_no_tasks() {
-    let mut cell = two_workers();
-    cell.entries[0].draining = true;
-    let entries = cell.entries.clone();
-    cell.core.sync_workers(&entries, cell.now);
-    cell.accept(job(1, vec![step(8)]));
-    for (worker, _, _) in starts(&cell.tick()) {
-        let name = cell
-            .core
-            .worker(worker)
-            .map(|slot| slot.entry.worker.clone());
-        assert_eq!(name.as_deref(), Some("b"));
-    }
-}
-
 /// Guards against more on a worker than it holds (LIMIT).
 #[test]
 fn workers_are_not_overcommitted() {
@@ -320,106 +302,6 @@
     }
 }
 
-/// Guards against a second member of a lasting step that is stopped while one is away (AVAIL).
-#[test]
-fn maintenance_stops_one_member_at_a_time() {
-    let mut cell = TestCell::new(vec![entry("a"), entry("b"), entry("c")]);
-    cell.accept(job(1, vec![lasting(2, 1)]));
-    cell.tick();
-    cell.pass(millis(100));
-    cell.report_all();
-    cell.core
-        .close_worker(&"a".to_owned(), millis(10_000), false);
-    cell.core
-        .close_worker(&"b".to_owned(), millis(10_000), false);
-    cell.core
-        .close_worker(&"c".to_owned(), millis(10_000), false);
-    assert_eq!(stops(&cell.tick()).len(), 1);
-    cell.pass(millis(100));
-    cell.report_all();
-    assert!(stops(&cell.tick()).is_empty());
-}
-
-/// Guards against a VM that leaves a surge late, because it waits for runs that could go on from
-/// their checkpoint elsewhere, and against stopping runs whose work would be lost.
-#[test]
-fn moved_vm_stops_only_runs_that_keep_their_work() {
-    let long = |checkpointing| StepSpec {
-        checkpointing,
-        estimated_ms: 4_000,
-        ..step(1)
-    };
-    let mut cell = TestCell::new(vec![entry("a")]);
-    cell.accept(job(1, vec![long(true)]));
-    cell.accept(job(2, vec![long(false)]));
-    assert_eq!(starts(&cell.tick()).len(), 2);
-    cell.pass(millis(100));
-    cell.report_all();
-    let worker = "a".to_owned();
-    cell.core.close_worker(&worker, millis(10_000), false);
-    assert!(stops(&cell.tick()).is_empty());
-    cell.core.close_worker(&worker, millis(10_000), true);
-    assert_eq!(stops(&cell.tick()), vec![task(1, 0, 0)]);
-}
-
-/// Guards against stopping a run that ends sooner than the stop.
-#[test]
-fn moved_vm_waits_for_short_runs() {
-    let mut cell = TestCell::new(vec![entry("a")]);
-    let short = StepSpec {
-        checkpointing: true,
-        estimated_ms: 700,
-        ..step(1)
-    };
-    cell.accept(job(1, vec![short]));
-    cell.tick();
-    cell.pass(millis(100));
-    cell.report_all();
-    cell.core
-        .close_worker(&"a".to_owned(), millis(10_000), true);
-    assert!(stops(&cell.tick()).is_empty());
-}
-
-/// Guards against counting a member at a silent worker as at work (AVAIL; lt-hallein trouble-3).
-#[test]
-fn member_at_a_silent_worker_is_away() {
-    let mut cell = two_workers();
-    cell.accept(job(1, vec![lasting(2, 1)]));
-    let started = starts(&cell.tick());
-    cell.pass(millis(100));
-    cell.report_all();
-    let (silent, well) = (started[0].0, started[1].0);
-    cell.core.silent(silent);
-    let name = cell.core.worker(well).map(|slot| slot.entry.worker.clone());
-    cell.core
-        .close_worker(&name.expect("known"), millis(10_000), false);
-    cell.pass(millis(100));
-    cell.report(well);
-    assert!(stops(&cell.tick()).is_empty());
-}
-
-/// Guards against counting a member as at work because its worker answers orders, while nothing was
-/// heard of its runs: it may be another life (AVAIL; model, moves_and_crashes, seed 172).
-#[test]
-fn member_that_is_not_listed_lately_is_away() {
-    let mut cell = two_workers();
-    cell.accept(job(1, vec![lasting(2, 1)]));
-    let started = starts(&cell.tick());
-    cell.pass(millis(100));
-    cell.report_all();
-    let (unheard, well) = (started[0], started[1].0);
-    let name = cell.core.worker(well).map(|slot| slot.entry.worker.clone());
-    cell.core
-        .close_worker(&name.expect("known"), millis(10_000), false);
-    cell.pass(millis(2_000));
-    cell.report(well);
-    let (worker, key, run) = unheard;
-    let answered = OrderResult::Answered(OrderAnswer::Accepted);
-    cell.core
-        .start_answered(worker, key, run, answered, cell.now);
-    assert!(stops(&cell.tick()).is_empty());
-}
-
 /// Guards against runs that nobody asked for and that go on (UNASKED).
 #[test]
 fn unknown_runs_are_stopped() {
@@ -530,38 +412,3 @@
     }
     assert!(failures <= 4, "{failures} runs failed");
 }
-
-/// Guards against a task that stands still and is never moved.
-#[test]
-fn stalled_task_is_moved() {
-    let mut cell = two_workers();
-    cell.accept(job(1, vec![step(1)]));
-    let (worker, key, run) = starts(&cell.tick())[0];
-    let stalled = WorkerReport {
-        clock_ms: 0,
-        born_ms: None,
-        running: vec![RunningRun {
-            task: key,
-            run,
-            checkpoint: String::new(),
-            percent: 10,
-            usage: 0,
-        }],
-        ended: vec![],
-    };
-    let mut stopped = false;
-    for _ in 0..30 {
-        cell.pass(millis(100));
-        let wall_ms = cell.wall_ms();
-        let clock_ms = cell.now.as_millis() as u64;
-        let listed = WorkerReport {
-            clock_ms,
-            ..stalled.clone()
-        };
-        cell.core
-            .report(worker, &listed, cell.now, cell.now, wall_ms);
-        cell.core.tick(cell.now, wall_ms, true);
-        stopped |= stops(&cell.core.take_actions()).contains(&key);
-    }
-    assert!(stopped);
-}
--- /dev/null
+++ b/crates/tanager-schedule/tests/evacuate.rs
@@ -0,0 +1,177 @@
+//! Emptying of workers that leave, are moved or maintained, and tasks that stand still. Each test
+//! names the failure that it guards against.
+
+#[allow(dead_code, reason = "the cell tests use the rest")]
+mod support;
+
+use tanager_jobs::OrderAnswer;
+use tanager_jobs::RunningRun;
+use tanager_jobs::StepSpec;
+use tanager_jobs::WorkerReport;
+use tanager_schedule::orders::OrderResult;
+
+use support::TestCell;
+use support::entry;
+use support::job;
+use support::lasting;
+use support::millis;
+use support::starts;
+use support::step;
+use support::stops;
+use support::task;
+
+fn two_workers() -> TestCell {
+    TestCell::new(vec![entry("a"), entry("b")])
+}
+
+/// Guards against a second member of a lasting step that is stopped while one is away (AVAIL).
+#[test]
+fn maintenance_stops_one_member_at_a_time() {
+    let mut cell = TestCell::new(vec![entry("a"), entry("b"), entry("c")]);
+    cell.accept(job(1, vec![lasting(2, 1)]));
+    cell.tick();
+    cell.pass(millis(100));
+    cell.report_all();
+    cell.core
+        .close_worker(&"a".to_owned(), millis(10_000), false);
+    cell.core
+        .close_worker(&"b".to_owned(), millis(10_000), false);
+    cell.core
+        .close_worker(&"c".to_owned(), millis(10_000), false);
+    assert_eq!(stops(&cell.tick()).len(), 1);
+    cell.pass(millis(100));
+    cell.report_all();
+    assert!(stops(&cell.tick()).is_empty());
+}
+
+/// Guards against a VM that leaves a surge late, because it waits for runs that could go on from
+/// their checkpoint elsewhere, and against stopping runs whose work would be lost.
+#[test]
+fn moved_vm_stops_only_runs_that_keep_their_work() {
+    let long = |checkpointing| StepSpec {
+        checkpointing,
+        estimated_ms: 4_000,
+        ..step(1)
+    };
+    let mut cell = TestCell::new(vec![entry("a")]);
+    cell.accept(job(1, vec![long(true)]));
+    cell.accept(job(2, vec![long(false)]));
+    assert_eq!(starts(&cell.tick()).len(), 2);
+    cell.pass(millis(100));
+    cell.report_all();
+    let worker = "a".to_owned();
+    cell.core.close_worker(&worker, millis(10_000), false);
+    assert!(stops(&cell.tick()).is_empty());
+    cell.core.close_worker(&worker, millis(10_000), true);
+    assert_eq!(stops(&cell.tick()), vec![task(1, 0, 0)]);
+}
+
+/// Guards against stopping a run that ends sooner than the stop.
+#[test]
+fn moved_vm_waits_for_short_runs() {
+    let mut cell = TestCell::new(vec![entry("a")]);
+    let short = StepSpec {
+        checkpointing: true,
+        estimated_ms: 700,
+        ..step(1)
+    };
+    cell.accept(job(1, vec![short]));
+    cell.tick();
+    cell.pass(millis(100));
+    cell.report_all();
+    cell.core
+        .close_worker(&"a".to_owned(), millis(10_000), true);
+    assert!(stops(&cell.tick()).is_empty());
+}
+
+/// Guards against counting a member at a silent worker as at work (AVAIL; lt-hallein trouble-3).
+#[test]
+fn member_at_a_silent_worker_is_away() {
+    let mut cell = two_workers();
+    cell.accept(job(1, vec![lasting(2, 1)]));
+    let started = starts(&cell.tick());
+    cell.pass(millis(100));
+    cell.report_all();
+    let (silent, well) = (started[0].0, started[1].0);
+    cell.core.silent(silent);
+    let name = cell.core.worker(well).map(|slot| slot.entry.worker.clone());
+    cell.core
+        .close_worker(&name.expect("known"), millis(10_000), false);
+    cell.pass(millis(100));
+    cell.report(well);
+    assert!(stops(&cell.tick()).is_empty());
+}
+
+/// Guards against counting a member as at work because its worker answers orders, while nothing was
+/// heard of its runs: it may be another life (AVAIL; model, moves_and_crashes, seed 172).
+#[test]
+fn member_that_is_not_listed_lately_is_away() {
+    let mut cell = two_workers();
+    cell.accept(job(1, vec![lasting(2, 1)]));
+    let started = starts(&cell.tick());
+    cell.pass(millis(100));
+    cell.report_all();
+    let (unheard, well) = (started[0], started[1].0);
+    let name = cell.core.worker(well).map(|slot| slot.entry.worker.clone());
+    cell.core
+        .close_worker(&name.expect("known"), millis(10_000), false);
+    cell.pass(millis(2_000));
+    cell.report(well);
+    let (worker, key, run) = unheard;
+    let answered = OrderResult::Answered(OrderAnswer::Accepted);
+    cell.core
+        .start_answered(worker, key, run, answered, cell.now);
+    assert!(stops(&cell.tick()).is_empty());
+}
+
+/// Guards against starts on a worker that is about to leave (DRAIN).
+#[test]
+fn draining_worker_gets_no_tasks() {
+    let mut cell = two_workers();
+    cell.entries[0].draining = true;
+    let entries = cell.entries.clone();
+    cell.core.sync_workers(&entries, cell.now);
+    cell.accept(job(1, vec![step(8)]));
+    for (worker, _, _) in starts(&cell.tick()) {
+        let name = cell
+            .core
+            .worker(worker)
+            .map(|slot| slot.entry.worker.clone());
+        assert_eq!(name.as_deref(), Some("b"));
+    }
+}
+
+/// Guards against a task that stands still and is never moved.
+#[test]
+fn stalled_task_is_moved() {
+    let mut cell = two_workers();
+    cell.accept(job(1, vec![step(1)]));
+    let (worker, key, run) = starts(&cell.tick())[0];
+    let stalled = WorkerReport {
+        clock_ms: 0,
+        born_ms: None,
+        running: vec![RunningRun {
+            task: key,
+            run,
+            checkpoint: String::new(),
+            percent: 10,
+            usage: 0,
+        }],
+        ended: vec![],
+    };
+    let mut stopped = false;
+    for _ in 0..30 {
+        cell.pass(millis(100));
+        let wall_ms = cell.wall_ms();
+        let clock_ms = cell.now.as_millis() as u64;
+        let listed = WorkerReport {
+            clock_ms,
+            ..stalled.clone()
+        };
+        cell.core
+            .report(worker, &listed, cell.now, cell.now, wall_ms);
+        cell.core.tick(cell.now, wall_ms, true);
+        stopped |= stops(&cell.core.take_actions()).contains(&key);
+    }
+    assert!(stopped);
+}
--- /dev/null
+++ b/crates/tanager-service/src/cell_orders.rs
@@ -0,0 +1,211 @@
+//! Orders of a cell to its workers, and questions to the advice service: carries out what `CellCore`
+//! decided and takes the answers back to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanager_jobs::OrderAnswer;
+use tanager_jobs::TaskKey;
+use tanager_jobs::ids::RunNumber;
+use tanager_jobs::ids::WorkerId;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_schedule::CellAction;
+use tanager_schedule::WorkerKey;
+use tanager_schedule::core::StepKey;
+use tanager_schedule::orders::OrderResult;
+use tanager_site::worker::OrderReply;
+use tanager_site::worker::StartOrder;
+
+use crate::cell::CellHandle;
+
+/// Time limit of an order to a worker; workers answer within some milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time limit of a call for advice: many times what the service takes for 30 workers.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+impl CellHandle {
+    pub(crate) fn carry_out(self: &Arc<Self>, action: CellAction) {
+        let cell = Arc::clone(self);
+        match action {
+            CellAction::Start {
+                worker,
+                task,
+                run,
+                lease_until_ms,
+                checkpoint,
+                ticket,
+            } => {
+                let specification = match self.core().record(task.job) {
+                    Some(record) => record.spec.specification.clone(),
+                    None => return,
+                };
+                let order = StartOrder {
+                    task,
+                    run,
+                    specification,
+                    lease_until_ms,
+                    token: self.token,
+                    checkpoint,
+                    ticket,
+                };
+                tokio::spawn(async move { cell.start(worker, order).await });
+            }
+            CellAction::Stop { worker, task, run } => {
+                tokio::spawn(async move { cell.stop(worker, task, run).await });
+            }
+            CellAction::Pace {
+                worker,
+                task,
+                run,
+                percent,
+            } => {
+                tokio::spawn(async move { cell.pace(worker, task, run, percent).await });
+            }
+            CellAction::AskAdvice {
+                job,
+                occurrence,
+                step,
+                workers,
+            } => {
+                let key = (job, occurrence, step);
+                tokio::spawn(async move { cell.ask_advice(key, workers).await });
+            }
+            CellAction::Deposed => self.depose("a worker knows a higher token"),
+        }
+    }
+
+    async fn start(self: Arc<Self>, worker: WorkerKey, order: StartOrder) {
+        let (task, run) = (order.task, order.run);
+        let Some(access) = self.access(worker) else {
+            // A worker that was just replaced has no link yet; nothing was sent.
+            let now = self.context.clock.now();
+            self.core()
+                .start_answered(worker, task, run, OrderResult::NotSent, now);
+            return;
+        };
+        let began = self.context.clock.now();
+        let permit = access.orders.acquire().await;
+        if self.is_closed() {
+            return;
+        }
+        self.context.metrics.runs_started.count();
+        let result = access.link.start(&order, ORDER_TIMEOUT).await;
+        drop(permit);
+        let result = self.judge(result);
+        let now = self.context.clock.now();
+        self.context
+            .metrics
+            .start_seconds
+            .note(now.saturating_sub(began));
+        match result {
+            OrderResult::Answered(OrderAnswer::Accepted) => log::debug!(
+                "event=run_started job={} task={task} run={run} token={}",
+                task.job,
+                self.token
+            ),
+            _ => {
+                self.context.metrics.runs_refused.count();
+                log::info!(
+                    "event=run_not_started job={} task={task} run={run} worker={} result={result:?} \
+                     lease_until_ms={} token={}",
+                    task.job,
+                    self.worker_name(worker),
+                    order.lease_until_ms,
+                    self.token
+                );
+            }
+        }
+        self.core().start_answered(worker, task, run, result, now);
+        self.drive();
+    }
+
+    async fn stop(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: RunNumber) {
+        let Some(access) = self.access(worker) else {
+            // A worker that was just replaced has no link yet; the stop is repeated.
+            let now = self.context.clock.now();
+            self.core()
+                .stop_answered(worker, task, run, OrderResult::NotSent, now);
+            return;
+        };
+        let permit = access.orders.acquire().await;
+        let result = access.link.stop(task, run, self.token, ORDER_TIMEOUT).await;
+        drop(permit);
+        let result = self.judge(result);
+        log::info!(
+            "event=run_stopped job={} task={task} run={run} worker={} result={result:?}",
+            task.job,
+            self.worker_name(worker)
+        );
+        let now = self.context.clock.now();
+        self.core().stop_answered(worker, task, run, result, now);
+        self.drive();
+    }
+
+    async fn pace(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: RunNumber, percent: u32) {
+        let Some(access) = self.access(worker) else {
+            return;
+        };
+        let result = access
+            .link
+            .pace(task, run, percent, self.token, ORDER_TIMEOUT);
+        let result = self.judge(result.await);
+        log::info!(
+            "event=run_paced job={} task={task} run={run} percent={percent} result={result:?}",
+            task.job
+        );
+        self.core()
+            .pace_answered(worker, task, (run, percent), result);
+    }
+
+    async fn ask_advice(self: Arc<Self>, key: StepKey, workers: Vec<WorkerId>) {
+        let (job, occurrence, step) = key;
+        let name = format!("{job}.{occurrence}.{step}");
+        // The service takes one question of a node at a time; a ticket's life begins with it.
+        let turn = self.context.advice_turn.lock().await;
+        let asked = self.context.clock.now();
+        let advice = match &self.context.advice {
+            Some(client) => client.ask(&name, &workers, ADVICE_TIMEOUT).await,
+            None => Err(TanagerError::new(
+                ErrorKind::NotReady,
+                "ask advice",
+                "",
+                "the settings name no advice service",
+            )),
+        };
+        drop(turn);
+        let now = self.context.clock.now();
+        let answer = match advice {
+            Ok(advice) => {
+                log::info!(
+                    "event=advice_taken job={job} step={name} asked={} good={} validity={:?} \
+                     after={:?}",
+                    workers.len(),
+                    advice.tickets.len(),
+                    advice.validity,
+                    now.saturating_sub(asked)
+                );
+                Some((advice.tickets.into_iter().collect(), advice.validity))
+            }
+            Err(error) => {
+                log::warn!("event=advice_failed job={job} step={name} error={error:?}");
+                None
+            }
+        };
+        self.core().advice_answered(key, answer, asked, now);
+        self.drive();
+    }
+
+    /// Translates the result of a call into what the decisions need.
+    fn judge(&self, result: TanagerResult<OrderReply>) -> OrderResult {
+        match result {
+            Ok(reply) => OrderResult::Answered(reply.answer),
+            Err(error) if error.kind == ErrorKind::NotSent => OrderResult::NotSent,
+            Err(_) => {
+                self.context.metrics.orders_unanswered.count();
+                OrderResult::Unknown
+            }
+        }
+    }
+}
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod access;
 pub mod admin;
 pub mod cell;
+mod cell_orders;
 pub mod clock;
 pub mod duty;
 mod duty_cells;
