--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
+use std::process::ChildStdout;
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::atomic::AtomicUsize;
@@ -72,15 +73,26 @@
             .append(true)
             .open(log)
             .expect("log file");
+        Self::start_with(settings, "info", Stdio::from(output))
+    }
+
+    fn start_with(settings: &PathBuf, level: &str, output: Stdio) -> Child {
         Command::new(env!("CARGO_BIN_EXE_tanagerladderd"))
             .arg("jobs")
             .env("TANAGERLADDER_CONFIG", settings)
-            .env("RUST_LOG", "info")
-            .stdout(Stdio::from(output))
+            .env("RUST_LOG", level)
+            .stdout(output)
             .spawn()
             .expect("node process")
     }
 
+    /// Starts the process again with all log lines in a pipe, which is returned.
+    pub(crate) fn restart_piped(&mut self) -> ChildStdout {
+        self.kill();
+        self.child = Self::start_with(&self.settings, "debug", Stdio::piped());
+        self.child.stdout.take().expect("a pipe")
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process id");
         nix::sys::signal::kill(Pid::from_raw(id), signal).expect("signal");
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 
 mod faults;
 mod harness;
+mod logs;
 mod policies;
 
 use std::time::Duration;
