The holder of the duty slows down where the fleet is large, and asks owners side by side

One node alone lists all VMs four times a second (3,000 x 250 bytes) and asks some 230 owners of cells for their load, one after the other, as often: the holder of the duty. That it is this node is computed, not read from its log.

Change: the pause between two decisions grows with VMs and cells; 250 ms up to 700 VMs as before, 1 s at 3,000. Owners are asked 16 at a time.

Open besides: the store's limit of writes at that size.

--- a/crates/tanager-service/src/duty.rs
+++ b/crates/tanager-service/src/duty.rs
@@ -43,8 +43,13 @@
 use crate::records::DUTY_CELL;
 use crate::records::cell_row;
 
-/// Period of decisions.
+/// Period of decisions, where the fleet is small.
 const STEP_PERIOD: Duration = Duration::from_millis(250);
+/// Share of the period for each VM: a list has some 250 bytes a VM, and entry VMs have links from
+/// 10 Mbit/s, of which lists may take 6.
+const STEP_PER_VM: Duration = Duration::from_micros(330);
+/// Share of the period for each cell, whose owner is asked for its load.
+const STEP_PER_CELL: Duration = Duration::from_millis(4);
 /// Time limit of calls to the machine API.
 pub(crate) const MACHINE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time limit of calls to owners of cells.
@@ -96,16 +101,29 @@
         planner: CapacityPlanner::default(),
         homes,
     };
+    let mut vms = 0;
     while !state.cell.is_closed() {
         state.begin_waves().await;
         match machines.list(MACHINE_TIMEOUT).await {
-            Ok(listed) => state.step(machines, &listed).await,
+            Ok(listed) => {
+                vms = listed.len();
+                state.step(machines, &listed).await;
+            }
             Err(error) => log::info!("event=machines_not_listed error={error:?}"),
         }
-        time::sleep(STEP_PERIOD).await;
+        let cells = state.cell.context.view().owners.len();
+        time::sleep(step_period(vms, cells)).await;
     }
 }
 
+/// Returns the pause between two decisions. The holder of the duty is a node like the others, and
+/// its lists and questions grow with the fleet.
+pub fn step_period(vms: usize, cells: usize) -> Duration {
+    (STEP_PER_VM * vms as u32)
+        .max(STEP_PER_CELL * cells as u32)
+        .max(STEP_PERIOD)
+}
+
 impl DutyState {
     /// Begins waves that the operator asked for.
     async fn begin_waves(&mut self) {
--- a/crates/tanager-service/src/duty_cells.rs
+++ b/crates/tanager-service/src/duty_cells.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::ids::WorkerId;
 use tanager_schedule::capacity::PoolLoad;
 use tanager_site::machines::MachineEntry;
+use tokio::task::JoinSet;
 
 use crate::cell::CellHandle;
 use crate::duty::OWNER_TIMEOUT;
@@ -19,6 +20,9 @@
 use crate::peers::LoadReport;
 use crate::view::cell_of_worker;
 
+/// Owners that are asked for the load of a cell at the same time.
+const PARALLEL_QUESTIONS: usize = 16;
+
 /// Asks the owner of the VM's worker to empty it. If the view does not list the worker, which may
 /// live without an entry for a while, the owners of all cells of its pool are asked.
 pub(crate) async fn empty_vm(
@@ -86,18 +90,30 @@
             .collect()
     };
     let mut loads = BTreeMap::new();
-    for pool in pools {
-        let cells = cell.context.view().cells_of(&pool);
-        let mut load = PoolLoad::default();
-        let mut is_known = !cells.is_empty();
-        for name in cells {
-            match cell_load(cell, name).await {
-                Some(report) => report.add_to(&mut load),
-                None => is_known = false,
+    let mut asked: Vec<(PoolName, CellName)> = Vec::new();
+    {
+        let view = cell.context.view();
+        for pool in pools {
+            let cells = view.cells_of(&pool);
+            if !cells.is_empty() {
+                loads.insert(pool.clone(), PoolLoad::default());
             }
+            asked.extend(cells.into_iter().map(|name| (pool.clone(), name)));
         }
-        if is_known {
-            loads.insert(pool, load);
+    }
+    for group in asked.chunks(PARALLEL_QUESTIONS) {
+        let mut questions = JoinSet::new();
+        for (pool, name) in group.iter().cloned() {
+            let cell = Arc::clone(cell);
+            questions.spawn(async move { (pool, cell_load(&cell, name).await) });
+        }
+        for (pool, report) in questions.join_all().await {
+            match (report, loads.get_mut(&pool)) {
+                (Some(report), Some(load)) => report.add_to(load),
+                _ => {
+                    loads.remove(&pool);
+                }
+            }
         }
     }
     loads
