--- a/crates/tanager-node/tests/site/harness.rs
+++ b/crates/tanager-node/tests/site/harness.rs
@@ -337,7 +337,11 @@
 
 pub async fn call(address: SocketAddr, request: HttpRequest) -> Option<HttpResponse> {
     let pool = ClientPool::new(address, PoolLimits::default());
-    pool.exchange(&request, Duration::from_secs(15)).await.ok()
+    let result = pool.exchange(&request, Duration::from_secs(15)).await;
+    // Shown when the test fails; a caller that expects an error goes on.
+    result
+        .inspect_err(|error| println!("call to {address}: {error}"))
+        .ok()
 }
 
 pub async fn is_ready(node: &NodeProcess) -> bool {
