Report panics of tasks instead of dropping their duty; mend a red test

Cause: an attempt of the endpoint client polled its cancellation again after it had completed (second attempt on a new connection), which panicked; the request's task died without a report. Likewise a panic in any spawned task of the job service ended its duty (heartbeats, ledger, lease renewals) silently, and a handler's panic closed the caller's connection without a response.

Change: the cancellation is fused, and a cancelled request is not sent again. Panics of attempts give an unknown outcome; panics of handlers give 500, 502 for the job API, and the outcome "unknown" for the request service. Loops of a node start again; a task of a cell that panics, or a panic that held the lock of its state, closes the cell, which the node acquires again under a new token. Each panic gives a log line.

KNOWN-RED late_write_of_a_claim_given_up: the store stand-in answered late writes at once, so a slow test saw the claim granted. It now holds the answer until the test has dropped the claim.

--- a/crates/tanager-http/src/server.rs
+++ b/crates/tanager-http/src/server.rs
@@ -29,6 +29,7 @@
 use tokio::task::JoinSet;
 use tokio::time;
 
+use tanager_kernel::panics::catch_panic;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
@@ -43,10 +44,10 @@
 pub type ResponseFuture = Pin<Box<dyn Future<Output = HttpResponse> + Send>>;
 /// Handles one request. The future is dropped when the client closes the connection.
 pub type RequestHandler = Arc<dyn Fn(HttpRequest) -> ResponseFuture + Send + Sync>;
-/// Builds the response to a request whose body could not be read.
+/// Builds the response to a request that was not read, or whose handler panicked.
 pub type RejectHandler = Arc<dyn Fn(RejectReason) -> HttpResponse + Send + Sync>;
 
-/// Reason for rejecting a request before it reaches the handler.
+/// Reason for which the server itself responds to a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RejectReason {
     /// The body exceeds the limit: 413.
@@ -55,6 +56,8 @@
     BodyTimeout,
     /// The body is malformed: 400.
     BadBody,
+    /// The handler panicked: 500. The request may have taken effect.
+    HandlerPanicked,
 }
 
 impl RejectReason {
@@ -64,6 +67,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::BadBody => StatusCode::BAD_REQUEST,
+            Self::HandlerPanicked => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 }
@@ -201,7 +205,9 @@
         let reject = Arc::clone(&reject);
         async move {
             let response = match read_request(request, limits).await {
-                Ok(request) => handler(request).await,
+                Ok(request) => call_handler(&handler, request)
+                    .await
+                    .unwrap_or_else(|reason| reject(reason)),
                 Err(reason) => reject(reason),
             };
             Ok::<_, Infallible>(build_response(response))
@@ -220,6 +226,21 @@
     let _ = connection.await;
 }
 
+/// Calls the handler. Without a response after a panic, the client would only see its connection
+/// close.
+async fn call_handler(
+    handler: &RequestHandler,
+    request: HttpRequest,
+) -> Result<HttpResponse, RejectReason> {
+    let (method, path) = (request.method.clone(), request.path.clone());
+    catch_panic(async move { handler(request).await })
+        .await
+        .map_err(|message| {
+            log::error!("event=handler_panicked method={method} path={path} message={message:?}");
+            RejectReason::HandlerPanicked
+        })
+}
+
 async fn read_request(
     request: Request<Incoming>,
     limits: ServerLimits,
--- a/crates/tanager-http/tests/server.rs
+++ b/crates/tanager-http/tests/server.rs
@@ -50,6 +50,31 @@
     })
 }
 
+/// Panics for the path `/panic`, and echoes other requests.
+fn panicking_handler() -> RequestHandler {
+    let echo = echo_handler();
+    Arc::new(move |request| {
+        assert!(request.path != "/panic", "no such path");
+        echo(request)
+    })
+}
+
+/// Guards against a connection that closes without a response when a handler panics, and against
+/// a panic that ends the server.
+#[tokio::test]
+async fn panic_of_a_handler_is_answered() {
+    let server = HttpServer::bind(local_address(), limits(), panicking_handler());
+    let server = server.await.unwrap();
+    let mut connection = ClientConnection::open(server.address(), HANG_TIMEOUT)
+        .await
+        .unwrap();
+    for (path, status) in [("/panic", 500), ("/work", 200), ("/panic", 500)] {
+        let request = HttpRequest::new(Method::GET, path, "");
+        let response = connection.exchange(request, HANG_TIMEOUT, MAX_BODY).await;
+        assert_eq!(response.unwrap().status, status, "{path}");
+    }
+}
+
 /// Reports that the future of a handler was dropped.
 struct DropReporter(mpsc::UnboundedSender<&'static str>);
 
--- a/crates/tanager-kernel/src/lib.rs
+++ b/crates/tanager-kernel/src/lib.rs
@@ -1,6 +1,8 @@
 //! Service registry of a process. Services register by name, look each other up by name, stop in
 //! reverse order of their start and contribute to the state dump.
 
+pub mod panics;
+
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::future::Future;
--- a/crates/tanager-node/src/admin/reply.rs
+++ b/crates/tanager-node/src/admin/reply.rs
@@ -74,14 +74,19 @@
         .with_header(ALLOW, HeaderValue::from_static(allowed))
 }
 
-/// Builds the response to a request whose body could not be read.
+/// Builds the response to a request that was not read, or whose handler panicked.
 pub(super) fn rejection_response(reason: RejectReason) -> HttpResponse {
     let (code, message) = match reason {
         RejectReason::BodyTooLarge => ("too_large", "the body exceeds 4 MiB"),
         RejectReason::BodyTimeout => ("body_timeout", "the body was not received in time"),
         RejectReason::BadBody => ("invalid", "the body is malformed"),
+        RejectReason::HandlerPanicked => ("internal", "the request may have taken effect"),
     };
-    build_error(reason.status(), code, message, "read_body", "")
+    let step = match reason {
+        RejectReason::HandlerPanicked => "handle",
+        _ => "read_body",
+    };
+    build_error(reason.status(), code, message, step, "")
 }
 
 fn build_error(
--- a/crates/tanager-node/src/caller/mod.rs
+++ b/crates/tanager-node/src/caller/mod.rs
@@ -21,6 +21,8 @@
 use tanager_protocol::outcome::NotRunOutcome;
 use tanager_protocol::outcome::NotRunReason;
 use tanager_protocol::outcome::RequestOutcome;
+use tanager_protocol::outcome::UnknownOutcome;
+use tanager_protocol::outcome::UnknownReason;
 use tanager_protocol::peer::ForwardRequest;
 
 use crate::caller::convert::parse_request;
@@ -118,11 +120,16 @@
         let reject_counters = Arc::clone(&counters);
         let reject = Arc::new(move |reason| {
             let response = response_from_rejection(reason);
-            let name = match reason {
-                RejectReason::BodyTooLarge => NotRunReason::BodyTooLarge.as_str(),
-                _ => NotRunReason::BadRequest.as_str(),
-            };
-            reject_counters.add(("not-run", name));
+            match reason {
+                RejectReason::BodyTooLarge => {
+                    reject_counters.add(("not-run", NotRunReason::BodyTooLarge.as_str()));
+                }
+                RejectReason::BodyTimeout | RejectReason::BadBody => {
+                    reject_counters.add(("not-run", NotRunReason::BadRequest.as_str()));
+                }
+                // The recorder of the request has counted it already.
+                RejectReason::HandlerPanicked => {}
+            }
             response
         });
         let recorder_counters = Arc::clone(&counters);
@@ -193,6 +200,13 @@
             "the body was not received in time",
         ),
         RejectReason::BadBody => (NotRunReason::BadRequest, "the body is malformed"),
+        RejectReason::HandlerPanicked => {
+            return response_from_outcome(RequestOutcome::Unknown(UnknownOutcome {
+                reason: UnknownReason::HomeLost,
+                message: "the node failed while it processed the request".to_owned(),
+                retry_after: None,
+            }));
+        }
     };
     let mut response = response_from_outcome(RequestOutcome::NotRun(NotRunOutcome {
         reason: not_run,
--- a/crates/tanager-node/src/dispatcher/execute.rs
+++ b/crates/tanager-node/src/dispatcher/execute.rs
@@ -11,6 +11,7 @@
 use tanager_dispatch::DispatchAction;
 use tanager_dispatch::RequestKey;
 use tanager_dispatch::SendReport;
+use tanager_kernel::panics::catch_panic;
 use tanager_protocol::ids::VmId;
 use tanager_protocol::outcome::NotRunOutcome;
 use tanager_protocol::outcome::NotRunReason;
@@ -109,23 +110,33 @@
                     future::pending::<()>().await;
                 }
             };
-            let result = endpoint
-                .send_before(address, &request, time_left, (send_before, cancelled))
-                .await;
+            let sending =
+                endpoint.send_before(address, &request, time_left, (send_before, cancelled));
+            let result = catch_panic(sending).await;
             let latency = start.elapsed();
             let (report, outcome) = match result {
-                Ok(response) if response.status < 500 => (
+                Ok(Ok(response)) if response.status < 500 => (
                     SendReport::Answered { latency },
                     RequestOutcome::Answered(response),
                 ),
-                Ok(response) => (
+                Ok(Ok(response)) => (
                     SendReport::Failed {
                         latency,
                         shutting_down: false,
                     },
                     RequestOutcome::Answered(response),
                 ),
-                Err(failure) => failed_attempt(failure, retry_is_safe),
+                Ok(Err(failure)) => failed_attempt(failure, retry_is_safe),
+                // Without a report the request would occupy its slot until its deadline.
+                Err(message) => {
+                    let id = &request.request_id;
+                    log::error!("request {id}: the attempt at {address} panicked: {message}");
+                    let failure = SendFailure {
+                        kind: SendFailureKind::Unknown(UnknownReason::ConnectionLost),
+                        message: format!("internal error while sending to {address}"),
+                    };
+                    failed_attempt(failure, retry_is_safe)
+                }
             };
             let _ = events.send(DispatchEvent::AttemptEnded {
                 key,
--- a/crates/tanager-node/src/endpoint.rs
+++ b/crates/tanager-node/src/endpoint.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::FutureExt;
+use futures_util::future::FusedFuture;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -198,7 +200,8 @@
         cancelled: impl Future<Output = ()>,
     ) -> TanagerResult<HttpResponse> {
         let start = Instant::now();
-        let mut cancelled = pin!(cancelled);
+        // A second attempt must not poll the cancellation again after it has completed.
+        let mut cancelled = pin!(cancelled.fuse());
         let idle = Arc::clone(self.lock().entry(address).or_default());
         if let Some(connection) = take_connection(&idle, self.limits.max_idle) {
             let target = (address, outgoing);
@@ -207,10 +210,18 @@
                 Err(error) if error.kind == ErrorKind::NotSent => {}
                 result => return result,
             }
+            if cancelled.is_terminated() {
+                return Err(cancelled_error(address));
+            }
         }
         let remaining = timeout.saturating_sub(start.elapsed());
         let connect_timeout = self.limits.connect_timeout.min(remaining);
-        let connection = match ClientConnection::open(address, connect_timeout).await {
+        let connection = tokio::select! {
+            biased;
+            () = cancelled.as_mut() => return Err(cancelled_error(address)),
+            connection = ClientConnection::open(address, connect_timeout) => connection,
+        };
+        let connection = match connection {
             Ok(connection) => connection,
             Err(error) => {
                 lock_connections(&idle).clear();
@@ -273,6 +284,15 @@
     }
 }
 
+fn cancelled_error(address: SocketAddr) -> TanagerError {
+    TanagerError::new(
+        ErrorKind::NotSent,
+        "send",
+        address.to_string(),
+        "the request was cancelled before it was sent",
+    )
+}
+
 fn lock_connections(idle: &IdleConnections) -> MutexGuard<'_, Vec<ClientConnection>> {
     idle.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/tanager-node/tests/claims.rs
+++ b/crates/tanager-node/tests/claims.rs
@@ -235,6 +235,7 @@
         let first = service(&server, "n1");
         for (key, left) in [("k1", 1), ("k2", 0)] {
             abandoned(&first, key, || store.faults.late_writes.load(Ordering::SeqCst) == left).await;
+            store.faults.answer_late_write.notify_one();
             // The removal must have found no row before the next write is sent.
             first.flush().await;
         }
--- a/crates/tanager-node/tests/common/mod.rs
+++ b/crates/tanager-node/tests/common/mod.rs
@@ -110,9 +110,12 @@
 pub struct StoreFaults {
     /// Number of next transactions that are applied but answered with status 500.
     pub lost_responses: AtomicUsize,
-    /// Number of next transactions that are answered with status 500 at once and applied when
-    /// `release` is notified.
+    /// Number of next transactions that are answered with status 500 when `answer_late_write` is
+    /// notified, and applied when `release` is notified.
     pub late_writes: AtomicUsize,
+    /// Sends the response to a late write. Until then the claim of the write stays undecided,
+    /// however late the test looks at `late_writes`.
+    pub answer_late_write: Notify,
     /// Answers every request with status 503 and applies nothing.
     pub outage: AtomicBool,
     /// Applies transactions but delays their responses until `release` is notified.
@@ -187,6 +190,7 @@
                 store.faults.release.notified().await;
                 store.apply(transaction);
             });
+            self.faults.answer_late_write.notified().await;
             return HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR, "");
         }
         let response = self.apply(transaction);
--- a/crates/tanager-node/tests/endpoint.rs
+++ b/crates/tanager-node/tests/endpoint.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 use std::future::pending;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -33,6 +34,10 @@
 use common::read_head;
 use common::request;
 
+/// Attempts to cancel a request just as its connection closes. Each meets the race with some
+/// probability only.
+const CLOSE_RACES: usize = 500;
+
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
 fn client() -> EndpointClient {
@@ -219,6 +224,26 @@
         assert_eq!(accepted.load(Ordering::SeqCst), 4);
     }
 
+    /// Guards against polling a completed cancellation again, which panics: a request that is
+    /// cancelled while its reused connection closes must not be sent on a second one.
+    cancelled_request_is_not_sent_again => {
+        let (address, accepted) = raw_server(|_, mut stream| async move {
+            read_head(&mut stream).await;
+            let _ = stream.write_all(OK.as_bytes()).await;
+            // The connection closes while the client decides to reuse it.
+        }).await;
+        let client = client();
+        for round in 0..CLOSE_RACES {
+            assert_eq!(response_body(&client, address).await, b"ok");
+            let before = accepted.load(Ordering::SeqCst);
+            let result = client
+                .send_before(address, &request("GET", ""), HANG_TIMEOUT, (None, ready(())))
+                .await;
+            assert!(result.is_err(), "round {round}: {result:?}");
+            assert_eq!(accepted.load(Ordering::SeqCst), before, "round {round}: a second connection");
+        }
+    }
+
     /// Guards against forwarding hop-by-hop headers, and against losing the idempotency key or
     /// repeated headers.
     only_end_to_end_headers_are_forwarded => {
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod harness;
 mod logs;
+mod panics;
 mod scheduling;
 
 use std::time::Duration;
--- a/crates/tanager-node/tests/retention.rs
+++ b/crates/tanager-node/tests/retention.rs
@@ -105,6 +105,7 @@
         let others = async {
             wait_until(|| store.faults.late_writes.load(Ordering::SeqCst) == 0).await;
             advance(&store, 2);
+            store.faults.answer_late_write.notify_one();
             let result = claim(&second, "k1").await;
             store.faults.release.notify_waiters();
             result
@@ -148,6 +149,7 @@
             result = claim(&first, "k1") => panic!("not abandoned: {result:?}"),
             () = wait_until(|| store.faults.late_writes.load(Ordering::SeqCst) == 0) => {}
         }
+        store.faults.answer_late_write.notify_one();
         first.flush().await;
         store.faults.release.notify_waiters();
         wait_until(|| store.state(&row(0, "k1")).is_some()).await;
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -80,16 +80,22 @@
             closed: watch::Sender::new(false),
             paused: watch::Sender::new(false),
         });
-        tokio::spawn(ledger::run(Arc::clone(&cell), versions));
-        tokio::spawn(tick_loop(Arc::clone(&cell)));
+        cell.spawn_task("ledger", ledger::run(Arc::clone(&cell), versions));
+        cell.spawn_task("tick", tick_loop(Arc::clone(&cell)));
         cell.connect_workers();
         cell.ledger.wake();
         cell
     }
 
     /// Locks the state of the cell. The guard must not be held across an await.
+    ///
+    /// After a panic that held the lock, whichever task it was in, the state may be inconsistent.
+    /// The cell is then closed, so that its state is loaded again from the store.
     pub fn core(&self) -> MutexGuard<'_, CellCore> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        self.core.lock().unwrap_or_else(|poisoned| {
+            self.close("a panic left the state of the cell inconsistent");
+            poisoned.into_inner()
+        })
     }
 
     /// Returns a receiver whose value becomes `true` when the cell is closed.
@@ -206,7 +212,7 @@
                 self.worker_name(key),
                 self.token
             );
-            tokio::spawn(lease_renewal::run(Arc::clone(self), key));
+            self.spawn_task("lease_renewal", lease_renewal::run(Arc::clone(self), key));
         }
     }
 
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -11,6 +11,7 @@
 use http::header;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
+use tanager_http::server::RejectReason;
 use tanager_jobs::JobId;
 use tanager_jobs::QueueConfig;
 use tanager_jobs::ids::CellName;
@@ -84,6 +85,18 @@
     }
 }
 
+/// Builds the response to a request that was not read, or whose handler panicked.
+pub fn rejection_response(reason: RejectReason) -> HttpResponse {
+    match reason {
+        // The job may have been stored; a retry with the same id finds out.
+        RejectReason::HandlerPanicked => HttpResponse::new(
+            StatusCode::BAD_GATEWAY,
+            "internal error; the outcome is unknown",
+        ),
+        reason => HttpResponse::new(reason.status(), ""),
+    }
+}
+
 fn owner_timeout(request: &HttpRequest) -> Duration {
     let client_timeout = (request.header(DEADLINE_HEADER.as_str()))
         .and_then(|text| text.parse().ok())
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod records;
 pub mod requests;
 pub mod store_access;
+pub mod supervision;
 pub mod table_watch;
 pub mod takeover;
 pub mod view;
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -286,10 +286,11 @@
         let limits = ServerLimits::default();
         let settings = &context.settings;
         let shared = Arc::clone(&context);
-        let client = HttpServer::bind(
+        let client = HttpServer::bind_with_reject(
             settings.client_address,
             limits,
             Arc::new(move |request| Box::pin(job_api::handle(Arc::clone(&shared), request))),
+            Arc::new(job_api::rejection_response),
         )
         .await?;
         let shared = Arc::clone(&context);
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -2,6 +2,8 @@
 //! this node's heartbeats and acquires orphaned cells.
 
 use std::collections::BTreeSet;
+use std::convert::Infallible;
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +33,7 @@
 use crate::records::POOL_TABLE;
 use crate::records::PoolRecord;
 use crate::records::unpartitioned_row;
+use crate::supervision::spawn_loop;
 use crate::takeover;
 use crate::view::assign_racks;
 
@@ -117,15 +120,24 @@
 
 /// Starts the tasks that read the tables, write heartbeats and acquire cells.
 pub fn spawn(context: &Arc<NodeContext>) {
-    tokio::spawn(watch_operator(Arc::clone(context)));
-    tokio::spawn(watch_workers(Arc::clone(context)));
-    tokio::spawn(watch_nodes(Arc::clone(context)));
-    tokio::spawn(watch_cells(Arc::clone(context)));
-    tokio::spawn(heartbeat_loop(Arc::clone(context)));
-    tokio::spawn(acquisition_loop(Arc::clone(context)));
+    spawn_context_loop(context, "watch_operator", watch_operator);
+    spawn_context_loop(context, "watch_workers", watch_workers);
+    spawn_context_loop(context, "watch_nodes", watch_nodes);
+    spawn_context_loop(context, "watch_cells", watch_cells);
+    spawn_context_loop(context, "heartbeat", heartbeat_loop);
+    spawn_context_loop(context, "acquisition", acquisition_loop);
 }
 
-async fn watch_operator(context: Arc<NodeContext>) {
+fn spawn_context_loop<L: Future<Output = Infallible> + Send + 'static>(
+    context: &Arc<NodeContext>,
+    name: &'static str,
+    run: impl Fn(Arc<NodeContext>) -> L + Send + 'static,
+) {
+    let context = Arc::clone(context);
+    spawn_loop(name, move || run(Arc::clone(&context)));
+}
+
+async fn watch_operator(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(OPERATOR_TABLE, true);
     loop {
         match table.read(&context).await {
@@ -177,7 +189,7 @@
     }
 }
 
-async fn watch_workers(context: Arc<NodeContext>) {
+async fn watch_workers(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(WORKER_TABLE, true);
     loop {
         match table.read(&context).await {
@@ -353,7 +365,7 @@
     }
 }
 
-async fn watch_nodes(context: Arc<NodeContext>) {
+async fn watch_nodes(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(NODE_TABLE, true);
     loop {
         match table.read(&context).await {
@@ -385,7 +397,7 @@
     }
 }
 
-async fn watch_cells(context: Arc<NodeContext>) {
+async fn watch_cells(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(CELL_TABLE, false);
     loop {
         match table.read(&context).await {
@@ -428,7 +440,7 @@
     }
 }
 
-async fn heartbeat_loop(context: Arc<NodeContext>) {
+async fn heartbeat_loop(context: Arc<NodeContext>) -> Infallible {
     let row = unpartitioned_row(NODE_TABLE, &context.settings.node);
     let mut version = 0;
     let mut heartbeat = 0;
@@ -441,8 +453,13 @@
             leaving: context.is_stopping(),
             cores: context.settings.cores,
         };
-        let Ok(value) = encode_record(&record) else {
-            return;
+        let value = match encode_record(&record) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!("event=record_not_encoded table={NODE_TABLE} error={error:?}");
+                time::sleep(HEARTBEAT_PERIOD).await;
+                continue;
+            }
         };
         let change = TableChange {
             expect: vec![(row.clone(), version)],
@@ -473,7 +490,7 @@
     }
 }
 
-async fn acquisition_loop(context: Arc<NodeContext>) {
+async fn acquisition_loop(context: Arc<NodeContext>) -> Infallible {
     loop {
         // Decide at once when an owner changed.
         let _ = time::timeout(ACQUISITION_PERIOD, context.owners_changed.notified()).await;
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -121,7 +121,11 @@
     let cell = CellHandle::spawn(Arc::clone(context), name.clone(), version, core, versions);
     cell.sync_queues();
     if name == COORDINATOR_CELL {
-        tokio::spawn(coordinator::run(Arc::clone(&cell), previous.version == 0));
+        let is_first_owner = previous.version == 0;
+        cell.spawn_task(
+            "coordinator",
+            coordinator::run(Arc::clone(&cell), is_first_owner),
+        );
     }
     Ok(cell)
 }
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -50,10 +50,10 @@
                     checkpoint,
                     ticket,
                 };
-                tokio::spawn(async move { cell.start(worker, order).await });
+                self.spawn_task("start", async move { cell.start(worker, order).await });
             }
             CellAction::Stop { worker, task, run } => {
-                tokio::spawn(async move { cell.stop(worker, task, run).await });
+                self.spawn_task("stop", async move { cell.stop(worker, task, run).await });
             }
             CellAction::Pace {
                 worker,
@@ -61,7 +61,9 @@
                 run,
                 percent,
             } => {
-                tokio::spawn(async move { cell.pace(worker, task, run, percent).await });
+                self.spawn_task("pace", async move {
+                    cell.pace(worker, task, run, percent).await;
+                });
             }
             CellAction::RequestAdvice {
                 job,
@@ -70,7 +72,9 @@
                 workers,
             } => {
                 let key = (job, occurrence, step);
-                tokio::spawn(async move { cell.request_advice(key, workers).await });
+                self.spawn_task("advice", async move {
+                    cell.request_advice(key, workers).await;
+                });
             }
             CellAction::CellLost => self.close("a worker knows a higher token"),
         }
