Takeover waits neither for ended owners nor for workers without runs

A new owner starts unlisted tasks once every worker in the ledger has reported, or after 4 s + a lease (9.8 s in all). The 4 s are for an owner that may still extend leases; they also applied to one whose process had ended.

Change: a worker that is drained, leaving, missing or silent, and has no run, no start that may come late and no end to be stored leaves the ledger, and is registered again before it is used. The 4 s apply only to an owner that is not known to have ended; a later incarnation on its node, or the cell's former owner being this node, shows that. event=recovery_ended says when a takeover ended and for which workers it waited in vain.

--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -59,6 +59,12 @@
         /// Target completion time, based on learned durations.
         objective: Duration,
     },
+    /// After a takeover, the runs of the former owner are known or have certainly ended. Tasks that
+    /// no worker listed may start from now on.
+    RecoveryEnded {
+        /// Workers of the former owner that did not report; their leases have expired.
+        unreached_workers: Vec<WorkerId>,
+    },
 }
 
 /// An action for the owner to carry out.
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -58,6 +58,8 @@
     /// will have expired. Unlisted tasks start only when each of these workers has reported or that
     /// time has passed.
     pub(crate) unconfirmed_workers: HashMap<WorkerId, Duration>,
+    /// Former workers whose leases expired before they reported, for the log.
+    pub(crate) unreached_workers: Vec<WorkerId>,
     /// Before this time, a task that is listed as running may have been stopped by the former
     /// owner.
     pub(crate) stops_visible_from: Duration,
@@ -115,6 +117,7 @@
             events: Vec::new(),
             dirty: BTreeSet::new(),
             unconfirmed_workers: HashMap::new(),
+            unreached_workers: Vec::new(),
             stops_visible_from: Duration::ZERO,
             recovering: false,
             ranking: crate::ranking::StepRanking::default(),
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -173,18 +173,27 @@
     }
 
     /// Returns the workers that must be written to the ledger before they may be used.
-    pub fn unregistered_workers(&self) -> Vec<WorkerKey> {
+    pub fn unregistered_workers(&self, now: Duration) -> Vec<WorkerKey> {
         (self.workers.iter())
-            .filter(|(_, worker)| !worker.registered)
+            .filter(|(_, worker)| !worker.registered && !worker.is_retired(now))
             .map(|(key, _)| key)
             .collect()
     }
 
     /// Returns the entries of all workers that may have runs, for the ledger.
-    pub fn ledger_workers(&self) -> Vec<WorkerEntry> {
-        (self.workers.values())
-            .map(|worker| worker.entry.clone())
-            .collect()
+    ///
+    /// Retired workers are left out, and are not used before they are registered again. A new
+    /// owner waits for each worker in the ledger, and VMs that were moved away never report.
+    pub fn ledger_workers(&mut self, now: Duration) -> Vec<WorkerEntry> {
+        let mut entries = Vec::with_capacity(self.workers.len());
+        for worker in self.workers.values_mut() {
+            if worker.is_retired(now) {
+                worker.registered = false;
+            } else {
+                entries.push(worker.entry.clone());
+            }
+        }
+        entries
     }
 
     /// Marks workers as written to the ledger.
--- a/crates/tanager-schedule/src/recovery.rs
+++ b/crates/tanager-schedule/src/recovery.rs
@@ -7,6 +7,7 @@
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::WorkerEntry;
 
+use crate::action::CellEvent;
 use crate::core::CellCore;
 use crate::job::JobEntry;
 use crate::job::TaskPhase;
@@ -15,6 +16,15 @@
 /// in the workers' lists.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 
+/// What is known about the former owner of a cell when the cell is acquired.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FormerOwner {
+    /// It released the cell, or its process has ended. It extends no more leases.
+    Inactive,
+    /// It shows no sign of life, but may still run and extend leases for a while.
+    Unresponsive,
+}
+
 impl CellCore {
     /// Loads a stored job.
     pub fn load_job(
@@ -53,12 +63,16 @@
         self.recovering = true;
     }
 
-    /// Sets the workers on which the former owner may have runs. `released` means that the former
-    /// owner released the cell and no longer extends leases.
-    pub fn await_former_workers(&mut self, workers: &[WorkerEntry], released: bool, now: Duration) {
-        let stale_owner_time = match released {
-            true => Duration::ZERO,
-            false => self.settings.stale_owner_limit,
+    /// Sets the workers on which the former owner may have runs.
+    pub fn await_former_workers(
+        &mut self,
+        workers: &[WorkerEntry],
+        former_owner: FormerOwner,
+        now: Duration,
+    ) {
+        let stale_owner_time = match former_owner {
+            FormerOwner::Inactive => Duration::ZERO,
+            FormerOwner::Unresponsive => self.settings.stale_owner_limit,
         };
         let lease = self
             .settings
@@ -74,11 +88,15 @@
 
     /// Allows unlisted tasks to start again once no worker of the former owner is unconfirmed.
     pub(crate) fn finish_recovery(&mut self, now: Duration) {
-        self.unconfirmed_workers.retain(|_, end| now < *end);
+        let expired = (self.unconfirmed_workers).extract_if(|_, end| now >= *end);
+        (self.unreached_workers).extend(expired.map(|(worker, _)| worker));
         if !self.unconfirmed_workers.is_empty() || !self.recovering {
             return;
         }
         self.recovering = false;
+        self.events.push(CellEvent::RecoveryEnded {
+            unreached_workers: std::mem::take(&mut self.unreached_workers),
+        });
         let open: Vec<_> = self.open_jobs.iter().copied().collect();
         for id in open {
             self.release_unaccounted(id);
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -209,6 +209,25 @@
             && (self.health.failures < FAILURES_TO_EJECT || self.runs.is_empty())
     }
 
+    /// Returns whether the worker needs no entry in the ledger: nothing runs here, nothing may start
+    /// late, and it gets no new tasks for now.
+    pub fn is_retired(&self, now: Duration) -> bool {
+        let missing_for = self
+            .missing_since
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since));
+        let gets_no_tasks = self.entry.draining
+            || now < self.draining_until
+            || missing_for >= MISSING_ENTRY_LIMIT
+            || !self.responded_recently(now);
+        // Before its first report it may have runs of a former owner.
+        let has_reported = self.clock.is_some();
+        gets_no_tasks
+            && has_reported
+            && self.runs.is_empty()
+            && !self.has_unconfirmed_starts(now)
+            && self.processed_end == self.stored_end
+    }
+
     /// Returns the unreserved resources.
     pub fn free(&self) -> ResourceAmount {
         self.entry.capacity.minus(&self.reserved)
--- a/crates/tanager-schedule/tests/model/owner.rs
+++ b/crates/tanager-schedule/tests/model/owner.rs
@@ -11,6 +11,7 @@
 use tanager_schedule::WorkerKey;
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
+use tanager_schedule::recovery::FormerOwner;
 
 use super::calls::Message;
 use super::world::MAX_ATTEMPTS;
@@ -43,7 +44,7 @@
 
 impl World {
     /// Starts a new owner, which acquires and loads the cell.
-    pub(crate) fn take_over(&mut self, released: bool) {
+    pub(crate) fn take_over(&mut self, former_owner: FormerOwner) {
         self.trace(|| "takeover".to_owned());
         self.next_token += 1;
         self.owner_token = self.next_token;
@@ -56,7 +57,7 @@
         for (record, progress) in self.jobs.values() {
             core.load_job(record.clone(), progress, self.now, self.wall_ms());
         }
-        core.await_former_workers(&self.ledger_workers, released, self.now);
+        core.await_former_workers(&self.ledger_workers, former_owner, self.now);
         let mut entries = self.listed();
         for former in &self.ledger_workers {
             if !entries.iter().any(|entry| entry.worker == former.worker) {
@@ -160,7 +161,7 @@
             self.finish_commit(number);
             return;
         }
-        let registered = owner.core.unregistered_workers();
+        let registered = owner.core.unregistered_workers(now);
         let has_work =
             owner.core.has_dirty() || owner.core.has_unstored_ends() || !registered.is_empty();
         if has_work {
@@ -170,7 +171,7 @@
                 jobs,
                 watermarks,
                 registered,
-                workers: owner.core.ledger_workers(),
+                workers: owner.core.ledger_workers(now),
             });
         }
     }
@@ -204,7 +205,7 @@
             && owner.commit.is_none()
         {
             owner.alive = false;
-            self.take_over(true);
+            self.take_over(FormerOwner::Inactive);
         }
     }
 
@@ -221,7 +222,12 @@
             None => true,
         };
         if is_unresponsive && store_up {
-            self.take_over(false);
+            // A dead process may be known to have ended, because a later one runs on its node.
+            let is_known_dead = self.current().is_none_or(|owner| !owner.alive);
+            self.take_over(match is_known_dead {
+                true => FormerOwner::Inactive,
+                false => FormerOwner::Unresponsive,
+            });
         }
     }
 }
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -20,6 +20,7 @@
 use tanager_schedule::CellSettings;
 use tanager_schedule::core::CancelResult;
 use tanager_schedule::core::JobPhase;
+use tanager_schedule::recovery::FormerOwner;
 
 use super::calls::Transit;
 use super::check::RunRecord;
@@ -153,7 +154,7 @@
             is_tracing: false,
             traced_task: None,
         };
-        world.take_over(true);
+        world.take_over(FormerOwner::Inactive);
         world
     }
 
--- a/crates/tanager-schedule/tests/support/mod.rs
+++ b/crates/tanager-schedule/tests/support/mod.rs
@@ -121,7 +121,7 @@
         let mut core = CellCore::new(settings());
         core.set_queues([(QUEUE.to_owned(), QueuePolicy::default())]);
         core.sync_workers(&entries, Duration::ZERO);
-        let keys = core.unregistered_workers();
+        let keys = core.unregistered_workers(Duration::ZERO);
         core.mark_registered(&keys);
         let mut cell = Self {
             core,
--- a/crates/tanager-schedule/tests/takeover.rs
+++ b/crates/tanager-schedule/tests/takeover.rs
@@ -17,7 +17,9 @@
 use tanager_jobs::record::encode_record;
 use tanager_schedule::CellAction;
 use tanager_schedule::CellCore;
+use tanager_schedule::CellEvent;
 use tanager_schedule::QueuePolicy;
+use tanager_schedule::recovery::FormerOwner;
 
 use support::QUEUE;
 use support::TestCell;
@@ -63,6 +65,11 @@
 
 /// Returns a cell acquired from an owner that died, with one stored job.
 fn acquired_cell(names: &[&str], steps: Vec<StepSpec>) -> CellCore {
+    acquired_from(FormerOwner::Unresponsive, names, steps)
+}
+
+/// Returns a cell with one stored job.
+fn acquired_from(former_owner: FormerOwner, names: &[&str], steps: Vec<StepSpec>) -> CellCore {
     let mut core = CellCore::new(settings());
     core.set_queues([(QUEUE.to_owned(), QueuePolicy::default())]);
     core.load_job(
@@ -72,9 +79,9 @@
         WALL_MS,
     );
     let entries: Vec<_> = names.iter().map(|name| entry(name)).collect();
-    core.await_former_workers(&entries, false, Duration::ZERO);
+    core.await_former_workers(&entries, former_owner, Duration::ZERO);
     core.sync_workers(&entries, Duration::ZERO);
-    let keys = core.unregistered_workers();
+    let keys = core.unregistered_workers(Duration::ZERO);
     core.mark_registered(&keys);
     core
 }
@@ -121,6 +128,70 @@
     assert_eq!(starts(&run_tick(&mut core, now)).len(), 1);
 }
 
+/// Guards against tasks that wait, beside a worker that is down, for an owner whose process has
+/// certainly ended (LOST; kusluk-ladder-grown fresh-2a8d), and against tasks that start before the
+/// leases of that worker have expired (TWICE).
+#[test]
+fn ended_owner_delays_tasks_by_a_lease_only() {
+    let mut core = acquired_from(FormerOwner::Inactive, &["a", "b"], vec![step(1)]);
+    let keys = core.worker_keys();
+    let mut now = Duration::ZERO;
+    while now <= settings().lease {
+        core.apply_report(keys[0], &report(vec![], vec![]), now, now, WALL_MS);
+        assert!(starts(&run_tick(&mut core, now)).is_empty(), "at {now:?}");
+        now += millis(100);
+    }
+    // The clock of a worker may be 2% slow.
+    now += settings().lease / 40;
+    core.apply_report(keys[0], &report(vec![], vec![]), now, now, WALL_MS);
+    assert_eq!(starts(&run_tick(&mut core, now)).len(), 1);
+    let unreached_workers = vec!["b".to_owned()];
+    let event = CellEvent::RecoveryEnded { unreached_workers };
+    assert!(core.take_events().contains(&event));
+}
+
+/// Guards against a new owner that waits for workers that cannot have runs: VMs that were drained
+/// and moved away (LOST; kusluk-ladder-grown fresh-2a8d).
+#[test]
+fn drained_worker_leaves_the_ledger() {
+    let mut cell = TestCell::new(vec![entry("a"), entry("b")]);
+    cell.accept(job(1, vec![step(1)]));
+    let started = starts(&cell.tick());
+    let (busy, run_task, run) = started[0];
+    cell.report_all();
+    let names = |cell: &mut TestCell| {
+        let now = cell.now;
+        let mut names: Vec<_> = (cell.core.ledger_workers(now).into_iter())
+            .map(|entry| entry.worker)
+            .collect();
+        names.sort();
+        names
+    };
+    assert_eq!(names(&mut cell), ["a", "b"]);
+    for name in ["a", "b"] {
+        cell.core
+            .drain_worker(&name.to_owned(), cell.now + millis(1_000), false);
+    }
+    let busy_name = cell.core.worker(busy).expect("worker").entry.worker.clone();
+    assert_eq!(names(&mut cell), [busy_name.as_str()]);
+    // The end of the run is not stored yet.
+    cell.end(busy, run_task, run, EndCause::Done);
+    cell.report_all();
+    assert_eq!(names(&mut cell), [busy_name.as_str()]);
+    let (jobs, watermarks) = cell.core.take_dirty(10);
+    cell.core.mark_stored(&jobs, &watermarks);
+    assert!(names(&mut cell).is_empty());
+    // The VMs were not moved. They are used again once they are registered again.
+    cell.advance_time(millis(1_100));
+    cell.report_all();
+    cell.accept(job(2, vec![step(1)]));
+    assert!(starts(&cell.tick()).is_empty());
+    let keys = cell.core.unregistered_workers(cell.now);
+    assert_eq!((keys.len(), names(&mut cell).len()), (2, 2));
+    cell.core.mark_registered(&keys);
+    assert_eq!(starts(&cell.tick()).len(), 1);
+}
+
 /// Guards against losing failed runs that are listed in a different order than they ended (BUDGET;
 /// lt-hallein trouble-3, seed 653716427779).
 #[test]
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -138,7 +138,7 @@
         let has_new = {
             let mut core = self.core();
             core.sync_workers(&entries, now);
-            !core.unregistered_workers().is_empty()
+            !core.unregistered_workers(now).is_empty()
         };
         self.connect_workers();
         if has_new {
@@ -288,6 +288,12 @@
                 age > objective,
                 self.token
             ),
+            CellEvent::RecoveryEnded { unreached_workers } => log::info!(
+                "event=recovery_ended cell={cell} token={} unreached={} first={:?}",
+                self.token,
+                unreached_workers.len(),
+                unreached_workers.first()
+            ),
         }
     }
 
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -264,7 +264,8 @@
     let name = &cell.name;
     let mut core = cell.core();
     let mut state = cell.ledger.lock();
-    let registered = core.unregistered_workers();
+    let now = cell.context.clock.now();
+    let registered = core.unregistered_workers(now);
     let wall_ms = cell.context.clock.wall_ms();
     let expired = core.remove_expired(wall_ms, MAX_EXPIRED_JOBS);
     let has_work = !state.inserts.is_empty()
@@ -313,7 +314,7 @@
         sequence,
         writer: cell.context.incarnation,
         workers: core
-            .ledger_workers()
+            .ledger_workers(now)
             .iter()
             .map(LedgerWorker::from_entry)
             .collect(),
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -15,6 +15,7 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::CellSettings;
 use tanager_schedule::durations::QueueDuration;
+use tanager_schedule::recovery::FormerOwner;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowVersion;
 use tanager_site::store::TableChange;
@@ -66,7 +67,7 @@
     name: &CellName,
 ) -> TanagerResult<Arc<CellHandle>> {
     let previous = context.view().owners.get(name).cloned().unwrap_or_default();
-    let was_released = previous.record.node.is_empty();
+    let former_owner = former_owner(context, &previous.record);
     let version = write_owner(context, name, previous.version).await?;
     let started = context.clock.now();
     log::info!(
@@ -97,7 +98,7 @@
     let ledger_workers: Vec<_> = (rows.ledger.workers.iter())
         .map(|worker| worker.placeholder_entry(&pool))
         .collect();
-    core.await_former_workers(&ledger_workers, was_released, now);
+    core.await_former_workers(&ledger_workers, former_owner, now);
     let listed = context.view().workers_of(name);
     let unlisted: Vec<_> = (ledger_workers.iter())
         .filter(|entry| !listed.iter().any(|other| other.worker == entry.worker))
@@ -110,7 +111,7 @@
     core.sync_workers(&workers, now);
     log::info!(
         "event=cell_loaded cell={name} token={version} jobs={jobs} skipped={skipped} \
-         former_workers={} released={was_released} after={:?}",
+         former_workers={} former_owner={former_owner:?} after={:?}",
         ledger_workers.len(),
         now.saturating_sub(started)
     );
@@ -130,6 +131,21 @@
     Ok(cell)
 }
 
+/// Determines what is known about the former owner of a cell.
+///
+/// A node runs one process at a time, so the former owner has ended if the row of its node names a
+/// later incarnation, or if the node is this one.
+fn former_owner(context: &NodeContext, record: &OwnerRecord) -> FormerOwner {
+    let has_ended = record.node.is_empty()
+        || record.node == context.settings.node
+        || (context.view().nodes.get(&record.node))
+            .is_some_and(|observed| observed.record.incarnation > record.incarnation);
+    match has_ended {
+        true => FormerOwner::Inactive,
+        false => FormerOwner::Unresponsive,
+    }
+}
+
 /// Derives the settings of a cell from the settings of the site.
 fn cell_settings(context: &NodeContext) -> CellSettings {
     let durations = &context.settings.durations;
