Cut ledger transactions that the store rejects for their size

One that the store rejects was handled as not applied: its new jobs were refused, and its progress was sent again in the same transaction.

Change: batch_limits.rs decides how many entries and bytes a transaction takes, all rows counted; what does not fit waits for the next one, and ends are then not acknowledged. A rejected transaction is cut: the limits are halved until it is applied, its new jobs keep waiting, and a single row that is rejected alone is refused. The stand-in rejects calls over 1 MB, or over a size set as a fault.

--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -120,6 +120,39 @@
     site.wait_for_state(POOL, &small, "completed").await;
 }
 
+/// Guards against a cell that stores nothing any more because the store rejects a transaction for
+/// its size, and against jobs that are lost when it is cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_transaction_is_cut() {
+    let site = small_site(1).await;
+    // The progress rows of these jobs change at the same time, after the limit is in force.
+    let slow = submit_at_once(&site, 40, "ms=1500").await;
+    // Enough for some rows beside the ledger row, not for those of all jobs.
+    site.standin
+        .set_faults(|faults| faults.max_change_bytes = 4_000);
+    let fast = submit_at_once(&site, 20, "ms=100").await;
+    for id in slow.iter().chain(&fast) {
+        site.wait_for_state(POOL, id, "completed").await;
+    }
+    let runs = site.standin.runs();
+    assert_single_runs(&runs);
+    assert_eq!(count_done(&runs), 60 * 3);
+}
+
+/// Submits jobs at once, each with one request that must be accepted. Returns their ids.
+async fn submit_at_once(site: &JobSite, count: usize, specification: &str) -> Vec<String> {
+    let body = job_of_steps(&[2, 1], specification).to_string();
+    let ids: Vec<String> = (0..count).map(|_| new_job_id()).collect();
+    let submit = async |id: &String| {
+        let path = format!("/{POOL}/{id}");
+        let response = site.request(0, Method::POST, &path, &body).await;
+        response.expect("a response").status.as_u16()
+    };
+    let statuses = futures_util::future::join_all(ids.iter().map(submit)).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    ids
+}
+
 /// Guards against a job that runs twice because the same id arrives at several nodes at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn concurrent_submissions_of_one_id_run_once() {
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -23,8 +23,6 @@
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
 use tanager_site::store::ChangeResult;
-use tanager_site::store::MAX_BYTES;
-use tanager_site::store::MAX_ENTRIES;
 use tanager_site::store::RowVersion;
 use tanager_site::store::TableChange;
 use tokio::sync::Notify;
@@ -32,6 +30,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::batch_limits::BatchLimits;
 use crate::cell::CellHandle;
 use crate::records::CELL_TABLE;
 use crate::records::Incarnation;
@@ -117,6 +116,8 @@
     Committed(RowVersion),
     /// Not applied.
     NotApplied,
+    /// Not applied, and never will be as it is: the store rejects it, for instance for its size.
+    Rejected,
     /// Another node owns the cell.
     OwnershipLost,
     /// The cell was closed while the outcome was uncertain.
@@ -215,13 +216,14 @@
 /// Runs the transactions of a cell until it is closed.
 pub async fn run(cell: Arc<CellHandle>, mut versions: LedgerVersions) {
     let mut sequence = 0;
+    let mut limits = BatchLimits::DOCUMENTED;
     let mut closed = cell.closed();
     loop {
         tokio::select! {
             () = cell.ledger.wake.notified() => {}
             _ = closed.wait_for(|closed| *closed) => break,
         }
-        while let Some(batch) = build_batch(&cell, versions, sequence + 1) {
+        while let Some(batch) = build_batch(&cell, versions, limits, sequence + 1) {
             sequence = batch.sequence;
             let started = cell.context.clock.now();
             cell.ledger.lock().started = Some(started);
@@ -234,6 +236,7 @@
             match outcome {
                 BatchOutcome::Committed(version) => {
                     versions.ledger = version;
+                    limits.grow();
                     apply_committed(&cell, &batch, started);
                 }
                 BatchOutcome::NotApplied => {
@@ -241,6 +244,11 @@
                     cell.ledger.refuse_queued();
                     time::sleep(RETRY_PAUSE).await;
                 }
+                BatchOutcome::Rejected => {
+                    limits.shrink();
+                    cut_batch(&cell, batch);
+                    time::sleep(RETRY_PAUSE).await;
+                }
                 BatchOutcome::OwnershipLost => {
                     resolve_uncertain(&cell, &batch);
                     cell.close("ledger conflict");
@@ -260,7 +268,12 @@
 }
 
 /// Builds the next transaction; `None` if there is nothing to store.
-fn build_batch(cell: &CellHandle, versions: LedgerVersions, sequence: u64) -> Option<LedgerBatch> {
+fn build_batch(
+    cell: &CellHandle,
+    versions: LedgerVersions,
+    limits: BatchLimits,
+    sequence: u64,
+) -> Option<LedgerBatch> {
     let name = &cell.name;
     let mut core = cell.core();
     let mut state = cell.ledger.lock();
@@ -288,28 +301,6 @@
         change.removals.push(cell_row(JOB_TABLE, name, &key));
         change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
     }
-    let mut bytes = 0;
-    let mut remaining_entries = MAX_ENTRIES - FIXED_ENTRIES - change.removals.len();
-    let mut inserts = Vec::new();
-    while remaining_entries > 0 && bytes < MAX_BYTES {
-        let Some(record) = state.inserts.pop_front() else {
-            break;
-        };
-        if let Some(value) = encode_or_log(&record) {
-            bytes += value.len();
-            remaining_entries -= 1;
-            let row = cell_row(JOB_TABLE, name, &record.id.to_string());
-            change.puts.push((row, value));
-            inserts.push(record);
-        }
-    }
-    let (dirty, watermarks) = core.take_dirty(remaining_entries);
-    for job in &dirty {
-        if let Some(value) = encode_or_log(&job.progress) {
-            let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
-            change.puts.push((row, value));
-        }
-    }
     let record = LedgerRecord {
         sequence,
         writer: cell.context.incarnation,
@@ -330,14 +321,45 @@
             .collect(),
     };
     let value = encode_or_log(&record)?;
+    let mut room = limits.room(FIXED_ENTRIES + change.removals.len(), value.len());
     change
         .puts
         .push((cell_row(LEDGER_TABLE, name, LEDGER_KEY), value));
+    let mut inserts = Vec::new();
+    while let Some(record) = state.inserts.pop_front() {
+        let Some(value) = encode_or_log(&record) else {
+            continue;
+        };
+        if !room.add(value.len()) {
+            state.inserts.push_front(record);
+            break;
+        }
+        let row = cell_row(JOB_TABLE, name, &record.id.to_string());
+        change.puts.push((row, value));
+        inserts.push(record);
+    }
+    let (dirty, mut watermarks) = core.take_dirty(room.entries());
+    let (mut stored, mut deferred) = (Vec::new(), Vec::new());
+    for job in dirty {
+        let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
+        let Some(value) = value else {
+            deferred.push(job);
+            continue;
+        };
+        let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
+        change.puts.push((row, value));
+        stored.push(job);
+    }
+    if !deferred.is_empty() {
+        core.restore_dirty(&deferred);
+        // Ends may be acknowledged only once all progress that they caused is stored.
+        watermarks.clear();
+    }
     Some(LedgerBatch {
         change,
         sequence,
         inserts,
-        dirty,
+        dirty: stored,
         watermarks,
         registered,
     })
@@ -370,6 +392,15 @@
             Ok(ChangeResult::Conflict(rows)) => {
                 return resolve_conflict(cell, batch, versions, &rows);
             }
+            Err(error) if !is_uncertain && error.kind == ErrorKind::Invalid => {
+                log::error!(
+                    "event=commit_rejected cell={} sequence={} rows={} error={error:?}",
+                    cell.name,
+                    batch.sequence,
+                    batch.change.puts.len()
+                );
+                return BatchOutcome::Rejected;
+            }
             Err(error) if !is_uncertain && is_not_applied(error.kind) => {
                 return BatchOutcome::NotApplied;
             }
@@ -466,6 +497,22 @@
     cell.ledger.wake();
 }
 
+/// Restores a transaction that the store rejects, so that the next ones store its rows in smaller
+/// numbers. New jobs keep waiting; one that is rejected alone is refused.
+fn cut_batch(cell: &CellHandle, batch: LedgerBatch) {
+    if batch.inserts.len() + batch.dirty.len() <= 1 {
+        restore_batch(cell, &batch);
+        return;
+    }
+    cell.core().restore_dirty(&batch.dirty);
+    let mut state = cell.ledger.lock();
+    for record in batch.inserts.into_iter().rev() {
+        state.inserts.push_front(record);
+    }
+    drop(state);
+    cell.ledger.wake();
+}
+
 /// Completes the requests of a transaction whose outcome remains uncertain.
 fn resolve_uncertain(cell: &CellHandle, batch: &LedgerBatch) {
     for record in &batch.inserts {
--- a/crates/tanager-standin/src/site/faults.rs
+++ b/crates/tanager-standin/src/site/faults.rs
@@ -13,6 +13,8 @@
     pub change_response_loss_rate: f64,
     /// The store has dropped the history of its feeds and returns 410 to their readers.
     pub history_dropped: bool,
+    /// Size in bytes above which the store rejects a change; 0 means the documented 1 MB.
+    pub max_change_bytes: usize,
     /// Share of orders to workers that are executed but get no response.
     pub order_response_loss_rate: f64,
     /// Share of runs that fail.
--- a/crates/tanager-standin/src/site/table.rs
+++ b/crates/tanager-standin/src/site/table.rs
@@ -24,6 +24,8 @@
 const MAX_ROW_BYTES: usize = 65_536;
 /// Maximum number of conditions, writes and removals of one transaction.
 const MAX_ENTRIES: usize = 100;
+/// Documented size of a change, in bytes.
+const MAX_CHANGE_BYTES: usize = 1_000_000;
 
 #[derive(Clone, Debug)]
 struct SiteRow {
@@ -176,6 +178,10 @@
     }
 }
 
+fn too_large() -> (u16, Value) {
+    (400, json!({"error": "over 100 entries or 1 MB"}))
+}
+
 fn row_key(row: &Value) -> RowKey {
     let field = |name: &str| row[name].as_str().unwrap_or_default().to_owned();
     (field("table"), field("part"), field("key"))
@@ -203,7 +209,11 @@
             let (status, body) = {
                 let mut state = lock(&state);
                 *state.table.calls.entry("change").or_default() += 1;
-                state.table.commit(&parse_body(&request))
+                match faults.max_change_bytes {
+                    0 if request.body.len() > MAX_CHANGE_BYTES => too_large(),
+                    limit if limit > 0 && request.body.len() > limit => too_large(),
+                    _ => state.table.commit(&parse_body(&request)),
+                }
             };
             if should_trigger(faults.change_response_loss_rate) {
                 return std::future::pending().await;
