Decisions of a cell: cost per report no longer grows with all that waits

Each report led to a ranking of all waiting steps if one had become ready, to a search over all workers for each of them, and to four scans of all runs.

Change: steps that become ready are inserted into the ranking, which is computed anew every 100 ms; a step is skipped at once if no worker has room for one of its tasks; runs are scanned every 40 ms, or after a drain or a change of workers. Decisions are the same but for the age of the backlog (100 ms at most).

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -28,6 +28,10 @@
 /// Time after which a start or stop without a response is sent again.
 pub(crate) const RESEND_DELAY: Duration = Duration::from_millis(400);
 
+/// Interval between scans of all runs. An owner ticks at least every 50 ms, and after each of some
+/// thousand reports a second in a surge.
+const SCAN_PERIOD: Duration = Duration::from_millis(40);
+
 /// A step of an occurrence: job, occurrence and step number.
 pub type StepKey = (JobId, u32, u16);
 
@@ -67,6 +71,10 @@
     pub(crate) recovering: bool,
     /// Order in which steps get resources.
     pub(crate) ranking: crate::ranking::StepRanking,
+    /// Time of the last scan of all runs.
+    pub(crate) last_scan: Duration,
+    /// Whether a change since the last scan needs one at once.
+    pub(crate) scan_needed: bool,
     /// Time of the last placement.
     pub(crate) last_placement: Duration,
     /// Whether a change since the last placement may allow a task to be placed.
@@ -121,6 +129,8 @@
             stops_visible_from: Duration::ZERO,
             recovering: false,
             ranking: crate::ranking::StepRanking::default(),
+            last_scan: Duration::ZERO,
+            scan_needed: true,
             last_placement: Duration::ZERO,
             placement_needed: true,
             ended: BTreeSet::new(),
@@ -200,8 +210,10 @@
         for (&number, occurrence) in &job.occurrences {
             for (step_number, step) in occurrence.steps.iter().enumerate() {
                 if step.open && step.idle > 0 {
-                    let is_new = self.ready.insert((id, number, step_number as u16));
-                    self.ranking.stale |= is_new;
+                    let key = (id, number, step_number as u16);
+                    if self.ready.insert(key) {
+                        self.ranking.added.push(key);
+                    }
                 }
             }
         }
@@ -330,10 +342,14 @@
             self.add_ready_steps(id);
         }
         self.finish_recovery(now);
-        self.release_expired_runs(now);
-        self.resend_orders(now);
-        self.move_stalled_runs(now);
-        self.drain_leaving_workers(now);
+        if self.scan_needed || now.saturating_sub(self.last_scan) >= SCAN_PERIOD {
+            self.scan_needed = false;
+            self.last_scan = now;
+            self.release_expired_runs(now);
+            self.resend_orders(now);
+            self.move_stalled_runs(now);
+            self.drain_leaving_workers(now);
+        }
         if may_start {
             self.place_tasks(now);
         }
--- a/crates/tanager-schedule/src/drain.rs
+++ b/crates/tanager-schedule/src/drain.rs
@@ -32,6 +32,7 @@
         until: Duration,
         evicts: bool,
     ) -> (bool, bool) {
+        self.scan_needed = true;
         let is_unconfirmed = self.unconfirmed_workers.contains_key(worker);
         let Some(&key) = self.workers_by_id.get(worker) else {
             return (!is_unconfirmed, is_unconfirmed);
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -33,6 +33,7 @@
 impl CellCore {
     /// Synchronizes the workers of the cell with the store's current entries.
     pub fn sync_workers(&mut self, entries: &[WorkerEntry], now: Duration) {
+        self.scan_needed = true;
         let mut listed = HashSet::new();
         for entry in entries {
             listed.insert(entry.worker.as_str());
--- a/crates/tanager-schedule/src/placement.rs
+++ b/crates/tanager-schedule/src/placement.rs
@@ -48,6 +48,17 @@
     allowed: Option<&'a HashSet<WorkerKey>>,
 }
 
+/// Returns the largest room of any candidate, in each resource.
+fn largest_free(candidates: &[Candidate]) -> ResourceAmount {
+    (candidates.iter()).fold(ResourceAmount::default(), |largest, candidate| {
+        ResourceAmount {
+            cpu: largest.cpu.max(candidate.free.cpu),
+            memory_mb: largest.memory_mb.max(candidate.free.memory_mb),
+            gpu: largest.gpu.max(candidate.free.gpu),
+        }
+    })
+}
+
 impl CellCore {
     /// Places tasks in the order of the ranking.
     pub(crate) fn place_tasks(&mut self, now: Duration) {
@@ -63,18 +74,33 @@
         }
         self.refresh_ranking(now);
         let steps = std::mem::take(&mut self.ranking.steps);
-        for &key in &steps {
-            if !self.ready.contains(&key) {
+        // In a surge hundreds of steps wait and few workers have room: most steps are skipped by
+        // this bound alone.
+        let mut largest_free = largest_free(&candidates);
+        for (_, key) in &steps {
+            if !self.ready.contains(key) || !self.may_place(*key, &largest_free) {
                 continue;
             }
-            if (candidates.iter()).all(|candidate| candidate.free.memory_mb == 0) {
-                break;
+            if self.place_step(*key, &mut candidates, now) {
+                largest_free = self::largest_free(&candidates);
             }
-            self.place_step(key, &mut candidates, now);
         }
         self.ranking.steps = steps;
     }
 
+    /// Returns whether a task of the step may fit on a worker, if `largest_free` is the room of the
+    /// emptiest one in each resource.
+    fn may_place(&self, (id, _, step): StepKey, largest_free: &ResourceAmount) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return true;
+        };
+        let spec = &job.record.spec.steps[usize::from(step)];
+        let needs_advice =
+            (self.queues.get(&job.record.queue)).is_some_and(|policy| policy.advice.is_some());
+        // Advice is requested before a worker has room.
+        needs_advice || largest_free.can_fit(&spec.reserved())
+    }
+
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
         (self.workers.iter())
             .filter(|(_, worker)| worker.is_usable(now) && worker.clock.is_some())
@@ -90,26 +116,32 @@
             .collect()
     }
 
-    fn place_step(&mut self, key: StepKey, candidates: &mut [Candidate], now: Duration) {
+    /// Places tasks of a step; returns whether any was placed.
+    fn place_step(&mut self, key: StepKey, candidates: &mut [Candidate], now: Duration) -> bool {
         let (id, number, step_number) = key;
         let Some(job) = self.jobs.get(&id) else {
             self.ready.remove(&key);
-            return;
+            return false;
         };
         let record = std::sync::Arc::clone(&job.record);
         let spec = &record.spec.steps[usize::from(step_number)];
         let needs_advice =
             (self.queues.get(&record.queue)).is_some_and(|policy| policy.advice.is_some());
-        let Some(step) = self.step(key) else { return };
+        let Some(step) = self.step(key) else {
+            return false;
+        };
         if step.gang_restarting {
             let still_placed =
                 (step.tasks.iter()).any(|task| matches!(task.phase, TaskPhase::Placed(_)));
             if still_placed {
-                return;
+                return false;
             }
         }
         let allowed = needs_advice.then(|| step.advice.allowed(now));
-        let mut used = self.tasks_by_worker(key);
+        let mut used = match spec.anti_affinity {
+            0 => HashMap::new(),
+            _ => self.tasks_by_worker(key),
+        };
         let idle: Vec<(usize, Option<WorkerKey>)> = (step.tasks.iter().enumerate())
             .filter(|(_, task)| task.phase == TaskPhase::Idle)
             .map(|(index, task)| (index, task.avoid_worker))
@@ -120,15 +152,17 @@
             avoid_worker,
             allowed: allowed.as_ref(),
         };
+        let mut is_placed = false;
         if spec.gang {
             if idle.len() == step.tasks.len() {
                 let chosen = self.choose_gang(&demand(None), idle.len(), candidates, key, now);
+                is_placed = chosen.is_some();
                 self.start_gang(key, chosen, now);
             }
             if needs_advice {
                 self.request_more_advice(key, spec, candidates, now);
             }
-            return;
+            return is_placed;
         }
         for (index, avoid_worker) in idle {
             let demand = demand(avoid_worker);
@@ -138,6 +172,7 @@
             let candidate = &mut candidates[position];
             candidate.free = candidate.free.minus(&demand.amount);
             candidate.runs += 1;
+            is_placed = true;
             let worker = candidate.key;
             *used.entry(worker).or_default() += 1;
             let task = TaskKey {
@@ -154,6 +189,7 @@
         if needs_advice {
             self.request_more_advice(key, spec, candidates, now);
         }
+        is_placed
     }
 
     /// Requests advice on more workers if tasks remain unplaced, or else for the next steps.
--- a/crates/tanager-schedule/src/ranking.rs
+++ b/crates/tanager-schedule/src/ranking.rs
@@ -7,8 +7,10 @@
 //! the surge.
 
 use std::cmp::Ordering;
+use std::collections::HashSet;
 use std::time::Duration;
 
+use tanager_jobs::JobId;
 use tanager_jobs::JobState;
 use tanager_jobs::StepSpec;
 
@@ -54,13 +56,15 @@
 #[derive(Debug, Default)]
 pub struct StepRanking {
     /// Steps in the order of their rank.
-    pub steps: Vec<StepKey>,
+    pub steps: Vec<(StepRank, StepKey)>,
+    /// Steps that became ready and are not ranked yet.
+    pub added: Vec<StepKey>,
     /// Unplaced processor time of open jobs, in core-seconds.
     pub backlog: f64,
-    /// Time at which the ranking was computed.
+    /// Occurrences whose unplaced processor time is included in `backlog`.
+    counted: HashSet<(JobId, u32)>,
+    /// Time at which all steps were ranked.
     pub computed_at: Duration,
-    /// Whether steps were added since then.
-    pub stale: bool,
 }
 
 /// Work that an occurrence still needs.
@@ -89,41 +93,71 @@
     }
 }
 
+impl StepRanking {
+    /// Adds the unplaced processor time of a step's occurrence to the backlog, once.
+    fn count(&mut self, key: StepKey, unplaced: f64) {
+        if self.counted.insert((key.0, key.1)) {
+            self.backlog += unplaced;
+        }
+    }
+
+    fn insert(&mut self, rank: StepRank, key: StepKey) {
+        let entry = (rank, key);
+        let position =
+            (self.steps).partition_point(|other| compare_entries(other, &entry) == Ordering::Less);
+        // A step that was placed since the ranking was computed may be ready again.
+        if self
+            .steps
+            .get(position)
+            .is_none_or(|(_, other)| *other != key)
+        {
+            self.steps.insert(position, entry);
+        }
+    }
+}
+
+fn compare_entries(
+    (left, left_key): &(StepRank, StepKey),
+    (right, right_key): &(StepRank, StepKey),
+) -> Ordering {
+    left.compare(right).then(left_key.cmp(right_key))
+}
+
 /// Returns the target completion time of a job with this critical path.
 pub fn objective(policy: &QueuePolicy, critical_path: Duration) -> Duration {
     critical_path.mul_f64(policy.stretch.max(0.0)) + policy.target_latency
 }
 
 impl CellCore {
-    /// Recomputes the ranking if it is outdated.
+    /// Ranks the steps that became ready, and all steps again if the ranking is outdated.
+    ///
+    /// Load: in a surge some hundred steps a second become ready while hundreds wait. To rank all of
+    /// them for each one would cost a small node its processor.
     pub(crate) fn refresh_ranking(&mut self, now: Duration) {
-        let age = now.saturating_sub(self.ranking.computed_at);
-        if !self.ranking.stale && age < RANK_PERIOD {
-            return;
+        let is_outdated = now.saturating_sub(self.ranking.computed_at) >= RANK_PERIOD;
+        let mut ranking = std::mem::take(&mut self.ranking);
+        if is_outdated {
+            ranking.steps.clear();
+            ranking.added.clear();
+            ranking.counted.clear();
+            ranking.backlog = 0.0;
+            ranking.computed_at = now;
+            for &key in &self.ready {
+                let Some((rank, unplaced)) = self.rank(key, now) else {
+                    continue;
+                };
+                ranking.count(key, unplaced);
+                ranking.steps.push((rank, key));
+            }
+            ranking.steps.sort_by(compare_entries);
         }
-        let mut ranked: Vec<(StepRank, StepKey)> = Vec::with_capacity(self.ready.len());
-        let mut backlog = 0.0;
-        let mut last = None;
-        for &key in &self.ready {
-            let Some((rank, unplaced)) = self.rank(key, now) else {
-                continue;
-            };
-            if last != Some((key.0, key.1)) {
-                backlog += unplaced;
-                last = Some((key.0, key.1));
+        for key in std::mem::take(&mut ranking.added) {
+            if let Some((rank, unplaced)) = self.rank(key, now) {
+                ranking.count(key, unplaced);
+                ranking.insert(rank, key);
             }
-            ranked.push((rank, key));
         }
-        ranked.sort_by(|(left, left_key), (right, right_key)| {
-            left.compare(right).then(left_key.cmp(right_key))
-        });
-        self.ranking.steps.clear();
-        self.ranking
-            .steps
-            .extend(ranked.into_iter().map(|(_, key)| key));
-        self.ranking.backlog = backlog;
-        self.ranking.computed_at = now;
-        self.ranking.stale = false;
+        self.ranking = ranking;
     }
 
     /// Returns the rank of a step and the unplaced processor time of its occurrence in
--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -423,3 +423,27 @@
     }
     assert!(failures <= 4, "{failures} runs failed");
 }
+
+/// Guards against steps that become ready between two rankings and are placed in the order of
+/// arrival: in a surge, the small job would be late.
+#[test]
+fn steps_added_between_rankings_are_placed_by_rank() {
+    let mut cell = TestCell::new(vec![entry("a")]);
+    cell.accept(job(1, vec![step(8)]));
+    let started = starts(&cell.tick());
+    assert_eq!(started.len(), 8);
+    cell.report_all();
+    // Both wait; the ranking of the first is not outdated when the second arrives.
+    cell.advance_time(millis(200));
+    cell.report_all();
+    cell.accept(job(2, vec![step(4)]));
+    assert!(starts(&cell.tick()).is_empty());
+    cell.advance_time(millis(10));
+    cell.accept(job(3, vec![step(1)]));
+    let (worker, ended, run) = started[0];
+    cell.end(worker, ended, run, EndCause::Done);
+    cell.report_all();
+    let next = starts(&cell.tick());
+    assert_eq!(next.len(), 1);
+    assert_eq!(next[0].1, task(3, 0, 0));
+}
