Live owners keep their cells after the store refused all heartbeats

Change: the nodes' rows are spread over 16 parts; retries have jitter; a node counts the silence of others only while the store confirms its own heartbeats.

--- a/crates/tanager-node/tests/jobs/faults.rs
+++ b/crates/tanager-node/tests/jobs/faults.rs
@@ -288,3 +288,29 @@
     site.wait_for_state(POOL, &id, "completed").await;
     assert!(site.nodes.iter_mut().all(NodeProcess::is_running));
 }
+
+/// Guards against nodes that take the cells of live owners after the store refused the heartbeats
+/// of all nodes for longer than it takes to consider a node dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_heartbeats_move_no_cell() {
+    let site = small_site(4).await;
+    let count_acquired = || -> usize {
+        (site.nodes.iter())
+            .map(|node| std::fs::read_to_string(&node.log).expect("log"))
+            .map(|log| log.matches("event=cell_taken").count())
+            .sum()
+    };
+    site.standin
+        .set_faults(|faults| faults.changes_refused = true);
+    time::sleep(Duration::from_secs(5)).await;
+    site.standin
+        .set_faults(|faults| faults.changes_refused = false);
+    time::sleep(Duration::from_secs(3)).await;
+    let id = new_job_id();
+    assert!(
+        site.submit(0, POOL, &id, &job_of_steps(&[2], "ms=100"))
+            .await
+    );
+    site.wait_for_state(POOL, &id, "completed").await;
+    assert_eq!(count_acquired(), 2);
+}
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -49,6 +49,9 @@
 /// Time from the first failed readiness check until the load balancer sends no new connections: it
 /// checks every second and removes a node after two failures.
 const LOAD_BALANCER_DELAY: Duration = Duration::from_millis(2_200);
+/// Delay of a heartbeat, beyond the latency of the last one, from which the store is considered not
+/// to accept heartbeats. Short enough that other nodes are not yet considered dead.
+const HEARTBEAT_MARGIN: Duration = Duration::from_millis(500);
 /// Minimum number of cores assumed for a node.
 const MIN_CORES: f64 = 0.01;
 /// Time limit of a notification.
@@ -82,10 +85,17 @@
     pub owners_changed: Notify,
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
-    last_heartbeat: Mutex<Option<Duration>>,
+    last_heartbeat: Mutex<Option<ConfirmedHeartbeat>>,
     stopping: watch::Sender<bool>,
 }
 
+/// The last heartbeat that the store confirmed.
+#[derive(Clone, Copy, Debug)]
+struct ConfirmedHeartbeat {
+    sent_at: Duration,
+    latency: Duration,
+}
+
 /// A running node.
 pub struct JobNode {
     context: Arc<NodeContext>,
@@ -135,20 +145,32 @@
     }
 
     /// Records that the store confirmed a heartbeat sent at `sent_at`.
-    pub fn record_heartbeat(&self, sent_at: Duration) {
+    pub fn record_heartbeat(&self, sent_at: Duration, latency: Duration) {
         *self
             .last_heartbeat
             .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+            .unwrap_or_else(PoisonError::into_inner) =
+            Some(ConfirmedHeartbeat { sent_at, latency });
+    }
+
+    /// Returns whether the store confirms this node's own heartbeats at present. Otherwise it may
+    /// refuse those of other nodes as well, and their silence proves nothing.
+    pub fn can_write_heartbeats(&self, now: Duration) -> bool {
+        self.confirmed_heartbeat().is_some_and(|heartbeat| {
+            let age = now.saturating_sub(heartbeat.sent_at);
+            age <= table_watch::HEARTBEAT_PERIOD + HEARTBEAT_MARGIN + heartbeat.latency
+        })
     }
 
     /// Returns whether a heartbeat sent within the last `limit` was confirmed.
     pub fn is_heartbeat_confirmed(&self, now: Duration, limit: Duration) -> bool {
-        let last_heartbeat = *self
-            .last_heartbeat
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        last_heartbeat.is_some_and(|sent_at| now.saturating_sub(sent_at) <= limit)
+        self.confirmed_heartbeat()
+            .is_some_and(|heartbeat| now.saturating_sub(heartbeat.sent_at) <= limit)
+    }
+
+    fn confirmed_heartbeat(&self) -> Option<ConfirmedHeartbeat> {
+        let heartbeat = self.last_heartbeat.lock();
+        *heartbeat.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether leases may be extended.
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -12,9 +12,13 @@
 use tanager_jobs::ids::NodeName;
 use tanager_jobs::ids::PoolName;
 use tanager_site::store::RowName;
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Table of nodes; the part is empty, the key is the node's name.
+/// Table of nodes; see [`node_row`].
 pub const NODE_TABLE: &str = "node";
+/// Number of parts of the nodes' table: at 1,000 nodes a part gets 63 heartbeats a second of the 200
+/// writes that the platform documents.
+const NODE_PARTS: u64 = 16;
 /// Table of cell owners; the part is the cell, the key is [`OWNER_KEY`].
 pub const CELL_TABLE: &str = "cell";
 /// Table of ledgers; the part is the cell, the key is [`LEDGER_KEY`].
@@ -166,6 +170,16 @@
     }
 }
 
+/// Returns the name of a node's row.
+///
+/// The rows are spread over parts, because the store carries out the writes of a part one after
+/// another: with 150 nodes, the heartbeats of all would fill most of one part's rate, and their
+/// retries after a disturbance all of it.
+pub fn node_row(node: &str) -> RowName {
+    let part = xxh3_64(node.as_bytes()) % NODE_PARTS;
+    cell_row(NODE_TABLE, &format!("n{part}"), node)
+}
+
 /// Returns the name of a row in the unnamed part of a table.
 pub fn unpartitioned_row(table: &str, key: &str) -> RowName {
     cell_row(table, "", key)
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -32,6 +32,7 @@
 use crate::records::OWNER_KEY;
 use crate::records::POOL_TABLE;
 use crate::records::PoolRecord;
+use crate::records::node_row;
 use crate::records::unpartitioned_row;
 use crate::supervision::spawn_loop;
 use crate::takeover;
@@ -50,7 +51,7 @@
 /// Time limit of a call to the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between heartbeats.
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1_000);
+pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1_000);
 /// Maximum interval between decisions which orphaned cells to acquire.
 const ACQUISITION_PERIOD: Duration = Duration::from_millis(150);
 /// Pools are partitioned only this long after the start: workers register within this time.
@@ -366,7 +367,7 @@
 }
 
 async fn watch_nodes(context: Arc<NodeContext>) -> Infallible {
-    let mut table = WatchedTable::new(NODE_TABLE, true);
+    let mut table = WatchedTable::new(NODE_TABLE, false);
     loop {
         match table.read(&context).await {
             Ok(read) => {
@@ -388,7 +389,8 @@
                 });
                 let records = records.collect();
                 let now = context.clock.now();
-                context.view().apply_node_rows(records, is_full, now);
+                let can_write = context.can_write_heartbeats(now);
+                (context.view()).apply_node_rows(records, is_full, can_write, now);
                 context.update_relays();
             }
             Err(error) => log::debug!("event=read_failed table={NODE_TABLE} error={error:?}"),
@@ -441,7 +443,7 @@
 }
 
 async fn heartbeat_loop(context: Arc<NodeContext>) -> Infallible {
-    let row = unpartitioned_row(NODE_TABLE, &context.settings.node);
+    let row = node_row(&context.settings.node);
     let mut version = 0;
     let mut heartbeat = 0;
     loop {
@@ -471,7 +473,8 @@
         match context.store.change(&change, READ_TIMEOUT).await {
             Ok(ChangeResult::Committed(new)) => {
                 version = new;
-                context.record_heartbeat(sent_at);
+                let latency = context.clock.now().saturating_sub(sent_at);
+                context.record_heartbeat(sent_at, latency);
                 context.view().record_own_node(row.key.clone(), record, new);
             }
             Ok(ChangeResult::Conflict(rows)) => {
@@ -482,7 +485,8 @@
             }
             Err(error) => {
                 log::debug!("event=beat_failed error={error:?}");
-                pause = HEARTBEAT_PERIOD / 4;
+                // The jitter keeps many nodes from retrying at the same moment.
+                pause = HEARTBEAT_PERIOD.mul_f64(rand::random_range(0.2..0.4));
             }
         }
         let elapsed = context.clock.now().saturating_sub(sent_at);
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -91,10 +91,14 @@
     }
 
     /// Applies the result of reading the nodes' rows: all rows if `is_full`, else the changed ones.
+    ///
+    /// The time for which a node is unresponsive starts anew after a gap in this node's reads, and
+    /// while `can_write` is false because the store does not accept this node's own heartbeats.
     pub fn apply_node_rows(
         &mut self,
         rows: Vec<(NodeName, Option<NodeRecord>, RowVersion)>,
         is_full: bool,
+        can_write: bool,
         now: Duration,
     ) {
         let elapsed = match self.nodes_read_at {
@@ -103,10 +107,10 @@
             }
             _ => Duration::ZERO,
         };
-        let is_read_gap = elapsed.is_zero();
+        let proves_nothing = elapsed.is_zero() || !can_write;
         self.nodes_read_at = Some(now);
         for observed in self.nodes.values_mut() {
-            observed.unresponsive_time = match is_read_gap {
+            observed.unresponsive_time = match proves_nothing {
                 true => Duration::ZERO,
                 false => observed.unresponsive_time + elapsed,
             };
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -58,7 +58,7 @@
             ((*name).to_owned(), Some(node(10, *cores)), version)
         })
         .collect();
-    view.apply_node_rows(rows, true, Duration::ZERO);
+    view.apply_node_rows(rows, true, true, Duration::ZERO);
     view
 }
 
@@ -177,7 +177,7 @@
         now += step;
         version += 1;
         let rows = vec![("b".to_owned(), Some(node(10, 0.25)), version)];
-        view.apply_node_rows(rows, false, now);
+        view.apply_node_rows(rows, false, true, now);
     }
     assert_eq!(cells_chosen_by(&mut view, "b", &[]), names(&ALL));
 }
@@ -189,10 +189,40 @@
     for cell in ALL {
         set_owner(&mut view, cell, "a", 10);
     }
-    view.apply_node_rows(Vec::new(), false, Duration::from_secs(10));
+    view.apply_node_rows(Vec::new(), false, true, Duration::from_secs(10));
     assert!(cells_chosen_by(&mut view, "b", &[]).is_empty());
 }
 
+/// Guards against taking the cells of live owners after the store refused the heartbeats of all
+/// nodes for a while (lt-hallein-large: 14 cells within 0.05 s).
+#[test]
+fn silence_proves_nothing_while_own_heartbeats_fail() {
+    let step = Duration::from_millis(500);
+    let mut view = view(&[("a", 0.25), ("b", 0.25)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "a", 10);
+    }
+    let mut now = Duration::ZERO;
+    for _ in 0..20 {
+        now += step;
+        view.apply_node_rows(Vec::new(), false, false, now);
+        assert!(
+            cells_chosen_by(&mut view, "b", &[]).is_empty(),
+            "at {now:?}"
+        );
+    }
+    let regained = now;
+    while now < regained + NODE_DEATH_TIMEOUT {
+        assert!(
+            cells_chosen_by(&mut view, "b", &[]).is_empty(),
+            "at {now:?}"
+        );
+        now += step;
+        view.apply_node_rows(Vec::new(), false, true, now);
+    }
+    assert_eq!(cells_chosen_by(&mut view, "b", &[]), names(&ALL));
+}
+
 /// Guards against stopping long-running tasks on a worker that the ledger names but whose entry
 /// this node has not read yet (lt-hallein, roll-in-wave-and-surge, seed 437963268550: AVAIL).
 #[test]
--- a/crates/tanager-standin/src/site/faults.rs
+++ b/crates/tanager-standin/src/site/faults.rs
@@ -7,6 +7,8 @@
 pub struct SiteFaults {
     /// The store returns 503 to every request.
     pub store_refuses: bool,
+    /// The store returns 429 to every change and serves reads.
+    pub changes_refused: bool,
     /// The store neither applies nor answers requests.
     pub store_unresponsive: bool,
     /// Share of the store's changes that are applied but get no response.
--- a/crates/tanager-standin/src/site/table.rs
+++ b/crates/tanager-standin/src/site/table.rs
@@ -205,6 +205,9 @@
         })
         .collect();
     match path {
+        "/rows-tx" if faults.changes_refused => {
+            HttpResponse::new(StatusCode::TOO_MANY_REQUESTS, "")
+        }
         "/rows-tx" => {
             let (status, body) = {
                 let mut state = lock(&state);
