Write the workers of a cell only when they change

Cause: the ledger row names every worker of its cell (some 75 bytes each) and each transaction writes it, up to 50 a second: with 133 workers about 10 KB a transaction before Base64, on nodes with links of 10 and 20 Mbit/s (computed).

Change: the row "workers" of the ledger's part holds workers and statistics. It is written when the set of workers changes, and after 3 s when only statistics did. The ledger row keeps the sequence and the writer.

Tests: those of the service (14) and of the job service with processes (32) passed.

--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -16,15 +16,9 @@
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
 use tanager_jobs::record::decode_record;
-use tanager_jobs::record::encode_record;
 use tanager_protocol::error::ErrorKind;
-use tanager_protocol::error::TanagerResult;
-use tanager_schedule::WorkerKey;
-use tanager_schedule::persistence::DirtyJob;
-use tanager_schedule::persistence::EndWatermarks;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowVersion;
-use tanager_site::store::TableChange;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -32,17 +26,14 @@
 
 use crate::batch_limits::BatchLimits;
 use crate::cell::CellHandle;
+use crate::ledger_batch::LedgerBatch;
+use crate::ledger_batch::StoredWorkers;
+use crate::ledger_batch::build_batch;
 use crate::records::CELL_TABLE;
 use crate::records::Incarnation;
-use crate::records::JOB_TABLE;
 use crate::records::LEDGER_KEY;
 use crate::records::LEDGER_TABLE;
 use crate::records::LedgerRecord;
-use crate::records::LedgerWorker;
-use crate::records::OWNER_KEY;
-use crate::records::PROGRESS_TABLE;
-use crate::records::QueueStatistics;
-use crate::records::cell_row;
 
 /// Bounds of the time limit of a transaction, which is `TIMEOUT_FACTOR` times the duration of the
 /// last one. A transaction takes about 15 ms, and 60 times as long if the store is slow.
@@ -56,10 +47,6 @@
 /// New jobs are refused if the transaction in progress has taken longer than this, which is enough
 /// for a lost response and a second attempt.
 const BLOCKED_LIMIT: Duration = Duration::from_millis(900);
-/// Entries of a transaction other than jobs: two conditions and the ledger row.
-const FIXED_ENTRIES: usize = 3;
-/// Maximum number of expired jobs removed in one transaction; each has two rows.
-const MAX_EXPIRED_JOBS: usize = 20;
 
 /// Result of storing a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,8 +78,9 @@
 }
 
 #[derive(Debug, Default)]
-struct LedgerState {
-    inserts: VecDeque<JobRecord>,
+pub(crate) struct LedgerState {
+    /// Jobs that wait for a transaction.
+    pub(crate) inserts: VecDeque<JobRecord>,
     waiters: HashMap<JobId, Vec<oneshot::Sender<StoreResult>>>,
     /// Start of the transaction in progress.
     started: Option<Duration>,
@@ -100,16 +88,6 @@
     last_duration: Duration,
 }
 
-/// One transaction, with the state changes that it stores.
-struct LedgerBatch {
-    change: TableChange,
-    sequence: u64,
-    inserts: Vec<JobRecord>,
-    dirty: Vec<DirtyJob>,
-    watermarks: EndWatermarks,
-    registered: Vec<WorkerKey>,
-}
-
 /// Outcome of a transaction.
 enum BatchOutcome {
     /// Applied; the new version of the ledger row.
@@ -202,7 +180,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, LedgerState> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, LedgerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -217,13 +195,15 @@
 pub async fn run(cell: Arc<CellHandle>, mut versions: LedgerVersions) {
     let mut sequence = 0;
     let mut limits = BatchLimits::DOCUMENTED;
+    let mut stored_workers = StoredWorkers::default();
     let mut closed = cell.closed();
     loop {
         tokio::select! {
             () = cell.ledger.wake.notified() => {}
             _ = closed.wait_for(|closed| *closed) => break,
         }
-        while let Some(batch) = build_batch(&cell, versions, limits, sequence + 1) {
+        while let Some(batch) = build_batch(&cell, versions, limits, &stored_workers, sequence + 1)
+        {
             sequence = batch.sequence;
             let started = cell.context.clock.now();
             cell.ledger.lock().started = Some(started);
@@ -237,6 +217,9 @@
                 BatchOutcome::Committed(version) => {
                     versions.ledger = version;
                     limits.grow();
+                    if let Some(workers) = batch.workers.clone() {
+                        stored_workers.record(workers, started);
+                    }
                     apply_committed(&cell, &batch, started);
                 }
                 BatchOutcome::NotApplied => {
@@ -267,111 +250,6 @@
     cell.ledger.refuse_queued();
 }
 
-/// Builds the next transaction; `None` if there is nothing to store.
-fn build_batch(
-    cell: &CellHandle,
-    versions: LedgerVersions,
-    limits: BatchLimits,
-    sequence: u64,
-) -> Option<LedgerBatch> {
-    let name = &cell.name;
-    let mut core = cell.core();
-    let mut state = cell.ledger.lock();
-    let now = cell.context.clock.now();
-    let registered = core.unregistered_workers(now);
-    let wall_ms = cell.context.clock.wall_ms();
-    let expired = core.remove_expired(wall_ms, MAX_EXPIRED_JOBS);
-    let has_work = !state.inserts.is_empty()
-        || core.has_dirty()
-        || core.has_unstored_ends()
-        || !registered.is_empty()
-        || !expired.is_empty();
-    if !has_work {
-        return None;
-    }
-    let mut change = TableChange {
-        expect: vec![
-            (cell_row(CELL_TABLE, name, OWNER_KEY), versions.owner),
-            (cell_row(LEDGER_TABLE, name, LEDGER_KEY), versions.ledger),
-        ],
-        ..TableChange::default()
-    };
-    for id in &expired {
-        let key = id.to_string();
-        change.removals.push(cell_row(JOB_TABLE, name, &key));
-        change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
-    }
-    let record = LedgerRecord {
-        sequence,
-        writer: cell.context.incarnation,
-        workers: core
-            .ledger_workers(now)
-            .iter()
-            .map(LedgerWorker::from_entry)
-            .collect(),
-        learned: (core.queue_statistics().into_iter())
-            .map(|(queue, duration, work)| {
-                let record = QueueStatistics {
-                    mean: duration.mean,
-                    ratio: duration.ratio,
-                    work,
-                };
-                (queue, record)
-            })
-            .collect(),
-    };
-    let value = encode_or_log(&record)?;
-    let mut room = limits.room(FIXED_ENTRIES + change.removals.len(), value.len());
-    change
-        .puts
-        .push((cell_row(LEDGER_TABLE, name, LEDGER_KEY), value));
-    let mut inserts = Vec::new();
-    while let Some(record) = state.inserts.pop_front() {
-        let Some(value) = encode_or_log(&record) else {
-            continue;
-        };
-        if !room.add(value.len()) {
-            state.inserts.push_front(record);
-            break;
-        }
-        let row = cell_row(JOB_TABLE, name, &record.id.to_string());
-        change.puts.push((row, value));
-        inserts.push(record);
-    }
-    let (dirty, mut watermarks) = core.take_dirty(room.entries());
-    let (mut stored, mut deferred) = (Vec::new(), Vec::new());
-    for job in dirty {
-        let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
-        let Some(value) = value else {
-            deferred.push(job);
-            continue;
-        };
-        let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
-        change.puts.push((row, value));
-        stored.push(job);
-    }
-    if !deferred.is_empty() {
-        core.restore_dirty(&deferred);
-        // Ends may be acknowledged only once all progress that they caused is stored.
-        watermarks.clear();
-    }
-    Some(LedgerBatch {
-        change,
-        sequence,
-        inserts,
-        dirty: stored,
-        watermarks,
-        registered,
-    })
-}
-
-fn encode_or_log<T: serde::Serialize>(record: &T) -> Option<Vec<u8>> {
-    let result: TanagerResult<Vec<u8>> = encode_record(record);
-    result
-        .inspect_err(|error| log::error!("event=record_not_encoded error={error:?}"))
-        .ok()
-}
-
 /// Sends a transaction until its outcome is known.
 async fn commit(cell: &CellHandle, batch: &LedgerBatch, versions: LedgerVersions) -> BatchOutcome {
     let mut is_uncertain = false;
--- /dev/null
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -0,0 +1,191 @@
+//! The content of a ledger transaction: which rows it writes, within the limits of the store.
+
+use std::time::Duration;
+
+use tanager_jobs::JobRecord;
+use tanager_jobs::record::encode_record;
+use tanager_protocol::error::TanagerResult;
+use tanager_schedule::CellCore;
+use tanager_schedule::WorkerKey;
+use tanager_schedule::durations::QueueDuration;
+use tanager_schedule::persistence::DirtyJob;
+use tanager_schedule::persistence::EndWatermarks;
+use tanager_site::store::TableChange;
+
+use crate::batch_limits::BatchLimits;
+use crate::cell::CellHandle;
+use crate::ledger::LedgerVersions;
+use crate::records::CELL_TABLE;
+use crate::records::CellWorkersRecord;
+use crate::records::JOB_TABLE;
+use crate::records::LEDGER_KEY;
+use crate::records::LEDGER_TABLE;
+use crate::records::LedgerRecord;
+use crate::records::LedgerWorker;
+use crate::records::OWNER_KEY;
+use crate::records::PROGRESS_TABLE;
+use crate::records::QueueStatistics;
+use crate::records::WORKERS_KEY;
+use crate::records::cell_row;
+
+/// Maximum number of expired jobs removed in one transaction; each has two rows.
+const MAX_EXPIRED_JOBS: usize = 20;
+/// Maximum age of the stored statistics of queues, of which some change with each task.
+const STATISTICS_PERIOD: Duration = Duration::from_secs(3);
+
+/// One transaction, with the state changes that it stores.
+pub(crate) struct LedgerBatch {
+    pub(crate) change: TableChange,
+    pub(crate) sequence: u64,
+    pub(crate) inserts: Vec<JobRecord>,
+    pub(crate) dirty: Vec<DirtyJob>,
+    pub(crate) watermarks: EndWatermarks,
+    pub(crate) registered: Vec<WorkerKey>,
+    /// Row with the workers, if the transaction writes it.
+    pub(crate) workers: Option<CellWorkersRecord>,
+}
+
+/// Row with the workers as this owner last stored it.
+#[derive(Debug, Default)]
+pub(crate) struct StoredWorkers {
+    record: Option<CellWorkersRecord>,
+    stored_at: Duration,
+}
+
+impl StoredWorkers {
+    /// Returns whether the row must be written: it names other workers, or its statistics are old.
+    fn must_write(&self, record: &CellWorkersRecord, now: Duration) -> bool {
+        let Some(stored) = &self.record else {
+            return true;
+        };
+        let is_old = now.saturating_sub(self.stored_at) >= STATISTICS_PERIOD;
+        stored.workers != record.workers || (is_old && stored.learned != record.learned)
+    }
+
+    pub(crate) fn record(&mut self, record: CellWorkersRecord, now: Duration) {
+        self.record = Some(record);
+        self.stored_at = now;
+    }
+}
+
+/// Builds the next transaction; `None` if there is nothing to store.
+pub(crate) fn build_batch(
+    cell: &CellHandle,
+    versions: LedgerVersions,
+    limits: BatchLimits,
+    stored_workers: &StoredWorkers,
+    sequence: u64,
+) -> Option<LedgerBatch> {
+    let name = &cell.name;
+    let mut core = cell.core();
+    let mut state = cell.ledger.lock();
+    let now = cell.context.clock.now();
+    let registered = core.unregistered_workers(now);
+    let wall_ms = cell.context.clock.wall_ms();
+    let expired = core.remove_expired(wall_ms, MAX_EXPIRED_JOBS);
+    let has_work = !state.inserts.is_empty()
+        || core.has_dirty()
+        || core.has_unstored_ends()
+        || !registered.is_empty()
+        || !expired.is_empty();
+    if !has_work {
+        return None;
+    }
+    let mut change = TableChange {
+        expect: vec![
+            (cell_row(CELL_TABLE, name, OWNER_KEY), versions.owner),
+            (cell_row(LEDGER_TABLE, name, LEDGER_KEY), versions.ledger),
+        ],
+        ..TableChange::default()
+    };
+    for id in &expired {
+        let key = id.to_string();
+        change.removals.push(cell_row(JOB_TABLE, name, &key));
+        change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
+    }
+    let record = LedgerRecord {
+        sequence,
+        writer: cell.context.incarnation,
+        ..LedgerRecord::default()
+    };
+    let mut rows = vec![(LEDGER_KEY, encode_or_log(&record)?)];
+    let workers = workers_record(&mut core, now);
+    let writes_workers = stored_workers.must_write(&workers, now);
+    if writes_workers {
+        rows.push((WORKERS_KEY, encode_or_log(&workers)?));
+    }
+    let fixed_entries = change.expect.len() + change.removals.len() + rows.len();
+    let fixed_bytes = rows.iter().map(|(_, value)| value.len()).sum();
+    let mut room = limits.room(fixed_entries, fixed_bytes);
+    for (key, value) in rows {
+        change.puts.push((cell_row(LEDGER_TABLE, name, key), value));
+    }
+    let mut inserts = Vec::new();
+    while let Some(record) = state.inserts.pop_front() {
+        let Some(value) = encode_or_log(&record) else {
+            continue;
+        };
+        if !room.add(value.len()) {
+            state.inserts.push_front(record);
+            break;
+        }
+        let row = cell_row(JOB_TABLE, name, &record.id.to_string());
+        change.puts.push((row, value));
+        inserts.push(record);
+    }
+    let (dirty, mut watermarks) = core.take_dirty(room.entries());
+    let (mut stored, mut deferred) = (Vec::new(), Vec::new());
+    for job in dirty {
+        let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
+        let Some(value) = value else {
+            deferred.push(job);
+            continue;
+        };
+        let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
+        change.puts.push((row, value));
+        stored.push(job);
+    }
+    if !deferred.is_empty() {
+        core.restore_dirty(&deferred);
+        // Ends may be acknowledged only once all progress that they caused is stored.
+        watermarks.clear();
+    }
+    Some(LedgerBatch {
+        change,
+        sequence,
+        inserts,
+        dirty: stored,
+        watermarks,
+        registered,
+        workers: writes_workers.then_some(workers),
+    })
+}
+
+/// Builds the row with the workers of a cell.
+fn workers_record(core: &mut CellCore, now: Duration) -> CellWorkersRecord {
+    let statistics = |(queue, duration, work): (String, QueueDuration, f64)| {
+        let record = QueueStatistics {
+            mean: duration.mean,
+            ratio: duration.ratio,
+            work,
+        };
+        (queue, record)
+    };
+    let mut workers: Vec<LedgerWorker> = (core.ledger_workers(now).iter())
+        .map(LedgerWorker::from_entry)
+        .collect();
+    workers.sort_by(|left, right| left.worker.cmp(&right.worker));
+    CellWorkersRecord {
+        workers,
+        learned: (core.queue_statistics().into_iter())
+            .map(statistics)
+            .collect(),
+    }
+}
+
+fn encode_or_log<T: serde::Serialize>(record: &T) -> Option<Vec<u8>> {
+    let result: TanagerResult<Vec<u8>> = encode_record(record);
+    result
+        .inspect_err(|error| log::error!("event=record_not_encoded error={error:?}"))
+        .ok()
+}
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod job_api;
 pub mod lease_renewal;
 pub mod ledger;
+mod ledger_batch;
 pub mod logging;
 pub mod membership;
 pub mod metrics;
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -33,6 +33,8 @@
 pub const OWNER_KEY: &str = "owner";
 /// Key of a cell's ledger row.
 pub const LEDGER_KEY: &str = "ledger";
+/// Key of the row with the workers of a cell, in the same table.
+pub const WORKERS_KEY: &str = "workers";
 /// Cell without jobs whose owner is the coordinator, the node that sends orders to VMs.
 pub const COORDINATOR_CELL: &str = "duty";
 
@@ -77,6 +79,19 @@
     pub sequence: u64,
     /// Process that wrote this row; together with `sequence` it identifies the transaction.
     pub writer: Incarnation,
+    /// Written by earlier versions; see [`CellWorkersRecord`].
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub workers: Vec<LedgerWorker>,
+    /// Written by earlier versions; see [`CellWorkersRecord`].
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub learned: BTreeMap<String, QueueStatistics>,
+}
+
+/// Row with the workers of a cell. It is written only when it changes, unlike the ledger row, which
+/// each transaction writes, up to 50 times a second.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CellWorkersRecord {
     /// Workers on which the owner may have runs.
     pub workers: Vec<LedgerWorker>,
     /// Statistics by queue, so that the next owner does not start from the clients' estimates.
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -27,6 +27,7 @@
 use crate::node::NodeContext;
 use crate::records::CELL_TABLE;
 use crate::records::COORDINATOR_CELL;
+use crate::records::CellWorkersRecord;
 use crate::records::JOB_TABLE;
 use crate::records::LEDGER_KEY;
 use crate::records::LEDGER_TABLE;
@@ -34,6 +35,7 @@
 use crate::records::OWNER_KEY;
 use crate::records::OwnerRecord;
 use crate::records::PROGRESS_TABLE;
+use crate::records::WORKERS_KEY;
 use crate::records::cell_row;
 use crate::records::pool_of;
 use crate::table_watch;
@@ -87,7 +89,7 @@
     let wall_ms = context.clock.wall_ms();
     let mut core = CellCore::new(cell_settings(context));
     let (jobs, skipped) = load_jobs(&mut core, &rows, now, wall_ms);
-    for (queue, statistics) in &rows.ledger.learned {
+    for (queue, statistics) in &rows.workers.learned {
         let duration = QueueDuration {
             mean: statistics.mean,
             ratio: statistics.ratio,
@@ -95,7 +97,7 @@
         core.restore_queue_statistics(queue, duration, statistics.work);
     }
     let pool = pool_of(name).to_owned();
-    let ledger_workers: Vec<_> = (rows.ledger.workers.iter())
+    let ledger_workers: Vec<_> = (rows.workers.workers.iter())
         .map(|worker| worker.placeholder_entry(&pool))
         .collect();
     core.await_former_workers(&ledger_workers, former_owner, now);
@@ -224,7 +226,7 @@
 
 /// Stored rows of a cell.
 struct CellRows {
-    ledger: LedgerRecord,
+    workers: CellWorkersRecord,
     ledger_version: RowVersion,
     jobs: Vec<tanager_site::store::TableRow>,
     progress: Vec<tanager_site::store::TableRow>,
@@ -254,13 +256,20 @@
         store.all_rows(PROGRESS_TABLE, name, CALL_TIMEOUT),
     );
     let (ledger, _) = ledger?;
-    let row = ledger.into_iter().find(|row| row.name.key == LEDGER_KEY);
-    let (ledger, ledger_version) = match row {
+    let find = |key: &str| ledger.iter().find(|row| row.name.key == key);
+    let (record, ledger_version) = match find(LEDGER_KEY) {
         None => (LedgerRecord::default(), 0),
         Some(row) => (decode_record(name, &row.value)?, row.version),
     };
+    let workers = match find(WORKERS_KEY) {
+        Some(row) => decode_record(name, &row.value)?,
+        None => CellWorkersRecord {
+            workers: record.workers,
+            learned: record.learned,
+        },
+    };
     Ok(CellRows {
-        ledger,
+        workers,
         ledger_version,
         jobs: jobs?.0,
         progress: progress?.0,
