A node that has not read the other nodes' rows takes no cells

It read the owners of the cells, but not the rows of their nodes, so that every owner looked dead, and took the cell of a pool of over 100 workers and the coordinator's from live owners. From 16 s to 34 s it wrote 450 to 600 log lines in each 4 s, most of them run_not_started; callers waited up to a second for a 404.

Change: cells are acquired only after the nodes' table was read; an owner whose node's row is missing counts as dead only after the time for which a known node may be unresponsive. The parts of a table are read concurrently, since one after another they would take seconds while the store is slow.

Test: owners_of_unread_nodes_are_not_replaced; without the two conditions the owners are replaced at once.

--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -25,7 +25,8 @@
 ///
 /// A cell whose row names this node although it does not run the cell is acquired at once: an
 /// earlier process owned it, or the store carried out the acquiring write after the node had
-/// abandoned it. Other cells are acquired only if `may_acquire_others`.
+/// abandoned it. Other cells are acquired only if `may_acquire_others`, and those of an owner whose
+/// node's row is missing only after the time for which a known node may be unresponsive.
 pub fn choose_cells_to_acquire(
     view: &mut FleetView,
     own_node: &str,
@@ -33,6 +34,10 @@
     may_acquire_others: bool,
     now: Duration,
 ) -> Vec<CellName> {
+    if view.nodes_read_at.is_none() {
+        // Without the rows of the other nodes, every owner would look dead.
+        return Vec::new();
+    }
     let cells = view.configured_cells();
     let mut loads: BTreeMap<NodeName, NodeLoad> = (view.nodes.iter())
         .filter(|(name, observed)| {
@@ -49,7 +54,17 @@
     for cell in cells {
         let owner = live_owner(view, &cell, own_node)
             .filter(|owner| owner != own_node || owned_cells.contains(&cell));
+        let is_node_known = (view.owners.get(&cell))
+            .is_none_or(|observed| view.nodes.contains_key(&observed.record.node));
         let observed = view.owners.entry(cell.clone()).or_default();
+        if is_node_known || observed.record.node.is_empty() {
+            observed.unknown_since = None;
+        } else {
+            let since = *observed.unknown_since.get_or_insert(now);
+            if now.saturating_sub(since) < NODE_DEATH_TIMEOUT {
+                continue;
+            }
+        }
         match owner {
             Some(owner) => {
                 observed.orphaned_since = None;
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::try_join_all;
 use tanager_jobs::record::decode_record;
 use tanager_jobs::record::encode_record;
 use tanager_protocol::error::TanagerResult;
@@ -103,19 +104,17 @@
         if !self.is_unpartitioned {
             parts = context.store.parts(self.name, READ_TIMEOUT).await?;
         }
-        let mut rows = Vec::new();
-        let mut first_version = None;
-        for part in &parts {
-            let (mut read, version) = context
-                .store
-                .all_rows(self.name, part, READ_TIMEOUT)
-                .await?;
-            rows.append(&mut read);
-            first_version.get_or_insert(version);
-        }
-        // A table without parts has no rows, so its feed is read from the beginning.
-        self.after = Some(first_version.unwrap_or(0));
-        Ok(TableRead::Full(rows))
+        // Concurrently, because one after another they would take seconds while the store is slow.
+        let reads =
+            (parts.iter()).map(|part| context.store.all_rows(self.name, part, READ_TIMEOUT));
+        let reads = try_join_all(reads).await?;
+        // Changes since the earliest read are read again. A table without parts has no rows, so its
+        // feed is read from the beginning.
+        let versions = reads.iter().map(|(_, version)| *version);
+        self.after = Some(versions.min().unwrap_or(0));
+        Ok(TableRead::Full(
+            reads.into_iter().flat_map(|(rows, _)| rows).collect(),
+        ))
     }
 }
 
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -49,6 +49,9 @@
     pub version: RowVersion,
     /// Time since which the cell has had no live owner.
     pub orphaned_since: Option<Duration>,
+    /// Time since which the row of the owner's node has been missing: the two rows are in different
+    /// tables, which are read one after the other.
+    pub unknown_since: Option<Duration>,
 }
 
 /// This node's copy of the fleet's state.
@@ -155,7 +158,7 @@
             *observed = ObservedOwner {
                 record,
                 version,
-                orphaned_since: None,
+                ..ObservedOwner::default()
             };
         }
     }
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -29,6 +29,19 @@
 }
 
 fn view(nodes: &[(&str, f64)]) -> FleetView {
+    let mut view = view_of_pools();
+    let rows = (nodes.iter().enumerate())
+        .map(|(number, (name, cores))| {
+            let version = 1 + number as u64;
+            ((*name).to_owned(), Some(node(10, *cores)), version)
+        })
+        .collect();
+    view.apply_node_rows(rows, true, true, Duration::ZERO);
+    view
+}
+
+/// Returns a view in which no node has been read.
+fn view_of_pools() -> FleetView {
     let mut view = FleetView::default();
     let pools: BTreeMap<String, PoolConfig> = (POOLS.iter())
         .map(|name| {
@@ -52,13 +65,6 @@
         };
         view.pools.insert(name.to_owned(), (record, 1));
     }
-    let rows = (nodes.iter().enumerate())
-        .map(|(number, (name, cores))| {
-            let version = 1 + number as u64;
-            ((*name).to_owned(), Some(node(10, *cores)), version)
-        })
-        .collect();
-    view.apply_node_rows(rows, true, true, Duration::ZERO);
     view
 }
 
@@ -82,6 +88,12 @@
         .collect()
 }
 
+fn cells_chosen_at(view: &mut FleetView, own_node: &str, now: Duration) -> BTreeSet<String> {
+    choose_cells_to_acquire(view, own_node, &BTreeSet::new(), true, now)
+        .into_iter()
+        .collect()
+}
+
 const ALL: [&str; 5] = ["duty", "alpha/0", "beta/0", "gamma/0", "delta/0"];
 
 /// Guards against cells that two nodes try to acquire, or none.
@@ -193,6 +205,34 @@
     assert!(cells_chosen_by(&mut view, "b", &[]).is_empty());
 }
 
+/// Guards against taking the cells of live owners before the rows of their nodes were read, for
+/// instance by a node that starts while the store is slow (kusluk-ladder-grown trouble-2, seed
+/// 676075769862: CONFIG, LOST).
+#[test]
+fn owners_of_unread_nodes_are_not_replaced() {
+    let mut view = view_of_pools();
+    view.record_own_node("b".to_owned(), node(10, 0.12), 1);
+    for cell in ALL {
+        set_owner(&mut view, cell, "a", 10);
+    }
+    for number in 0..20 {
+        let now = Duration::from_millis(500) * number;
+        assert!(
+            cells_chosen_at(&mut view, "b", now).is_empty(),
+            "at {now:?}"
+        );
+    }
+    // The nodes were read, but the row of the owner's node is missing.
+    let rows = vec![("b".to_owned(), Some(node(10, 0.12)), 2)];
+    let start = Duration::from_secs(10);
+    view.apply_node_rows(rows, true, true, start);
+    assert!(cells_chosen_at(&mut view, "b", start).is_empty());
+    let end = start + NODE_DEATH_TIMEOUT;
+    let just_before = end - Duration::from_millis(1);
+    assert!(cells_chosen_at(&mut view, "b", just_before).is_empty());
+    assert_eq!(cells_chosen_at(&mut view, "b", end), names(&ALL));
+}
+
 /// Guards against taking the cells of live owners after the store refused the heartbeats of all
 /// nodes for a while (lt-hallein-large: 14 cells within 0.05 s).
 #[test]
