Order VMs together, and see moved VMs sooner while tasks wait

The coordinator asked the owners of up to 69 VMs one after another to drain them, and ordered them one after another. A VM that arrived was seen up to 0.5 s later, with the next read of the entries, in a surge of 4.5 s.

An owner reads the workers' entries each 0.15 s while its tasks wait for room.

--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -268,6 +268,23 @@
     );
 }
 
+/// Guards against a wave whose orders are sent one after another: while the machine API is slow, they
+/// would hold up moves to a pool in a surge.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_to_several_vms_are_sent_together() {
+    let site = JobSite::start(2, &[pool(POOL, 6)]).await;
+    (site.standin).set_faults(|faults| faults.machine_order_delay = Duration::from_millis(300));
+    let vms = site.standin.vms(POOL);
+    let wave = json!({"wave": 1, "machines": vms, "duration_s": 30, "cap": 6});
+    (site.standin).put_row("op", "wave/1", wave.to_string().as_bytes());
+    eventually("the wave is completed", async || {
+        let status = site.standin.row("status", "wave/1").unwrap_or_default();
+        String::from_utf8_lossy(&status).contains("completed")
+    })
+    .await;
+    assert!(site.standin.max_parallel_orders() > 1);
+}
+
 /// Guards against an overloaded pool that waits although VMs of the spare pool are off.
 #[tokio::test(flavor = "multi_thread")]
 async fn spare_vms_move_to_an_overloaded_pool() {
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// Returns whether tasks wait for room on a worker.
+    pub fn has_waiting_tasks(&self) -> bool {
+        let (_, waiting_steps, _) = self.core().sizes();
+        waiting_steps > 0
+    }
+
     /// Stops starting tasks and accepting jobs before the cell is handed over.
     pub fn pause(&self) {
         self.paused.send_replace(true);
--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream;
 use tanager_jobs::ids::PoolName;
 use tanager_jobs::ids::VmName;
 use tanager_jobs::record::encode_record;
@@ -23,14 +25,13 @@
 use tanager_schedule::wave::VmStatus;
 use tanager_schedule::wave::WaveTracker;
 use tanager_site::fleet::WaveOrder;
-use tanager_site::machines::MachineClient;
 use tanager_site::machines::MachineEntry;
 use tanager_site::machines::MachineResponse;
 use tanager_site::machines::MachineState;
 use tokio::time;
 
 use crate::cell::CellHandle;
-use crate::coordinator_cells::drain_vm;
+use crate::coordinator_cells::drain_vms;
 use crate::coordinator_cells::pool_loads;
 use crate::coordinator_records::HOME_TABLE;
 use crate::coordinator_records::HomeRecord;
@@ -59,6 +60,10 @@
 /// only after this node has been unresponsive for longer.
 const COORDINATOR_HEARTBEAT_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Maximum number of orders to VMs in progress: enough for the rates that the platform documents, at
+/// some milliseconds each.
+const MAX_PARALLEL_ORDERS: usize = 8;
+
 /// A wave in progress.
 struct WaveProgress {
     tracker: WaveTracker,
@@ -109,7 +114,7 @@
         match machines.list(MACHINE_TIMEOUT).await {
             Ok(listed) => {
                 vms = listed.len();
-                state.step(machines, &listed).await;
+                state.step(&listed).await;
             }
             Err(error) => log::info!("event=machines_not_listed error={error:?}"),
         }
@@ -150,7 +155,7 @@
         }
     }
 
-    async fn step(&mut self, machines: &MachineClient, listed: &[MachineEntry]) {
+    async fn step(&mut self, listed: &[MachineEntry]) {
         let now = self.cell.context.clock.now();
         let loads = pool_loads(&self.cell).await;
         let entries: BTreeMap<VmName, &MachineEntry> = (listed.iter())
@@ -159,7 +164,7 @@
         let mut reserved = BTreeSet::new();
         let mut waves = std::mem::take(&mut self.waves);
         for (number, progress) in &mut waves {
-            self.step_wave(machines, progress, &entries, &loads).await;
+            self.step_wave(progress, &entries, &loads).await;
             reserved.extend(progress.tracker.active().into_iter().map(|(vm, _)| vm));
             if progress.tracker.is_complete() {
                 progress.record.completed = true;
@@ -175,13 +180,11 @@
         }
         waves.retain(|number, _| !self.ended.contains(number));
         self.waves = waves;
-        self.step_moves(machines, &entries, &loads, &reserved, now)
-            .await;
+        self.step_moves(&entries, &loads, &reserved, now).await;
     }
 
     async fn step_wave(
         &mut self,
-        machines: &MachineClient,
         progress: &mut WaveProgress,
         entries: &BTreeMap<VmName, &MachineEntry>,
         loads: &BTreeMap<PoolName, PoolLoad>,
@@ -198,27 +201,52 @@
             let wave = tracker.wave;
             log::info!("event=vm_emptying wave={wave} vm={vm} shares={shares:?}");
         }
-        for (vm, step) in tracker.active() {
-            let Some(entry) = entries.get(&vm) else {
+        let evicts = tracker.is_near_deadline(clock.now());
+        let active = tracker.active();
+        // A worker stays drained until the order has a response.
+        let drains = (active.iter())
+            .filter(|(_, step)| {
+                matches!(
+                    step,
+                    MaintenanceStep::Draining(_) | MaintenanceStep::Ordered(_)
+                )
+            })
+            .filter_map(|(vm, _)| Some(((*entries.get(vm)?).clone(), evicts)))
+            .collect();
+        let responses = drain_vms(&self.cell, drains).await;
+        let mut orders = Vec::new();
+        for (vm, step) in active {
+            let Some(response) = responses.get(&vm) else {
                 continue;
             };
-            match step {
+            let is_ready = match step {
                 MaintenanceStep::Draining(since) => {
-                    let response =
-                        drain_vm(&self.cell, entry, tracker.is_near_deadline(clock.now())).await;
                     let is_drain_overdue = tracker.is_near_deadline(clock.now())
                         && clock.now().saturating_sub(since) > OWNER_TIMEOUT * 2;
-                    if response.is_empty || (is_drain_overdue && !response.has_long_running) {
-                        tracker.set_step(&vm, MaintenanceStep::Ordered(clock.now()));
-                        order_maintenance(&self.cell, machines, tracker, &vm).await;
-                    }
+                    response.is_empty || (is_drain_overdue && !response.has_long_running)
                 }
-                MaintenanceStep::Ordered(_) => {
-                    // Keep the worker drained until the order has a response.
-                    drain_vm(&self.cell, entry, tracker.is_near_deadline(clock.now())).await;
-                    order_maintenance(&self.cell, machines, tracker, &vm).await;
+                _ => true,
+            };
+            if is_ready {
+                tracker.set_step(&vm, MaintenanceStep::Ordered(clock.now()));
+                orders.push(vm);
+            }
+        }
+        let (cell, wave) = (&self.cell, tracker.wave);
+        let responses: Vec<_> = stream::iter(orders)
+            .map(|vm| {
+                let cell = Arc::clone(cell);
+                async move {
+                    let response = order_maintenance(&cell, wave, &vm).await;
+                    (vm, response)
                 }
-                _ => {}
+            })
+            .buffer_unordered(MAX_PARALLEL_ORDERS)
+            .collect()
+            .await;
+        for (vm, response) in responses {
+            if let Some(response) = response {
+                apply_maintenance_response(cell, tracker, &vm, response);
             }
         }
         let begun: BTreeSet<VmName> = tracker.started_vms().into_iter().collect();
@@ -251,7 +279,6 @@
 
     async fn step_moves(
         &mut self,
-        machines: &MachineClient,
         entries: &BTreeMap<VmName, &MachineEntry>,
         loads: &BTreeMap<PoolName, PoolLoad>,
         reserved: &BTreeSet<VmName>,
@@ -277,21 +304,34 @@
             }
             return;
         }
-        let moves: Vec<_> = self.planner.moves().clone().into_iter().collect();
-        for (vm, entry) in moves {
-            let Some(listed) = entries.get(&vm) else {
-                continue;
-            };
-            let may_send = match entry.step {
-                MoveStep::Draining => drain_vm(&self.cell, listed, true).await.is_empty,
-                MoveStep::Ordered => {
-                    drain_vm(&self.cell, listed, true).await;
-                    true
+        let moves = self.planner.moves().clone();
+        let drains = (moves.iter())
+            .filter(|(_, entry)| !matches!(entry.step, MoveStep::Accepted(_)))
+            .filter_map(|(vm, _)| Some(((*entries.get(vm)?).clone(), true)))
+            .collect();
+        let responses = drain_vms(&self.cell, drains).await;
+        let orders: Vec<(VmName, PoolName)> = (moves.into_iter())
+            .filter(|(vm, entry)| {
+                (responses.get(vm))
+                    .is_some_and(|drained| drained.is_empty || entry.step == MoveStep::Ordered)
+            })
+            .map(|(vm, entry)| (vm, entry.target))
+            .collect();
+        let cell = &self.cell;
+        let responses: Vec<_> = stream::iter(orders)
+            .map(|(vm, target)| {
+                let cell = Arc::clone(cell);
+                async move {
+                    let response = order_move(&cell, &vm, &target).await;
+                    (vm, response)
                 }
-                MoveStep::Accepted(_) => false,
-            };
-            if may_send {
-                self.order_move(machines, &vm, &entry.target).await;
+            })
+            .buffer_unordered(MAX_PARALLEL_ORDERS)
+            .collect()
+            .await;
+        for (vm, response) in responses {
+            if let Some(response) = response {
+                self.apply_move_response(&vm, response);
             }
         }
     }
@@ -339,24 +379,10 @@
         }
     }
 
-    async fn order_move(&mut self, machines: &MachineClient, vm: &str, target: &str) {
-        let context = Arc::clone(&self.cell.context);
-        if self.cell.is_closed()
-            || !context.is_heartbeat_confirmed(context.clock.now(), COORDINATOR_HEARTBEAT_LIMIT)
-        {
-            return;
-        }
-        let coordinator = &context.settings.node;
-        let response = machines
-            .move_to(vm, target, coordinator, self.cell.token, MACHINE_TIMEOUT)
-            .await;
-        log::info!(
-            "event=vm_moved vm={vm} to={target} token={} answer={response:?}",
-            self.cell.token
-        );
+    fn apply_move_response(&mut self, vm: &str, response: TanagerResult<MachineResponse>) {
         match response {
             Ok(MachineResponse::Accepted) => {
-                let step = MoveStep::Accepted(context.clock.now());
+                let step = MoveStep::Accepted(self.cell.context.clock.now());
                 self.planner.set_step(vm, step);
             }
             Ok(MachineResponse::Fenced) => self.cell.close("the machine API knows a higher token"),
@@ -400,20 +426,45 @@
     Ok(Some(WaveProgress { tracker, record }))
 }
 
+/// Returns whether this node may send an order to a VM. To be checked right before each order.
+fn may_order(cell: &CellHandle) -> bool {
+    let context = &cell.context;
+    !cell.is_closed()
+        && context.is_heartbeat_confirmed(context.clock.now(), COORDINATOR_HEARTBEAT_LIMIT)
+}
+
+/// Orders a move; `None` if this node may send no orders.
+async fn order_move(
+    cell: &CellHandle,
+    vm: &str,
+    target: &str,
+) -> Option<TanagerResult<MachineResponse>> {
+    let machines = cell.context.machines.as_ref()?;
+    if !may_order(cell) {
+        return None;
+    }
+    let coordinator = &cell.context.settings.node;
+    let response = machines
+        .move_to(vm, target, coordinator, cell.token, MACHINE_TIMEOUT)
+        .await;
+    log::info!(
+        "event=vm_moved vm={vm} to={target} token={} answer={response:?}",
+        cell.token
+    );
+    Some(response)
+}
+
+/// Orders the maintenance of a VM; `None` if this node may send no orders.
 async fn order_maintenance(
-    cell: &Arc<CellHandle>,
-    machines: &MachineClient,
-    tracker: &mut WaveTracker,
+    cell: &CellHandle,
+    wave: u64,
     vm: &str,
-) {
-    let context = &cell.context;
-    let wave = tracker.wave;
-    if cell.is_closed()
-        || !context.is_heartbeat_confirmed(context.clock.now(), COORDINATOR_HEARTBEAT_LIMIT)
-    {
-        return;
+) -> Option<TanagerResult<MachineResponse>> {
+    let machines = cell.context.machines.as_ref()?;
+    if !may_order(cell) {
+        return None;
     }
-    let coordinator = &context.settings.node;
+    let coordinator = &cell.context.settings.node;
     let response = machines
         .maintain(vm, wave, coordinator, cell.token, MACHINE_TIMEOUT)
         .await;
@@ -421,7 +472,16 @@
         "event=vm_maintenance wave={wave} vm={vm} token={} answer={response:?}",
         cell.token
     );
-    let now = context.clock.now();
+    Some(response)
+}
+
+fn apply_maintenance_response(
+    cell: &CellHandle,
+    tracker: &mut WaveTracker,
+    vm: &str,
+    response: TanagerResult<MachineResponse>,
+) {
+    let now = cell.context.clock.now();
     match response {
         Ok(MachineResponse::Accepted) => tracker.set_step(vm, MaintenanceStep::Accepted(now)),
         Ok(MachineResponse::Fenced) => cell.close("the machine API knows a higher token"),
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -47,6 +47,9 @@
 const START_PERIOD: Duration = Duration::from_secs(6);
 /// Interval between reads of the workers' entries on a node without cells.
 const IDLE_WORKER_PERIOD: Duration = Duration::from_millis(2_000);
+/// Interval between reads of the workers' entries while tasks wait for room: VMs that were moved here
+/// show as new entries, and a surge lasts only a few seconds.
+const BACKLOG_WORKER_PERIOD: Duration = Duration::from_millis(150);
 /// Interval between reads of the workers' entries while a peer relays them: its link may be slow.
 const RELAYED_WORKER_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time limit of a call to the store.
@@ -206,7 +209,14 @@
         if context.clock.now() >= PARTITION_DELAY {
             partition_pools(&context).await;
         }
-        time::sleep(worker_period(&context)).await;
+        let cells = context.cells();
+        let period = worker_period(ReadSituation {
+            is_starting: context.clock.now() < START_PERIOD,
+            owns_cells: !cells.is_empty(),
+            is_store_failing: context.store_access.is_failing(),
+            has_waiting_tasks: cells.iter().any(|cell| cell.has_waiting_tasks()),
+        });
+        time::sleep(period).await;
     }
 }
 
@@ -220,14 +230,29 @@
     }
 }
 
+/// What decides how often a node reads the workers' entries.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReadSituation {
+    /// Pools are being partitioned.
+    pub is_starting: bool,
+    /// The node owns a cell.
+    pub owns_cells: bool,
+    /// Calls to the store go through peers.
+    pub is_store_failing: bool,
+    /// Tasks of an owned cell wait for room on a worker.
+    pub has_waiting_tasks: bool,
+}
+
 /// Returns the time until the next read of the workers' entries, which is by far the largest read.
-fn worker_period(context: &NodeContext) -> Duration {
-    if context.clock.now() < START_PERIOD {
+pub fn worker_period(situation: ReadSituation) -> Duration {
+    if situation.is_starting {
         READ_PERIOD
-    } else if context.cells().is_empty() {
+    } else if !situation.owns_cells {
         IDLE_WORKER_PERIOD
-    } else if context.store_access.is_failing() {
+    } else if situation.is_store_failing {
         RELAYED_WORKER_PERIOD
+    } else if situation.has_waiting_tasks {
+        BACKLOG_WORKER_PERIOD
     } else {
         READ_PERIOD
     }
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -13,6 +13,8 @@
 use tanager_service::records::NodeRecord;
 use tanager_service::records::OwnerRecord;
 use tanager_service::records::PoolRecord;
+use tanager_service::table_watch::ReadSituation;
+use tanager_service::table_watch::worker_period;
 use tanager_service::view::FleetView;
 use tanager_service::view::assign_racks;
 
@@ -294,3 +296,24 @@
     );
     assert!(extended.later_racks.contains("r-9"));
 }
+
+/// Guards against VMs that were moved to a pool in a surge and get no tasks until the next regular
+/// read of their entries, and against such frequent reads by nodes that do not need them.
+#[test]
+fn workers_are_read_more_often_while_tasks_wait() {
+    let owner = ReadSituation {
+        owns_cells: true,
+        ..ReadSituation::default()
+    };
+    let waiting = ReadSituation {
+        has_waiting_tasks: true,
+        ..owner
+    };
+    assert!(worker_period(waiting) * 3 < worker_period(owner));
+    assert!(worker_period(owner) < worker_period(ReadSituation::default()));
+    let relayed = ReadSituation {
+        is_store_failing: true,
+        ..waiting
+    };
+    assert!(worker_period(relayed) > worker_period(owner));
+}
--- a/crates/tanager-standin/src/site/faults.rs
+++ b/crates/tanager-standin/src/site/faults.rs
@@ -1,5 +1,7 @@
 //! Faults that the stand-in injects.
 
+use std::time::Duration;
+
 use rand::RngExt;
 
 /// Current faults. Rates are from 0 to 1.
@@ -19,6 +21,8 @@
     pub max_change_bytes: usize,
     /// Share of orders to workers that are executed but get no response.
     pub order_response_loss_rate: f64,
+    /// Time for which the machine API delays the execution of an order.
+    pub machine_order_delay: Duration,
     /// Share of runs that fail.
     pub run_failure_rate: f64,
 }
--- a/crates/tanager-standin/src/site/machines.rs
+++ b/crates/tanager-standin/src/site/machines.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
+use tokio::time;
 
 use super::MACHINE_OPERATION_TIME;
 use super::SharedSite;
@@ -16,13 +17,22 @@
 /// Serves a request to the machine API.
 pub(crate) async fn handle(state: SharedSite, request: HttpRequest) -> HttpResponse {
     let body = parse_body(&request);
+    let new_state = match request.path.as_str() {
+        "/machines" => return list_machines(&lock(&state)),
+        "/machine-move" => "moving",
+        "/machine-upkeep" => "upkeep",
+        _ => return HttpResponse::new(StatusCode::NOT_FOUND, ""),
+    };
+    let delay = {
+        let mut state = lock(&state);
+        state.orders_in_progress.0 += 1;
+        state.orders_in_progress.1 = state.orders_in_progress.1.max(state.orders_in_progress.0);
+        state.faults.machine_order_delay
+    };
+    time::sleep(delay).await;
     let mut state = lock(&state);
-    match request.path.as_str() {
-        "/machines" => list_machines(&state),
-        "/machine-move" => apply_order(&mut state, &body, "moving"),
-        "/machine-upkeep" => apply_order(&mut state, &body, "upkeep"),
-        _ => HttpResponse::new(StatusCode::NOT_FOUND, ""),
-    }
+    state.orders_in_progress.0 -= 1;
+    apply_order(&mut state, &body, new_state)
 }
 
 fn list_machines(state: &SiteState) -> HttpResponse {
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -65,6 +65,8 @@
     pub(crate) faults: SiteFaults,
     pub(crate) start: Instant,
     pub(crate) orders: Vec<String>,
+    /// Orders to VMs in progress, and the most at any time.
+    orders_in_progress: (usize, usize),
     /// Pools whose workers require tickets.
     pub(crate) ticket_pools: BTreeSet<String>,
 }
@@ -99,6 +101,7 @@
             faults: SiteFaults::default(),
             start: Instant::now(),
             orders: Vec::new(),
+            orders_in_progress: (0, 0),
             ticket_pools: (pools.iter())
                 .filter(|pool| pool.requires_ticket)
                 .map(|pool| pool.name.clone())
@@ -234,6 +237,11 @@
         state.log.runs.clone()
     }
 
+    /// Returns the largest number of orders to VMs that were in progress at the same time.
+    pub fn max_parallel_orders(&self) -> usize {
+        lock(&self.state).orders_in_progress.1
+    }
+
     /// Returns the orders that the machine API accepted.
     pub fn machine_orders(&self) -> Vec<String> {
         lock(&self.state).orders.clone()
