Order each VM right after its drain

It drained all VMs first and ordered them afterwards. An owner starts nothing on a drained worker for 2.5 s only, and with slow owners the orders could come later and end tasks that had just started (AVAIL).

Change: each VM is drained and ordered in one step again, up to 16 VMs at a time.

--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -20,6 +20,7 @@
 use tanager_schedule::capacity::CapacityPlanner;
 use tanager_schedule::capacity::MoveStep;
 use tanager_schedule::capacity::PoolLoad;
+use tanager_schedule::capacity::VmMove;
 use tanager_schedule::capacity::VmPlacement;
 use tanager_schedule::wave::MaintenanceStep;
 use tanager_schedule::wave::VmStatus;
@@ -31,7 +32,7 @@
 use tokio::time;
 
 use crate::cell::CellHandle;
-use crate::coordinator_cells::drain_vms;
+use crate::coordinator_cells::drain_vm;
 use crate::coordinator_cells::pool_loads;
 use crate::coordinator_records::HOME_TABLE;
 use crate::coordinator_records::HomeRecord;
@@ -60,9 +61,11 @@
 /// only after this node has been unresponsive for longer.
 const COORDINATOR_HEARTBEAT_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Maximum number of orders to VMs in progress: enough for the rates that the platform documents, at
-/// some milliseconds each.
-const MAX_PARALLEL_ORDERS: usize = 8;
+/// Maximum number of VMs that are drained or get orders at the same time.
+///
+/// Load: a wave over tens of VMs beside a surge, whose owners respond slowly. One after another,
+/// they would hold up the moves to the pool that surges for seconds.
+const MAX_PARALLEL_VMS: usize = 16;
 
 /// A wave in progress.
 struct WaveProgress {
@@ -201,53 +204,27 @@
             let wave = tracker.wave;
             log::info!("event=vm_emptying wave={wave} vm={vm} shares={shares:?}");
         }
-        let evicts = tracker.is_near_deadline(clock.now());
-        let active = tracker.active();
-        // A worker stays drained until the order has a response.
-        let drains = (active.iter())
-            .filter(|(_, step)| {
-                matches!(
-                    step,
-                    MaintenanceStep::Draining(_) | MaintenanceStep::Ordered(_)
-                )
-            })
-            .filter_map(|(vm, _)| Some(((*entries.get(vm)?).clone(), evicts)))
-            .collect();
-        let responses = drain_vms(&self.cell, drains).await;
-        let mut orders = Vec::new();
-        for (vm, step) in active {
-            let Some(response) = responses.get(&vm) else {
-                continue;
-            };
-            let is_ready = match step {
-                MaintenanceStep::Draining(since) => {
-                    let is_drain_overdue = tracker.is_near_deadline(clock.now())
-                        && clock.now().saturating_sub(since) > OWNER_TIMEOUT * 2;
-                    response.is_empty || (is_drain_overdue && !response.has_long_running)
-                }
-                _ => true,
-            };
-            if is_ready {
-                tracker.set_step(&vm, MaintenanceStep::Ordered(clock.now()));
-                orders.push(vm);
-            }
-        }
-        let (cell, wave) = (&self.cell, tracker.wave);
-        let responses: Vec<_> = stream::iter(orders)
-            .map(|vm| {
-                let cell = Arc::clone(cell);
+        let is_near_deadline = tracker.is_near_deadline(clock.now());
+        let wave = tracker.wave;
+        let steps = (tracker.active().into_iter())
+            .filter_map(|(vm, step)| Some(((*entries.get(&vm)?).clone(), step)));
+        let results: Vec<_> = stream::iter(steps)
+            .map(|(entry, step)| {
+                let cell = Arc::clone(&self.cell);
                 async move {
-                    let response = order_maintenance(&cell, wave, &vm).await;
-                    (vm, response)
+                    let result = maintain_vm(&cell, wave, &entry, step, is_near_deadline).await;
+                    (entry.vm, step, result)
                 }
             })
-            .buffer_unordered(MAX_PARALLEL_ORDERS)
+            .buffer_unordered(MAX_PARALLEL_VMS)
             .collect()
             .await;
-        for (vm, response) in responses {
-            if let Some(response) = response {
-                apply_maintenance_response(cell, tracker, &vm, response);
+        for (vm, step, result) in results {
+            let Some(response) = result else { continue };
+            if matches!(step, MaintenanceStep::Draining(_)) {
+                tracker.set_step(&vm, MaintenanceStep::Ordered(clock.now()));
             }
+            apply_maintenance_response(&self.cell, tracker, &vm, response);
         }
         let begun: BTreeSet<VmName> = tracker.started_vms().into_iter().collect();
         if begun != progress.record.begun {
@@ -304,33 +281,22 @@
             }
             return;
         }
-        let moves = self.planner.moves().clone();
-        let drains = (moves.iter())
-            .filter(|(_, entry)| !matches!(entry.step, MoveStep::Accepted(_)))
-            .filter_map(|(vm, _)| Some(((*entries.get(vm)?).clone(), true)))
-            .collect();
-        let responses = drain_vms(&self.cell, drains).await;
-        let orders: Vec<(VmName, PoolName)> = (moves.into_iter())
-            .filter(|(vm, entry)| {
-                (responses.get(vm))
-                    .is_some_and(|drained| drained.is_empty || entry.step == MoveStep::Ordered)
-            })
-            .map(|(vm, entry)| (vm, entry.target))
-            .collect();
-        let cell = &self.cell;
-        let responses: Vec<_> = stream::iter(orders)
-            .map(|(vm, target)| {
-                let cell = Arc::clone(cell);
+        let moves = (self.planner.moves().iter())
+            .filter_map(|(vm, entry)| Some(((*entries.get(vm)?).clone(), entry.clone())));
+        let moves: Vec<_> = moves.collect();
+        let results: Vec<_> = stream::iter(moves)
+            .map(|(listed, entry)| {
+                let cell = Arc::clone(&self.cell);
                 async move {
-                    let response = order_move(&cell, &vm, &target).await;
-                    (vm, response)
+                    let result = move_vm(&cell, &listed, &entry).await;
+                    (listed.vm, result)
                 }
             })
-            .buffer_unordered(MAX_PARALLEL_ORDERS)
+            .buffer_unordered(MAX_PARALLEL_VMS)
             .collect()
             .await;
-        for (vm, response) in responses {
-            if let Some(response) = response {
+        for (vm, result) in results {
+            if let Some(response) = result {
                 self.apply_move_response(&vm, response);
             }
         }
@@ -433,6 +399,55 @@
         && context.is_heartbeat_confirmed(context.clock.now(), COORDINATOR_HEARTBEAT_LIMIT)
 }
 
+/// Drains a VM for its maintenance and orders it right after the response, while the owner of its
+/// worker starts nothing there. `None` if no order was sent.
+async fn maintain_vm(
+    cell: &Arc<CellHandle>,
+    wave: u64,
+    entry: &MachineEntry,
+    step: MaintenanceStep,
+    is_near_deadline: bool,
+) -> Option<TanagerResult<MachineResponse>> {
+    let is_ready = match step {
+        MaintenanceStep::Draining(since) => {
+            let response = drain_vm(cell, entry, is_near_deadline).await;
+            let waited = cell.context.clock.now().saturating_sub(since);
+            let is_drain_overdue = is_near_deadline && waited > OWNER_TIMEOUT * 2;
+            response.is_empty || (is_drain_overdue && !response.has_long_running)
+        }
+        MaintenanceStep::Ordered(_) => {
+            // Keep the worker drained until the order has a response.
+            drain_vm(cell, entry, is_near_deadline).await;
+            true
+        }
+        _ => false,
+    };
+    match is_ready {
+        true => order_maintenance(cell, wave, &entry.vm).await,
+        false => None,
+    }
+}
+
+/// Drains a VM and orders its move right after the response; see [`maintain_vm`].
+async fn move_vm(
+    cell: &Arc<CellHandle>,
+    listed: &MachineEntry,
+    entry: &VmMove,
+) -> Option<TanagerResult<MachineResponse>> {
+    let is_ready = match entry.step {
+        MoveStep::Draining => drain_vm(cell, listed, true).await.is_empty,
+        MoveStep::Ordered => {
+            drain_vm(cell, listed, true).await;
+            true
+        }
+        MoveStep::Accepted(_) => false,
+    };
+    match is_ready {
+        true => order_move(cell, &listed.vm, &entry.target).await,
+        false => None,
+    }
+}
+
 /// Orders a move; `None` if this node may send no orders.
 async fn order_move(
     cell: &CellHandle,
--- a/crates/tanager-service/src/coordinator_cells.rs
+++ b/crates/tanager-service/src/coordinator_cells.rs
@@ -3,11 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use futures_util::StreamExt;
-use futures_util::stream;
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::PoolName;
-use tanager_jobs::ids::VmName;
 use tanager_jobs::ids::WorkerId;
 use tanager_schedule::capacity::PoolLoad;
 use tanager_site::machines::MachineEntry;
@@ -25,12 +22,14 @@
 
 /// Maximum number of concurrent load requests.
 const MAX_PARALLEL_LOAD_REQUESTS: usize = 16;
-/// Maximum number of VMs for which drain requests are in progress.
-const MAX_PARALLEL_DRAINS: usize = 16;
 
 /// Asks the owner of the VM's worker to drain it. A worker may run for a while without an entry in
 /// the view; in this case the owners of all cells of its pool are asked.
-async fn drain_vm(cell: &Arc<CellHandle>, entry: &MachineEntry, evicts: bool) -> DrainResponse {
+pub(crate) async fn drain_vm(
+    cell: &Arc<CellHandle>,
+    entry: &MachineEntry,
+    evicts: bool,
+) -> DrainResponse {
     let Some(worker) = &entry.worker else {
         return DrainResponse::EMPTY;
     };
@@ -50,27 +49,6 @@
     combined
 }
 
-/// Drains several VMs concurrently, each with its own choice of `evicts`.
-///
-/// Load: a wave over tens of VMs beside a surge, whose owners respond slowly. One after another, the
-/// requests would hold up the moves to the pool that surges for seconds.
-pub(crate) async fn drain_vms(
-    cell: &Arc<CellHandle>,
-    requests: Vec<(MachineEntry, bool)>,
-) -> BTreeMap<VmName, DrainResponse> {
-    stream::iter(requests)
-        .map(|(entry, evicts)| {
-            let cell = Arc::clone(cell);
-            async move {
-                let response = drain_vm(&cell, &entry, evicts).await;
-                (entry.vm, response)
-            }
-        })
-        .buffer_unordered(MAX_PARALLEL_DRAINS)
-        .collect()
-        .await
-}
-
 async fn drain_worker(
     cell: &Arc<CellHandle>,
     name: CellName,
