Log what each cancellation was answered, and by whom

The owner logged a cancellation when it decided, before the store had it; the node that answers the client logged nothing, so "acknowledged", "refused" and "never answered" looked the same, and so did an owner and a node that had lost the cell.

Change: cancellation_answered at the node that took the DELETE, with status and duration; job_cancelled carries the token and the age of the last confirmed heartbeat. One line per DELETE each, so the volume is bounded by the requests. No logic changed.

--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -78,9 +78,7 @@
         }
         Method::POST => submit(&context, queue, id, &request, timeout).await,
         Method::GET => request_job(&context, queue, id, CellOperation::Show(id), timeout).await,
-        Method::DELETE => {
-            request_job(&context, queue, id, CellOperation::Cancel(id), timeout).await
-        }
+        Method::DELETE => cancel_job(&context, queue, id, timeout).await,
         _ => HttpResponse::new(StatusCode::METHOD_NOT_ALLOWED, "GET, POST or DELETE"),
     }
 }
@@ -175,6 +173,24 @@
         .collect()
 }
 
+/// Cancels a job.
+async fn cancel_job(
+    context: &Arc<NodeContext>,
+    queue: &QueueConfig,
+    id: JobId,
+    timeout: Duration,
+) -> HttpResponse {
+    let started = context.clock.now();
+    let response = request_job(context, queue, id, CellOperation::Cancel(id), timeout).await;
+    log::info!(
+        "event=cancellation_answered job={id} queue={} status={} after={:?}",
+        queue.key,
+        response.status.as_u16(),
+        context.clock.now().saturating_sub(started)
+    );
+    response
+}
+
 /// Sends an operation on a job to its cell under the current configuration and, if that cell does
 /// not know the job, to the cells of the other pools.
 async fn request_job(
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -164,8 +164,13 @@
 
     /// Returns whether a heartbeat sent within the last `limit` was confirmed.
     pub fn is_heartbeat_confirmed(&self, now: Duration, limit: Duration) -> bool {
+        self.heartbeat_age(now).is_some_and(|age| age <= limit)
+    }
+
+    /// Returns the time since the last confirmed heartbeat was sent; `None` before the first one.
+    pub fn heartbeat_age(&self, now: Duration) -> Option<Duration> {
         self.confirmed_heartbeat()
-            .is_some_and(|heartbeat| now.saturating_sub(heartbeat.sent_at) <= limit)
+            .map(|heartbeat| now.saturating_sub(heartbeat.sent_at))
     }
 
     fn confirmed_heartbeat(&self) -> Option<ConfirmedHeartbeat> {
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -204,8 +204,10 @@
         let now = self.context.clock.now();
         let result = self.core().cancel(id, now, wall_ms);
         log::info!(
-            "event=job_cancelled job={id} cell={} result={result:?}",
-            self.name
+            "event=job_cancelled job={id} cell={} token={} result={result:?} heartbeat_age={:?}",
+            self.name,
+            self.token,
+            self.context.heartbeat_age(now)
         );
         match result {
             CancelResult::NotFound => return CellResponse::NotFound,
