A former owner no longer answers that a job does not exist

Cause: a node that was frozen, or lost the store, still holds its copy of a cell that another node has acquired. It answered from that copy. What the copy says of a job that it has is still true or is stored conditionally; that it has no such job is true only while the node is the owner. The same answer to GET, and to the question whether a former cell of a queue knows an id (a second acceptance of the job), had the same fault.

Change: an owner answers "not found" only if the store confirmed a heartbeat that it sent less than the time ago after which others take its cells, which they count from a later moment. Otherwise it says that it is not the owner; the node that took the request looks for the new one, or answers 503.

While no heartbeat can be confirmed, ids that no one knows get 503 instead of 410.

--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -30,6 +30,7 @@
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
 use crate::job_api;
+use crate::membership::NODE_DEATH_TIMEOUT;
 use crate::metrics::NodeMetrics;
 use crate::peers;
 use crate::peers::CellRequest;
@@ -178,6 +179,13 @@
         *heartbeat.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether no other node can have acquired a cell of this node: they do so only after a
+    /// node has written no heartbeat for [`NODE_DEATH_TIMEOUT`].
+    pub fn owns_its_cells(&self, now: Duration) -> bool {
+        self.heartbeat_age(now)
+            .is_some_and(|age| age < NODE_DEATH_TIMEOUT)
+    }
+
     /// Returns whether leases may be extended.
     ///
     /// A node without a confirmed heartbeat may have lost its cells to another node, which waits
@@ -194,8 +202,7 @@
         let own_node = &self.settings.node;
         let mut nodes: Vec<(f64, SocketAddr)> = (view.nodes.iter())
             .filter(|(name, observed)| {
-                *name != own_node
-                    && observed.unresponsive_time < crate::membership::NODE_DEATH_TIMEOUT
+                *name != own_node && observed.unresponsive_time < NODE_DEATH_TIMEOUT
             })
             .map(|(name, observed)| {
                 let hash = xxh3_64(format!("{own_node} {name}").as_bytes());
@@ -244,8 +251,7 @@
             let view = self.view();
             (view.nodes.iter())
                 .filter(|(name, observed)| {
-                    **name != self.settings.node
-                        && observed.unresponsive_time < crate::membership::NODE_DEATH_TIMEOUT
+                    **name != self.settings.node && observed.unresponsive_time < NODE_DEATH_TIMEOUT
                 })
                 .map(|(_, observed)| observed.record.peer)
                 .collect()
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -43,6 +43,16 @@
 impl CellHandle {
     /// Handles a request to the owner of this cell.
     pub async fn handle(self: &Arc<Self>, request: CellRequest) -> CellResponse {
+        let response = self.perform(request).await;
+        // A former owner does not know the jobs that its successor accepted.
+        let is_owner = !self.is_closed() && self.context.owns_its_cells(self.context.clock.now());
+        match response {
+            CellResponse::NotFound if !is_owner => CellResponse::NotOwner,
+            response => response,
+        }
+    }
+
+    async fn perform(self: &Arc<Self>, request: CellRequest) -> CellResponse {
         match request.operation {
             CellOperation::Submit { id, job } => self.submit(request.queue, id, job).await,
             CellOperation::Known(id) => match self.core().job_phase(id) {
