A cancellation holds for a job that is accepted later

Callers saw 410 for a DELETE, and the job ran all the same (UNASKED).

Cause: a cancellation left no trace unless the owner already had the job in memory. A submission that a slow node forwarded after the 410 was accepted as if nothing had happened.

Change: the owner notes the cancellation of an unknown job, stores it as the job's progress row through the ledger, and only then answers 410. A job whose acceptance commits later is cancelled from the start; a submission that arrives later gets 410; the next owner loads the note. Cells of other pools are asked whether they know the job before the cancellation is sent there, so they store no notes.

Ruled out: to keep such notes in memory only, which a change of owner between the two requests would lose.

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -14,6 +14,7 @@
 
 use crate::action::CellAction;
 use crate::action::CellEvent;
+use crate::cancellation::EarlyCancellation;
 use crate::durations::DurationTable;
 use crate::durations::QueueDuration;
 use crate::job::JobEntry;
@@ -58,6 +59,8 @@
     pub(crate) events: Vec<CellEvent>,
     /// Jobs with unsaved progress.
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Cancellations of jobs that this cell does not have.
+    pub(crate) early_cancellations: BTreeMap<JobId, EarlyCancellation>,
     /// Workers of the former owner that may still run tasks, with the time at which their leases
     /// will have expired. Unlisted tasks start only when each of these workers has reported or that
     /// time has passed.
@@ -79,7 +82,7 @@
     pub(crate) last_placement: Duration,
     /// Whether a change since the last placement may allow a task to be placed.
     pub(crate) placement_needed: bool,
-    /// Ended jobs, ordered by the time of their end.
+    /// Ended jobs and early cancellations, ordered by the time of their end.
     pub(crate) ended: BTreeSet<(u64, JobId)>,
 }
 
@@ -94,18 +97,6 @@
     Ended(JobState),
 }
 
-/// Result of a cancellation.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CancelResult {
-    /// The job is unknown.
-    NotFound,
-    /// The job is cancelled, now or by an earlier call, but that is not stored yet. Acknowledge
-    /// once it is stored.
-    Pending,
-    /// The job had already ended, and that is stored.
-    Ended,
-}
-
 impl CellCore {
     /// Creates an empty cell.
     pub fn new(settings: CellSettings) -> Self {
@@ -124,6 +115,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             dirty: BTreeSet::new(),
+            early_cancellations: BTreeMap::new(),
             unconfirmed_workers: HashMap::new(),
             unreached_workers: Vec::new(),
             stops_visible_from: Duration::ZERO,
@@ -154,7 +146,8 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let entry = JobEntry::new(record, now);
+        let mut entry = JobEntry::new(record, now);
+        self.apply_early_cancellation(id, &mut entry);
         self.insert_job(id, entry, now, wall_ms);
     }
 
@@ -219,21 +212,6 @@
         }
     }
 
-    /// Cancels a job.
-    pub fn cancel(&mut self, id: JobId, now: Duration, wall_ms: u64) -> CancelResult {
-        let Some(job) = self.jobs.get(&id) else {
-            return CancelResult::NotFound;
-        };
-        if job.is_ended() {
-            return match job.stored_state == job.state {
-                true => CancelResult::Ended,
-                false => CancelResult::Pending,
-            };
-        }
-        self.end_job(id, JobState::Cancelled, now, wall_ms);
-        CancelResult::Pending
-    }
-
     /// Ends a job and stops its runs.
     pub(crate) fn end_job(&mut self, id: JobId, state: JobState, now: Duration, wall_ms: u64) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.is_ended()) else {
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod action;
 pub mod admission;
 pub mod advice;
+pub mod cancellation;
 pub mod capacity;
 pub mod core;
 pub mod drain;
@@ -23,6 +24,7 @@
 pub use action::CellAction;
 pub use action::CellEvent;
 pub use admission::AdmissionDecision;
+pub use cancellation::CancelResult;
 pub use core::CellCore;
 pub use settings::CellSettings;
 pub use settings::QueuePolicy;
--- a/crates/tanager-schedule/src/persistence.rs
+++ b/crates/tanager-schedule/src/persistence.rs
@@ -1,13 +1,13 @@
 //! Progress that must be stored, acknowledgement of stored ends, and removal of expired jobs.
 
 use tanager_jobs::JobId;
+use tanager_jobs::JobState;
 use tanager_jobs::ProgressRecord;
 
 use crate::core::CellCore;
-use crate::job::JobEntry;
 use crate::worker::WorkerKey;
 
-/// A job with unsaved progress.
+/// A job, or an early cancellation, with unsaved progress.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DirtyJob {
     /// Job.
@@ -42,11 +42,8 @@
         let mut jobs = Vec::with_capacity(ids.len());
         for id in ids {
             self.dirty.remove(&id);
-            if let Some(job) = self.jobs.get(&id) {
-                jobs.push(DirtyJob {
-                    id,
-                    progress: job.progress(),
-                });
+            if let Some(progress) = self.progress(id) {
+                jobs.push(DirtyJob { id, progress });
             }
         }
         let watermarks = match self.dirty.is_empty() {
@@ -70,6 +67,8 @@
         for dirty in jobs {
             if let Some(job) = self.jobs.get_mut(&dirty.id) {
                 job.stored_state = dirty.progress.state;
+            } else if let Some(cancellation) = self.early_cancellations.get_mut(&dirty.id) {
+                cancellation.is_stored = true;
             }
         }
         for &(key, number) in watermarks {
@@ -90,25 +89,35 @@
             .collect();
         let mut ids = Vec::with_capacity(expired.len());
         for key in expired {
-            let stored = (self.jobs.get(&key.1)).is_some_and(|job| job.stored_state == job.state);
-            if stored {
+            if self.is_stored(key.1) {
                 self.ended.remove(&key);
                 self.jobs.remove(&key.1);
+                self.early_cancellations.remove(&key.1);
                 ids.push(key.1);
             }
         }
         ids
     }
 
-    /// Returns the progress of a job as it would be stored.
+    /// Returns the progress of a job, or its early cancellation, as it would be stored.
     pub fn progress(&self, id: JobId) -> Option<ProgressRecord> {
-        self.jobs.get(&id).map(JobEntry::progress)
+        if let Some(job) = self.jobs.get(&id) {
+            return Some(job.progress());
+        }
+        let cancellation = self.early_cancellations.get(&id)?;
+        Some(ProgressRecord {
+            state: JobState::Cancelled,
+            ended_ms: cancellation.cancelled_ms,
+            ..ProgressRecord::default()
+        })
     }
 
-    /// Returns whether the state of a job is stored.
+    /// Returns whether the state of a job, or its early cancellation, is stored.
     pub fn is_stored(&self, id: JobId) -> bool {
-        self.jobs
-            .get(&id)
-            .is_some_and(|job| job.stored_state == job.state)
+        match self.jobs.get(&id) {
+            Some(job) => job.stored_state == job.state,
+            None => (self.early_cancellations.get(&id))
+                .is_some_and(|cancellation| cancellation.is_stored),
+        }
     }
 }
--- /dev/null
+++ b/crates/tanager-schedule/tests/cancellation.rs
@@ -0,0 +1,107 @@
+//! Cancellations of jobs that the cell does not have. Each test names the failure that it guards
+//! against.
+
+#[allow(dead_code, reason = "the cell tests use the rest")]
+mod support;
+
+use tanager_jobs::JobId;
+use tanager_jobs::JobState;
+use tanager_jobs::ProgressRecord;
+use tanager_schedule::CancelResult;
+use tanager_schedule::CellCore;
+use tanager_schedule::core::JobPhase;
+
+use support::TestCell;
+use support::WALL_MS;
+use support::entry;
+use support::job;
+use support::settings;
+use support::starts;
+use support::step;
+
+const ID: JobId = JobId(1);
+
+fn cell_with_cancellation() -> TestCell {
+    let mut cell = TestCell::new(vec![entry("i-1")]);
+    let wall_ms = cell.wall_ms();
+    let result = cell.core.cancel(ID, cell.now, wall_ms);
+    assert_eq!(result, CancelResult::Unknown);
+    cell
+}
+
+/// Stores everything that is unsaved; returns the progress of the job.
+fn store(cell: &mut TestCell) -> ProgressRecord {
+    let (jobs, watermarks) = cell.core.take_dirty(10);
+    cell.core.mark_stored(&jobs, &watermarks);
+    jobs.into_iter()
+        .find(|dirty| dirty.id == ID)
+        .map(|dirty| dirty.progress)
+        .expect("progress of the job")
+}
+
+fn assert_cancelled_without_a_start(cell: &mut TestCell) {
+    assert!(starts(&cell.tick()).is_empty());
+    let phase = cell.core.job_phase(ID);
+    assert_eq!(phase, Some(JobPhase::Ended(JobState::Cancelled)));
+}
+
+/// Guards against a job that runs because its acceptance commits after its cancellation.
+#[test]
+fn job_stored_after_its_cancellation_never_starts() {
+    let mut cell = cell_with_cancellation();
+    cell.accept(job(1, vec![step(2)]));
+    assert_cancelled_without_a_start(&mut cell);
+    assert!(!cell.core.is_stored(ID));
+    assert_eq!(store(&mut cell).state, JobState::Cancelled);
+    assert!(cell.core.is_stored(ID));
+}
+
+/// Guards against an acknowledgement before the cancellation is stored, or never.
+#[test]
+fn cancellation_of_an_unknown_job_is_stored_once() {
+    let mut cell = cell_with_cancellation();
+    assert!(cell.core.is_cancelled_early(ID) && !cell.core.is_stored(ID));
+    assert_eq!(cell.core.job_phase(ID), None);
+    assert_eq!(store(&mut cell).state, JobState::Cancelled);
+    assert!(cell.core.is_stored(ID));
+    let wall_ms = cell.wall_ms();
+    let again = cell.core.cancel(ID, cell.now, wall_ms);
+    assert_eq!(again, CancelResult::Unknown);
+    assert!(!cell.core.has_dirty());
+}
+
+/// Guards against a next owner that does not know of the cancellation.
+#[test]
+fn next_owner_knows_an_early_cancellation() {
+    let progress = store(&mut cell_with_cancellation());
+    let mut cell = TestCell::new(vec![entry("i-1")]);
+    cell.core.load_early_cancellation(ID, &progress);
+    assert!(cell.core.is_stored(ID));
+    cell.accept(job(1, vec![step(2)]));
+    assert_cancelled_without_a_start(&mut cell);
+    assert!(cell.core.is_stored(ID));
+}
+
+/// Guards against rows of early cancellations that are never removed.
+#[test]
+fn early_cancellations_expire() {
+    let mut cell = cell_with_cancellation();
+    let expiry_ms = WALL_MS + 1 + settings().retention.as_millis() as u64;
+    assert!(cell.core.remove_expired(expiry_ms, 10).is_empty());
+    store(&mut cell);
+    assert_eq!(cell.core.remove_expired(expiry_ms, 10), [ID]);
+    assert!(!cell.core.is_cancelled_early(ID));
+}
+
+/// Guards against a flood of cancellations of unknown jobs that fills the store.
+#[test]
+fn early_cancellations_are_bounded() {
+    let mut core = CellCore::new(settings());
+    let mut cancel = |number| core.cancel(JobId(number), support::millis(0), WALL_MS);
+    let accepted = (0..20_000)
+        .take_while(|number| cancel(*number) == CancelResult::Unknown)
+        .count();
+    assert!((1_000..20_000).contains(&accepted), "{accepted}");
+    assert_eq!(cancel(30_000), CancelResult::Refused);
+    assert_eq!(cancel(0), CancelResult::Unknown);
+}
--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -12,8 +12,8 @@
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::StepSpec;
 use tanager_schedule::AdmissionDecision;
+use tanager_schedule::CancelResult;
 use tanager_schedule::CellAction;
-use tanager_schedule::core::CancelResult;
 use tanager_schedule::core::JobPhase;
 use tanager_schedule::orders::OrderResult;
 
@@ -175,7 +175,7 @@
     assert!(starts(&cell.tick()).is_empty());
     assert_eq!(
         cell.core.cancel(JobId(2), cell.now, wall_ms),
-        CancelResult::NotFound
+        CancelResult::Unknown
     );
 }
 
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -17,8 +17,8 @@
 use tanager_jobs::StepSpec;
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
+use tanager_schedule::CancelResult;
 use tanager_schedule::CellSettings;
-use tanager_schedule::core::CancelResult;
 use tanager_schedule::core::JobPhase;
 use tanager_schedule::recovery::FormerOwner;
 
@@ -258,7 +258,7 @@
         if let Some(owner) = self.current()
             && owner.alive
             && now >= owner.frozen_until
-            && owner.core.cancel(id, now, wall_ms) != CancelResult::NotFound
+            && owner.core.cancel(id, now, wall_ms) != CancelResult::Unknown
         {
             // Acknowledged when it is stored; see `finish_commit`.
             self.cancelled.entry(id).or_insert(Duration::MAX);
--- a/crates/tanager-service/src/admin.rs
+++ b/crates/tanager-service/src/admin.rs
@@ -145,9 +145,18 @@
 }
 
 async fn cancel_job(context: &Arc<NodeContext>, id: JobId) -> HttpResponse {
-    match job_api::request_from_all_pools(context, id, CellOperation::Cancel(id), OPERATOR_TIMEOUT)
-        .await
-    {
+    let known = CellOperation::Known(id);
+    let found = job_api::request_from_all_pools(context, id, known, OPERATOR_TIMEOUT).await;
+    let result = match found {
+        (cell, CellResponse::Done) => {
+            let cancel = CellOperation::Cancel(id);
+            let response =
+                job_api::send_cell_request(context, &cell, "", cancel, OPERATOR_TIMEOUT).await;
+            (cell, response)
+        }
+        result => result,
+    };
+    match result {
         (cell, CellResponse::Done) => json_response(&serde_json::json!({"job": id, "cell": cell})),
         (_, CellResponse::NotFound) => error_response(StatusCode::NOT_FOUND, "no cell has the job"),
         (cell, _) => error_response(
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -77,7 +77,7 @@
             HttpResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
         Method::POST => submit(&context, queue, id, &request, timeout).await,
-        Method::GET => request_job(&context, queue, id, CellOperation::Show(id), timeout).await,
+        Method::GET => job_status(&context, queue, id, timeout).await,
         Method::DELETE => cancel_job(&context, queue, id, timeout).await,
         _ => HttpResponse::new(StatusCode::METHOD_NOT_ALLOWED, "GET, POST or DELETE"),
     }
@@ -148,7 +148,7 @@
         }
     }
     let Some(cell) = context.view().cell_of_job(&queue.pool, id) else {
-        return refused("the pool has no workers yet");
+        return no_workers_yet();
     };
     let operation = CellOperation::Submit { id, job };
     let response = send_cell_request(context, &cell, &queue.key, operation, timeout).await;
@@ -181,7 +181,7 @@
     timeout: Duration,
 ) -> HttpResponse {
     let started = context.clock.now();
-    let response = request_job(context, queue, id, CellOperation::Cancel(id), timeout).await;
+    let response = client_response(find_and_cancel(context, queue, id, timeout).await);
     log::info!(
         "event=cancellation_answered job={id} queue={} status={} after={:?}",
         queue.key,
@@ -191,38 +191,49 @@
     response
 }
 
-/// Sends an operation on a job to its cell under the current configuration and, if that cell does
-/// not know the job, to the cells of the other pools.
-async fn request_job(
+/// Cancels a job in its cell under the current configuration, which stores the cancellation even if
+/// it does not know the job, or in the cell of another pool that has the job.
+async fn find_and_cancel(
     context: &Arc<NodeContext>,
     queue: &QueueConfig,
     id: JobId,
-    operation: CellOperation,
     timeout: Duration,
-) -> HttpResponse {
-    let (first, others) = {
-        let view = context.view();
-        let first = view.cell_of_job(&queue.pool, id);
-        let others: Vec<CellName> = (view.pools.keys())
-            .filter(|pool| **pool != queue.pool)
-            .filter_map(|pool| view.cell_of_job(pool, id))
-            .filter(|cell| view.owners.contains_key(cell))
-            .collect();
-        (first, others)
-    };
-    let Some(first) = first else {
-        return refusal(
-            StatusCode::SERVICE_UNAVAILABLE,
-            1,
-            "the pool has no workers yet",
-        );
+) -> CellResponse {
+    let Some((first, others)) = cells_of_job(context, queue, id) else {
+        return no_workers_yet();
     };
-    let response = send_cell_request(context, &first, &queue.key, operation.clone(), timeout).await;
+    let cancel = CellOperation::Cancel(id);
+    let response = send_cell_request(context, &first, &queue.key, cancel.clone(), timeout).await;
     if response != CellResponse::NotFound {
-        return client_response(response);
+        return response;
     }
+    let known = CellOperation::Known(id);
     for cell in others {
-        match send_cell_request(context, &cell, &queue.key, operation.clone(), timeout).await {
+        match send_cell_request(context, &cell, &queue.key, known.clone(), timeout).await {
+            CellResponse::NotFound => {}
+            CellResponse::Done => {
+                return send_cell_request(context, &cell, &queue.key, cancel, timeout).await;
+            }
+            response => return response,
+        }
+    }
+    CellResponse::NotFound
+}
+
+/// Returns the status of a job: of its cell under the current configuration or, if that cell does
+/// not know the job, of the cells of the other pools.
+async fn job_status(
+    context: &Arc<NodeContext>,
+    queue: &QueueConfig,
+    id: JobId,
+    timeout: Duration,
+) -> HttpResponse {
+    let Some((first, others)) = cells_of_job(context, queue, id) else {
+        return client_response(no_workers_yet());
+    };
+    for cell in std::iter::once(&first).chain(&others) {
+        let operation = CellOperation::Show(id);
+        match send_cell_request(context, cell, &queue.key, operation, timeout).await {
             CellResponse::NotFound => {}
             // The cell has the job, or it cannot be determined now whether it has.
             response => return client_response(response),
@@ -235,6 +246,31 @@
     client_response(CellResponse::NotFound)
 }
 
+/// Returns the cell of a job under the current configuration, and the owned cells of other pools
+/// that may have it. `None` if the pool of the queue is not partitioned yet.
+fn cells_of_job(
+    context: &NodeContext,
+    queue: &QueueConfig,
+    id: JobId,
+) -> Option<(CellName, Vec<CellName>)> {
+    let view = context.view();
+    let first = view.cell_of_job(&queue.pool, id)?;
+    let others = (view.pools.keys())
+        .filter(|pool| **pool != queue.pool)
+        .filter_map(|pool| view.cell_of_job(pool, id))
+        .filter(|cell| view.owners.contains_key(cell))
+        .collect();
+    Some((first, others))
+}
+
+fn no_workers_yet() -> CellResponse {
+    CellResponse::Refused {
+        retry_after: 1,
+        overload: false,
+        reason: "the pool has no workers yet".to_owned(),
+    }
+}
+
 async fn waiting_jobs(
     context: &Arc<NodeContext>,
     queue: &QueueConfig,
@@ -292,7 +328,7 @@
 
 /// Sends an operation to the owner of a cell, this node or a peer. Waits up to [`OWNER_WAIT`] for a
 /// cell whose owner changes.
-async fn send_cell_request(
+pub async fn send_cell_request(
     context: &Arc<NodeContext>,
     cell: &CellName,
     queue: &str,
@@ -378,6 +414,7 @@
             encode_job_status(status),
         ),
         CellResponse::NotFound => HttpResponse::new(StatusCode::GONE, "no such job"),
+        CellResponse::Cancelled => HttpResponse::new(StatusCode::GONE, "the job was cancelled"),
         CellResponse::Waiting(number) => HttpResponse::with_content_type(
             StatusCode::OK,
             "application/json",
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -100,6 +100,8 @@
         /// Reason for the log and the client.
         reason: String,
     },
+    /// The job was cancelled before it was accepted, and will never run.
+    Cancelled,
     /// It is not known yet whether the job is stored.
     Uncertain,
     /// The body is not a valid job; the message names the problem.
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -10,7 +10,7 @@
 use tanager_jobs::ids::WorkerId;
 use tanager_jobs::record::encode_record;
 use tanager_schedule::AdmissionDecision;
-use tanager_schedule::core::CancelResult;
+use tanager_schedule::CancelResult;
 use tanager_schedule::core::JobPhase;
 use tanager_site::job_api::JobStatus;
 use tokio::time;
@@ -104,6 +104,7 @@
         }
         let receiver = match self.ledger.join(id) {
             Some(receiver) => receiver,
+            None if self.core().is_cancelled_early(id) => return CellResponse::Cancelled,
             None => {
                 let spec = match decode_job(job) {
                     Ok(spec) => spec,
@@ -204,12 +205,6 @@
 
     async fn cancel(self: &Arc<Self>, id: JobId) -> CellResponse {
         let wall_ms = self.context.clock.wall_ms();
-        if self.core().record(id).is_none()
-            && let Some(receiver) = self.ledger.join(id)
-        {
-            // The job is being stored; cancel it after that has succeeded or failed.
-            let _ = time::timeout(STORE_TIMEOUT, receiver).await;
-        }
         let mut committed = self.ledger.committed();
         let now = self.context.clock.now();
         let result = self.core().cancel(id, now, wall_ms);
@@ -220,9 +215,15 @@
             self.context.heartbeat_age(now)
         );
         match result {
-            CancelResult::NotFound => return CellResponse::NotFound,
             CancelResult::Ended => return CellResponse::Done,
-            CancelResult::Pending => {}
+            CancelResult::Refused => {
+                return CellResponse::Refused {
+                    retry_after: STORE_RETRY_S,
+                    overload: true,
+                    reason: "too many cancellations of unknown jobs".to_owned(),
+                };
+            }
+            CancelResult::Pending | CancelResult::Unknown => {}
         }
         self.run_decisions();
         let stored = async {
@@ -234,7 +235,10 @@
             true
         };
         match time::timeout(STORE_TIMEOUT, stored).await {
-            Ok(true) => CellResponse::Done,
+            Ok(true) => match self.core().record(id) {
+                Some(_) => CellResponse::Done,
+                None => CellResponse::NotFound,
+            },
             Ok(false) | Err(_) => store_refusal(),
         }
     }
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::ids::CellName;
@@ -305,6 +306,11 @@
             }
         }
     }
+    for (key, record) in progress {
+        if let Ok(id) = key.parse::<JobId>() {
+            core.load_early_cancellation(id, &record);
+        }
+    }
     (loaded, skipped)
 }
 
