Cancellations follow a cell that is handed over

Callers got 503 for a DELETE during a rolling restart, after 1.5 s.

Cause: the former owner went on waiting for a transaction that a closed cell never commits, and the node that took the request stopped looking for the next owner after 250 ms, which is meant for submissions.

Change: a wait for the store ends when the cell closes, with "not the owner"; the node that took a cancellation looks for the next owner for as long as the client waits.

--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -326,8 +326,9 @@
     (CellName::new(), CellResponse::NotFound)
 }
 
-/// Sends an operation to the owner of a cell, this node or a peer. Waits up to [`OWNER_WAIT`] for a
-/// cell whose owner changes.
+/// Sends an operation to the owner of a cell, this node or a peer. If the owner of the cell changes,
+/// waits for the new one: up to [`OWNER_WAIT`], and with a cancellation up to `timeout`, because
+/// clients take one that they do not repeat for done.
 pub async fn send_cell_request(
     context: &Arc<NodeContext>,
     cell: &CellName,
@@ -341,14 +342,20 @@
         operation,
     };
     let started = context.clock.now();
+    let wait = match request.operation {
+        CellOperation::Cancel(_) => timeout,
+        _ => OWNER_WAIT,
+    };
+    let mut call_timeout = timeout;
     loop {
-        let response = send_cell_request_once(context, &request, timeout).await;
+        let response = send_cell_request_once(context, &request, call_timeout).await;
         let elapsed = context.clock.now().saturating_sub(started);
-        if response != CellResponse::NotOwner || elapsed >= OWNER_WAIT {
+        if response != CellResponse::NotOwner || elapsed >= wait {
             return response;
         }
         context.owner_read_requested.notify_one();
         time::sleep(OWNER_POLL_INTERVAL).await;
+        call_timeout = timeout.saturating_sub(elapsed).max(MIN_OWNER_TIMEOUT);
     }
 }
 
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -13,6 +13,7 @@
 use tanager_schedule::CancelResult;
 use tanager_schedule::core::JobPhase;
 use tanager_site::job_api::JobStatus;
+use tokio::sync::watch::error::RecvError;
 use tokio::time;
 
 use crate::cell::CellHandle;
@@ -228,18 +229,19 @@
         self.run_decisions();
         let stored = async {
             while !self.core().is_stored(id) {
-                if committed.changed().await.is_err() {
-                    return false;
-                }
+                committed.changed().await?;
             }
-            true
+            Ok::<(), RecvError>(())
         };
-        match time::timeout(STORE_TIMEOUT, stored).await {
-            Ok(true) => match self.core().record(id) {
+        let mut closed = self.closed();
+        tokio::select! {
+            Ok(()) = stored => match self.core().record(id) {
                 Some(_) => CellResponse::Done,
                 None => CellResponse::NotFound,
             },
-            Ok(false) | Err(_) => store_refusal(),
+            // The next owner has not heard of the cancellation.
+            _ = closed.wait_for(|closed| *closed) => CellResponse::NotOwner,
+            () = time::sleep(STORE_TIMEOUT) => store_refusal(),
         }
     }
 }
