A job that is being stored is not reported as unknown

Callers saw 410 for a GET of a job whose submission had not been answered yet, and the job ran afterwards. A node that asked a former cell of a queue, before it accepts an id in the present one, got the same answer and could accept the job twice.

Cause: the same as that of the cancellations: "not found" was said while the outcome was still open.

Change: while an attempt to store a job is in progress, its owner answers that the outcome is not known (504).

--- a/crates/tanager-node/tests/jobs/cancellation.rs
+++ b/crates/tanager-node/tests/jobs/cancellation.rs
@@ -1,4 +1,5 @@
-//! Cancellations beside changes of the owner and a store that does not respond.
+//! Cancellations and questions about jobs that are being stored, beside changes of the owner and a
+//! store that does not respond.
 
 use std::time::Duration;
 
@@ -179,3 +180,28 @@
     }
     assert_eq!(site.nodes[owner].wait_for_exit().await, Some(0));
 }
+
+/// Guards against a job that is reported as unknown while it is being stored, and then runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_that_is_being_stored_is_not_reported_as_unknown() {
+    let site = small_site(2).await;
+    let owner = site.owner(CELL).await.expect("owner");
+    site.standin
+        .set_faults(|faults| faults.change_response_loss_rate = 1.0);
+    let id = new_job_id();
+    let path = format!("/{POOL}/{id}");
+    let body = job_of_steps(&[1], "ms=100").to_string();
+    let address = site.nodes[owner].ports.client_address();
+    let submission =
+        tokio::spawn(async move { send_request(address, Method::POST, &path, &body).await });
+    time::sleep(Duration::from_millis(300)).await;
+    for node in 0..2 {
+        let state = site.job_state(node, POOL, &id).await;
+        assert_ne!(state.as_deref(), Some("unknown"));
+    }
+    site.standin
+        .set_faults(|faults| faults.change_response_loss_rate = 0.0);
+    // The outcome of the submission may be unknown to its client.
+    let _ = submission.await.expect("a task that ends");
+    site.wait_for_state(POOL, &id, "completed").await;
+}
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -164,6 +164,11 @@
         Some(receiver)
     }
 
+    /// Returns whether an attempt to store a job is in progress.
+    pub fn is_storing(&self, id: JobId) -> bool {
+        self.lock().waiters.contains_key(&id)
+    }
+
     fn resolve(&self, id: JobId, result: StoreResult) {
         let waiters = self.lock().waiters.remove(&id).unwrap_or_default();
         for waiter in waiters {
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -56,9 +56,9 @@
     async fn perform(self: &Arc<Self>, request: CellRequest) -> CellResponse {
         match request.operation {
             CellOperation::Submit { id, job } => self.submit(request.queue, id, job).await,
-            CellOperation::Known(id) => match self.core().job_phase(id) {
-                Some(_) => CellResponse::Done,
-                None => CellResponse::NotFound,
+            CellOperation::Known(id) => match self.job_status(id) {
+                CellResponse::State(_) => CellResponse::Done,
+                response => response,
             },
             CellOperation::Show(id) => self.job_status(id),
             CellOperation::Cancel(id) => self.cancel(id).await,
@@ -87,6 +87,7 @@
 
     fn job_status(&self, id: JobId) -> CellResponse {
         match self.core().job_phase(id) {
+            None if self.ledger.is_storing(id) => CellResponse::Uncertain,
             None => CellResponse::NotFound,
             Some(JobPhase::Queued) => CellResponse::State(JobStatus::Queued),
             Some(JobPhase::Running) => CellResponse::State(JobStatus::Running),
