Do not take an earlier ownership's ledger row for the transaction in progress

What callers could see: a job or a cancellation that is acknowledged and lost.

Cause: a transaction without an answer is resolved by the ledger row, which names its writer and sequence. A process that lost a cell and acquired it again counts from 1 anew. If its earlier ownership had written as many transactions, and the cell is taken by another node at that moment, the old row looks like the new transaction.

Change: the row must also be newer than the version that the transaction expected.

--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -19,6 +19,7 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowVersion;
+use tanager_site::store::TableRow;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -322,26 +323,40 @@
     cell: &CellHandle,
     batch: &LedgerBatch,
     versions: LedgerVersions,
-    rows: &[tanager_site::store::TableRow],
+    rows: &[TableRow],
 ) -> BatchOutcome {
-    let writer: Incarnation = cell.context.incarnation;
-    let ledger = rows.iter().find(|row| row.name.table == LEDGER_TABLE);
-    let owner = rows.iter().find(|row| row.name.table == CELL_TABLE);
-    let is_ours = ledger
-        .and_then(|row| decode_record::<LedgerRecord>(LEDGER_KEY, &row.value).ok())
-        .is_some_and(|record| record.sequence == batch.sequence && record.writer == writer);
-    if let (true, Some(row)) = (is_ours, ledger) {
-        return BatchOutcome::Committed(row.version);
+    let writer = cell.context.incarnation;
+    if let Some(version) = applied_version(rows, versions, writer, batch.sequence) {
+        return BatchOutcome::Committed(version);
     }
+    let version_in =
+        |table: &str| (rows.iter().find(|row| row.name.table == table)).map(|row| row.version);
     log::warn!(
         "event=ledger_conflict cell={} expected={versions:?} owner={:?} ledger={:?}",
         cell.name,
-        owner.map(|row| row.version),
-        ledger.map(|row| row.version)
+        version_in(CELL_TABLE),
+        version_in(LEDGER_TABLE)
     );
     BatchOutcome::OwnershipLost
 }
 
+/// Returns the version that the ledger row got from a transaction of `writer` that expected
+/// `versions`; `None` if `rows`, the conditions' current rows, show that it was not applied.
+///
+/// A process that loses a cell and acquires it again counts its transactions anew, so the row as it
+/// was before the transaction may name the same writer and sequence.
+pub fn applied_version(
+    rows: &[TableRow],
+    versions: LedgerVersions,
+    writer: Incarnation,
+    sequence: u64,
+) -> Option<RowVersion> {
+    let row = rows.iter().find(|row| row.name.table == LEDGER_TABLE)?;
+    let record: LedgerRecord = decode_record(LEDGER_KEY, &row.value).ok()?;
+    let is_from_transaction = record.sequence == sequence && record.writer == writer;
+    (is_from_transaction && row.version > versions.ledger).then_some(row.version)
+}
+
 /// Applies the effects of a committed transaction and completes the requests that wait for it.
 fn apply_committed(cell: &Arc<CellHandle>, batch: &LedgerBatch, started: Duration) {
     let clock = &cell.context.clock;
