Repeat a cancellation that no owner has confirmed

Cause: the node that took the request forgot it with the answer.

Change: the node repeats an unconfirmed cancellation in the background, every 0.7 s and 14 times at most, 256 at the same time, each with a log line at its end. It moves to a file of its own with the rest of the client side of cancellations. Not covered: a node that is killed meanwhile forgets what it repeats.

--- a/crates/tanager-node/tests/jobs/cancellation.rs
+++ b/crates/tanager-node/tests/jobs/cancellation.rs
@@ -205,3 +205,23 @@
     let _ = submission.await.expect("a task that ends");
     site.wait_for_state(POOL, &id, "completed").await;
 }
+
+/// Guards against a cancellation that is forgotten because the client gives up before the cell has a
+/// new owner (UNASKED).
+#[tokio::test(flavor = "multi_thread")]
+async fn unconfirmed_cancellation_takes_effect_after_the_takeover() {
+    let mut site = small_site(3).await;
+    let owner = site.owner(CELL).await.expect("owner");
+    let other = (owner + 1) % 3;
+    let id = new_job_id();
+    let body = job_of_steps(&[2], "ms=60000");
+    assert!(site.submit(other, POOL, &id, &body).await);
+    site.nodes[owner].kill();
+    let status = cancel(&site, other, &id).await;
+    assert_eq!(status, Some(503), "the takeover takes longer");
+    eventually("the job is cancelled", async || {
+        site.job_state(other, POOL, &id).await.as_deref() == Some("cancelled")
+    })
+    .await;
+    assert_never_run_again(&site, &[id]).await;
+}
--- /dev/null
+++ b/crates/tanager-service/src/cancellations.rs
@@ -0,0 +1,108 @@
+//! Cancellations at the node that takes the client's request.
+//!
+//! A client that gets no confirmation may not ask again, and takes the job for cancelled. The node
+//! therefore repeats an unconfirmed cancellation until the owner of the job's cell has stored it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanager_http::HttpResponse;
+use tanager_jobs::JobId;
+use tanager_jobs::QueueConfig;
+use tokio::time;
+
+use crate::job_api::cells_of_job;
+use crate::job_api::client_response;
+use crate::job_api::no_workers_yet;
+use crate::job_api::send_cell_request;
+use crate::node::NodeContext;
+use crate::peers::CellOperation;
+use crate::peers::CellResponse;
+use crate::supervision::spawn_task;
+
+/// Pause between two attempts to confirm a cancellation; a takeover takes about three seconds.
+const REPEAT_PAUSE: Duration = Duration::from_millis(700);
+/// Number of repeated attempts. With the pauses and the time limits of the attempts they last for
+/// 10 to 30 s, longer than a takeover beside an outage of the store.
+const MAX_REPEATS: u32 = 14;
+/// Time limit of a repeated attempt.
+const REPEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum number of cancellations that a node repeats at the same time.
+pub(crate) const MAX_REPEATED: usize = 256;
+
+/// Cancels a job. If no owner confirms that in time, the client is told so, and the node goes on in
+/// the background.
+pub async fn cancel_job(
+    context: &Arc<NodeContext>,
+    queue: &QueueConfig,
+    id: JobId,
+    timeout: Duration,
+) -> HttpResponse {
+    let started = context.clock.now();
+    let result = find_and_cancel(context, queue, id, timeout).await;
+    if !is_confirmed(&result) {
+        repeat_in_background(context, queue, id);
+    }
+    let response = client_response(result);
+    log::info!(
+        "event=cancellation_answered job={id} queue={} status={} after={:?}",
+        queue.key,
+        response.status.as_u16(),
+        context.clock.now().saturating_sub(started)
+    );
+    response
+}
+
+/// Cancels a job in its cell under the current configuration, which stores the cancellation even if
+/// it does not know the job, or in the cell of another pool that has the job.
+async fn find_and_cancel(
+    context: &Arc<NodeContext>,
+    queue: &QueueConfig,
+    id: JobId,
+    timeout: Duration,
+) -> CellResponse {
+    let Some((first, others)) = cells_of_job(context, queue, id) else {
+        return no_workers_yet();
+    };
+    let cancel = CellOperation::Cancel(id);
+    let response = send_cell_request(context, &first, &queue.key, cancel.clone(), timeout).await;
+    if response != CellResponse::NotFound {
+        return response;
+    }
+    let known = CellOperation::Known(id);
+    for cell in others {
+        match send_cell_request(context, &cell, &queue.key, known.clone(), timeout).await {
+            CellResponse::NotFound => {}
+            CellResponse::Done => {
+                return send_cell_request(context, &cell, &queue.key, cancel, timeout).await;
+            }
+            response => return response,
+        }
+    }
+    CellResponse::NotFound
+}
+
+/// Returns whether a response says for certain that the job will not run any more.
+fn is_confirmed(response: &CellResponse) -> bool {
+    matches!(response, CellResponse::Done | CellResponse::NotFound)
+}
+
+fn repeat_in_background(context: &Arc<NodeContext>, queue: &QueueConfig, id: JobId) {
+    let Ok(permit) = Arc::clone(&context.cancellation_permits).try_acquire_owned() else {
+        log::warn!("event=cancellation_not_repeated job={id}");
+        return;
+    };
+    let (context, queue) = (Arc::clone(context), queue.clone());
+    spawn_task("repeated cancellation", async move {
+        let _permit = permit;
+        for attempt in 1..=MAX_REPEATS {
+            time::sleep(REPEAT_PAUSE).await;
+            let result = find_and_cancel(&context, &queue, id, REPEAT_TIMEOUT).await;
+            if is_confirmed(&result) {
+                log::info!("event=cancellation_confirmed job={id} attempts={attempt}");
+                return;
+            }
+        }
+        log::warn!("event=cancellation_unconfirmed job={id} attempts={MAX_REPEATS}");
+    });
+}
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -20,6 +20,7 @@
 use tanager_site::job_api::encode_waiting_count;
 use tokio::time;
 
+use crate::cancellations;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
@@ -78,7 +79,7 @@
         }
         Method::POST => submit(&context, queue, id, &request, timeout).await,
         Method::GET => job_status(&context, queue, id, timeout).await,
-        Method::DELETE => cancel_job(&context, queue, id, timeout).await,
+        Method::DELETE => cancellations::cancel_job(&context, queue, id, timeout).await,
         _ => HttpResponse::new(StatusCode::METHOD_NOT_ALLOWED, "GET, POST or DELETE"),
     }
 }
@@ -173,53 +174,6 @@
         .collect()
 }
 
-/// Cancels a job.
-async fn cancel_job(
-    context: &Arc<NodeContext>,
-    queue: &QueueConfig,
-    id: JobId,
-    timeout: Duration,
-) -> HttpResponse {
-    let started = context.clock.now();
-    let response = client_response(find_and_cancel(context, queue, id, timeout).await);
-    log::info!(
-        "event=cancellation_answered job={id} queue={} status={} after={:?}",
-        queue.key,
-        response.status.as_u16(),
-        context.clock.now().saturating_sub(started)
-    );
-    response
-}
-
-/// Cancels a job in its cell under the current configuration, which stores the cancellation even if
-/// it does not know the job, or in the cell of another pool that has the job.
-async fn find_and_cancel(
-    context: &Arc<NodeContext>,
-    queue: &QueueConfig,
-    id: JobId,
-    timeout: Duration,
-) -> CellResponse {
-    let Some((first, others)) = cells_of_job(context, queue, id) else {
-        return no_workers_yet();
-    };
-    let cancel = CellOperation::Cancel(id);
-    let response = send_cell_request(context, &first, &queue.key, cancel.clone(), timeout).await;
-    if response != CellResponse::NotFound {
-        return response;
-    }
-    let known = CellOperation::Known(id);
-    for cell in others {
-        match send_cell_request(context, &cell, &queue.key, known.clone(), timeout).await {
-            CellResponse::NotFound => {}
-            CellResponse::Done => {
-                return send_cell_request(context, &cell, &queue.key, cancel, timeout).await;
-            }
-            response => return response,
-        }
-    }
-    CellResponse::NotFound
-}
-
 /// Returns the status of a job: of its cell under the current configuration or, if that cell does
 /// not know the job, of the cells of the other pools.
 async fn job_status(
@@ -248,7 +202,7 @@
 
 /// Returns the cell of a job under the current configuration, and the owned cells of other pools
 /// that may have it. `None` if the pool of the queue is not partitioned yet.
-fn cells_of_job(
+pub(crate) fn cells_of_job(
     context: &NodeContext,
     queue: &QueueConfig,
     id: JobId,
@@ -263,7 +217,7 @@
     Some((first, others))
 }
 
-fn no_workers_yet() -> CellResponse {
+pub(crate) fn no_workers_yet() -> CellResponse {
     CellResponse::Refused {
         retry_after: 1,
         overload: false,
@@ -394,7 +348,7 @@
 }
 
 /// Converts the owner's response into the HTTP response for the client.
-fn client_response(response: CellResponse) -> HttpResponse {
+pub(crate) fn client_response(response: CellResponse) -> HttpResponse {
     match response {
         CellResponse::Done => {
             HttpResponse::with_content_type(StatusCode::OK, "application/json", "{}")
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod batch_limits;
+pub mod cancellations;
 pub mod cell;
 pub mod clock;
 pub mod coordinator;
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -22,11 +22,13 @@
 use tanager_site::settings::SiteSettings;
 use tanager_site::store::TableStore;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admin;
+use crate::cancellations::MAX_REPEATED;
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
 use crate::job_api;
@@ -78,6 +80,8 @@
     pub advice: Option<AdviceClient>,
     /// Held during a request to the advice service.
     pub advice_lock: tokio::sync::Mutex<()>,
+    /// Limits the number of cancellations that are repeated in the background.
+    pub(crate) cancellation_permits: Arc<Semaphore>,
     /// Client of the machine API, if the site has one.
     pub machines: Option<MachineClient>,
     /// Wakes the task that reads the owners of cells.
@@ -288,6 +292,7 @@
         let context = Arc::new(NodeContext {
             advice: settings.advice_address.map(AdviceClient::new),
             advice_lock: tokio::sync::Mutex::new(()),
+            cancellation_permits: Arc::new(Semaphore::new(MAX_REPEATED)),
             machines: settings.machines_address.map(MachineClient::new),
             incarnation,
             clock,
--- a/crates/tanager-service/src/supervision.rs
+++ b/crates/tanager-service/src/supervision.rs
@@ -29,6 +29,15 @@
     });
 }
 
+/// Spawns a task of a request that has been answered.
+pub fn spawn_task(name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
+    tokio::spawn(async move {
+        if let Err(message) = catch_panic(task).await {
+            log::error!("event=task_panicked task={name} message={message:?}");
+        }
+    });
+}
+
 impl CellHandle {
     /// Spawns a task of the cell.
     ///
