A cancellation goes on when its client closes the connection

Callers that left before the answer to their DELETE had cancelled nothing while the cell had no reachable owner.

Cause: the server drops the handler of a request whose client closes the connection. That suits submissions and questions; a cancellation is an order that stands.

Change: the node handles a cancellation in a task of its own. Its log line names the owner's answer.

--- a/crates/tanager-node/tests/jobs/cancellation.rs
+++ b/crates/tanager-node/tests/jobs/cancellation.rs
@@ -225,3 +225,23 @@
     .await;
     assert_never_run_again(&site, &[id]).await;
 }
+
+/// Guards against a cancellation that is dropped because its client closes the connection (UNASKED).
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_of_a_client_that_left_takes_effect() {
+    let mut site = small_site(3).await;
+    let owner = site.owner(CELL).await.expect("owner");
+    let other = (owner + 1) % 3;
+    let id = new_job_id();
+    let body = job_of_steps(&[2], "ms=60000");
+    assert!(site.submit(other, POOL, &id, &body).await);
+    site.nodes[owner].kill();
+    let request = cancel(&site, other, &id);
+    let response = time::timeout(Duration::from_millis(300), request).await;
+    assert!(response.is_err(), "the takeover takes longer: {response:?}");
+    eventually("the job is cancelled", async || {
+        site.job_state(other, POOL, &id).await.as_deref() == Some("cancelled")
+    })
+    .await;
+    assert_never_run_again(&site, &[id]).await;
+}
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -9,6 +9,7 @@
 use tanager_http::HttpResponse;
 use tanager_jobs::JobId;
 use tanager_jobs::QueueConfig;
+use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::job_api::cells_of_job;
@@ -31,26 +32,32 @@
 pub(crate) const MAX_REPEATED: usize = 256;
 
 /// Cancels a job. If no owner confirms that in time, the client is told so, and the node goes on in
-/// the background.
+/// the background. Unlike other requests, it also goes on if the client closes the connection.
 pub async fn cancel_job(
     context: &Arc<NodeContext>,
     queue: &QueueConfig,
     id: JobId,
     timeout: Duration,
 ) -> HttpResponse {
-    let started = context.clock.now();
-    let result = find_and_cancel(context, queue, id, timeout).await;
-    if !is_confirmed(&result) {
-        repeat_in_background(context, queue, id);
-    }
-    let response = client_response(result);
-    log::info!(
-        "event=cancellation_answered job={id} queue={} status={} after={:?}",
-        queue.key,
-        response.status.as_u16(),
-        context.clock.now().saturating_sub(started)
-    );
-    response
+    let (sender, receiver) = oneshot::channel();
+    let (task_context, queue) = (Arc::clone(context), queue.clone());
+    spawn_task("cancellation", async move {
+        let context = task_context;
+        let started = context.clock.now();
+        let result = find_and_cancel(&context, &queue, id, timeout).await;
+        log::info!(
+            "event=cancellation_answered job={id} queue={} answer={result:?} after={:?}",
+            queue.key,
+            context.clock.now().saturating_sub(started)
+        );
+        let is_confirmed = is_confirmed(&result);
+        // The client may have closed the connection.
+        let _ = sender.send(result);
+        if !is_confirmed {
+            repeat(&context, &queue, id).await;
+        }
+    });
+    client_response(receiver.await.unwrap_or(CellResponse::Uncertain))
 }
 
 /// Cancels a job in its cell under the current configuration, which stores the cancellation even if
@@ -87,22 +94,18 @@
     matches!(response, CellResponse::Done | CellResponse::NotFound)
 }
 
-fn repeat_in_background(context: &Arc<NodeContext>, queue: &QueueConfig, id: JobId) {
-    let Ok(permit) = Arc::clone(&context.cancellation_permits).try_acquire_owned() else {
+async fn repeat(context: &Arc<NodeContext>, queue: &QueueConfig, id: JobId) {
+    let Ok(_permit) = context.cancellation_permits.try_acquire() else {
         log::warn!("event=cancellation_not_repeated job={id}");
         return;
     };
-    let (context, queue) = (Arc::clone(context), queue.clone());
-    spawn_task("repeated cancellation", async move {
-        let _permit = permit;
-        for attempt in 1..=MAX_REPEATS {
-            time::sleep(REPEAT_PAUSE).await;
-            let result = find_and_cancel(&context, &queue, id, REPEAT_TIMEOUT).await;
-            if is_confirmed(&result) {
-                log::info!("event=cancellation_confirmed job={id} attempts={attempt}");
-                return;
-            }
+    for attempt in 1..=MAX_REPEATS {
+        time::sleep(REPEAT_PAUSE).await;
+        let result = find_and_cancel(context, queue, id, REPEAT_TIMEOUT).await;
+        if is_confirmed(&result) {
+            log::info!("event=cancellation_confirmed job={id} attempts={attempt}");
+            return;
         }
-        log::warn!("event=cancellation_unconfirmed job={id} attempts={MAX_REPEATS}");
-    });
+    }
+    log::warn!("event=cancellation_unconfirmed job={id} attempts={MAX_REPEATS}");
 }
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -81,7 +81,7 @@
     /// Held during a request to the advice service.
     pub advice_lock: tokio::sync::Mutex<()>,
     /// Limits the number of cancellations that are repeated in the background.
-    pub(crate) cancellation_permits: Arc<Semaphore>,
+    pub(crate) cancellation_permits: Semaphore,
     /// Client of the machine API, if the site has one.
     pub machines: Option<MachineClient>,
     /// Wakes the task that reads the owners of cells.
@@ -292,7 +292,7 @@
         let context = Arc::new(NodeContext {
             advice: settings.advice_address.map(AdviceClient::new),
             advice_lock: tokio::sync::Mutex::new(()),
-            cancellation_permits: Arc::new(Semaphore::new(MAX_REPEATED)),
+            cancellation_permits: Semaphore::new(MAX_REPEATED),
             machines: settings.machines_address.map(MachineClient::new),
             incarnation,
             clock,
--- a/crates/tanager-service/src/supervision.rs
+++ b/crates/tanager-service/src/supervision.rs
@@ -29,7 +29,7 @@
     });
 }
 
-/// Spawns a task of a request that has been answered.
+/// Spawns a task that outlives the connection of the request that it belongs to.
 pub fn spawn_task(name: &'static str, task: impl Future<Output = ()> + Send + 'static) {
     tokio::spawn(async move {
         if let Err(message) = catch_panic(task).await {
