Do not send starts that waited until their job was cancelled

A worker started tasks up to seconds after the cancellation of their job was acknowledged (UNASKED: "its job was cancelled; acked").

Cause: an order waits for one of six permits of its worker, and behind an unresponsive worker each holds one for 400 ms. A start was checked when it was decided, not when it got its permit, so that starts of a cancelled job, and of an owner that had been paused meanwhile, were still sent.

Change: with its permit, a start is confirmed: the run must still be starting, and the owner may still extend leases. Otherwise the run is released, unless an earlier order without an answer may still begin it; that one is stopped as before.

--- a/crates/tanager-node/tests/jobs/cancellation.rs
+++ b/crates/tanager-node/tests/jobs/cancellation.rs
@@ -13,6 +13,7 @@
 use crate::harness::eventually;
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
+use crate::harness::pool;
 use crate::harness::send_request;
 use crate::small_site;
 
@@ -245,3 +246,33 @@
     .await;
     assert_never_run_again(&site, &[id]).await;
 }
+
+/// Guards against starts that wait for a connection to their worker and are sent after their job's
+/// cancellation was acknowledged (UNASKED).
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_starts_are_not_sent_after_the_cancellation() {
+    let site = JobSite::start(1, &[pool(POOL, 1)]).await;
+    // Each order takes as long as its time limit; the worker carries it out.
+    site.standin
+        .set_faults(|faults| faults.order_response_loss_rate = 1.0);
+    let id = new_job_id();
+    let body = job_of_steps(&[16], "ms=60000");
+    assert!(site.submit(0, POOL, &id, &body).await);
+    eventually("the first starts are sent", async || {
+        !site.standin.runs().is_empty()
+    })
+    .await;
+    assert_eq!(cancel(&site, 0, &id).await, Some(200));
+    let acknowledged_at = site.standin.elapsed();
+    time::sleep(Duration::from_secs(2)).await;
+    site.standin
+        .set_faults(|faults| faults.order_response_loss_rate = 0.0);
+    let late: Vec<_> = (site.standin.runs().into_iter())
+        .filter(|run| run.started_at > acknowledged_at)
+        .collect();
+    assert!(
+        late.is_empty(),
+        "acknowledged at {acknowledged_at:?}: {late:?}"
+    );
+    assert_never_run_again(&site, &[id]).await;
+}
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -116,6 +116,30 @@
         }
     }
 
+    /// Returns whether a start that waited to be sent is still wanted. If it is not, because its job
+    /// ended meanwhile or `may_start` is false, the run is released unless an earlier order may
+    /// still start it.
+    pub fn confirm_start(
+        &mut self,
+        key: WorkerKey,
+        task: TaskKey,
+        run: RunNumber,
+        may_start: bool,
+    ) -> bool {
+        let slot = (self.workers.get_mut(key))
+            .and_then(|worker| worker.runs.get_mut(&task))
+            .filter(|slot| slot.run == run);
+        let Some(slot) = slot else { return false };
+        if may_start && slot.stage == RunStage::Starting {
+            return true;
+        }
+        slot.in_flight = false;
+        if slot.unanswered_starts == 0 {
+            self.release_run(key, task);
+        }
+        false
+    }
+
     fn handle_refused_start(
         &mut self,
         key: WorkerKey,
--- a/crates/tanager-schedule/tests/cancellation.rs
+++ b/crates/tanager-schedule/tests/cancellation.rs
@@ -1,5 +1,5 @@
-//! Cancellations of jobs that the cell does not have. Each test names the failure that it guards
-//! against.
+//! Cancellations of jobs that the cell does not have, or whose starts wait to be sent. Each test names
+//! the failure that it guards against.
 
 #[allow(dead_code, reason = "the cell tests use the rest")]
 mod support;
@@ -7,9 +7,12 @@
 use tanager_jobs::JobId;
 use tanager_jobs::JobState;
 use tanager_jobs::ProgressRecord;
+use tanager_jobs::TaskKey;
 use tanager_schedule::CancelResult;
 use tanager_schedule::CellCore;
+use tanager_schedule::WorkerKey;
 use tanager_schedule::core::JobPhase;
+use tanager_schedule::orders::OrderResult;
 
 use support::TestCell;
 use support::WALL_MS;
@@ -105,3 +108,52 @@
     assert_eq!(cancel(30_000), CancelResult::Refused);
     assert_eq!(cancel(0), CancelResult::Unknown);
 }
+
+/// Starts the only task of a job, without an answer of its worker.
+fn ordered_start(cell: &mut TestCell) -> (WorkerKey, TaskKey, u64) {
+    cell.accept(job(1, vec![step(1)]));
+    let wall_ms = cell.wall_ms();
+    cell.core.tick(cell.now, wall_ms, true);
+    starts(&cell.core.take_actions())[0]
+}
+
+fn run_count(cell: &TestCell) -> usize {
+    cell.core.sizes().2
+}
+
+/// Guards against a start that waits for a connection and is sent after its job was cancelled.
+#[test]
+fn waiting_start_of_a_cancelled_job_is_withdrawn() {
+    let mut cell = TestCell::new(vec![entry("i-1")]);
+    let (worker, task, run) = ordered_start(&mut cell);
+    assert!(cell.core.confirm_start(worker, task, run, true));
+    let wall_ms = cell.wall_ms();
+    cell.core.cancel(ID, cell.now, wall_ms);
+    assert!(!cell.core.confirm_start(worker, task, run, true));
+    assert_eq!(run_count(&cell), 0);
+}
+
+/// Guards against forgetting a run that an earlier start without an answer may still begin.
+#[test]
+fn withdrawn_start_keeps_a_run_that_may_begin() {
+    let mut cell = TestCell::new(vec![entry("i-1")]);
+    let (worker, task, run) = ordered_start(&mut cell);
+    cell.core
+        .apply_start_result(worker, task, run, OrderResult::Unknown, cell.now);
+    let wall_ms = cell.wall_ms();
+    cell.core.cancel(ID, cell.now, wall_ms);
+    assert!(!cell.core.confirm_start(worker, task, run, true));
+    assert_eq!(run_count(&cell), 1);
+}
+
+/// Guards against a start that is sent after the ownership of the cell became doubtful.
+#[test]
+fn waiting_start_of_a_doubtful_owner_is_withdrawn() {
+    let mut cell = TestCell::new(vec![entry("i-1")]);
+    let (worker, task, run) = ordered_start(&mut cell);
+    assert!(!cell.core.confirm_start(worker, task, run, false));
+    assert_eq!(run_count(&cell), 0);
+    let started_again = starts(&cell.tick());
+    assert!(started_again.iter().all(|(_, _, again)| *again > run));
+    assert_eq!(started_again.len(), 1);
+}
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -94,6 +94,10 @@
         if self.is_closed() {
             return;
         }
+        let may_start = self.context.may_extend_leases(self.context.clock.now());
+        if !self.core().confirm_start(worker, task, run, may_start) {
+            return;
+        }
         self.context.metrics.runs_started.increment();
         let result = connection.link.start(&order, ORDER_TIMEOUT).await;
         drop(permit);
