A closed cell's ledger ends although progress is unsaved

What operators saw: a node that lost cells kept their whole state, and a loop for each, until it was restarted.

Cause: the transaction of a closed cell is not applied, so its progress is unsaved again, so there is another transaction; the inner loop never asked whether the cell is closed.

Change: it ends when a transaction is not applied and the cell is closed.

--- a/crates/tanager-node/tests/jobs/panics.rs
+++ b/crates/tanager-node/tests/jobs/panics.rs
@@ -1,4 +1,4 @@
-//! Panics in the tasks of a node that runs in this process.
+//! Panics in the tasks of a node that runs in this process, and the end of its cells.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -140,3 +140,20 @@
     })
     .await;
 }
+
+/// Guards against a closed cell whose ledger goes on for ever with progress that it cannot store.
+#[tokio::test(flavor = "multi_thread")]
+async fn closed_cell_with_unsaved_progress_is_dropped() {
+    let local = LocalNode::start().await;
+    local.submit(&new_job_id()).await;
+    (local.standin).set_faults(|faults| faults.store_refuses = true);
+    let cell = local.owned_cell(0).await;
+    eventually("progress is unsaved", async || {
+        count_done(&local.standin.runs()) == 3 && cell.core().has_dirty()
+    })
+    .await;
+    let closed = Arc::downgrade(&cell);
+    cell.close("closed by the test");
+    drop(cell);
+    eventually("the cell is dropped", async || closed.upgrade().is_none()).await;
+}
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -231,6 +231,9 @@
                 BatchOutcome::NotApplied => {
                     restore_batch(&cell, &batch);
                     cell.ledger.refuse_queued();
+                    if cell.is_closed() {
+                        return;
+                    }
                     time::sleep(RETRY_PAUSE).await;
                 }
                 BatchOutcome::Rejected => {
