Report a job as cancelled only once that is stored

Callers could see "cancelled", and after a change of the owner the job running again.

Cause: other ends are reported once they are stored, the cancellation at once.

Change: the same rule for all ends.

Evidence: cancellation_is_reported_once_stored fails before and passes. From the review; not seen in a play.

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -268,7 +268,6 @@
         Some(match job.state {
             JobState::Open if job.started => JobPhase::Running,
             JobState::Open => JobPhase::Queued,
-            JobState::Cancelled => JobPhase::Ended(JobState::Cancelled),
             // A takeover could undo an end that is not stored.
             state if job.stored_state == state => JobPhase::Ended(state),
             _ => JobPhase::Running,
