An owner that hands its cell over says of no job that it does not exist

Cause: between the write that releases a cell and its answer, the successor may accept jobs that the leaving owner does not know. Other answers already depend on the pause of the cell, this one did not.

Change: the same condition. No test: one was tried (answer to the release lost, GET at the leaving node) and passed without the change in two of two runs, because the first worker that refuses the old token closes the cell. From the review.

--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -46,9 +46,11 @@
     pub async fn handle(self: &Arc<Self>, request: CellRequest) -> CellResponse {
         let response = self.perform(request).await;
         // A former owner does not know the jobs that its successor accepted.
-        let is_owner = !self.is_closed() && self.context.owns_its_cells(self.context.clock.now());
+        let may_have_successor = self.is_paused()
+            || self.is_closed()
+            || !self.context.owns_its_cells(self.context.clock.now());
         match response {
-            CellResponse::NotFound if !is_owner => CellResponse::NotOwner,
+            CellResponse::NotFound if may_have_successor => CellResponse::NotOwner,
             response => response,
         }
     }
