Cancel a job in each cell that it may have been submitted to

Callers could see a job run after its cancellation was acknowledged, if its queue had been assigned to another pool in between; and could neither see nor cancel a running job whose queue was assigned to a pool without workers.

Cause: each operation worked out for itself which cells may have a job. A cancellation stopped at the first cell that confirmed it and left no note in the cells of former pools; a submission did not ask those for notes; questions and cancellations needed a cell in the present pool.

Change: one function names the present cell, those of the queue's former pools, and the owned ones of other pools. A cancellation goes to the first two kinds and is confirmed once all of them confirm; a note in a former pool refuses a submission in the present one; without a present cell, the others are asked.

Open: a process that starts later does not know former pools.

--- a/crates/tanager-node/tests/jobs/cancellation.rs
+++ b/crates/tanager-node/tests/jobs/cancellation.rs
@@ -5,6 +5,8 @@
 
 use http::Method;
 use nix::sys::signal::Signal;
+use serde_json::json;
+use tanager_standin::site::HOST;
 use tokio::time;
 
 use crate::CELL;
@@ -276,3 +278,55 @@
     );
     assert_never_run_again(&site, &[id]).await;
 }
+
+/// Assigns the queue of [`POOL`] to a pool by a new version of the configuration, and waits until the
+/// nodes have applied it.
+async fn assign_queue(site: &JobSite, version: u64, pool: &str) {
+    let route = json!({"name": POOL, "host": HOST, "path_prefix": format!("/{POOL}/"),
+                       "service": pool, "priority": 0, "max_attempts": 3, "stretch": 2.0,
+                       "target_latency_ms": 600});
+    let services: Vec<_> = ([POOL, "other", "empty"].iter())
+        .map(|name| json!({"name": name, "enforces_capacity": true, "spare": false}))
+        .collect();
+    let config = json!({"version": version, "routes": [route], "services": services,
+                        "limits": {"body_bytes": 262_144}});
+    (site.standin).put_row("op", "config", config.to_string().as_bytes());
+    for node in &site.nodes {
+        eventually("the configuration is applied", async || {
+            let log = std::fs::read_to_string(&node.log).expect("log");
+            log.contains(&format!("event=config_taken version={version}"))
+        })
+        .await;
+    }
+}
+
+/// Guards against a job that is accepted in the new pool of its queue after it was cancelled in the
+/// former one (UNASKED).
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_holds_after_the_queue_moves_to_another_pool() {
+    let site = JobSite::start(2, &[pool(POOL, 2), pool("other", 2)]).await;
+    let id = new_job_id();
+    assert_eq!(cancel(&site, 0, &id).await, Some(410));
+    assign_queue(&site, 2, "other").await;
+    let path = format!("/{POOL}/{id}");
+    let body = job_of_steps(&[1], "ms=60000").to_string();
+    let response = site.request(1, Method::POST, &path, &body).await;
+    assert_eq!(response.expect("a response").status.as_u16(), 410);
+    assert_never_run_again(&site, &[id]).await;
+}
+
+/// Guards against jobs that can neither be seen nor cancelled because their queue was assigned to a
+/// pool without workers.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_is_cancelled_after_its_queue_moves_to_an_empty_pool() {
+    let site = JobSite::start(2, &[pool(POOL, 2), pool("other", 2)]).await;
+    let id = new_job_id();
+    let body = job_of_steps(&[2], "ms=60000");
+    assert!(site.submit(0, POOL, &id, &body).await);
+    eventually("the job runs", async || site.standin.runs().len() == 2).await;
+    assign_queue(&site, 2, "empty").await;
+    let state = site.job_state(1, POOL, &id).await;
+    assert_eq!(state.as_deref(), Some("running"));
+    assert_eq!(cancel(&site, 1, &id).await, Some(200));
+    assert_never_run_again(&site, &[id]).await;
+}
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 use tokio::time;
 
-use crate::job_api::cells_of_job;
+use crate::job_api::JobCells;
 use crate::job_api::client_response;
 use crate::job_api::no_workers_yet;
 use crate::job_api::send_cell_request;
@@ -60,33 +60,39 @@
     client_response(receiver.await.unwrap_or(CellResponse::Uncertain))
 }
 
-/// Cancels a job in its cell under the current configuration, which stores the cancellation even if
-/// it does not know the job, or in the cell of another pool that has the job.
+/// Cancels a job in each cell that it may have been submitted to. These cells store the cancellation
+/// even if they do not know the job; cells of other pools are only asked whether they have it.
 async fn find_and_cancel(
     context: &Arc<NodeContext>,
     queue: &QueueConfig,
     id: JobId,
     timeout: Duration,
 ) -> CellResponse {
-    let Some((first, others)) = cells_of_job(context, queue, id) else {
-        return no_workers_yet();
-    };
-    let cancel = CellOperation::Cancel(id);
-    let response = send_cell_request(context, &first, &queue.key, cancel.clone(), timeout).await;
-    if response != CellResponse::NotFound {
-        return response;
-    }
-    let known = CellOperation::Known(id);
-    for cell in others {
-        match send_cell_request(context, &cell, &queue.key, known.clone(), timeout).await {
+    let cells = JobCells::find(context, queue, id);
+    let (cancel, known) = (CellOperation::Cancel(id), CellOperation::Known(id));
+    let send = |cell, operation| send_cell_request(context, cell, &queue.key, operation, timeout);
+    let mut result = CellResponse::NotFound;
+    for cell in cells.current.iter().chain(&cells.former) {
+        match send(cell, cancel.clone()).await {
             CellResponse::NotFound => {}
-            CellResponse::Done => {
-                return send_cell_request(context, &cell, &queue.key, cancel, timeout).await;
-            }
+            response if is_confirmed(&result) => result = response,
+            _ => {}
+        }
+    }
+    if result != CellResponse::NotFound {
+        return result;
+    }
+    for cell in &cells.others {
+        match send(cell, known.clone()).await {
+            CellResponse::NotFound | CellResponse::Cancelled => {}
+            CellResponse::Done => return send(cell, cancel).await,
             response => return response,
         }
     }
-    CellResponse::NotFound
+    match cells.current {
+        Some(_) => CellResponse::NotFound,
+        None => no_workers_yet(),
+    }
 }
 
 /// Returns whether a response says for certain that the job will not run any more.
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -132,23 +132,17 @@
         overload: false,
         reason: reason.to_owned(),
     };
-    // The id may have been accepted before the queue was assigned to another pool.
-    for cell in previous_cells(context, queue, id) {
-        match send_cell_request(
-            context,
-            &cell,
-            &queue.key,
-            CellOperation::Known(id),
-            timeout,
-        )
-        .await
-        {
-            CellResponse::Done => return CellResponse::Done,
+    let cells = JobCells::find(context, queue, id);
+    // The id may have been accepted or cancelled before the queue was assigned to another pool.
+    for cell in &cells.former {
+        let known = CellOperation::Known(id);
+        match send_cell_request(context, cell, &queue.key, known, timeout).await {
             CellResponse::NotFound => {}
+            response @ (CellResponse::Done | CellResponse::Cancelled) => return response,
             _ => return refused("a former owner is away"),
         }
     }
-    let Some(cell) = context.view().cell_of_job(&queue.pool, id) else {
+    let Some(cell) = cells.current else {
         return no_workers_yet();
     };
     let operation = CellOperation::Submit { id, job };
@@ -162,30 +156,21 @@
     response
 }
 
-/// Returns the cells that may have a job of this queue because of earlier configurations.
-fn previous_cells(context: &NodeContext, queue: &QueueConfig, id: JobId) -> Vec<CellName> {
-    let view = context.view();
-    let Some(pools) = view.previous_pools.get(&queue.key) else {
-        return Vec::new();
-    };
-    (pools.iter())
-        .filter(|pool| **pool != queue.pool)
-        .filter_map(|pool| view.cell_of_job(pool, id))
-        .collect()
-}
-
-/// Returns the status of a job: of its cell under the current configuration or, if that cell does
-/// not know the job, of the cells of the other pools.
+/// Returns the status of a job from the cell that knows it.
 async fn job_status(
     context: &Arc<NodeContext>,
     queue: &QueueConfig,
     id: JobId,
     timeout: Duration,
 ) -> HttpResponse {
-    let Some((first, others)) = cells_of_job(context, queue, id) else {
-        return client_response(no_workers_yet());
-    };
-    for cell in std::iter::once(&first).chain(&others) {
+    let cells = JobCells::find(context, queue, id);
+    let is_partitioned = cells.current.is_some();
+    for cell in cells
+        .current
+        .iter()
+        .chain(&cells.former)
+        .chain(&cells.others)
+    {
         let operation = CellOperation::Show(id);
         match send_cell_request(context, cell, &queue.key, operation, timeout).await {
             CellResponse::NotFound => {}
@@ -193,28 +178,43 @@
             response => return client_response(response),
         }
     }
-    log::info!(
-        "event=job_unknown job={id} queue={} cell={first}",
-        queue.key
-    );
+    if !is_partitioned {
+        return client_response(no_workers_yet());
+    }
+    log::info!("event=job_unknown job={id} queue={}", queue.key);
     client_response(CellResponse::NotFound)
 }
 
-/// Returns the cell of a job under the current configuration, and the owned cells of other pools
-/// that may have it. `None` if the pool of the queue is not partitioned yet.
-pub(crate) fn cells_of_job(
-    context: &NodeContext,
-    queue: &QueueConfig,
-    id: JobId,
-) -> Option<(CellName, Vec<CellName>)> {
-    let view = context.view();
-    let first = view.cell_of_job(&queue.pool, id)?;
-    let others = (view.pools.keys())
-        .filter(|pool| **pool != queue.pool)
-        .filter_map(|pool| view.cell_of_job(pool, id))
-        .filter(|cell| view.owners.contains_key(cell))
-        .collect();
-    Some((first, others))
+/// Cells that may have a job of a queue.
+pub(crate) struct JobCells {
+    /// Cell under the current configuration; `None` if the pool of the queue is not partitioned yet.
+    pub(crate) current: Option<CellName>,
+    /// Cells in the pools that the queue was assigned to by the earlier configurations that this
+    /// process has seen.
+    pub(crate) former: Vec<CellName>,
+    /// Owned cells of the other pools.
+    pub(crate) others: Vec<CellName>,
+}
+
+impl JobCells {
+    pub(crate) fn find(context: &NodeContext, queue: &QueueConfig, id: JobId) -> Self {
+        let view = context.view();
+        let former_pools = view.previous_pools.get(&queue.key);
+        let is_former = |pool: &String| former_pools.is_some_and(|pools| pools.contains(pool));
+        let cells = |is_wanted: &dyn Fn(&String) -> bool| -> Vec<CellName> {
+            (view.pools.keys())
+                .filter(|pool| **pool != queue.pool && is_wanted(pool))
+                .filter_map(|pool| view.cell_of_job(pool, id))
+                .collect()
+        };
+        let mut others = cells(&|pool| !is_former(pool));
+        others.retain(|cell| view.owners.contains_key(cell));
+        Self {
+            current: view.cell_of_job(&queue.pool, id),
+            former: cells(&is_former),
+            others,
+        }
+    }
 }
 
 pub(crate) fn no_workers_yet() -> CellResponse {
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -60,6 +60,9 @@
             CellOperation::Submit { id, job } => self.submit(request.queue, id, job).await,
             CellOperation::Known(id) => match self.job_status(id) {
                 CellResponse::State(_) => CellResponse::Done,
+                CellResponse::NotFound if self.core().is_cancelled_early(id) => {
+                    CellResponse::Cancelled
+                }
                 response => response,
             },
             CellOperation::Show(id) => self.job_status(id),
