Look less often for the next owner of a cell after a quarter of a second

Cause: since cancellations wait for the next owner as long as their clients do, each of them tried again every 40 ms, with a connect, a log line and a read of the owners each time; a node of 0.12 of a core repeats up to 256 at once.

Change: after the first 250 ms, which cover a handover, the interval is 250 ms. The cancellation tests pass; the cost was not measured.

--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -41,8 +41,10 @@
 /// Time for which a request waits for the new owner of a cell. It is less than a quarter of the
 /// shortest latency objective, so that a refusal after this wait comes well within the objective.
 const OWNER_WAIT: Duration = Duration::from_millis(250);
-/// Interval between two attempts to reach the owner.
+/// Interval between two attempts to reach the owner. After [`OWNER_WAIT`] the former owner is likely
+/// dead, and the next one takes seconds.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
+const SLOW_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// `Retry-After` in seconds while a cell has no owner: a handover takes a fraction of a second, and
 /// a dead owner is replaced within three seconds.
 const TAKEOVER_RETRY_S: u64 = 1;
@@ -308,7 +310,11 @@
             return response;
         }
         context.owner_read_requested.notify_one();
-        time::sleep(OWNER_POLL_INTERVAL).await;
+        time::sleep(match elapsed < OWNER_WAIT {
+            true => OWNER_POLL_INTERVAL,
+            false => SLOW_OWNER_POLL_INTERVAL,
+        })
+        .await;
         call_timeout = timeout.saturating_sub(elapsed).max(MIN_OWNER_TIMEOUT);
     }
 }
