A former owner reports no worker as drained

Cause: a resumed owner answered the coordinator from its old list of runs, in which its successor's tasks are missing.

Change: the answer is "unknown" unless the node is certain to own the cell, as for "no such job". While the store confirms no heartbeats, no VM is therefore reported as drained.

Evidence: resumed_owner_reports_no_worker_as_drained got "empty" in both of two runs before and passes in two of two.

--- a/crates/tanager-node/tests/jobs/faults.rs
+++ b/crates/tanager-node/tests/jobs/faults.rs
@@ -5,6 +5,7 @@
 
 use http::Method;
 use nix::sys::signal::Signal;
+use serde_json::json;
 use tokio::time;
 
 use crate::CELL;
@@ -16,6 +17,7 @@
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
 use crate::harness::pool;
+use crate::harness::send_request;
 use crate::small_site;
 
 /// Guards against jobs that are lost, or tasks that run twice, when the owner is killed.
@@ -314,3 +316,38 @@
     site.wait_for_state(POOL, &id, "completed").await;
     assert_eq!(count_acquired(), 2);
 }
+
+/// Guards against a former owner that resumes and reports a worker as drained on which its successor
+/// runs tasks, so that the coordinator takes the VM down (AVAIL).
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_owner_reports_no_worker_as_drained() {
+    let site = small_site(3).await;
+    let former = site.owner(CELL).await.expect("owner");
+    let other = (former + 1) % 3;
+    site.nodes[former].signal(Signal::SIGSTOP);
+    let id = new_job_id();
+    let body = job_of_steps(&[9], "ms=60000");
+    assert!(site.submit(other, POOL, &id, &body).await);
+    eventually("the successor runs the tasks", async || {
+        site.standin.runs().len() == 9
+    })
+    .await;
+    let address = site.nodes[former].ports.peer_address();
+    let requests: Vec<_> = (0..3)
+        .map(|worker| {
+            let body = json!({"cell": CELL, "worker": format!("i-{worker}-0"), "evicts": false});
+            tokio::spawn(async move {
+                send_request(address, Method::POST, "/empty", &body.to_string()).await
+            })
+        })
+        .collect();
+    // The requests wait in the listen queue of the frozen process.
+    time::sleep(Duration::from_millis(300)).await;
+    site.nodes[former].signal(Signal::SIGCONT);
+    for request in requests {
+        let response = request.await.expect("a task that ends");
+        let body = response.map(|response| response.body);
+        let text = String::from_utf8_lossy(body.as_deref().unwrap_or_default()).into_owned();
+        assert!(!text.contains("\"empty\":true"), "{text}");
+    }
+}
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -45,16 +45,20 @@
     /// Handles a request to the owner of this cell.
     pub async fn handle(self: &Arc<Self>, request: CellRequest) -> CellResponse {
         let response = self.perform(request).await;
-        // A former owner does not know the jobs that its successor accepted.
-        let may_have_successor = self.is_paused()
-            || self.is_closed()
-            || !self.context.owns_its_cells(self.context.clock.now());
+        // A successor may have accepted jobs that this node does not know.
         match response {
-            CellResponse::NotFound if may_have_successor => CellResponse::NotOwner,
+            CellResponse::NotFound if self.may_have_successor(self.context.clock.now()) => {
+                CellResponse::NotOwner
+            }
             response => response,
         }
     }
 
+    /// Returns whether another node may have acquired the cell.
+    fn may_have_successor(&self, now: Duration) -> bool {
+        self.is_paused() || self.is_closed() || !self.context.owns_its_cells(now)
+    }
+
     async fn perform(self: &Arc<Self>, request: CellRequest) -> CellResponse {
         match request.operation {
             CellOperation::Submit { id, job } => self.submit(request.queue, id, job).await,
@@ -77,11 +81,12 @@
 
     /// Drains a worker; no task is started there for `DRAIN_PERIOD`.
     pub fn drain_worker(self: &Arc<Self>, worker: &WorkerId, evicts: bool) -> DrainResponse {
+        let now = self.context.clock.now();
         // The next owner may start tasks on the worker.
-        if self.is_paused() || self.is_closed() {
+        if self.may_have_successor(now) {
             return DrainResponse::UNKNOWN;
         }
-        let until = self.context.clock.now() + DRAIN_PERIOD;
+        let until = now + DRAIN_PERIOD;
         let (is_empty, has_long_running) = self.core().drain_worker(worker, until, evicts);
         self.run_decisions();
         DrainResponse {
--- a/crates/tanager-standin/src/site/settings.rs
+++ b/crates/tanager-standin/src/site/settings.rs
@@ -63,6 +63,11 @@
         SocketAddr::from(([127, 0, 0, 1], self.client))
     }
 
+    /// Address for other nodes.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], self.internal))
+    }
+
     /// Address of the operator interface.
     pub fn admin_address(&self) -> SocketAddr {
         SocketAddr::from(([127, 0, 0, 1], self.internal + 1))
