Log why a run was lost, and for how long its worker is known to have had it

run_lost named neither, so a log could not separate a crashed worker from one that was only silent, nor the task that crashes its worker from those beside it.

--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -10,6 +10,19 @@
 
 use crate::worker::WorkerKey;
 
+/// Why a run is certain not to run now or later.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReleaseCause {
+    /// The start was refused or not sent.
+    NotStarted,
+    /// A later incarnation of the worker responds.
+    WorkerRestarted,
+    /// The worker is unresponsive, and its leases have expired.
+    LeaseExpired,
+    /// The worker no longer lists the run.
+    Unlisted,
+}
+
 /// An event that explains the end of a job, for the owner's log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CellEvent {
@@ -34,6 +47,10 @@
         run: RunNumber,
         /// Worker.
         worker: WorkerId,
+        /// Cause.
+        cause: ReleaseCause,
+        /// Time for which the worker is known to have had the run.
+        observed: Duration,
     },
     /// A run made no progress; the task starts on another worker.
     RunStalled {
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -14,6 +14,7 @@
 
 use crate::action::CellAction;
 use crate::action::CellEvent;
+use crate::action::ReleaseCause;
 use crate::durations::DurationTable;
 use crate::durations::QueueDuration;
 use crate::job::JobEntry;
@@ -365,7 +366,7 @@
         for key in expired {
             let tasks: Vec<TaskKey> = self.workers[key].runs.keys().copied().collect();
             for task in tasks {
-                self.release_run(key, task);
+                self.release_run(key, task, ReleaseCause::LeaseExpired);
             }
         }
     }
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
 
+use crate::action::ReleaseCause;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::worker::MAX_EXECUTION_DELAY;
@@ -164,7 +165,7 @@
         };
         let tasks: Vec<TaskKey> = worker.runs.keys().copied().collect();
         for task in tasks {
-            self.release_run(key, task);
+            self.release_run(key, task, ReleaseCause::WorkerRestarted);
         }
         if let Some(worker) = self.workers.get(key) {
             self.unconfirmed_workers.remove(&worker.entry.worker);
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use action::CellAction;
 pub use action::CellEvent;
+pub use action::ReleaseCause;
 pub use admission::AdmissionDecision;
 pub use core::CellCore;
 pub use settings::CellSettings;
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -13,6 +13,7 @@
 
 use crate::action::CellAction;
 use crate::action::CellEvent;
+use crate::action::ReleaseCause;
 use crate::core::CellCore;
 use crate::job::StepEntry;
 use crate::job::TaskPhase;
@@ -112,7 +113,7 @@
                 }
                 self.handle_refused_start(key, task, answer, now);
             }
-            OrderResult::NotSent => self.release_run(key, task),
+            OrderResult::NotSent => self.release_run(key, task, ReleaseCause::NotStarted),
         }
     }
 
@@ -137,7 +138,7 @@
         {
             step.advice.drop_ticket(key);
         }
-        self.release_run(key, task);
+        self.release_run(key, task, ReleaseCause::NotStarted);
     }
 
     /// Applies the result of a stop.
@@ -230,7 +231,7 @@
     }
 
     /// Releases a run that is certain not to run now or later.
-    pub(crate) fn release_run(&mut self, key: WorkerKey, task: TaskKey) {
+    pub(crate) fn release_run(&mut self, key: WorkerKey, task: TaskKey, cause: ReleaseCause) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -238,6 +239,7 @@
             return;
         };
         let id = worker.entry.worker.clone();
+        let observed = worker.observed_time(&slot);
         self.placement_needed = true;
         let Some(step) = self.step_mut(task) else {
             return;
@@ -249,6 +251,8 @@
                     task,
                     run: slot.run,
                     worker: id,
+                    cause,
+                    observed,
                 });
             }
             let Some(step) = self.step_mut(task) else {
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -10,6 +10,7 @@
 use tanager_jobs::WorkerReport;
 
 use crate::action::CellEvent;
+use crate::action::ReleaseCause;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::worker::RunSlot;
@@ -368,7 +369,7 @@
             }
         }
         for task in dropped {
-            self.release_run(key, task);
+            self.release_run(key, task, ReleaseCause::Unlisted);
         }
     }
 }
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -191,6 +191,14 @@
             .is_some_and(|(_, received)| now.saturating_sub(received) < CONTACT_LIMIT)
     }
 
+    /// Returns the time for which reports show that the worker has had a run.
+    pub fn observed_time(&self, run: &RunSlot) -> Duration {
+        match (self.clock, run.confirmed_at) {
+            (Some((_, received)), Some(confirmed)) => received.saturating_sub(confirmed),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns whether new tasks may be placed here.
     pub fn is_usable(&self, now: Duration) -> bool {
         let missing_for = self
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -270,8 +270,14 @@
                 "event=run_failed job={} task={task} run={run} worker={worker} failures={failures} max_attempts={max_attempts} cell={cell}",
                 task.job
             ),
-            CellEvent::RunLost { task, run, worker } => log::info!(
-                "event=run_lost job={} task={task} run={run} worker={worker} cell={cell}",
+            CellEvent::RunLost {
+                task,
+                run,
+                worker,
+                cause,
+                observed,
+            } => log::info!(
+                "event=run_lost job={} task={task} run={run} worker={worker} cause={cause:?} observed={observed:.3?} cell={cell}",
                 task.job
             ),
             CellEvent::RunStalled {
