--- a/crates/tanager-schedule/tests/support/mod.rs
+++ b/crates/tanager-schedule/tests/support/mod.rs
@@ -114,6 +114,7 @@
     pub(crate) entries: Vec<WorkerEntry>,
     pub(crate) running: Vec<(WorkerKey, TaskKey, u64)>,
     ended: Vec<(WorkerKey, EndedRun)>,
+    restarts: u32,
 }
 
 impl TestCell {
@@ -129,6 +130,7 @@
             entries,
             running: Vec::new(),
             ended: Vec::new(),
+            restarts: 0,
         };
         cell.report_all();
         cell
@@ -214,6 +216,35 @@
         self.ended.push((worker, ended));
     }
 
+    /// A worker crashes and comes back under another id at once.
+    pub(crate) fn crash(&mut self, worker: WorkerKey) {
+        let entry = self
+            .core
+            .worker(worker)
+            .expect("known worker")
+            .entry
+            .clone();
+        self.running.retain(|(key, _, _)| *key != worker);
+        self.ended.retain(|(key, _)| *key != worker);
+        self.core.end_incarnation(worker);
+        self.restarts += 1;
+        let name = format!("{}-{}", entry.worker, self.restarts);
+        self.entries.retain(|other| other.worker != entry.worker);
+        self.entries.push(WorkerEntry {
+            worker: name,
+            ..entry
+        });
+        self.register();
+    }
+
+    /// Takes over the current entries and registers new workers.
+    pub(crate) fn register(&mut self) {
+        self.core.sync_workers(&self.entries, self.now);
+        let keys = self.core.unregistered_workers(self.now);
+        self.core.mark_registered(&keys);
+        self.report_all();
+    }
+
     pub(crate) fn advance_time(&mut self, time: Duration) {
         self.now += time;
     }
