Test that a capacity which shrinks while its worker runs is in force for the next start

LIMIT held on the code as it was: free resources are the entry's capacity less what runs and stops reserve, with a minimum of zero. The test needed no change of the code.

--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -447,3 +447,26 @@
     assert_eq!(next.len(), 1);
     assert_eq!(next[0].1, task(3, 0, 0));
 }
+
+/// Guards against a start that exceeds a capacity which has shrunk while the worker runs (LIMIT).
+#[test]
+fn smaller_capacity_holds_for_the_next_start() {
+    let mut cell = TestCell::new(vec![entry("a")]);
+    cell.accept(job(1, vec![step(6)]));
+    assert_eq!(starts(&cell.tick()).len(), 6);
+    cell.entries[0].capacity.cpu = 4_000;
+    cell.core.sync_workers(&cell.entries, cell.now);
+    cell.accept(job(2, vec![step(6)]));
+    assert!(starts(&cell.tick()).is_empty());
+    // A run that is being stopped counts until its end is listed.
+    cell.core.cancel(JobId(1), cell.now, cell.wall_ms());
+    assert_eq!(stops(&cell.tick()).len(), 6);
+    assert!(starts(&cell.tick()).is_empty());
+    cell.report_all();
+    assert_eq!(starts(&cell.tick()).len(), 4);
+    cell.entries[0].capacity.cpu = 8_000;
+    cell.core.sync_workers(&cell.entries, cell.now);
+    cell.advance_time(millis(200));
+    cell.report_all();
+    assert_eq!(starts(&cell.tick()).len(), 2);
+}
