--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -14,7 +14,9 @@
 
 use crate::action::CellAction;
 use crate::action::CellEvent;
+use crate::action::ReleaseCause;
 use crate::cancellation::EarlyCancellation;
+use crate::crashes::CrashTable;
 use crate::durations::DurationTable;
 use crate::durations::QueueDuration;
 use crate::job::JobEntry;
@@ -82,6 +84,8 @@
     pub(crate) last_placement: Duration,
     /// Whether a change since the last placement may allow a task to be placed.
     pub(crate) placement_needed: bool,
+    /// Worker crashes and the tasks that may have caused them.
+    pub(crate) crashes: CrashTable,
     /// Ended jobs and early cancellations, ordered by the time of their end.
     pub(crate) ended: BTreeSet<(u64, JobId)>,
 }
@@ -125,6 +129,7 @@
             scan_needed: true,
             last_placement: Duration::ZERO,
             placement_needed: true,
+            crashes: CrashTable::default(),
             ended: BTreeSet::new(),
         }
     }
@@ -326,7 +331,9 @@
             self.resend_orders(now);
             self.move_stalled_runs(now);
             self.drain_leaving_workers(now);
+            self.review_suspects(now);
         }
+        self.apply_crashes(now, wall_ms);
         if may_start {
             self.place_tasks(now);
         }
@@ -340,9 +347,10 @@
             .map(|(key, _)| key)
             .collect();
         for key in expired {
+            self.record_crash(key, false);
             let tasks: Vec<TaskKey> = self.workers[key].runs.keys().copied().collect();
             for task in tasks {
-                self.release_run(key, task);
+                self.release_run(key, task, ReleaseCause::LeaseExpired);
             }
         }
     }
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
 
+use crate::action::ReleaseCause;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::worker::MAX_EXECUTION_DELAY;
@@ -159,12 +160,13 @@
 
     /// Ends an incarnation of a worker: releases its runs and removes it.
     pub fn end_incarnation(&mut self, key: WorkerKey) {
+        self.record_crash(key, true);
         let Some(worker) = self.workers.get(key) else {
             return;
         };
         let tasks: Vec<TaskKey> = worker.runs.keys().copied().collect();
         for task in tasks {
-            self.release_run(key, task);
+            self.release_run(key, task, ReleaseCause::WorkerRestarted);
         }
         if let Some(worker) = self.workers.get(key) {
             self.unconfirmed_workers.remove(&worker.entry.worker);
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cancellation;
 pub mod capacity;
 pub mod core;
+pub mod crashes;
 pub mod drain;
 pub mod durations;
 pub mod incarnations;
@@ -23,6 +24,7 @@
 
 pub use action::CellAction;
 pub use action::CellEvent;
+pub use action::ReleaseCause;
 pub use admission::AdmissionDecision;
 pub use cancellation::CancelResult;
 pub use core::CellCore;
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -13,6 +13,7 @@
 
 use crate::action::CellAction;
 use crate::action::CellEvent;
+use crate::action::ReleaseCause;
 use crate::core::CellCore;
 use crate::job::StepEntry;
 use crate::job::TaskPhase;
@@ -112,7 +113,7 @@
                 }
                 self.handle_refused_start(key, task, answer, now);
             }
-            OrderResult::NotSent => self.release_run(key, task),
+            OrderResult::NotSent => self.release_run(key, task, ReleaseCause::NotStarted),
         }
     }
 
@@ -135,7 +136,7 @@
         }
         slot.in_flight = false;
         if slot.unanswered_starts == 0 {
-            self.release_run(key, task);
+            self.release_run(key, task, ReleaseCause::NotStarted);
         }
         false
     }
@@ -161,7 +162,7 @@
         {
             step.advice.drop_ticket(key);
         }
-        self.release_run(key, task);
+        self.release_run(key, task, ReleaseCause::NotStarted);
     }
 
     /// Applies the result of a stop.
@@ -254,7 +255,7 @@
     }
 
     /// Releases a run that is certain not to run now or later.
-    pub(crate) fn release_run(&mut self, key: WorkerKey, task: TaskKey) {
+    pub(crate) fn release_run(&mut self, key: WorkerKey, task: TaskKey, cause: ReleaseCause) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -262,6 +263,7 @@
             return;
         };
         let id = worker.entry.worker.clone();
+        let observed = worker.observed_time(&slot);
         self.placement_needed = true;
         let Some(step) = self.step_mut(task) else {
             return;
@@ -273,6 +275,8 @@
                     task,
                     run: slot.run,
                     worker: id,
+                    cause,
+                    observed,
                 });
             }
             let Some(step) = self.step_mut(task) else {
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -10,6 +10,7 @@
 use tanager_jobs::WorkerReport;
 
 use crate::action::CellEvent;
+use crate::action::ReleaseCause;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::worker::RunSlot;
@@ -49,6 +50,7 @@
         worker.unanswered_orders = 0;
         let id = worker.entry.worker.clone();
         self.placement_needed |= was_unusable;
+        self.withdraw_crashes(key);
         for ended in &report.ended {
             self.apply_end(key, ended, now, wall_ms);
         }
@@ -67,6 +69,7 @@
         if let Some(worker) = self.workers.get_mut(key) {
             worker.renewal_unanswered = true;
         }
+        self.store_suspect_runs(key);
     }
 
     /// Replaces the incarnation of a worker that restarted under its id.
@@ -368,7 +371,7 @@
             }
         }
         for task in dropped {
-            self.release_run(key, task);
+            self.release_run(key, task, ReleaseCause::Unlisted);
         }
     }
 }
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -10,6 +10,8 @@
 use tanager_jobs::WorkerEntry;
 use tanager_jobs::ids::RunNumber;
 
+use crate::crashes::CrashedRun;
+use crate::crashes::WorkerIsolation;
 use crate::orders::OrderResult;
 use crate::settings::MIN_CLOCK_RATE;
 
@@ -81,6 +83,8 @@
     pub pace_confirmed: bool,
     /// Time of the last change of pace.
     pub paced_at: Duration,
+    /// Whether no other run was young on the worker at the start, and none has started since.
+    pub is_isolated: bool,
 }
 
 /// Health of a worker.
@@ -136,6 +140,11 @@
     pub evicts: bool,
     /// The worker gets no starts before this time because a start did not fit.
     pub full_until: Duration,
+    /// Reservation for an isolated run; nothing else starts here meanwhile.
+    pub isolation: Option<WorkerIsolation>,
+    /// Runs that were released because the leases expired. If the worker reports again, it did not
+    /// crash.
+    pub lapsed_runs: Vec<CrashedRun>,
 }
 
 impl WorkerSlot {
@@ -163,6 +172,8 @@
             draining_until: Duration::ZERO,
             evicts: false,
             full_until: Duration::ZERO,
+            isolation: None,
+            lapsed_runs: Vec::new(),
         }
     }
 
@@ -191,6 +202,14 @@
             .is_some_and(|(_, received)| now.saturating_sub(received) < CONTACT_LIMIT)
     }
 
+    /// Returns the time for which reports show that the worker has had a run.
+    pub fn observed_time(&self, run: &RunSlot) -> Duration {
+        match (self.clock, run.confirmed_at) {
+            (Some((_, received)), Some(confirmed)) => received.saturating_sub(confirmed),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns whether new tasks may be placed here.
     pub fn is_usable(&self, now: Duration) -> bool {
         let missing_for = self
@@ -322,6 +341,7 @@
             pace: 100,
             pace_confirmed: true,
             paced_at: Duration::ZERO,
+            is_isolated: false,
         }
     }
 }
