Reject a job that cannot be stored whatever the load is

Callers got 429 with Retry-After, and would have come back in vain, for a job whose row exceeds the store's limit.

Cause: admission was decided before the size was checked. What is known to be unservable is to be rejected at once.

Change: the size is checked first.

--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -122,26 +122,26 @@
                     Ok(spec) => spec,
                     Err(error) => return CellResponse::Invalid(error),
                 };
-                if let Some(refusal) = self.check_admission(&queue, &spec, started) {
-                    self.context.metrics.jobs_refused.increment();
-                    log::info!(
-                        "event=job_refused job={id} cell={} answer={refusal:?}",
-                        self.name
-                    );
-                    return refusal;
-                }
-                let max_attempts = self.core().policy(&queue).max_attempts;
                 let record = JobRecord {
                     id,
+                    max_attempts: self.core().policy(&queue).max_attempts,
                     queue,
                     pool: pool_of(&self.name).to_owned(),
                     accepted_ms: self.context.clock.wall_ms(),
-                    max_attempts,
                     spec,
                 };
+                // What can never be stored is rejected whatever the load is.
                 if let Some(refusal) = self.check_size(&record) {
                     return refusal;
                 }
+                if let Some(refusal) = self.check_admission(&record.queue, &record.spec, started) {
+                    self.context.metrics.jobs_refused.increment();
+                    log::info!(
+                        "event=job_refused job={id} cell={} answer={refusal:?}",
+                        self.name
+                    );
+                    return refusal;
+                }
                 self.ledger.insert(record)
             }
         };
