Store the homes of over a hundred moved VMs in several changes

Callers in a surge on the large site got no help from spare VMs: moves of over about a hundred VMs that were planned together were all given up ("the store refused POST /rows-tx: over 100 entries").

Cause: the home pools of all VMs to be moved were written in one change, which the store rejects, and nothing cut it.

Change: they are written in changes of at most 99 rows beside the condition. A move is given up only if the home of its own VM is not stored; moves in progress go on when a change fails.

--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -29,6 +29,8 @@
 use tanager_site::machines::MachineEntry;
 use tanager_site::machines::MachineResponse;
 use tanager_site::machines::MachineState;
+use tanager_site::store::ChangeResult;
+use tanager_site::store::MAX_ENTRIES;
 use tokio::time;
 
 use crate::cell::CellHandle;
@@ -67,6 +69,9 @@
 /// they would hold up the moves to the pool that surges for seconds.
 const MAX_PARALLEL_VMS: usize = 16;
 
+/// Maximum number of home pools stored in one change, beside its condition.
+const MAX_HOMES_PER_CHANGE: usize = MAX_ENTRIES - 1;
+
 /// A wave in progress.
 struct WaveProgress {
     tracker: WaveTracker,
@@ -274,12 +279,14 @@
             let from = &vms[vm].pool;
             log::info!("event=vm_move_begun vm={vm} from={from} to={target} loads={loads:?}");
         }
-        if !new_vms.is_empty() && !self.record_homes(&new_vms, &vms).await {
-            // A VM whose home is not recorded would never be moved back.
-            for (vm, _) in &new_moves {
+        for chunk in new_vms.chunks(MAX_HOMES_PER_CHANGE) {
+            self.record_homes(chunk, &vms).await;
+        }
+        // A VM whose home is not recorded would never be moved back.
+        for (vm, _) in &new_moves {
+            if !self.homes.contains_key(vm) {
                 self.planner.abandon_move(vm);
             }
-            return;
         }
         let moves = (self.planner.moves().iter())
             .filter_map(|(vm, entry)| Some(((*entries.get(vm)?).clone(), entry.clone())));
@@ -313,12 +320,8 @@
         }
     }
 
-    /// Stores the home pools of VMs before their first move; returns whether they are stored.
-    async fn record_homes(
-        &mut self,
-        new_vms: &[VmName],
-        vms: &BTreeMap<VmName, VmPlacement>,
-    ) -> bool {
+    /// Stores the home pools of VMs before their first move.
+    async fn record_homes(&mut self, new_vms: &[VmName], vms: &BTreeMap<VmName, VmPlacement>) {
         let mut change = coordinator_change(&self.cell);
         for vm in new_vms {
             let record = HomeRecord {
@@ -332,15 +335,14 @@
         }
         let result = self.cell.context.store.change(&change, MACHINE_TIMEOUT);
         match result.await {
-            Ok(tanager_site::store::ChangeResult::Committed(_)) => {
+            Ok(ChangeResult::Committed(_)) => {
                 for vm in new_vms {
                     self.homes.insert(vm.clone(), vms[vm].pool.clone());
                 }
-                true
             }
             other => {
-                log::info!("event=homes_not_noted result={other:?}");
-                false
+                let count = new_vms.len();
+                log::info!("event=homes_not_noted vms={count} result={other:?}");
             }
         }
     }
