Run numbers rise after a crash and a takeover

What callers could see: a task that crashes its workers started more often than allowed, as crashes under a run number that was used before are not counted; and a worker that refuses a run that is not higher than one it has seen.

Cause: the next owner restored the highest run that had ended, or that had started as a suspect, but not the one that had crashed.

Change: the highest of the three. The crashed run is stored as long as it is known. The model of the scheduler confirms its starts as the service does.

Evidence: run_numbers_rise_after_a_crash_and_a_takeover got run 2 after run 5 before and passes.

--- a/crates/tanager-schedule/src/job.rs
+++ b/crates/tanager-schedule/src/job.rs
@@ -112,7 +112,7 @@
 impl TaskEntry {
     /// Returns whether anything about the task must be stored.
     fn has_progress(&self) -> bool {
-        self.ended_run > 0 || self.crashes > 0 || self.suspect_run > 0
+        self.ended_run > 0 || self.crashed_run > 0 || self.suspect_run > 0
     }
 }
 
@@ -246,7 +246,9 @@
                 continue;
             };
             task.failed_runs.clone_from(&progress.failed_runs);
-            task.run = progress.run.max(progress.suspect_run);
+            task.run = (progress.run)
+                .max(progress.suspect_run)
+                .max(progress.crashed_run);
             task.ended_run = progress.run;
             task.checkpoint.clone_from(&progress.checkpoint);
             task.crashes = progress.crashes;
--- a/crates/tanager-schedule/tests/crashes.rs
+++ b/crates/tanager-schedule/tests/crashes.rs
@@ -9,9 +9,11 @@
 use tanager_jobs::EndCause;
 use tanager_jobs::JobId;
 use tanager_jobs::JobState;
+use tanager_jobs::OrderAnswer;
 use tanager_jobs::TaskKey;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::core::JobPhase;
+use tanager_schedule::orders::OrderResult;
 
 use support::TestCell;
 use support::entry;
@@ -218,3 +220,37 @@
     cell.report(silent);
     assert_eq!(crashes(&cell), 0);
 }
+
+/// Decides on the start of a single task, without an answer of its worker.
+fn decide_start(cell: &mut TestCell) -> (WorkerKey, TaskKey, u64) {
+    cell.advance_time(Duration::from_millis(200));
+    cell.report_all();
+    let wall_ms = cell.wall_ms();
+    cell.core.tick(cell.now, wall_ms, true);
+    starts(&cell.core.take_actions())[0]
+}
+
+/// Guards against run numbers that go back after a takeover, so that later crashes are not counted.
+#[test]
+fn run_numbers_rise_after_a_crash_and_a_takeover() {
+    let mut cell = TestCell::new(vec![entry("a")]);
+    cell.accept(job(1, vec![step(1)]));
+    let no_room = OrderResult::Answered(OrderAnswer::NoRoom);
+    for _ in 0..4 {
+        let (worker, task, run) = decide_start(&mut cell);
+        cell.core
+            .apply_start_result(worker, task, run, no_room, cell.now);
+    }
+    let (worker, task, run) = decide_start(&mut cell);
+    let accepted = OrderResult::Answered(OrderAnswer::Accepted);
+    cell.core
+        .apply_start_result(worker, task, run, accepted, cell.now);
+    cell.crash(worker);
+    let wall_ms = cell.wall_ms();
+    cell.core.tick(cell.now, wall_ms, false);
+    let progress = cell.core.progress(JobId(1)).expect("progress");
+    let mut next = TestCell::new(vec![entry("b")]);
+    (next.core).load_job(job(1, vec![step(1)]), &progress, next.now, wall_ms);
+    let (_, _, next_run) = decide_start(&mut next);
+    assert!(next_run > run, "run {next_run} after run {run}");
+}
--- a/crates/tanager-schedule/tests/model/owner.rs
+++ b/crates/tanager-schedule/tests/model/owner.rs
@@ -129,6 +129,10 @@
                     checkpoint,
                     ..
                 } => {
+                    let core = &mut self.owners[number].core;
+                    if !core.confirm_start(worker, task, run, may_extend) {
+                        continue;
+                    }
                     let message = Message::Start {
                         task,
                         run,
