A start that another incarnation rejects is no crash

What callers could see: a job that could be done shown as failed, if that happened to one of its tasks twice while it ran isolated.

Cause: the answer 421 proves that the order did nothing, yet the run was counted among those under which the former incarnation crashed.

Change: such a run is released as not started, unless an earlier order without an answer may have begun it.

Evidence: start_rejected_by_another_incarnation_is_not_counted_as_crashed counted one crash before and passes.

--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -98,7 +98,12 @@
             OrderResult::Answered(OrderAnswer::Fenced) => {
                 self.actions.push(CellAction::CellLost);
             }
-            OrderResult::Answered(OrderAnswer::OtherLife) => self.end_incarnation(key),
+            OrderResult::Answered(OrderAnswer::OtherLife) => {
+                if !was_retried {
+                    self.release_run(key, task, ReleaseCause::NotStarted);
+                }
+                self.end_incarnation(key);
+            }
             OrderResult::Answered(OrderAnswer::OldRun) if was_retried && !is_stopping => {
                 // The run has already ended; the end is in the worker's next report.
                 slot.stage = RunStage::Running;
--- a/crates/tanager-schedule/tests/crashes.rs
+++ b/crates/tanager-schedule/tests/crashes.rs
@@ -254,3 +254,22 @@
     let (_, _, next_run) = decide_start(&mut next);
     assert!(next_run > run, "run {next_run} after run {run}");
 }
+
+/// Guards against a start that another incarnation rejected and that counts as a crash.
+#[test]
+fn start_rejected_by_another_incarnation_is_not_counted_as_crashed() {
+    let mut cell = TestCell::new(vec![entry("a")]);
+    cell.accept(job(1, vec![step(1)]));
+    let (worker, task, run) = decide_start(&mut cell);
+    let other_life = OrderResult::Answered(OrderAnswer::OtherLife);
+    cell.core
+        .apply_start_result(worker, task, run, other_life, cell.now);
+    let wall_ms = cell.wall_ms();
+    cell.core.tick(cell.now, wall_ms, false);
+    let progress = cell.core.progress(JobId(1)).expect("progress");
+    let crashes: u32 = (progress.occurrences.values())
+        .flat_map(|occurrence| occurrence.tasks.values())
+        .map(|task| task.crashes)
+        .sum();
+    assert_eq!(crashes, 0);
+}
