--- a/crates/tanager-jobs/src/record.rs
+++ b/crates/tanager-jobs/src/record.rs
@@ -69,8 +69,8 @@
     /// Highest run counted in `crashes`.
     #[serde(skip_serializing_if = "is_default")]
     pub crashed_run: RunNumber,
-    /// Last run that started after such a crash, or whose worker did not respond. If neither the run nor its end is listed after a
-    /// takeover, its worker has crashed.
+    /// Last run that started after such a crash, or whose worker did not respond. If neither the
+    /// run nor its end is listed after a takeover, its worker has crashed.
     #[serde(skip_serializing_if = "is_default")]
     pub suspect_run: RunNumber,
 }
--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -52,7 +52,7 @@
         /// Time for which the worker is known to have had the run.
         observed: Duration,
     },
-    /// A worker crashed under a task, not for the first time.
+    /// A worker crashed under a young run of a task.
     WorkerCrashed {
         /// Task.
         task: TaskKey,
--- a/crates/tanager-schedule/src/crashes.rs
+++ b/crates/tanager-schedule/src/crashes.rs
@@ -3,9 +3,9 @@
 //! A worker that crashes lists no end, so its runs are started again elsewhere. A task that crashes
 //! each worker that starts it would so crash one worker after another, and take along whatever runs
 //! beside it. All young runs of a crashed worker are suspects. A suspect runs isolated: nothing else
-//! starts on its worker until it has ended or run for a while. Its job fails once workers have crashed
-//! under two isolated runs, so that a task that merely ran beside another one, or whose worker
-//! crashed for another reason, is not blamed.
+//! starts on its worker until it has ended or run for a while. Its job fails once workers have
+//! crashed under two isolated runs, so that a task that merely ran beside another one, or whose
+//! worker crashed for another reason, is not blamed.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -28,14 +28,13 @@
 const CRASHES_TO_ISOLATE: u32 = 1;
 /// Crashes under isolated runs after which the job has failed. One of them may be a coincidence.
 const ISOLATED_CRASHES_TO_FAIL: u32 = 2;
-/// Crashes after which a job has failed even if other runs were young on the crashed workers. The
+/// Crashes after which a job has failed even if other runs were young on the crashed workers: the
 /// platform allows two starts after the third crash.
 const MAX_CRASHES: u32 = 5;
-/// A run that was observed for this long is no suspect when its worker crashes. Crashes were seen
-/// some 10 ms after a start.
+/// A run that was observed for this long is no suspect when its worker crashes.
 const SURVIVAL_TIME: Duration = Duration::from_secs(3);
 /// Time for which an isolated run keeps its worker to itself, and after which another run is not
-/// young any more. Most tasks have ended by then.
+/// young any more.
 const ISOLATION_TIME: Duration = Duration::from_secs(1);
 /// Maximum time for which a worker is reserved before an isolated run starts there.
 const RESERVATION_LIMIT: Duration = Duration::from_secs(3);
--- a/crates/tanager-schedule/tests/cancellation.rs
+++ b/crates/tanager-schedule/tests/cancellation.rs
@@ -1,5 +1,5 @@
-//! Cancellations of jobs that the cell does not have, or whose starts wait to be sent. Each test names
-//! the failure that it guards against.
+//! Cancellations of jobs that the cell does not have, or whose starts wait to be sent. Each test
+//! names the failure that it guards against.
 
 #[allow(dead_code, reason = "the cell tests use the rest")]
 mod support;
@@ -157,7 +157,7 @@
     assert_eq!(started_again.len(), 1);
 }
 
-/// Guards against a job that is reported as cancelled, and runs after a takeover that loads it as open.
+/// Guards against a job that is reported as cancelled, and runs after a takeover.
 #[test]
 fn cancellation_is_reported_once_stored() {
     let mut cell = TestCell::new(vec![entry("i-1")]);
--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -1,8 +1,8 @@
 //! Runs the real scheduling and recovery code against a model of the store, the workers and the
 //! owners, under seeded faults. Guards against two runs of a task at the same time, starts of a
 //! task that is done or has failed too often, starts in the wrong order or after a cancellation, a
-//! checkpoint of another task, a task that crashes one worker after another, too many members of a step made unavailable by orders, and jobs that
-//! never end or end in a wrong state.
+//! checkpoint of another task, a task that crashes one worker after another, too many members of a
+//! step made unavailable by orders, and jobs that never end or end in a wrong state.
 //!
 //! `MODEL_SEEDS=5000 cargo test --release -p tanager-schedule --test model` runs more seeds;
 //! `MODEL_TRACE=7` runs only seed 7 and prints a trace, and `MODEL_TASK=JOB.0.STEP.INDEX` adds the
