Ignore a worker's entry from before a restart that is already known

At stake is TWICE: a task that runs on a worker that restarted is started on another worker while it runs.

A report reveals a restart before the worker's entry in the store is written, read and applied; with a slow node or relayed reads the view is seconds behind, and a full read may be applied after a newer feed. Such an older entry overwrote the known start of the worker. The next report then looked like one more restart, and the runs that earlier reports had confirmed were released as lost with their incarnation, although they ran. An entry without a start erased the known start, so that a later restart was not noticed and the ends of the next incarnation, which count from 1, were taken for ends that had been applied.

An entry with an earlier start than the known one is now ignored, and one without a start keeps it: starts of a worker only rise.

--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -65,6 +65,12 @@
     fn sync_worker(&mut self, entry: &WorkerEntry, now: Duration) {
         if let Some(&key) = self.workers_by_id.get(&entry.worker) {
             let worker = &mut self.workers[key];
+            // Reports reveal a restart before its entry is read, and reads may be applied out of
+            // order. An older entry would make the next report look like another restart.
+            let known_start = worker.entry.started_ms;
+            if entry.started_ms > 0 && entry.started_ms < known_start {
+                return;
+            }
             let is_restarted = entry.started_ms > 0
                 && worker.entry.started_ms > 0
                 && entry.started_ms > worker.entry.started_ms;
@@ -74,6 +80,8 @@
                     self.placement_needed = true;
                 }
                 worker.entry = entry.clone();
+                // An entry without a start says nothing about restarts.
+                worker.entry.started_ms = entry.started_ms.max(known_start);
                 return;
             }
             self.replace_incarnation(key, entry.clone(), now);
