Take the store for unavailable to all only if every relay says so

At stake is TWICE: an owner that the store turns away goes on extending leases and starting runs while another node has acquired its cell. The new owner waits for a lease and 4 s; a worker that it does not reach keeps running what the former owner extends, and the task starts elsewhere.

The exception for an outage for all nodes was concluded from the node's own failing calls and one relay that did not forward a call. That relay may be turned away, too, or only be unreachable: a network partition of a zone with its workers looked like an outage for all. A response read seconds late by a slow node counted from the time at which it was read. An owner that was replaced while it was slow also used the exception in an outage that began later. A 503 of the store that was relayed counted as a served call.

Now each relay (up to six) must have responded within 3.2 s, counted from when it was asked, that the store does not serve it; a peer that cannot be reached proves nothing. The refusal carries the time for which the peer has not been served, and the ownership must have been confirmed less than 2.6 s before the latest of these, so that no takeover lies between. In an outage for all nodes leases and starts go on for as long as it lasts, as before; not if a relay was killed or is cut off meanwhile. A sample of six peers does not prove what all nodes see: with a third of the nodes turned away at random, all six are among them in 0.14% of cases (computed).

--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod oldest_first;
 pub mod orders;
 pub mod overload;
+pub mod ownership;
 pub mod pace;
 pub mod persistence;
 pub mod placement;
--- /dev/null
+++ b/crates/tanager-schedule/src/ownership.rs
@@ -0,0 +1,57 @@
+//! Decides what an owner may do whose ownership of a cell is uncertain. Pure functions without I/O.
+
+use std::time::Duration;
+
+/// What a node knows about the availability of the store to itself and to its relays, the peers
+/// through which it sends calls while its own ones fail.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreEvidence {
+    /// Whether the last direct call failed.
+    pub is_direct_failing: bool,
+    /// Number of relays.
+    pub relays: usize,
+    /// Number of relays that responded lately that the store does not serve them, and through which
+    /// no call has succeeded since.
+    pub unserved_relays: usize,
+    /// Time for which none of these relays has been served.
+    pub unserved_time: Duration,
+}
+
+/// How recently an owner was certain to own its cells.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OwnershipEvidence {
+    /// Time since the last heartbeat was sent that the store confirmed; `None` before the first.
+    pub heartbeat_age: Option<Duration>,
+    /// What is known about the store.
+    pub store: StoreEvidence,
+}
+
+/// Silence of a node after which others acquire its cells.
+pub const NODE_DEATH_TIMEOUT: Duration = Duration::from_millis(2_600);
+
+/// Returns whether an owner may extend leases. `limit` is the time for which a new owner expects a
+/// former one to do so.
+///
+/// While the store serves no node, none can acquire a cell, so leases are extended for as long as
+/// that lasts: accepted work goes on. One relay that is not served either does not prove it, and
+/// neither does one that does not respond: the store may turn away a part of the nodes, and a
+/// network partition may separate some of them, while it serves the others. The ownership must also
+/// have been certain when the outage began: a slow owner may have been replaced before.
+pub fn may_extend_leases(evidence: &OwnershipEvidence, limit: Duration) -> bool {
+    is_confirmed(evidence, limit) || is_unavailable_to_all(evidence)
+}
+
+/// Returns whether the ownership was confirmed within the last `limit`.
+pub fn is_confirmed(evidence: &OwnershipEvidence, limit: Duration) -> bool {
+    evidence.heartbeat_age.is_some_and(|age| age <= limit)
+}
+
+/// Returns whether the store serves no node, so that no cell can be acquired, and none of the cells
+/// was acquired before that.
+fn is_unavailable_to_all(evidence: &OwnershipEvidence) -> bool {
+    let store = &evidence.store;
+    store.is_direct_failing
+        && store.relays > 0
+        && store.unserved_relays >= store.relays
+        && is_confirmed(evidence, NODE_DEATH_TIMEOUT + store.unserved_time)
+}
--- /dev/null
+++ b/crates/tanager-schedule/tests/ownership.rs
@@ -0,0 +1,73 @@
+//! What an owner whose ownership is uncertain may do. Each test names the failure that it guards
+//! against.
+
+use std::time::Duration;
+
+use tanager_schedule::ownership;
+use tanager_schedule::ownership::OwnershipEvidence;
+use tanager_schedule::ownership::StoreEvidence;
+
+/// Time for which a new owner expects a former one to extend leases.
+const LEASE_LIMIT: Duration = Duration::from_millis(4_000);
+
+fn evidence(heartbeat_ms: u64, unserved_relays: usize) -> OwnershipEvidence {
+    OwnershipEvidence {
+        heartbeat_age: Some(Duration::from_millis(heartbeat_ms)),
+        store: StoreEvidence {
+            is_direct_failing: true,
+            relays: 6,
+            unserved_relays,
+            unserved_time: Duration::ZERO,
+        },
+    }
+}
+
+/// Guards against two owners that extend leases (TWICE): the store may turn away the owner and some
+/// of its relays while others take the cell over.
+#[test]
+fn one_relay_that_is_not_served_extends_no_leases() {
+    for unserved_relays in 0..6 {
+        let evidence = evidence(4_001, unserved_relays);
+        assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+    }
+}
+
+/// Guards against accepted work that ends because the store is away for long for all nodes.
+#[test]
+fn outage_for_all_keeps_leases_and_starts() {
+    let mut evidence = evidence(60_000, 6);
+    evidence.store.unserved_time = Duration::from_millis(58_500);
+    assert!(ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+}
+
+/// Guards against a slow owner that was replaced before the outage began and that extends leases
+/// and starts runs in it (TWICE).
+#[test]
+fn outage_keeps_nothing_that_was_uncertain_before() {
+    let mut evidence = evidence(60_000, 6);
+    evidence.store.unserved_time = Duration::from_millis(57_000);
+    assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+}
+
+/// Guards against an owner without relays that takes its own failing calls for an outage for all.
+#[test]
+fn node_without_relays_proves_no_outage() {
+    let mut evidence = evidence(4_001, 0);
+    evidence.store.relays = 0;
+    assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+}
+
+/// Guards against an earlier outage that counts while the store serves this node again.
+#[test]
+fn served_node_relies_on_its_own_confirmations() {
+    let mut evidence = evidence(4_001, 6);
+    evidence.store.is_direct_failing = false;
+    assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+}
+
+/// Guards against a node that has not written a heartbeat yet and extends leases.
+#[test]
+fn unconfirmed_node_may_do_nothing() {
+    let evidence = OwnershipEvidence::default();
+    assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+}
--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -9,6 +9,7 @@
 
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::NodeName;
+use tanager_schedule::ownership;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::records::ALLOCATOR_CELL;
@@ -18,7 +19,7 @@
 /// A node whose row did not change for this long is considered dead. Heartbeats are written every
 /// second and read every half second. Leases of five seconds or more outlast the detection and the
 /// takeover.
-pub const NODE_DEATH_TIMEOUT: Duration = Duration::from_millis(2_600);
+pub const NODE_DEATH_TIMEOUT: Duration = ownership::NODE_DEATH_TIMEOUT;
 /// Delay after which the next candidate may also acquire an orphaned cell.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(700);
 
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -18,6 +18,8 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
+use tanager_schedule::ownership;
+use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_site::machines::AdviceClient;
 use tanager_site::machines::MachineClient;
 use tanager_site::settings::SiteSettings;
@@ -188,21 +190,24 @@
         *heartbeat.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns how recently this node was certain to own its cells.
+    fn ownership_evidence(&self, now: Duration) -> OwnershipEvidence {
+        OwnershipEvidence {
+            heartbeat_age: self.heartbeat_age(now),
+            store: self.store_access.evidence(now),
+        }
+    }
+
     /// Returns whether no other node can have acquired a cell of this node: they do so only after a
     /// node has written no heartbeat for [`NODE_DEATH_TIMEOUT`].
     pub fn owns_its_cells(&self, now: Duration) -> bool {
-        self.heartbeat_age(now)
-            .is_some_and(|age| age < NODE_DEATH_TIMEOUT)
+        ownership::is_confirmed(&self.ownership_evidence(now), NODE_DEATH_TIMEOUT)
     }
 
     /// Returns whether leases may be extended.
-    ///
-    /// A node without a confirmed heartbeat may have lost its cells to another node, which waits
-    /// for the leases to expire. While the store is unavailable to all nodes, no node can acquire a
-    /// cell, so extending leases is safe.
     pub fn may_extend_leases(&self, now: Duration) -> bool {
-        self.is_heartbeat_confirmed(now, takeover::UNCONFIRMED_LEASE_LIMIT)
-            || self.store_access.is_unavailable_to_all(now)
+        let limit = takeover::UNCONFIRMED_LEASE_LIMIT;
+        ownership::may_extend_leases(&self.ownership_evidence(now), limit)
     }
 
     /// Selects the peers through which calls to the store may be relayed.
@@ -441,14 +446,20 @@
 
 /// Relays a call of another node to the store.
 async fn relay(context: &NodeContext, call: &HttpRequest, timeout: Duration) -> HttpResponse {
+    // The body gives the time, in milliseconds, for which the store has not served this node.
+    let unserved = || {
+        let unserved_time = context
+            .store_access
+            .unserved_time(context.clock.now())
+            .as_millis();
+        HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, unserved_time.to_string())
+    };
     if context.store_access.is_failing() {
-        return HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, "the store is away");
+        return unserved();
     }
     match context.store_access.send_direct(call, timeout).await {
         Ok(response) => peers::encode_relay_response(&response),
-        Err(error) if error.kind == ErrorKind::NotSent => {
-            HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
-        }
+        Err(error) if error.kind == ErrorKind::NotSent => unserved(),
         Err(error) => HttpResponse::new(StatusCode::GATEWAY_TIMEOUT, error.to_string()),
     }
 }
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -41,6 +41,15 @@
 
 /// Path of calls to the owner of a cell.
 pub const CELL_PATH: &str = "/cell";
+/// Response to a call to the store that a peer was asked to relay.
+#[derive(Clone, Debug)]
+pub enum RelayReply {
+    /// The store's response.
+    Response(HttpResponse),
+    /// The call was not relayed, since the store has not served the peer for this time.
+    Unserved(Duration),
+}
+
 /// Path of calls to the store that a peer relays.
 pub const RELAY_PATH: &str = "/relay";
 /// Path of notifications that owners of cells changed.
@@ -348,14 +357,23 @@
         address: SocketAddr,
         request: &HttpRequest,
         timeout: Duration,
-    ) -> TanagerResult<HttpResponse> {
+    ) -> TanagerResult<RelayReply> {
         let wire = RelayRequest {
             method: request.method.to_string(),
             path: request.path.clone(),
             body: STANDARD.encode(&request.body),
             timeout_ms: timeout.as_millis() as u64,
         };
-        let response: RelayResponse = self.call(address, RELAY_PATH, &wire, timeout).await?;
+        let response = self.exchange(address, RELAY_PATH, &wire, timeout).await?;
+        if response.status == StatusCode::SERVICE_UNAVAILABLE {
+            let millis = std::str::from_utf8(&response.body)
+                .ok()
+                .and_then(|text| text.parse().ok());
+            // An overloaded peer responds without a time.
+            let millis = millis.unwrap_or(0);
+            return Ok(RelayReply::Unserved(Duration::from_millis(millis)));
+        }
+        let response: RelayResponse = decode_response(address, &response)?;
         let unknown = |error: String| {
             TanagerError::new(ErrorKind::Unknown, "relay", address.to_string(), error)
         };
@@ -363,7 +381,7 @@
         let body = STANDARD
             .decode(response.body)
             .map_err(|error| unknown(error.to_string()))?;
-        Ok(HttpResponse::new(status, body))
+        Ok(RelayReply::Response(HttpResponse::new(status, body)))
     }
 
     async fn call<Q: Serialize, A: for<'a> Deserialize<'a>>(
@@ -373,29 +391,52 @@
         body: &Q,
         timeout: Duration,
     ) -> TanagerResult<A> {
-        let failure =
-            |kind, error: String| TanagerError::new(kind, "call peer", address.to_string(), error);
+        let response = self.exchange(address, path, body, timeout).await?;
+        decode_response(address, &response)
+    }
+
+    async fn exchange<Q: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &Q,
+        timeout: Duration,
+    ) -> TanagerResult<HttpResponse> {
         let body = serde_json::to_vec(body)
-            .map_err(|error| failure(ErrorKind::NotSent, error.to_string()))?;
+            .map_err(|error| call_failure(ErrorKind::NotSent, address, error.to_string()))?;
         let request = HttpRequest::new(Method::POST, path, body);
         let pool = self.pool(address);
-        let response = match pool.exchange(&request, timeout).await {
-            Ok(response) => response,
-            Err(error) => {
-                // The peer may no longer respond on the other idle connections, either.
-                pool.clear();
-                return Err(error);
-            }
-        };
-        match response.status {
-            StatusCode::OK => serde_json::from_slice(&response.body)
-                .map_err(|error| failure(ErrorKind::Unknown, error.to_string())),
-            // The peer did not process the call.
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => {
-                Err(failure(ErrorKind::NotSent, response.status.to_string()))
-            }
-            status => Err(failure(ErrorKind::Unknown, status.to_string())),
+        let result = pool.exchange(&request, timeout).await;
+        if result.is_err() {
+            // The peer may no longer respond on the other idle connections, either.
+            pool.clear();
         }
+        result
+    }
+}
+
+fn call_failure(kind: ErrorKind, address: SocketAddr, error: String) -> TanagerError {
+    TanagerError::new(kind, "call peer", address.to_string(), error)
+}
+
+fn decode_response<A: for<'a> Deserialize<'a>>(
+    address: SocketAddr,
+    response: &HttpResponse,
+) -> TanagerResult<A> {
+    match response.status {
+        StatusCode::OK => serde_json::from_slice(&response.body)
+            .map_err(|error| call_failure(ErrorKind::Unknown, address, error.to_string())),
+        // The peer did not process the call.
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => Err(call_failure(
+            ErrorKind::NotSent,
+            address,
+            response.status.to_string(),
+        )),
+        status => Err(call_failure(
+            ErrorKind::Unknown,
+            address,
+            status.to_string(),
+        )),
     }
 }
 
--- a/crates/tanager-service/src/store_access.rs
+++ b/crates/tanager-service/src/store_access.rs
@@ -14,11 +14,13 @@
 use tanager_http::pool::PoolLimits;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
+use tanager_schedule::ownership::StoreEvidence;
 use tanager_site::store::TableStore;
 
 use crate::clock::NodeClock;
 use crate::metrics::NodeMetrics;
 use crate::peers::PeerClient;
+use crate::peers::RelayReply;
 
 /// Time for which calls are relayed after a direct call failed or a relayed call succeeded.
 const RELAY_PERIOD: Duration = Duration::from_millis(2_000);
@@ -33,9 +35,10 @@
 
 /// Direct calls that fail for this long are logged as an outage.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(250);
-/// Time for which a relayed call that did not reach the store counts as a sign that the store is
-/// unavailable to peers, too.
-const RELAY_FAILURE_VALIDITY: Duration = Duration::from_millis(2_500);
+/// Time for which the response of a peer that the store does not serve it counts. It is longer than
+/// [`FAILED_RELAY_PAUSE`], after which the peer is asked again, and shorter than the time for which
+/// a new owner expects a former one to extend leases: a peer that is served again may acquire a cell.
+const RELAY_REFUSAL_VALIDITY: Duration = Duration::from_millis(3_200);
 
 /// Sends calls to the store, directly or through relays.
 pub struct StoreAccess {
@@ -56,9 +59,12 @@
     reason: String,
     /// Whether the outage since then was logged.
     is_outage_logged: bool,
-    /// Time at which a relayed call last failed without reaching the store, because the peer
-    /// reported the store unavailable or could not be reached; `None` after a successful one.
-    relay_not_sent_at: Option<Duration>,
+    /// Time at which the first direct call was sent that the store has not served since the last one
+    /// that it served.
+    unserved_since: Option<Duration>,
+    /// Peers that responded that the store does not serve them. A call that succeeds through a peer
+    /// removes all, since the store serves some nodes.
+    unserved_relays: HashMap<SocketAddr, UnservedRelay>,
     /// Peers that can relay calls.
     relays: Vec<SocketAddr>,
     next_relay: usize,
@@ -70,6 +76,15 @@
     next_probe: Duration,
 }
 
+/// A peer that responded that the store does not serve it.
+#[derive(Clone, Copy, Debug)]
+struct UnservedRelay {
+    /// Time at which the call to the peer was sent.
+    asked_at: Duration,
+    /// Time since which the store has not served the peer.
+    since: Duration,
+}
+
 impl StoreAccess {
     /// Creates the access and a store client that sends through it.
     pub fn open(
@@ -109,12 +124,26 @@
         self.lock().failing_since.is_some()
     }
 
-    /// Returns whether the store appears to be unavailable to all nodes: direct calls fail, and a
-    /// relayed call recently failed without reaching the store.
-    pub fn is_unavailable_to_all(&self, now: Duration) -> bool {
+    /// Returns what is known about the availability of the store to this node and its relays.
+    pub fn evidence(&self, now: Duration) -> StoreEvidence {
         let state = self.lock();
-        let is_fresh = |at: Duration| now.saturating_sub(at) <= RELAY_FAILURE_VALIDITY;
-        state.failing_since.is_some() && state.relay_not_sent_at.is_some_and(is_fresh)
+        let unserved: Vec<&UnservedRelay> = (state.relays.iter())
+            .filter_map(|relay| state.unserved_relays.get(relay))
+            .filter(|relay| now.saturating_sub(relay.asked_at) <= RELAY_REFUSAL_VALIDITY)
+            .collect();
+        let last_start = unserved.iter().map(|relay| relay.since).max();
+        StoreEvidence {
+            is_direct_failing: state.failing_since.is_some(),
+            relays: state.relays.len(),
+            unserved_relays: unserved.len(),
+            unserved_time: last_start.map_or(Duration::ZERO, |since| now.saturating_sub(since)),
+        }
+    }
+
+    /// Returns the time for which the store has not served direct calls.
+    pub fn unserved_time(&self, now: Duration) -> Duration {
+        let since = self.lock().unserved_since;
+        since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
     async fn send(
@@ -127,38 +156,56 @@
                 break;
             };
             self.metrics.store_relayed.increment();
+            let sent_at = self.clock.now();
             let result = self.peers.relay(relay, &request, timeout).await;
-            self.record_relay(relay, &result);
+            self.record_relay(relay, &result, sent_at);
             match result {
                 // The peer did not forward the call; try the next one.
+                Ok(RelayReply::Unserved(_)) => {}
                 Err(error) if error.kind == ErrorKind::NotSent => {}
-                result => return result,
+                Ok(RelayReply::Response(response)) => return Ok(response),
+                Err(error) => return Err(error),
             }
         }
         self.send_direct(&request, timeout).await
     }
 
     /// Records the result of a relayed call: keeps using a relay that works, skips one that fails.
-    fn record_relay(self: &Arc<Self>, relay: SocketAddr, result: &TanagerResult<HttpResponse>) {
+    fn record_relay(
+        self: &Arc<Self>,
+        relay: SocketAddr,
+        result: &TanagerResult<RelayReply>,
+        sent_at: Duration,
+    ) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        match result {
-            Ok(_) => {
-                state.relay_not_sent_at = None;
-                state.working_relay = Some(relay);
-                state.relay_until = now + RELAY_PERIOD;
-                if now >= state.next_probe {
-                    state.next_probe = now + PROBE_PERIOD;
-                    tokio::spawn(probe(Arc::clone(self)));
-                }
-            }
-            Err(error) => {
-                state.working_relay = None;
-                state.failed_relays.insert(relay, now + FAILED_RELAY_PAUSE);
-                if error.kind == ErrorKind::NotSent {
-                    state.relay_not_sent_at = Some(now);
-                }
+        let unserved_time = match result {
+            Ok(RelayReply::Unserved(time)) => Some(*time),
+            Ok(RelayReply::Response(response))
+                if response.status == StatusCode::SERVICE_UNAVAILABLE =>
+            {
+                Some(Duration::ZERO)
             }
+            _ => None,
+        };
+        let mut state = self.lock();
+        if let Some(time) = unserved_time {
+            let entry = UnservedRelay {
+                asked_at: sent_at,
+                since: now.saturating_sub(time),
+            };
+            state.unserved_relays.insert(relay, entry);
+        }
+        if result.is_err() || unserved_time.is_some() {
+            state.working_relay = None;
+            state.failed_relays.insert(relay, now + FAILED_RELAY_PAUSE);
+            return;
+        }
+        state.unserved_relays.clear();
+        state.working_relay = Some(relay);
+        state.relay_until = now + RELAY_PERIOD;
+        if now >= state.next_probe {
+            state.next_probe = now + PROBE_PERIOD;
+            tokio::spawn(probe(Arc::clone(self)));
         }
     }
 
@@ -173,6 +220,7 @@
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
         self.metrics.store_calls.increment();
+        let sent_at = self.clock.now();
         let result = self.direct.exchange(request, timeout).await;
         let is_served = result.as_ref().is_ok_and(|response| {
             !matches!(
@@ -183,6 +231,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         if is_served {
+            state.unserved_since = None;
             if let Some(since) = state.failing_since.take() {
                 let outage = now.saturating_sub(since);
                 // A single failed call is not logged as an outage; the metrics count it.
@@ -193,6 +242,7 @@
             state.relay_until = Duration::ZERO;
         } else {
             self.metrics.store_failures.increment();
+            state.unserved_since.get_or_insert(sent_at);
             if state.failing_since.is_none() {
                 let reason = match &result {
                     Ok(response) => response.status.to_string(),
