Confirm the ownership of cells by a read of the owner rows

At stake is TWICE: a node that was turned away or frozen writes heartbeats again up to 0.5 s, and longer while its reads fail, before it reads that its cells have other owners. During that time a confirmed heartbeat allowed it to extend leases by 5.7 s more on workers that the new owner does not reach, although the new owner waits for the leases of the time before only.

A heartbeat says that the node is alive, not that it still owns a cell. The permission now also needs a read of the owner rows that was sent within the same limit. A takeover after that read waits for 4 s and a lease, which covers what the permission allows. The node also says that it does not know a job only under this condition.

The test `heartbeat_after_a_gap_does_not_confirm_the_ownership` fails without it. The reads are made every 0.5 s anyway, so no call is added.

--- a/crates/tanager-schedule/src/ownership.rs
+++ b/crates/tanager-schedule/src/ownership.rs
@@ -22,6 +22,8 @@
 pub struct OwnershipEvidence {
     /// Time since the last heartbeat was sent that the store confirmed; `None` before the first.
     pub heartbeat_age: Option<Duration>,
+    /// Time since the last successful read of the owner rows was sent; `None` before the first.
+    pub owner_read_age: Option<Duration>,
     /// What is known about the store.
     pub store: StoreEvidence,
 }
@@ -41,9 +43,14 @@
     is_confirmed(evidence, limit) || is_unavailable_to_all(evidence)
 }
 
-/// Returns whether the ownership was confirmed within the last `limit`.
+/// Returns whether the ownership was confirmed within the last `limit`: by a heartbeat, and by a
+/// read of the owner rows.
+///
+/// A heartbeat alone proves nothing after a gap: a node that was turned away writes heartbeats again
+/// before it learns that its cells have other owners.
 pub fn is_confirmed(evidence: &OwnershipEvidence, limit: Duration) -> bool {
-    evidence.heartbeat_age.is_some_and(|age| age <= limit)
+    let is_recent = |age: Option<Duration>| age.is_some_and(|age| age <= limit);
+    is_recent(evidence.heartbeat_age) && is_recent(evidence.owner_read_age)
 }
 
 /// Returns whether the store serves no node, so that no cell can be acquired, and none of the cells
--- a/crates/tanager-schedule/tests/ownership.rs
+++ b/crates/tanager-schedule/tests/ownership.rs
@@ -10,9 +10,10 @@
 /// Time for which a new owner expects a former one to extend leases.
 const LEASE_LIMIT: Duration = Duration::from_millis(4_000);
 
-fn evidence(heartbeat_ms: u64, unserved_relays: usize) -> OwnershipEvidence {
+fn evidence(heartbeat_ms: u64, read_ms: u64, unserved_relays: usize) -> OwnershipEvidence {
     OwnershipEvidence {
         heartbeat_age: Some(Duration::from_millis(heartbeat_ms)),
+        owner_read_age: Some(Duration::from_millis(read_ms)),
         store: StoreEvidence {
             is_direct_failing: true,
             relays: 6,
@@ -27,7 +28,7 @@
 #[test]
 fn one_relay_that_is_not_served_extends_no_leases() {
     for unserved_relays in 0..6 {
-        let evidence = evidence(4_001, unserved_relays);
+        let evidence = evidence(4_001, 4_001, unserved_relays);
         assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
     }
 }
@@ -35,7 +36,7 @@
 /// Guards against accepted work that ends because the store is away for long for all nodes.
 #[test]
 fn outage_for_all_keeps_leases_and_starts() {
-    let mut evidence = evidence(60_000, 6);
+    let mut evidence = evidence(60_000, 59_500, 6);
     evidence.store.unserved_time = Duration::from_millis(58_500);
     assert!(ownership::may_extend_leases(&evidence, LEASE_LIMIT));
 }
@@ -44,7 +45,7 @@
 /// and starts runs in it (TWICE).
 #[test]
 fn outage_keeps_nothing_that_was_uncertain_before() {
-    let mut evidence = evidence(60_000, 6);
+    let mut evidence = evidence(60_000, 59_500, 6);
     evidence.store.unserved_time = Duration::from_millis(57_000);
     assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
 }
@@ -52,7 +53,7 @@
 /// Guards against an owner without relays that takes its own failing calls for an outage for all.
 #[test]
 fn node_without_relays_proves_no_outage() {
-    let mut evidence = evidence(4_001, 0);
+    let mut evidence = evidence(4_001, 4_001, 0);
     evidence.store.relays = 0;
     assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
 }
@@ -60,11 +61,21 @@
 /// Guards against an earlier outage that counts while the store serves this node again.
 #[test]
 fn served_node_relies_on_its_own_confirmations() {
-    let mut evidence = evidence(4_001, 6);
+    let mut evidence = evidence(4_001, 4_001, 6);
     evidence.store.is_direct_failing = false;
     assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
 }
 
+/// Guards against a former owner that was turned away, writes heartbeats again and extends leases
+/// before it has read that its cells have other owners (TWICE).
+#[test]
+fn heartbeat_after_a_gap_does_not_confirm_the_ownership() {
+    let before_read = evidence(10, 9_000, 0);
+    assert!(!ownership::may_extend_leases(&before_read, LEASE_LIMIT));
+    let after_read = evidence(500, 10, 0);
+    assert!(ownership::may_extend_leases(&after_read, LEASE_LIMIT));
+}
+
 /// Guards against a node that has not written a heartbeat yet and extends leases.
 #[test]
 fn unconfirmed_node_may_do_nothing() {
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -98,6 +98,8 @@
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
     last_heartbeat: Mutex<Option<ConfirmedHeartbeat>>,
+    /// Time at which the last successful read of the owner rows was sent.
+    last_owner_read: Mutex<Option<Duration>>,
     stopping: watch::Sender<bool>,
 }
 
@@ -190,10 +192,24 @@
         *heartbeat.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the owner rows were read and cells of other owners were closed; the read was sent
+    /// at `sent_at`.
+    pub fn record_owner_read(&self, sent_at: Duration) {
+        *self
+            .last_owner_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+    }
+
     /// Returns how recently this node was certain to own its cells.
     fn ownership_evidence(&self, now: Duration) -> OwnershipEvidence {
+        let owner_read = *self
+            .last_owner_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         OwnershipEvidence {
             heartbeat_age: self.heartbeat_age(now),
+            owner_read_age: owner_read.map(|sent_at| now.saturating_sub(sent_at)),
             store: self.store_access.evidence(now),
         }
     }
@@ -316,6 +332,7 @@
             view: Mutex::default(),
             cells: Mutex::default(),
             last_heartbeat: Mutex::default(),
+            last_owner_read: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
         });
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -370,6 +370,7 @@
 async fn watch_cells(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(CELL_TABLE, false);
     loop {
+        let sent_at = context.clock.now();
         match table.read(&context).await {
             Ok(TableRead::Full(rows) | TableRead::Changed(rows)) => {
                 let has_changes = !rows.is_empty();
@@ -385,6 +386,7 @@
                 }
                 context.view().has_read_owners = true;
                 close_lost_cells(&context);
+                context.record_owner_read(sent_at);
                 if has_changes {
                     context.owners_changed.notify_one();
                 }
