Start no runs once other nodes may have acquired the cell

At stake is TWICE: an owner without confirmed heartbeats started runs for 4 s, though others acquire its cell after 2.6 s. In between, the new owner may have adopted a run on a worker that the former owner no longer reaches. The former owner takes that run for lost when its lease has expired by its own count, which does not include what the new owner extended, and starts the task on a worker that has not seen the new token yet.

The waiting time of a takeover protects tasks without a known run only, not those that were adopted. So starts now end at 2.6 s without a confirmation, and leases are still extended for 4 s, so that running work outlasts the takeover. In an outage for all nodes both go on as before.

The test `owner_that_may_be_replaced_starts_nothing` fails without it. Cost: starts pause up to 1.4 s sooner while a node's own calls fail and a relay is not found.

--- a/crates/tanager-schedule/tests/ownership.rs
+++ b/crates/tanager-schedule/tests/ownership.rs
@@ -30,6 +30,7 @@
     for unserved_relays in 0..6 {
         let evidence = evidence(4_001, 4_001, unserved_relays);
         assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+        assert!(!ownership::may_start_runs(&evidence));
     }
 }
 
@@ -39,6 +40,7 @@
     let mut evidence = evidence(60_000, 59_500, 6);
     evidence.store.unserved_time = Duration::from_millis(58_500);
     assert!(ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+    assert!(ownership::may_start_runs(&evidence));
 }
 
 /// Guards against a slow owner that was replaced before the outage began and that extends leases
@@ -48,6 +50,7 @@
     let mut evidence = evidence(60_000, 59_500, 6);
     evidence.store.unserved_time = Duration::from_millis(57_000);
     assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+    assert!(!ownership::may_start_runs(&evidence));
 }
 
 /// Guards against an owner without relays that takes its own failing calls for an outage for all.
@@ -72,8 +75,19 @@
 fn heartbeat_after_a_gap_does_not_confirm_the_ownership() {
     let before_read = evidence(10, 9_000, 0);
     assert!(!ownership::may_extend_leases(&before_read, LEASE_LIMIT));
+    assert!(!ownership::may_start_runs(&before_read));
     let after_read = evidence(500, 10, 0);
     assert!(ownership::may_extend_leases(&after_read, LEASE_LIMIT));
+    assert!(ownership::may_start_runs(&after_read));
+}
+
+/// Guards against a start of a task that the next owner has adopted on another worker (TWICE): an
+/// owner that may have been replaced extends leases for a while, but starts nothing.
+#[test]
+fn owner_that_may_be_replaced_starts_nothing() {
+    let evidence = evidence(2_601, 100, 0);
+    assert!(ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+    assert!(!ownership::may_start_runs(&evidence));
 }
 
 /// Guards against a node that has not written a heartbeat yet and extends leases.
@@ -81,4 +95,5 @@
 fn unconfirmed_node_may_do_nothing() {
     let evidence = OwnershipEvidence::default();
     assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+    assert!(!ownership::may_start_runs(&evidence));
 }
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -291,7 +291,7 @@
         let (actions, events, has_work, awaits_allowance) = {
             let mut core = self.core();
             let now = clock.now();
-            let may_start = !self.is_paused() && self.context.may_extend_leases(now);
+            let may_start = !self.is_paused() && self.context.may_start_runs(now);
             core.tick(now, clock.wall_ms(), may_start);
             let has_work = core.has_dirty() || core.has_unstored_ends();
             let awaits_allowance = core.awaits_allowance();
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -226,6 +226,11 @@
         ownership::may_extend_leases(&self.ownership_evidence(now), limit)
     }
 
+    /// Returns whether runs may be started.
+    pub fn may_start_runs(&self, now: Duration) -> bool {
+        ownership::may_start_runs(&self.ownership_evidence(now))
+    }
+
     /// Selects the peers through which calls to the store may be relayed.
     pub fn update_relays(&self) {
         let view = self.view();
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -94,7 +94,7 @@
         if self.is_closed() {
             return;
         }
-        let may_start = self.context.may_extend_leases(self.context.clock.now());
+        let may_start = self.context.may_start_runs(self.context.clock.now());
         if !self.core().confirm_start(worker, task, run, may_start) {
             return;
         }
