Wait for an unresponsive owner also if its successor ends early

At stake is TWICE: a new owner starts tasks that still run on a worker whose leases an earlier owner extends.

A takeover from an unresponsive owner waits 4 s longer for workers that do not report, because that owner may still extend leases. If the new owner itself released the cell, ended or restarted within that time, the next one found a former owner that had ended, and did not wait these 4 s: it could start tasks about 1 s before the first owner's leases had expired. The same held for an acquiring write that the store carried out seconds after its node had abandoned it: the row then names the node that reads it, which says nothing about the owner before.

The owner row now says if the cell was acquired from an owner that may have extended leases; a release clears this once the takeover is complete. A takeover that finds the mark waits in full. Workers that report are not waited for, so the cost is up to 4 s for unreached workers only, also when an owner that had acquired its cell that way dies much later.

The test `end_of_an_owner_says_nothing_about_its_predecessor` fails without it.

--- a/crates/tanager-schedule/src/ownership.rs
+++ b/crates/tanager-schedule/src/ownership.rs
@@ -1,7 +1,10 @@
-//! Decides what an owner may do whose ownership of a cell is uncertain. Pure functions without I/O.
+//! Decides what an owner may do whose ownership of a cell is uncertain, and what a new owner must
+//! assume of the former ones. Pure functions without I/O.
 
 use std::time::Duration;
 
+use crate::recovery::FormerOwner;
+
 /// What a node knows about the availability of the store to itself and to its relays, the peers
 /// through which it sends calls while its own ones fail.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -52,6 +55,19 @@
     is_confirmed(evidence, NODE_DEATH_TIMEOUT) || is_unavailable_to_all(evidence)
 }
 
+/// Determines what is known about the former owners of a cell: `has_ended` tells whether the last
+/// one released the cell or its process has ended, `awaits_predecessor` whether that one acquired
+/// the cell from an unresponsive owner and may not have outlasted its leases.
+///
+/// An owner that ends soon after it acquired the cell says nothing about its predecessor, which may
+/// still extend leases on workers that neither of its successors reaches.
+pub fn former_owner(has_ended: bool, awaits_predecessor: bool) -> FormerOwner {
+    match has_ended && !awaits_predecessor {
+        true => FormerOwner::Inactive,
+        false => FormerOwner::Unresponsive,
+    }
+}
+
 /// Returns whether the ownership was confirmed within the last `limit`: by a heartbeat, and by a
 /// read of the owner rows.
 ///
--- a/crates/tanager-schedule/tests/ownership.rs
+++ b/crates/tanager-schedule/tests/ownership.rs
@@ -6,6 +6,7 @@
 use tanager_schedule::ownership;
 use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_schedule::ownership::StoreEvidence;
+use tanager_schedule::recovery::FormerOwner;
 
 /// Time for which a new owner expects a former one to extend leases.
 const LEASE_LIMIT: Duration = Duration::from_millis(4_000);
@@ -97,3 +98,19 @@
     assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
     assert!(!ownership::may_start_runs(&evidence));
 }
+
+/// Guards against a takeover that does not wait for the leases of an unresponsive owner because
+/// another owner released the cell, or ended, soon after it had acquired it (TWICE).
+#[test]
+fn end_of_an_owner_says_nothing_about_its_predecessor() {
+    let cases = [
+        (true, false, FormerOwner::Inactive),
+        (true, true, FormerOwner::Unresponsive),
+        (false, false, FormerOwner::Unresponsive),
+        (false, true, FormerOwner::Unresponsive),
+    ];
+    for (has_ended, awaits_predecessor, expected) in cases {
+        let found = ownership::former_owner(has_ended, awaits_predecessor);
+        assert_eq!(found, expected, "{has_ended} {awaits_predecessor}");
+    }
+}
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -72,6 +72,10 @@
     /// Node that released the cell; it does not acquire the cell again.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub released_by: NodeName,
+    /// Whether the cell was acquired from an owner that may have still extended leases, and the owner
+    /// may not have outlasted them.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub awaits_predecessor: bool,
 }
 
 /// Ledger row of a cell.
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -17,6 +17,7 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::CellSettings;
 use tanager_schedule::durations::QueueDuration;
+use tanager_schedule::ownership;
 use tanager_schedule::recovery::FormerOwner;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowVersion;
@@ -72,7 +73,8 @@
 ) -> TanagerResult<Arc<CellHandle>> {
     let previous = context.view().owners.get(name).cloned().unwrap_or_default();
     let former_owner = former_owner(context, &previous.record);
-    let version = write_owner(context, name, previous.version).await?;
+    let record = own_owner_record(context, former_owner);
+    let version = write_owner(context, name, &record, previous.version).await?;
     let started = context.clock.now();
     log::info!(
         "event=cell_taken cell={name} token={version} before={:?} before_version={}",
@@ -80,7 +82,6 @@
         previous.version
     );
     context.metrics.cells_taken.increment();
-    let record = own_owner_record(context);
     context.view().apply_owner(name, record, version);
     let (rows, ()) = tokio::join!(
         read_cell(context, name),
@@ -144,10 +145,7 @@
         || record.node == context.settings.node
         || (context.view().nodes.get(&record.node))
             .is_some_and(|observed| observed.record.incarnation > record.incarnation);
-    match has_ended {
-        true => FormerOwner::Inactive,
-        false => FormerOwner::Unresponsive,
-    }
+    ownership::former_owner(has_ended, record.awaits_predecessor)
 }
 
 /// Derives the settings of a cell from the settings of the site.
@@ -165,11 +163,12 @@
     }
 }
 
-fn own_owner_record(context: &NodeContext) -> OwnerRecord {
+fn own_owner_record(context: &NodeContext, former_owner: FormerOwner) -> OwnerRecord {
     OwnerRecord {
         node: context.settings.node.clone(),
         incarnation: context.incarnation,
         released_by: String::new(),
+        awaits_predecessor: former_owner == FormerOwner::Unresponsive,
     }
 }
 
@@ -178,13 +177,13 @@
 async fn write_owner(
     context: &NodeContext,
     name: &CellName,
+    record: &OwnerRecord,
     expected_version: RowVersion,
 ) -> TanagerResult<RowVersion> {
     let row = cell_row(CELL_TABLE, name, OWNER_KEY);
-    let record = own_owner_record(context);
     let change = TableChange {
         expect: vec![(row.clone(), expected_version)],
-        puts: vec![(row, encode_record(&record)?)],
+        puts: vec![(row, encode_record(record)?)],
         removals: Vec::new(),
     };
     match context.store.change(&change, CALL_TIMEOUT).await {
@@ -209,7 +208,7 @@
             let found = page.rows.iter().find(|row| row.name.key == OWNER_KEY);
             let found = found.ok_or_else(|| error.clone())?;
             apply_owner_row(context, name, &found.value, found.version);
-            match decode_record::<OwnerRecord>(name, &found.value)? == record {
+            match decode_record::<OwnerRecord>(name, &found.value)? == *record {
                 true if found.version > expected_version => Ok(found.version),
                 _ => Err(error),
             }
@@ -339,8 +338,11 @@
         return;
     }
     let row = cell_row(CELL_TABLE, &cell.name, OWNER_KEY);
+    let awaits_predecessor = (context.view().owners.get(&cell.name))
+        .is_some_and(|observed| observed.record.awaits_predecessor);
     let record = OwnerRecord {
         released_by: context.settings.node.clone(),
+        awaits_predecessor: awaits_predecessor && cell.core().is_recovering(),
         ..OwnerRecord::default()
     };
     let value = match encode_record(&record) {
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -74,7 +74,7 @@
     let record = OwnerRecord {
         node: node.to_owned(),
         incarnation,
-        released_by: String::new(),
+        ..OwnerRecord::default()
     };
     let version = 100 + view.owners.len() as u64;
     view.apply_owner(cell, record, version);
