Release no run on the evidence of a report that omits ends

Callers saw a task run twice. A worker lists at most 500 unacknowledged ends. An end beyond them is neither among the running nor among the ended ones, and the owner took such a run for lost and started its task again, although it had ended as done.

Ends pile up while the store is away: at 12 ends a second a worker of 64 cores needs 40 s.

A report that lists as many ends as allowed no longer releases runs, and a worker of the former owner is not accounted for by it. The wait for that worker is extended instead, as its leases are. It works because stored ends are acknowledged, and a later report lists the rest.

--- a/crates/tanager-schedule/src/recovery.rs
+++ b/crates/tanager-schedule/src/recovery.rs
@@ -7,11 +7,13 @@
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
+use tanager_jobs::ids::WorkerId;
 
 use crate::action::CellEvent;
 use crate::core::CellCore;
 use crate::job::JobEntry;
 use crate::job::TaskPhase;
+use crate::settings::MIN_CLOCK_RATE;
 
 /// Time in addition to the longest stop, after which stops ordered by the former owner are visible
 /// in the workers' lists.
@@ -26,6 +28,11 @@
     Unresponsive,
 }
 
+/// Returns the longest time on the local clock that a lease lasts on a worker.
+fn max_lease_time(lease: Duration) -> Duration {
+    lease.mul_f64(1.0 / MIN_CLOCK_RATE)
+}
+
 impl CellCore {
     /// Loads a stored job.
     pub fn load_job(
@@ -84,10 +91,7 @@
             FormerOwner::Inactive => Duration::ZERO,
             FormerOwner::Unresponsive => self.settings.stale_owner_limit,
         };
-        let lease = self
-            .settings
-            .lease
-            .mul_f64(1.0 / crate::settings::MIN_CLOCK_RATE);
+        let lease = max_lease_time(self.settings.lease);
         // Stops ordered by the former owner appear in the lists only once the runs have ended.
         self.stops_visible_from = now + self.settings.max_stop_time + STOP_MARGIN;
         for entry in workers {
@@ -96,6 +100,13 @@
         }
     }
 
+    /// Waits anew for a complete report of a worker that is not accounted for, at most for `lease`.
+    pub(crate) fn await_worker_again(&mut self, worker: &WorkerId, lease: Duration, now: Duration) {
+        if let Some(end) = self.unconfirmed_workers.get_mut(worker) {
+            *end = (*end).max(now + max_lease_time(lease));
+        }
+    }
+
     /// Allows unlisted tasks to start again once no worker of the former owner is unconfirmed.
     pub(crate) fn finish_recovery(&mut self, now: Duration) {
         let expired = (self.unconfirmed_workers).extract_if(|_, end| now >= *end);
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -58,8 +58,13 @@
         for running in &report.running {
             self.apply_running(key, running, now);
         }
-        self.release_unlisted_runs(key, report, sent_at);
-        self.unconfirmed_workers.remove(&id);
+        // A run whose end is omitted is in neither list.
+        if report.omits_ends {
+            self.await_worker_again(&id, self.settings.lease, now);
+        } else {
+            self.release_unlisted_runs(key, report, sent_at);
+            self.unconfirmed_workers.remove(&id);
+        }
         self.finish_recovery(now);
         self.pace_best_effort_tasks(key, now);
         true
