Wait for the report of a restarted worker after a takeover

Callers saw a task run twice. After a takeover, the tasks that the former owner may have started wait until every worker of the ledger has reported. A worker that restarted under its id counted as accounted for as soon as the new owner learned of the restart: by its entry, before any contact, or by its first report, which was dropped together with the runs that it lists. An order of the former owner that the next incarnation had carried out was therefore started again elsewhere.

The wait now passes to the next incarnation. The same lease is assumed for all workers of a former owner until a report shows their runs.

--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -79,7 +79,13 @@
             self.replace_incarnation(key, entry.clone(), now);
             return;
         }
-        let slot = WorkerSlot::new(entry.clone(), self.settings.lease);
+        let assumed_lease = match self.unconfirmed_workers.contains_key(&entry.worker) {
+            // Orders of the former owner may have reached a later incarnation than they were meant
+            // for, which then granted the longest lease.
+            true => self.settings.max_lease,
+            false => self.settings.lease,
+        };
+        let slot = WorkerSlot::new(entry.clone(), assumed_lease);
         let key = self.workers.insert(slot);
         self.workers_by_id.insert(entry.worker.clone(), key);
     }
@@ -106,8 +112,15 @@
             .filter(|(_, slot)| slot.ordered_at >= reported || slot.stage == RunStage::Starting)
             .map(|(task, slot)| (*task, slot.clone()))
             .collect();
-        self.end_incarnation(key);
         let id = entry.worker.clone();
+        let awaited_until = self.unconfirmed_workers.get(&id).copied();
+        self.end_incarnation(key);
+        if let Some(end) = awaited_until {
+            // The new incarnation may have runs of the former owner as well, with leases that were
+            // meant for the clock of the earlier one.
+            self.unconfirmed_workers.insert(id.clone(), end);
+            self.await_worker_again(&id, self.settings.max_lease, now);
+        }
         let mut slot = WorkerSlot::new(entry, self.settings.max_lease);
         // A third incarnation may start before these orders are certain to be lost.
         slot.unconfirmed_starts.clone_from(&unconfirmed_starts);
