Log the runs of a task with worker, incarnation, cell and token

Operators who asked why a task ran twice could not put its runs side by side: accepted starts were logged without worker, incarnation, cell and lease, and ends, acknowledgements, adopted runs and replaced incarnations were not logged at all.

Each start order now has a line with worker, start of the incarnation (born), lease, result, duration, cell and token. Each end that an owner reads for the first time and each rise of the acknowledged number has one as well. The lines of accepted starts, ends and acknowledgements have the target tanager::runs at level debug, because owners of 0.12 to 0.5 of a core order hundreds of starts a second; while the target is off, no text is built. RUST_LOG now takes levels by target, so RUST_LOG=info,tanager::runs=debug enables them alone. The cell tells its owner of adopted runs, of unknown runs that it stops and of replaced incarnations, with how they were learned; these lines are rare, stay at info, and are counted. run_stopped, run_lost and worker_linked have token, and the first and last born; recovery_ended lists the unreached workers.

No decision changes: the core pushes events only.

--- a/crates/tanager-node/src/job_node.rs
+++ b/crates/tanager-node/src/job_node.rs
@@ -3,7 +3,6 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use log::LevelFilter;
 use tanager_protocol::error::TanagerResult;
 use tanager_service::JobNode;
 use tanager_service::logging;
@@ -25,7 +24,8 @@
     if check {
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logging::install(&settings.node, log_level()) {
+    let log_filter = std::env::var("RUST_LOG").unwrap_or_default();
+    if let Err(error) = logging::install(&settings.node, &log_filter) {
         eprintln!("tanagerladderd: {error}");
         return ExitCode::FAILURE;
     }
@@ -44,14 +44,6 @@
     Ok(settings)
 }
 
-/// Returns the log level from `RUST_LOG`; info if it is unset or invalid.
-fn log_level() -> LevelFilter {
-    std::env::var("RUST_LOG")
-        .ok()
-        .and_then(|level| level.parse().ok())
-        .unwrap_or(LevelFilter::Info)
-}
-
 fn serve(
     settings: &SiteSettings,
     config: &Path,
--- a/crates/tanager-node/src/main.rs
+++ b/crates/tanager-node/src/main.rs
@@ -39,7 +39,7 @@
   --version      print the version
 
 Signals: SIGTERM and SIGINT stop the node gracefully.
-Environment: RUST_LOG sets the log level (default info).
+Environment: RUST_LOG sets the log level (default info), or levels by target.
 Exit codes: 0 stopped gracefully, 1 failed, 2 invalid arguments or settings.
 ";
 
--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -105,6 +105,14 @@
         self.child.stdout.take().expect("a pipe")
     }
 
+    /// Restarts the process with the given filter of log lines.
+    pub(crate) fn restart_filtered(&mut self, filter: &str) {
+        self.kill();
+        let output = File::options().append(true).open(&self.log);
+        let output = Stdio::from(output.expect("log file"));
+        self.child = Self::start_with(&self.settings, self.features, filter, output);
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process id");
         nix::sys::signal::kill(Pid::from_raw(id), signal).expect("signal");
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -12,6 +12,7 @@
 #[allow(dead_code, reason = "the soak test uses the rest")]
 #[path = "../soak/proxy.rs"]
 mod proxy;
+mod run_lines;
 mod scheduling;
 
 use std::time::Duration;
--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -25,6 +25,17 @@
     Unlisted,
 }
 
+/// How an owner learned that an incarnation of a worker has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplacementSource {
+    /// The worker's entry in the store names a later start.
+    Entry,
+    /// A later incarnation reported.
+    Report,
+    /// The worker refused an order meant for the known incarnation.
+    Refusal,
+}
+
 /// An event that explains the end of a job, for the owner's log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CellEvent {
@@ -80,6 +91,43 @@
         /// Progress in percent at which the run stalled.
         percent: u32,
     },
+    /// A run that this owner did not order was found in a report and continues.
+    RunAdopted {
+        /// Task.
+        task: TaskKey,
+        /// Run.
+        run: RunNumber,
+        /// Worker.
+        worker: WorkerId,
+        /// Start of the worker's incarnation, in milliseconds since 1970; 0 if unknown.
+        started_ms: u64,
+    },
+    /// A run that must not continue was found in a report; it is being stopped.
+    UnknownRunStopped {
+        /// Task.
+        task: TaskKey,
+        /// Run.
+        run: RunNumber,
+        /// Worker.
+        worker: WorkerId,
+        /// Start of the worker's incarnation, in milliseconds since 1970; 0 if unknown.
+        started_ms: u64,
+    },
+    /// An incarnation of a worker has ended; its runs are released.
+    IncarnationReplaced {
+        /// Worker.
+        worker: WorkerId,
+        /// Start of the ended incarnation, in milliseconds since 1970; 0 if unknown.
+        started_ms_before: u64,
+        /// Start of the new incarnation, in milliseconds since 1970; 0 if unknown.
+        started_ms: u64,
+        /// How the owner learned of it.
+        source: ReplacementSource,
+        /// Number of runs of the ended incarnation.
+        released: usize,
+        /// Number of runs that orders may have started on the new incarnation.
+        carried_over: usize,
+    },
     /// The number of runs that may be on a worker changed.
     WorkerWeighed {
         /// Worker.
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -8,7 +8,9 @@
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
 
+use crate::action::CellEvent;
 use crate::action::ReleaseCause;
+use crate::action::ReplacementSource;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::renewal_timing::WorkerActivity;
@@ -76,7 +78,7 @@
                 worker.entry = entry.clone();
                 return;
             }
-            self.replace_incarnation(key, entry.clone(), now);
+            self.replace_incarnation(key, entry.clone(), ReplacementSource::Entry, now);
             return;
         }
         let slot = WorkerSlot::new(entry.clone(), self.settings.lease);
@@ -91,11 +93,13 @@
         &mut self,
         key: WorkerKey,
         entry: WorkerEntry,
+        source: ReplacementSource,
         now: Duration,
     ) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
+        let (started_ms_before, released) = (worker.entry.started_ms, worker.runs.len());
         let mut unconfirmed_starts = worker.unconfirmed_starts.clone();
         unconfirmed_starts.retain(|_, (_, at)| now.saturating_sub(*at) < MAX_EXECUTION_DELAY);
         // The new incarnation may have carried out orders sent after the last report.
@@ -124,6 +128,16 @@
                 self.carry_over(key, task, &slot, now);
             }
         }
+        if let Some(worker) = self.workers.get(key) {
+            self.events.push(CellEvent::IncarnationReplaced {
+                worker: worker.entry.worker.clone(),
+                started_ms_before,
+                started_ms: worker.entry.started_ms,
+                source,
+                released,
+                carried_over: worker.runs.len(),
+            });
+        }
     }
 
     /// Adds a run of the former incarnation to the new one, which may have it. A confirmed run is
@@ -161,6 +175,21 @@
         }
     }
 
+    /// Ends an incarnation of a worker that refused an order because a later one responds.
+    pub fn end_refused_incarnation(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get(key) {
+            self.events.push(CellEvent::IncarnationReplaced {
+                worker: worker.entry.worker.clone(),
+                started_ms_before: worker.entry.started_ms,
+                started_ms: 0,
+                source: ReplacementSource::Refusal,
+                released: worker.runs.len(),
+                carried_over: 0,
+            });
+        }
+        self.end_incarnation(key);
+    }
+
     /// Ends an incarnation of a worker: releases its runs and removes it.
     pub fn end_incarnation(&mut self, key: WorkerKey) {
         self.record_crash(key, true);
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -45,6 +45,7 @@
 pub use action::CellAction;
 pub use action::CellEvent;
 pub use action::ReleaseCause;
+pub use action::ReplacementSource;
 pub use admission::AdmissionDecision;
 pub use cancellation::CancelResult;
 pub use core::CellCore;
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -106,7 +106,7 @@
                 if !was_retried {
                     self.release_run(key, task, ReleaseCause::NotStarted);
                 }
-                self.end_incarnation(key);
+                self.end_refused_incarnation(key);
             }
             OrderResult::Answered(OrderAnswer::OldRun) if was_retried && !is_stopping => {
                 // The run has already ended; the end is in the worker's next report.
@@ -192,7 +192,7 @@
         };
         match result {
             OrderResult::Answered(OrderAnswer::Fenced) => self.actions.push(CellAction::CellLost),
-            OrderResult::Answered(OrderAnswer::OtherLife) => self.end_incarnation(key),
+            OrderResult::Answered(OrderAnswer::OtherLife) => self.end_refused_incarnation(key),
             OrderResult::Answered(OrderAnswer::Unwell) => {}
             OrderResult::Answered(_) if slot.stage == RunStage::Stopping => {
                 slot.stage = RunStage::Stopped(now);
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -11,6 +11,7 @@
 
 use crate::action::CellEvent;
 use crate::action::ReleaseCause;
+use crate::action::ReplacementSource;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::worker::RunSlot;
@@ -82,7 +83,7 @@
         };
         let mut entry = worker.entry.clone();
         entry.started_ms = started_ms;
-        self.replace_incarnation(key, entry, now);
+        self.replace_incarnation(key, entry, ReplacementSource::Report, now);
     }
 
     /// Applies the end of a run to its job, once.
@@ -337,6 +338,12 @@
         slot.record_listed(running, now);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.add_run(task, slot);
+            self.events.push(CellEvent::RunAdopted {
+                task,
+                run: running.run,
+                worker: worker.entry.worker.clone(),
+                started_ms: worker.entry.started_ms,
+            });
         }
     }
 
@@ -355,6 +362,12 @@
         slot.in_flight = false;
         slot.stage = RunStage::Stopping;
         worker.add_run(task, slot);
+        self.events.push(CellEvent::UnknownRunStopped {
+            task,
+            run: running.run,
+            worker: worker.entry.worker.clone(),
+            started_ms: worker.entry.started_ms,
+        });
         self.send_stop(key, task, now);
     }
 
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -81,6 +81,8 @@
     pub link: Arc<WorkerLink>,
     /// Limits the number of concurrent orders.
     pub(crate) order_permits: Arc<Semaphore>,
+    /// Id of the worker, for the log; the worker may have been removed when a call returns.
+    pub(crate) worker: Arc<str>,
 }
 
 impl CellHandle {
@@ -251,6 +253,7 @@
                         let connection = WorkerConnection {
                             link: Arc::new(link),
                             order_permits: Arc::new(Semaphore::new(MAX_PARALLEL_ORDERS)),
+                            worker: Arc::from(worker.entry.worker.as_str()),
                         };
                         links.insert(key, connection);
                         added.push(key);
@@ -264,9 +267,10 @@
         }
         for key in added {
             log::info!(
-                "event=worker_linked cell={} worker={} token={}",
+                "event=worker_linked cell={} worker={} born={} token={}",
                 self.name,
                 self.worker_name(key),
+                self.started_ms(key),
                 self.token
             );
             self.spawn_task("lease_renewal", lease_renewal::run(Arc::clone(self), key));
@@ -333,8 +337,9 @@
                 cause,
                 observed,
             } => log::info!(
-                "event=run_lost job={} task={task} run={run} worker={worker} cause={cause:?} observed={observed:.3?} cell={cell}",
-                task.job
+                "event=run_lost job={} task={task} run={run} worker={worker} cause={cause:?} observed={observed:.3?} cell={cell} token={}",
+                task.job,
+                self.token
             ),
             CellEvent::WorkerCrashed {
                 task,
@@ -356,6 +361,46 @@
                 "event=run_stalled job={} task={task} run={run} worker={worker} percent={percent} cell={cell}",
                 task.job
             ),
+            CellEvent::RunAdopted {
+                task,
+                run,
+                worker,
+                started_ms,
+            } => {
+                self.context.metrics.runs_adopted.increment();
+                log::info!(
+                    "event=run_adopted job={} task={task} run={run} worker={worker} born={started_ms} cell={cell} token={}",
+                    task.job,
+                    self.token
+                );
+            }
+            CellEvent::UnknownRunStopped {
+                task,
+                run,
+                worker,
+                started_ms,
+            } => {
+                self.context.metrics.unknown_runs_stopped.increment();
+                log::info!(
+                    "event=unknown_run_stopped job={} task={task} run={run} worker={worker} born={started_ms} cell={cell} token={}",
+                    task.job,
+                    self.token
+                );
+            }
+            CellEvent::IncarnationReplaced {
+                worker,
+                started_ms_before,
+                started_ms,
+                source,
+                released,
+                carried_over,
+            } => {
+                self.context.metrics.incarnations_replaced.increment();
+                log::info!(
+                    "event=incarnation_replaced worker={worker} born_before={started_ms_before} born={started_ms} source={source:?} released={released} carried_over={carried_over} cell={cell} token={}",
+                    self.token
+                );
+            }
             CellEvent::WorkerWeighed {
                 worker,
                 limit,
@@ -381,14 +426,21 @@
                 self.token
             ),
             CellEvent::RecoveryEnded { unreached_workers } => log::info!(
-                "event=recovery_ended cell={cell} token={} unreached={} first={:?}",
+                "event=recovery_ended cell={cell} token={} unreached={} workers={}",
                 self.token,
                 unreached_workers.len(),
-                unreached_workers.first()
+                unreached_workers.join(",")
             ),
         }
     }
 
+    /// Returns the start of a worker's incarnation in milliseconds since 1970; 0 if it is unknown
+    /// or the worker was removed.
+    pub(crate) fn started_ms(&self, key: WorkerKey) -> u64 {
+        let core = self.core();
+        core.worker(key).map_or(0, |worker| worker.entry.started_ms)
+    }
+
     /// Returns the id of a worker; empty if the worker was removed.
     pub fn worker_name(&self, key: WorkerKey) -> WorkerId {
         let core = self.core();
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -30,6 +30,7 @@
     let worker = cell.worker_name(key);
     let mut committed = cell.ledger.committed();
     let mut timing = RenewalTiming::default();
+    let mut acknowledged = 0;
     while !cell.is_closed() {
         let sent_at = clock.now();
         let Some(plan) = cell.core().plan_renewal(key, sent_at) else {
@@ -44,6 +45,10 @@
             None => Duration::ZERO,
         };
         committed.mark_unchanged();
+        if plan.acknowledged > acknowledged {
+            acknowledged = plan.acknowledged;
+            cell.log_acknowledged(&worker, cell.started_ms(key), acknowledged);
+        }
         let renewal = LeaseRenewal {
             lease_until_ms,
             token: cell.token,
@@ -68,9 +73,13 @@
                 let wall_ms = clock.wall_ms();
                 let (is_known, has_ends) = {
                     let mut core = cell.core();
+                    let read_before = core.worker(key).map_or(0, |slot| slot.processed_end);
                     let is_known = core.apply_report(key, &report, sent_at, now, wall_ms);
-                    let has_ends = (core.worker(key))
-                        .is_some_and(|worker| worker.processed_end > worker.stored_end);
+                    let slot = core.worker(key).filter(|_| is_known);
+                    if let Some(slot) = slot {
+                        cell.log_ends(slot, &report.ended, read_before);
+                    }
+                    let has_ends = slot.is_some_and(|slot| slot.processed_end > slot.stored_end);
                     (is_known, has_ends)
                 };
                 cell.context
@@ -98,7 +107,7 @@
             }
             Ok(RenewalReply::Refused(OrderAnswer::OtherLife)) => {
                 log::info!("event=worker_ended cell={} worker={worker}", cell.name);
-                cell.core().end_incarnation(key);
+                cell.core().end_refused_incarnation(key);
                 cell.run_decisions();
                 return;
             }
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod records;
 pub mod requests;
+pub mod run_log;
 mod sibling_loads;
 pub mod store_access;
 pub mod supervision;
--- a/crates/tanager-service/src/logging.rs
+++ b/crates/tanager-service/src/logging.rs
@@ -14,7 +14,6 @@
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use crossbeam::channel::bounded;
-use log::LevelFilter;
 use log::Log;
 use log::Metadata;
 use log::Record;
@@ -28,24 +27,33 @@
 const WRITE_PERIOD: Duration = Duration::from_millis(250);
 
 /// Logger that queues its lines for the writer thread.
-#[derive(Debug)]
 struct QueueLogger {
     node: String,
+    filter: env_logger::Logger,
     lines: Sender<String>,
     dropped: AtomicU64,
 }
 
 /// Installs the logger of the process and starts its writer thread.
 ///
+/// `filter` has the syntax of `RUST_LOG`: a level, or levels by target as in
+/// `info,tanager::runs=debug`. Lines that it does not mention are logged from level `info`.
+///
 /// # Errors
 ///
 /// [`ErrorKind::Internal`] if a logger is already installed or the thread cannot be started.
-pub fn install(node: &str, level: LevelFilter) -> TanagerResult<()> {
+pub fn install(node: &str, filter: &str) -> TanagerResult<()> {
     let failure =
         |error: String| TanagerError::new(ErrorKind::Internal, "install logger", node, error);
+    let filter = env_logger::Builder::new()
+        .filter_level(log::LevelFilter::Info)
+        .parse_filters(filter)
+        .build();
+    let level = filter.filter();
     let (lines, queue) = bounded(QUEUE_CAPACITY);
     let logger = QueueLogger {
         node: node.to_owned(),
+        filter,
         lines,
         dropped: AtomicU64::new(0),
     };
@@ -75,7 +83,7 @@
 
 impl Log for QueueLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.target().starts_with("tanager")
+        metadata.target().starts_with("tanager") && self.filter.enabled(metadata)
     }
 
     fn log(&self, record: &Record<'_>) {
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -99,6 +99,9 @@
     CountMetric runs_refused "Start orders that a worker refused";
     CountMetric orders_unanswered "Orders to workers without an answer";
     CountMetric runs_ended "Ends taken from workers";
+    CountMetric runs_adopted "Runs of a former owner found in a report that continue";
+    CountMetric unknown_runs_stopped "Runs found in a report that must not continue";
+    CountMetric incarnations_replaced "Incarnations of workers that ended under cells of this node";
     CountMetric store_calls "Calls to the store";
     CountMetric store_failures "Calls to the store that failed";
     CountMetric store_relayed "Calls to the store made through a peer";
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -19,6 +19,7 @@
 use tanager_site::worker::StartOrder;
 
 use crate::cell::CellHandle;
+use crate::run_log::SentStart;
 
 /// Time limit of an order to a worker; workers reply within a few milliseconds.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -95,9 +96,14 @@
             return;
         }
         let may_start = self.context.may_extend_leases(self.context.clock.now());
-        if !self.core().confirm_start(worker, task, run, may_start) {
-            return;
-        }
+        let started_ms = {
+            let mut core = self.core();
+            if !core.confirm_start(worker, task, run, may_start) {
+                return;
+            }
+            core.worker(worker).map_or(0, |slot| slot.entry.started_ms)
+        };
+        let sent_at = self.context.clock.now();
         self.context.metrics.runs_started.increment();
         let result = connection.link.start(&order, ORDER_TIMEOUT).await;
         drop(permit);
@@ -107,24 +113,17 @@
             .metrics
             .start_seconds
             .observe(now.saturating_sub(started));
-        match result {
-            OrderResult::Answered(OrderAnswer::Accepted) => log::debug!(
-                "event=run_started job={} task={task} run={run} token={}",
-                task.job,
-                self.token
-            ),
-            _ => {
-                self.context.metrics.runs_refused.increment();
-                log::info!(
-                    "event=run_not_started job={} task={task} run={run} worker={} result={result:?} \
-                     lease_until_ms={} token={}",
-                    task.job,
-                    self.worker_name(worker),
-                    order.lease_until_ms,
-                    self.token
-                );
-            }
+        if result != OrderResult::Answered(OrderAnswer::Accepted) {
+            self.context.metrics.runs_refused.increment();
         }
+        let sent = SentStart {
+            task,
+            run,
+            worker: &connection.worker,
+            started_ms,
+            lease_until_ms: order.lease_until_ms,
+        };
+        self.log_start(&sent, result, now.saturating_sub(sent_at).as_secs_f64());
         self.core()
             .apply_start_result(worker, task, run, result, now);
         self.run_decisions();
@@ -139,6 +138,7 @@
             return;
         };
         let permit = connection.order_permits.acquire().await;
+        let started_ms = self.started_ms(worker);
         let result = connection
             .link
             .stop(task, run, self.token, ORDER_TIMEOUT)
@@ -146,9 +146,12 @@
         drop(permit);
         let result = self.order_result(result);
         log::info!(
-            "event=run_stopped job={} task={task} run={run} worker={} result={result:?}",
+            "event=run_stopped job={} task={task} run={run} worker={} born={started_ms} \
+             result={result:?} cell={} token={}",
             task.job,
-            self.worker_name(worker)
+            connection.worker,
+            self.name,
+            self.token
         );
         let now = self.context.clock.now();
         self.core()
