--- a/crates/tanager-schedule/tests/run_events.rs
+++ b/crates/tanager-schedule/tests/run_events.rs
@@ -47,6 +47,7 @@
             })
             .collect(),
         ended: vec![],
+        omits_ends: false,
     }
 }
 
--- a/crates/tanager-schedule/tests/stale_entries.rs
+++ b/crates/tanager-schedule/tests/stale_entries.rs
@@ -40,6 +40,7 @@
         started_ms: Some(started_ms),
         running,
         ended: Vec::new(),
+        omits_ends: false,
     }
 }
 
