--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -18,6 +18,8 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
+use tanager_schedule::ownership;
+use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_site::machines::AdviceClient;
 use tanager_site::machines::MachineClient;
 use tanager_site::settings::SiteSettings;
@@ -96,6 +98,8 @@
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
     last_heartbeat: Mutex<Option<ConfirmedHeartbeat>>,
+    /// Time at which the last successful read of the owner rows was sent.
+    last_owner_read: Mutex<Option<Duration>>,
     stopping: watch::Sender<bool>,
 }
 
@@ -188,21 +192,43 @@
         *heartbeat.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that the owner rows were read and cells of other owners were closed; the read was sent
+    /// at `sent_at`.
+    pub fn record_owner_read(&self, sent_at: Duration) {
+        *self
+            .last_owner_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+    }
+
+    /// Returns how recently this node was certain to own its cells.
+    fn ownership_evidence(&self, now: Duration) -> OwnershipEvidence {
+        let owner_read = *self
+            .last_owner_read
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        OwnershipEvidence {
+            heartbeat_age: self.heartbeat_age(now),
+            owner_read_age: owner_read.map(|sent_at| now.saturating_sub(sent_at)),
+            store: self.store_access.evidence(now),
+        }
+    }
+
     /// Returns whether no other node can have acquired a cell of this node: they do so only after a
     /// node has written no heartbeat for [`NODE_DEATH_TIMEOUT`].
     pub fn owns_its_cells(&self, now: Duration) -> bool {
-        self.heartbeat_age(now)
-            .is_some_and(|age| age < NODE_DEATH_TIMEOUT)
+        ownership::is_confirmed(&self.ownership_evidence(now), NODE_DEATH_TIMEOUT)
     }
 
     /// Returns whether leases may be extended.
-    ///
-    /// A node without a confirmed heartbeat may have lost its cells to another node, which waits
-    /// for the leases to expire. While the store is unavailable to all nodes, no node can acquire a
-    /// cell, so extending leases is safe.
     pub fn may_extend_leases(&self, now: Duration) -> bool {
-        self.is_heartbeat_confirmed(now, takeover::UNCONFIRMED_LEASE_LIMIT)
-            || self.store_access.is_unavailable_to_all(now)
+        let limit = takeover::UNCONFIRMED_LEASE_LIMIT;
+        ownership::may_extend_leases(&self.ownership_evidence(now), limit)
+    }
+
+    /// Returns whether runs may be started.
+    pub fn may_start_runs(&self, now: Duration) -> bool {
+        ownership::may_start_runs(&self.ownership_evidence(now))
     }
 
     /// Selects the peers through which calls to the store may be relayed.
@@ -311,6 +337,7 @@
             view: Mutex::default(),
             cells: Mutex::default(),
             last_heartbeat: Mutex::default(),
+            last_owner_read: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
         });
@@ -441,14 +468,20 @@
 
 /// Relays a call of another node to the store.
 async fn relay(context: &NodeContext, call: &HttpRequest, timeout: Duration) -> HttpResponse {
+    // The body gives the time, in milliseconds, for which the store has not served this node.
+    let unserved = || {
+        let unserved_time = context
+            .store_access
+            .unserved_time(context.clock.now())
+            .as_millis();
+        HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, unserved_time.to_string())
+    };
     if context.store_access.is_failing() {
-        return HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, "the store is away");
+        return unserved();
     }
     match context.store_access.send_direct(call, timeout).await {
         Ok(response) => peers::encode_relay_response(&response),
-        Err(error) if error.kind == ErrorKind::NotSent => {
-            HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, error.to_string())
-        }
+        Err(error) if error.kind == ErrorKind::NotSent => unserved(),
         Err(error) => HttpResponse::new(StatusCode::GATEWAY_TIMEOUT, error.to_string()),
     }
 }
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -95,7 +95,7 @@
         if self.is_closed() {
             return;
         }
-        let may_start = self.context.may_extend_leases(self.context.clock.now());
+        let may_start = self.context.may_start_runs(self.context.clock.now());
         let started_ms = {
             let mut core = self.core();
             if !core.confirm_start(worker, task, run, may_start) {
