Give orders to each incarnation of a worker a higher token

Callers saw a task run twice. A restarted worker has seen no token, counts its ends from 1 and has a new clock.

The token of an order is now the token of the ownership and the position of the incarnation among those that replaced another. The first order to a later incarnation therefore fences off what was sent to earlier ones, by this owner and by former ones. A renewal of an incarnation that the owner itself has replaced does not end the ownership when it is fenced. Nodes of an earlier version have lower tokens: replace all nodes at once.

Not covered: an order that arrives before any owner has contacted the incarnation.

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -25,6 +25,7 @@
 use crate::durations::QueueDuration;
 use crate::job::JobEntry;
 use crate::job::TaskPhase;
+use crate::order_token::IncarnationNumber;
 use crate::ranking::objective;
 use crate::settings::CellSettings;
 use crate::settings::QueuePolicy;
@@ -102,6 +103,8 @@
     pub(crate) health_rates: HealthRates,
     /// Limits of the workspaces in this cell.
     pub(crate) caps: CapState,
+    /// Number of incarnations that a later one with the same id has replaced.
+    pub(crate) replaced_incarnations: IncarnationNumber,
     /// Ended jobs and early cancellations, ordered by the time of their end.
     pub(crate) ended: BTreeSet<(u64, JobId)>,
 }
@@ -151,6 +154,7 @@
             crashes: CrashTable::default(),
             health_rates: HealthRates::default(),
             caps: CapState::default(),
+            replaced_incarnations: 0,
             ended: BTreeSet::new(),
         }
     }
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -7,12 +7,15 @@
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
+use tanager_jobs::ids::FencingToken;
 
 use crate::action::CellEvent;
 use crate::action::ReleaseCause;
 use crate::action::ReplacementSource;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
+use crate::order_token::IncarnationNumber;
+use crate::order_token::order_token;
 use crate::renewal_timing::WorkerActivity;
 use crate::worker::MAX_EXECUTION_DELAY;
 use crate::worker::MISSING_ENTRY_LIMIT;
@@ -34,6 +37,8 @@
     pub has_unstored_ends: bool,
     /// What runs on the worker.
     pub activity: WorkerActivity,
+    /// Incarnation of the worker, for the fencing token.
+    pub incarnation: IncarnationNumber,
 }
 
 impl CellCore {
@@ -95,7 +100,8 @@
             true => self.settings.max_lease,
             false => self.settings.lease,
         };
-        let slot = WorkerSlot::new(entry.clone(), assumed_lease);
+        let mut slot = WorkerSlot::new(entry.clone(), assumed_lease);
+        slot.incarnation = self.replaced_incarnations;
         let key = self.workers.insert(slot);
         self.workers_by_id.insert(entry.worker.clone(), key);
     }
@@ -134,6 +140,8 @@
             self.await_worker_again(&id, self.settings.max_lease, now);
         }
         let mut slot = WorkerSlot::new(entry, self.settings.max_lease);
+        self.replaced_incarnations = self.replaced_incarnations.saturating_add(1);
+        slot.incarnation = self.replaced_incarnations;
         // A third incarnation may start before these orders are certain to be lost.
         slot.unconfirmed_starts.clone_from(&unconfirmed_starts);
         let key = self.workers.insert(slot);
@@ -272,6 +280,12 @@
         self.workers.get(key)
     }
 
+    /// Returns the fencing token of orders to a worker; `None` for an unknown worker. `ownership` is
+    /// the token of the cell's owner.
+    pub fn order_token(&self, key: WorkerKey, ownership: FencingToken) -> Option<FencingToken> {
+        (self.workers.get(key)).map(|worker| order_token(ownership, worker.incarnation))
+    }
+
     /// Plans the next lease renewal of a worker; `None` for an unknown worker.
     pub fn plan_renewal(&mut self, key: WorkerKey, now: Duration) -> Option<RenewalPlan> {
         let lease = self.settings.lease;
@@ -293,6 +307,7 @@
         Some(RenewalPlan {
             lease_until_ms,
             activity,
+            incarnation: worker.incarnation,
             acknowledged: match is_same_incarnation {
                 true => worker.stored_end,
                 false => 0,
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod incarnations;
 pub mod job;
 pub mod oldest_first;
+pub mod order_token;
 pub mod orders;
 pub mod overload;
 pub mod ownership;
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -12,6 +12,7 @@
 
 use crate::crashes::CrashedRun;
 use crate::crashes::WorkerIsolation;
+use crate::order_token::IncarnationNumber;
 use crate::orders::OrderResult;
 use crate::settings::MIN_CLOCK_RATE;
 use crate::worker_health::Observation;
@@ -114,13 +115,17 @@
 pub struct WorkerSlot {
     /// Entry in the store.
     pub entry: WorkerEntry,
+    /// Position among the incarnations that the owner has met; see `order_token`.
+    pub incarnation: IncarnationNumber,
     /// Time since which the entry is missing from the store.
     pub missing_since: Option<Duration>,
     /// The worker's clock in milliseconds in the last report, and the time at which that report was
     /// received.
     pub clock: Option<(u64, Duration)>,
-    /// Latest lease expiry sent in any order, on the worker's clock in milliseconds.
+    /// Latest lease expiry that this owner sent in any order, on the worker's clock in milliseconds.
     pub lease_sent_ms: u64,
+    /// Latest lease expiry that other orders may have granted, on the worker's clock in milliseconds.
+    pub lease_assumed_ms: u64,
     /// Lease that orders before the first report may have granted: orders of a former owner, or
     /// orders to a former incarnation, which had a different clock.
     pub assumed_lease: Duration,
@@ -163,9 +168,11 @@
     pub fn new(entry: WorkerEntry, assumed_lease: Duration) -> Self {
         Self {
             entry,
+            incarnation: 0,
             missing_since: None,
             clock: None,
             lease_sent_ms: 0,
+            lease_assumed_ms: 0,
             assumed_lease,
             last_contact: None,
             renewal_unanswered: false,
@@ -198,7 +205,7 @@
     /// Returns whether all leases granted so far have expired for certain.
     pub fn leases_expired(&self, now: Duration) -> bool {
         self.min_clock_ms(now)
-            .is_some_and(|clock| clock > self.lease_sent_ms)
+            .is_some_and(|clock| clock > self.lease_sent_ms.max(self.lease_assumed_ms))
     }
 
     /// Returns whether the worker responded recently.
@@ -294,7 +301,7 @@
     pub fn record_clock(&mut self, clock_ms: u64, now: Duration) {
         if self.clock.is_none() {
             let assumed = clock_ms + self.assumed_lease.as_millis() as u64;
-            self.lease_sent_ms = self.lease_sent_ms.max(assumed);
+            self.lease_assumed_ms = self.lease_assumed_ms.max(assumed);
             self.assumed_lease = Duration::ZERO;
         }
         self.clock = Some((clock_ms, now));
--- a/crates/tanager-schedule/tests/incarnations.rs
+++ b/crates/tanager-schedule/tests/incarnations.rs
@@ -14,6 +14,7 @@
 use tanager_schedule::CellAction;
 use tanager_schedule::CellCore;
 use tanager_schedule::QueuePolicy;
+use tanager_schedule::order_token::order_token;
 use tanager_schedule::recovery::FormerOwner;
 
 use support::QUEUE;
@@ -131,3 +132,50 @@
     core.apply_report(key, &empty, millis(12), millis(15), WALL_MS);
     assert_eq!(starts(&run_tick(&mut core, millis(20))).len(), 1);
 }
+/// Guards against orders without a response that act on the next incarnation of a worker (TWICE):
+/// its first order must fence them off, and those of former owners.
+#[test]
+fn orders_to_the_next_incarnation_have_a_higher_token() {
+    let mut core = acquired_cell();
+    let key = core.worker_keys()[0];
+    let before = core.order_token(key, 7).expect("known");
+    let listed = report(RESTARTED_MS, vec![], vec![]);
+    core.apply_report(key, &listed, millis(6), millis(8), WALL_MS);
+    assert_eq!(core.order_token(key, 7), None);
+    let keys = core.worker_keys();
+    let after = (keys.iter())
+        .filter_map(|key| core.order_token(*key, 7))
+        .max()
+        .expect("the next incarnation");
+    assert!(after > before);
+    assert!(order_token(8, 0) > order_token(7, u16::MAX));
+}
+
+/// Guards against starts that grant more than the lease for which the next owner waits (TWICE): a
+/// restarted worker may have been granted more, which must not be granted again.
+#[test]
+fn starts_on_a_restarted_worker_grant_the_usual_lease() {
+    let mut core = acquired_cell();
+    core.sync_workers(&[restarted("a")], millis(6));
+    let key = (core.worker_keys().into_iter())
+        .find(|key| core.worker(*key).expect("known").entry.worker == "a")
+        .expect("the next incarnation");
+    let empty = report(RESTARTED_MS, vec![], vec![]);
+    core.apply_report(key, &empty, millis(12), millis(15), WALL_MS);
+    core.mark_registered(&[key]);
+    core.add_job(job(2, vec![step(8)]), millis(15), WALL_MS);
+    let actions = run_tick(&mut core, millis(20));
+    let leases: Vec<u64> = (actions.iter())
+        .filter_map(|action| match action {
+            CellAction::Start {
+                worker,
+                lease_until_ms,
+                ..
+            } if *worker == key => Some(*lease_until_ms),
+            _ => None,
+        })
+        .collect();
+    let longest = empty.clock_ms + 5 + settings().lease.as_millis() as u64;
+    assert!(!leases.is_empty());
+    assert!(leases.iter().all(|lease| *lease <= longest), "{leases:?}");
+}
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -6,6 +6,7 @@
 use tanager_jobs::OrderAnswer;
 use tanager_protocol::error::ErrorKind;
 use tanager_schedule::WorkerKey;
+use tanager_schedule::order_token::order_token;
 use tanager_schedule::renewal_timing::RenewalTiming;
 use tanager_site::worker::LeaseRenewal;
 use tanager_site::worker::RenewalReply;
@@ -51,7 +52,7 @@
         }
         let renewal = LeaseRenewal {
             lease_until_ms,
-            token: cell.token,
+            token: order_token(cell.token, plan.incarnation),
             acknowledged: plan.acknowledged,
             wait,
         };
@@ -101,6 +102,10 @@
                     time::sleep(RENEWAL_PERIOD.saturating_sub(elapsed)).await;
                 }
             }
+            // The owner itself has contacted a later incarnation of the worker.
+            Ok(RenewalReply::Refused(OrderAnswer::Fenced)) if cell.core().worker(key).is_none() => {
+                return;
+            }
             Ok(RenewalReply::Refused(OrderAnswer::Fenced)) => {
                 cell.close("a worker knows a higher token");
                 return;
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -38,16 +38,24 @@
                 checkpoint,
                 ticket,
             } => {
-                let specification = match self.core().record(task.job) {
-                    Some(record) => record.spec.specification.clone(),
-                    None => return,
+                let (specification, token) = {
+                    let core = self.core();
+                    let specification =
+                        (core.record(task.job)).map(|record| record.spec.specification.clone());
+                    // Without a record or a worker, nothing waits for the result.
+                    let (Some(specification), Some(token)) =
+                        (specification, core.order_token(worker, self.token))
+                    else {
+                        return;
+                    };
+                    (specification, token)
                 };
                 let order = StartOrder {
                     task,
                     run,
                     specification,
                     lease_until_ms,
-                    token: self.token,
+                    token,
                     checkpoint,
                     ticket,
                 };
@@ -138,11 +146,12 @@
             return;
         };
         let permit = connection.order_permits.acquire().await;
+        // A worker that was replaced meanwhile needs no order.
+        let Some(token) = self.core().order_token(worker, self.token) else {
+            return;
+        };
         let started_ms = self.started_ms(worker);
-        let result = connection
-            .link
-            .stop(task, run, self.token, ORDER_TIMEOUT)
-            .await;
+        let result = connection.link.stop(task, run, token, ORDER_TIMEOUT).await;
         drop(permit);
         let result = self.order_result(result);
         log::info!(
@@ -163,9 +172,12 @@
         let Some(connection) = self.connection(worker) else {
             return;
         };
+        let Some(token) = self.core().order_token(worker, self.token) else {
+            return;
+        };
         let result = connection
             .link
-            .pace(task, run, percent, self.token, ORDER_TIMEOUT);
+            .pace(task, run, percent, token, ORDER_TIMEOUT);
         let result = self.order_result(result.await);
         log::info!(
             "event=run_paced job={} task={task} run={run} percent={percent} result={result:?}",
