Log the release of runs that were not confirmed

A run whose start had no response, or that was being stopped, is released without a line when its worker's lease expires, the worker restarts or a report does not list it: run_lost covers confirmed runs only. The next run of the task then looks like a second one beside the first in the logs, so the pairs that matter cannot be told from harmless ones.

The cell now pushes an event for these releases, logged as run_released under the target tanager::runs at level debug. Refused and unsent starts are left out; they have their own line. No decision changes.

--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -65,6 +65,17 @@
         /// Time for which the worker is known to have had the run.
         observed: Duration,
     },
+    /// A run that was not confirmed, or was being stopped, is certain not to run any more.
+    RunReleased {
+        /// Task.
+        task: TaskKey,
+        /// Run.
+        run: RunNumber,
+        /// Worker.
+        worker: WorkerId,
+        /// Cause; never `NotStarted`.
+        cause: ReleaseCause,
+    },
     /// A worker crashed under a young run of a task.
     WorkerCrashed {
         /// Task.
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -278,6 +278,14 @@
         let id = worker.entry.worker.clone();
         let observed = worker.observed_time(&slot);
         self.placement_needed = true;
+        if slot.stage != RunStage::Running && cause != ReleaseCause::NotStarted {
+            self.events.push(CellEvent::RunReleased {
+                task,
+                run: slot.run,
+                worker: id.clone(),
+                cause,
+            });
+        }
         let Some(step) = self.step_mut(task) else {
             return;
         };
--- a/crates/tanager-schedule/tests/run_events.rs
+++ b/crates/tanager-schedule/tests/run_events.rs
@@ -14,6 +14,7 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::CellEvent;
 use tanager_schedule::QueuePolicy;
+use tanager_schedule::ReleaseCause;
 use tanager_schedule::ReplacementSource;
 use tanager_schedule::orders::OrderResult;
 use tanager_schedule::recovery::FormerOwner;
@@ -146,3 +147,25 @@
     let expected = event(0, ReplacementSource::Refusal, 0);
     assert_eq!(replaced(&mut cell), [expected]);
 }
+
+/// Guards against an order without a response of which the log does not tell that it was given up,
+/// so that the next run of the task seems to overlap with it.
+#[test]
+fn release_of_an_unconfirmed_run_is_told() {
+    let mut cell = cell_with_two_runs();
+    let released = CellEvent::RunReleased {
+        task: task(2, 0, 0),
+        run: 1,
+        worker: "a".to_owned(),
+        cause: ReleaseCause::LeaseExpired,
+    };
+    let mut found = false;
+    for _ in 0..200 {
+        cell.advance_time(millis(50));
+        let wall_ms = cell.wall_ms();
+        cell.core.tick(cell.now, wall_ms, true);
+        cell.core.take_actions();
+        found |= cell.core.take_events().contains(&released);
+    }
+    assert!(found);
+}
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -37,6 +37,7 @@
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
 use crate::records::pool_of;
+use crate::run_log;
 use crate::sibling_loads::SiblingLoads;
 
 /// Maximum number of concurrent orders to one worker. Each needs a connection, and a worker accepts
@@ -341,6 +342,17 @@
                 task.job,
                 self.token
             ),
+            CellEvent::RunReleased {
+                task,
+                run,
+                worker,
+                cause,
+            } => log::debug!(
+                target: run_log::TARGET,
+                "event=run_released job={} task={task} run={run} worker={worker} cause={cause:?} cell={cell} token={}",
+                task.job,
+                self.token
+            ),
             CellEvent::WorkerCrashed {
                 task,
                 run,
