tanagerladder runs: find runs of one task that may have overlapped

Whoever looked for the cause of a task that ran twice had to search the logs of all nodes by hand for each task, and could not see pairs that nobody had asked about.

The new command reads the lines about runs of all nodes, in one file or several and with any text before the fields, and arranges them by task. It reports starts beside a run that nothing shows to have ended, starts after an end as done that was acknowledged, tasks done twice, and ends that a renewal acknowledged although no owner read them, also when the renewal was meant for the incarnation before. Pairs that rest on what an owner knew of a worker (restart, expired lease, a report without the run) are near misses, which do not change the exit code; faults give 1. Reading and decisions are functions of the text without files.

--- a/crates/tanager-command/src/commands/mod.rs
+++ b/crates/tanager-command/src/commands/mod.rs
@@ -13,6 +13,7 @@
 mod pools;
 mod queues;
 mod quotas;
+mod runs;
 mod show;
 mod snapshot;
 mod submit_job;
@@ -44,6 +45,9 @@
 impl CommandSpec {
     /// Returns whether the command sends requests to a node when it is called with these arguments.
     pub(crate) fn sends_requests(&self, line: &CommandLine) -> bool {
+        if self.name == runs::SPEC.name {
+            return false;
+        }
         self.name != config::SPEC.name || line.options.against.as_deref() == Some(config::CURRENT)
     }
 }
@@ -71,4 +75,5 @@
     job::SPEC,
     submit_job::SPEC,
     cancel_job::SPEC,
+    runs::SPEC,
 ];
--- a/crates/tanager-command/src/lib.rs
+++ b/crates/tanager-command/src/lib.rs
@@ -7,6 +7,9 @@
 mod input;
 mod options;
 mod output;
+pub mod run_history;
+pub mod run_log;
+pub mod run_report;
 mod session;
 mod submit;
 
--- a/crates/tanager-command/src/options.rs
+++ b/crates/tanager-command/src/options.rs
@@ -37,6 +37,8 @@
     pub(crate) document: bool,
     pub(crate) list_nodes: bool,
     pub(crate) against: Option<String>,
+    pub(crate) task: Option<String>,
+    pub(crate) all: bool,
 }
 
 /// A parsed command line.
@@ -74,6 +76,8 @@
                 document: false,
                 list_nodes: false,
                 against: None,
+                task: None,
+                all: false,
             },
             given_options: BTreeSet::new(),
         };
@@ -142,6 +146,14 @@
                         options.against = Some(parse_text(parser)?);
                         "against"
                     }
+                    "task" => {
+                        options.task = Some(parse_text(parser)?);
+                        "task"
+                    }
+                    "all" => {
+                        options.all = true;
+                        "all"
+                    }
                     "interval" => {
                         options.interval = parse_duration(name, &parse_text(parser)?)?;
                         "interval"
