tanagerladder runs: report overlaps of a few milliseconds

A trial with a planted fault, an owner that starts unaccounted tasks at once after a takeover, showed that the command missed it: three node tests failed because tasks ran twice, and no fault was reported in their logs. The second run was sent 5 to 10 ms before the end of the first was read, and the tolerance of 20 ms for clocks took that for the same instant; an end that the former owner read in between counted as well.

The tolerance is 2 ms now, which covers the rounding of the times. The lines of one node are in order, and what one owner knew reaches the next through the store, which takes longer. The harmless case retry_after_a_failed_run_is_harmless had its start sent 5 ms before the end was read, which no owner does; it is sent with the end's millisecond now.

--- a/crates/tanager-command/src/run_history.rs
+++ b/crates/tanager-command/src/run_history.rs
@@ -11,8 +11,10 @@
 use crate::run_log::RunStep;
 use crate::run_log::StartResult;
 
-/// Lines of one instant may be written in any order, and the clocks of nodes differ slightly.
-const CLOCK_TOLERANCE_MS: u64 = 20;
+/// The time at which an order was sent is the difference of two times rounded to milliseconds. The
+/// lines of a node are in order, and what one owner knew reaches the next through the store, so a
+/// longer tolerance would only hide overlaps of a few milliseconds.
+const ROUNDING_MS: u64 = 2;
 /// Time after which an order or renewal without a response is not carried out any more.
 pub(crate) const MAX_EXECUTION_DELAY_MS: u64 = 13_000;
 
@@ -217,7 +219,7 @@
 
     /// Returns what had ended a run when another one was started at `start`.
     fn clearance(&self, first: &Execution, start: u64) -> Clearance {
-        let limit = start + CLOCK_TOLERANCE_MS;
+        let limit = start + ROUNDING_MS;
         let is_before = |time: Option<u64>| time.is_some_and(|time| time <= limit);
         let released = |cause: &str| is_before(first.released.get(cause).copied());
         let end_ms = first.end.as_ref().map(|(time, _, _)| *time);
@@ -275,7 +277,7 @@
                 }
                 let both_done = second.done().is_some_and(|(time, _)| time >= done_ms);
                 let started_later =
-                    (second.ordered_ms).filter(|ordered| *ordered > done_ms + CLOCK_TOLERANCE_MS);
+                    (second.ordered_ms).filter(|ordered| *ordered > done_ms + ROUNDING_MS);
                 let (level, kind) = match (both_done, started_later, acknowledgement) {
                     (true, _, _) => (FindingLevel::Fault, FindingKind::DoneTwice),
                     (_, Some(_), Some(_)) => (FindingLevel::Fault, FindingKind::StartAfterDone),
--- a/crates/tanager-command/tests/runs.rs
+++ b/crates/tanager-command/tests/runs.rs
@@ -93,6 +93,13 @@
         started(1.0, 1, "a"), started(2.0, 2, "b"),
         ended(3.0, 1, "a", "Stopped", 1), ended(4.0, 2, "b", "Done", 1),
     ] => [Fault Overlap];
+    /// Guards against an overlap of a few milliseconds that passes for a matter of clocks: a new
+    /// owner starts a task before it has read that the run of the former owner is stopped.
+    start_just_before_the_end_is_found: [
+        started(1.0, 1, "a"), of_run(1.999, "unknown_run_stopped", 1, "a", "born=1000"),
+        ended(2.005, 1, "a", "Stopped", 1),
+        started_by(NEXT_OWNER, 2.005, 2, "b", "Answered(Accepted)"),
+    ] => [Fault Overlap];
     /// Guards against an order without a response that is taken as not carried out.
     start_beside_an_unanswered_order_is_found: [
         started_by(OWNER, 1.0, 1, "a", "Unknown"), started(2.0, 2, "b"),
@@ -190,7 +197,7 @@
     /// Guards against retries of a failed task that are reported.
     retry_after_a_failed_run_is_harmless: [
         started(1.0, 1, "a"), ended(2.0, 1, "a", "Failed", 1), acknowledged(2.1, "a", 1_000, 1),
-        started(2.0, 2, "b"), ended(3.0, 2, "b", "Done", 1), acknowledged(3.1, "b", 1_000, 1),
+        started(2.005, 2, "b"), ended(3.0, 2, "b", "Done", 1), acknowledged(3.1, "b", 1_000, 1),
     ] => [];
     /// Guards against refused and repeated orders that are reported.
     refused_start_is_harmless: [
