--- a/crates/tanager-command/src/lib.rs
+++ b/crates/tanager-command/src/lib.rs
@@ -7,8 +7,12 @@
 mod input;
 mod options;
 mod output;
+pub mod run_history;
+pub mod run_log;
+pub mod run_report;
 mod session;
 mod submit;
+mod unread_ends;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
