Model of delegation with workers: two cells never run one job

The model of the delegation records had no workers and no transaction that is carried out late; the model of a cell had no delegation. No test played both, so a job that runs in both cells could not be ruled out.

The new test runs the real cores of both cells with workers that start and end tasks. Faults: calls between the cells that are lost, late, or arrive twice (not submissions, which the connection pool never repeats), owners killed and frozen, handovers, transactions without a response that are sent again and whose copies are carried out 1 to 6 s later if their conditions still hold, lost and late orders, crashes of workers, repeated submissions and cancellations. A start in a second cell, a start after the stored end, an overlapping run, a second end and a lost job fail it.

--- a/crates/tanager-schedule/tests/delegation_records/calls.rs
+++ b/crates/tanager-schedule/tests/delegation_records/calls.rs
@@ -20,7 +20,7 @@
 
 /// Progress of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Stage {
+pub(crate) enum Stage {
     /// On its way to the sibling.
     Sent { arrives_at: u64 },
     /// The owner of the sibling waits for its store.
@@ -34,15 +34,15 @@
     Lost,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Call {
     caller: usize,
     record: DelegationRecord,
-    kind: DelegationCall,
+    pub(crate) kind: DelegationCall,
     sent_at: u64,
     /// Whether the caller still waits.
-    is_awaited: bool,
-    stage: Stage,
+    pub(crate) is_awaited: bool,
+    pub(crate) stage: Stage,
 }
 
 impl World {
