Tests of delegation: owners of both cells frozen at several times

At stake: a job that runs in both cells because the owner of one is frozen while jobs are delegated, loses its cell, and resumes with calls in its sockets and transactions that were not answered. The tests with node processes killed an owner once, and froze none while jobs were delegated; delegations.rs and delegated_jobs.rs of the service are not part of the models.

Each test freezes the owner of one cell five times, 5 to 200 ms after the first of ten submissions, until another node has acquired the cell, lets it resume and submits the jobs again at each node. No task may run twice and every job must complete.

--- a/crates/tanager-node/tests/jobs/balance.rs
+++ b/crates/tanager-node/tests/jobs/balance.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::join_all;
 use http::Method;
+use nix::sys::signal::Signal;
 use serde_json::Value;
 use tanager_jobs::JobId;
 use tanager_service::records::PoolRecord;
@@ -239,3 +240,65 @@
     wait_until_completed(&site, &ids).await;
     assert!(!logged_ids(&site, "job_delegated").is_empty());
 }
+
+/// Freezes the owner of a cell at several times while jobs are being delegated, until another node
+/// has acquired the cell, and lets it resume.
+async fn freeze_owners(cell: &'static str) {
+    let site = site_of_two_cells("balance").await;
+    let mut ids = submit_surge(&site, 16, "ms=400").await;
+    let body = job_of_steps(&[TASKS], "ms=400");
+    for delay in [5, 20, 45, 90, 200] {
+        let owner = site.owner(cell).await.expect("an owner");
+        let started = ids_of_first_cell(10);
+        let addresses = [1, 2].map(|other| site.nodes[(owner + other) % 3].ports.client_address());
+        let requests: Vec<_> = (started.iter().enumerate())
+            .map(|(number, id)| {
+                let (path, body) = (format!("/{POOL}/{id}"), body.to_string());
+                let address = addresses[number % 2];
+                tokio::spawn(async move {
+                    time::sleep(Duration::from_millis(8 * number as u64)).await;
+                    crate::harness::send_request(address, Method::POST, &path, &body).await
+                })
+            })
+            .collect();
+        time::sleep(Duration::from_millis(delay)).await;
+        site.nodes[owner].signal(Signal::SIGSTOP);
+        eventually("another node owns the cell", async || {
+            let others = [1, 2].map(|other| &site.nodes[(owner + other) % 3]);
+            for node in others {
+                let dump = node.dump().await.unwrap_or_default();
+                let cells = dump["cells"].as_array().cloned().unwrap_or_default();
+                if cells.iter().any(|entry| entry["cell"] == cell) {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+        site.nodes[owner].signal(Signal::SIGCONT);
+        for request in requests {
+            // Their outcomes may be unknown.
+            let _ = request.await.expect("a task that ends");
+        }
+        for (number, id) in started.iter().enumerate() {
+            assert!(site.submit((owner + number) % 3, POOL, id, &body).await);
+        }
+        ids.extend(started);
+    }
+    wait_until_completed(&site, &ids).await;
+    assert!(!logged_ids(&site, "job_delegated").is_empty());
+}
+
+/// Guards against a job that runs in both cells because the owner of its first cell is frozen while
+/// it delegates jobs, and resumes after another node has submitted them to the sibling again.
+#[tokio::test(flavor = "multi_thread")]
+async fn first_owner_is_frozen_while_jobs_are_delegated() {
+    freeze_owners(FIRST).await;
+}
+
+/// Guards against a job that runs in both cells because the owner of the sibling is frozen while it
+/// stores jobs, and resumes after they were submitted to its successor or taken back.
+#[tokio::test(flavor = "multi_thread")]
+async fn sibling_owner_is_frozen_while_jobs_are_delegated() {
+    freeze_owners(SIBLING).await;
+}
