Model owners and lists that are behind, and commits that are late

The model's owners handled each response at once, saw an up-to-date list of workers, lost the store only together with all others and had every transaction carried out after 15 ms or not at all.

New faults, each a field of FaultPlan, in tests/model/delays.rs: owners that are busy for up to 3.5 s, with or without heartbeats; a store that turns away only the owner for up to 16 s, with some of its relays; workers that only the present owner reaches; entries of workers that are up to 2 s old, may go back, or vanish during an outage; a power loss of all owners within 40 ms after a commit; commits without a response, carried out up to 6 s late if their condition holds. Owners also read the owner rows every 0.5 s, and ask the functions of `ownership` for their permissions, as nodes do.

--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -11,6 +11,7 @@
 mod model {
     pub(crate) mod calls;
     pub(crate) mod check;
+    pub(crate) mod delays;
     pub(crate) mod gang;
     pub(crate) mod moves;
     pub(crate) mod owner;
@@ -54,6 +55,12 @@
     moves: false,
     gangs: 0.0,
     handovers: false,
+    slow_owners: false,
+    turns_away_owners: false,
+    one_sided_cuts: false,
+    stale_lists: false,
+    power_losses: false,
+    late_commits: 0.0,
 };
 
 const EVERYTHING: FaultPlan = FaultPlan {
@@ -73,6 +80,12 @@
     moves: true,
     gangs: 0.2,
     handovers: true,
+    slow_owners: false,
+    turns_away_owners: false,
+    one_sided_cuts: false,
+    stale_lists: false,
+    power_losses: false,
+    late_commits: 0.0,
 };
 
 fn run_seed(seed: u64, plan: FaultPlan) -> Result<(), String> {
@@ -242,6 +255,49 @@
         listed_ends: 3,
         ..EVERYTHING
     };
+    slow_owners: FaultPlan {
+        slow_owners: true,
+        cuts: true,
+        crash_every: Duration::from_secs(6),
+        ..NO_FAULTS
+    };
+    stale_lists: FaultPlan {
+        stale_lists: true,
+        store_outages: true,
+        crash_every: Duration::from_secs(6),
+        ..NO_FAULTS
+    };
+    owners_without_store: FaultPlan {
+        turns_away_owners: true,
+        one_sided_cuts: true,
+        cuts: true,
+        ..NO_FAULTS
+    };
+    handovers_after_unresponsive_owners: FaultPlan {
+        turns_away_owners: true,
+        one_sided_cuts: true,
+        handovers: true,
+        freezes: true,
+        crash_every: Duration::from_secs(6),
+        ..NO_FAULTS
+    };
+    power_losses_and_late_commits: FaultPlan {
+        power_losses: true,
+        late_commits: 0.05,
+        response_lost: 0.03,
+        crash_every: Duration::from_secs(6),
+        freezes: true,
+        ..NO_FAULTS
+    };
+    everything_and_delays: FaultPlan {
+        slow_owners: true,
+        turns_away_owners: true,
+        one_sided_cuts: true,
+        stale_lists: true,
+        power_losses: true,
+        late_commits: 0.02,
+        ..EVERYTHING
+    };
     everything: EVERYTHING;
     everything_and_crashing_tasks: FaultPlan { crashing: 0.02, ..EVERYTHING };
 }
--- a/crates/tanager-schedule/tests/model/calls.rs
+++ b/crates/tanager-schedule/tests/model/calls.rs
@@ -170,10 +170,11 @@
         let now = self.now;
         let wall_ms = self.wall_ms();
         let owner = &mut self.owners[transit.owner];
-        if !owner.alive || now < owner.frozen_until {
-            // A frozen owner reads its responses when it resumes.
+        let resumes_at = owner.frozen_until.max(owner.busy_until);
+        if !owner.alive || now < resumes_at {
+            // A frozen or slow owner reads its responses when it resumes.
             if owner.alive {
-                let at = owner.frozen_until;
+                let at = resumes_at;
                 self.transits.push(Transit { at, ..transit });
             }
             return;
@@ -227,7 +228,7 @@
         else {
             return;
         };
-        let is_cut = (self.cuts.get(&(owner, worker))).is_some_and(|until| self.now < *until);
+        let is_cut = self.is_cut(owner, worker);
         let is_order = !matches!(message, Message::Renew { .. });
         let lost = is_cut || self.chance(self.plan.call_lost);
         let may_be_late = is_order || self.plan.late_renewals;
--- a/crates/tanager-schedule/tests/model/owner.rs
+++ b/crates/tanager-schedule/tests/model/owner.rs
@@ -9,6 +9,9 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::QueuePolicy;
 use tanager_schedule::WorkerKey;
+use tanager_schedule::ownership;
+use tanager_schedule::ownership::NODE_DEATH_TIMEOUT;
+use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
 use tanager_schedule::recovery::FormerOwner;
@@ -19,11 +22,17 @@
 use super::world::World;
 use super::world::settings;
 
-/// Time after which another node takes over the cell of an unresponsive owner.
-const NODE_DEATH_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Interval between an owner's reads of the owner rows.
+const OWNER_READ_PERIOD: Duration = Duration::from_millis(500);
 
 pub(crate) struct Commit {
+    /// Time at which the owner knows the outcome.
     pub(crate) at: Duration,
+    /// Time at which the store carries it out if its condition holds.
+    pub(crate) applied_at: Duration,
+    /// Whether it has reached the store.
+    pub(crate) is_sent: bool,
+    pub(crate) is_applied: bool,
     pub(crate) jobs: Vec<DirtyJob>,
     pub(crate) watermarks: EndWatermarks,
     pub(crate) registered: Vec<WorkerKey>,
@@ -35,7 +44,16 @@
     pub(crate) token: u64,
     pub(crate) alive: bool,
     pub(crate) frozen_until: Duration,
+    /// Time until which nothing is handled and decided.
+    pub(crate) busy_until: Duration,
+    /// Whether heartbeats are written meanwhile.
+    pub(crate) beats_while_busy: bool,
+    /// Time until which the store turns this owner away.
+    pub(crate) turned_away_until: Duration,
+    /// Relays that are turned away, too.
+    pub(crate) unserved_relays: usize,
     pub(crate) last_heartbeat: Duration,
+    pub(crate) owners_read_at: Duration,
     pub(crate) renewals: BTreeMap<WorkerKey, Duration>,
     pub(crate) commit: Option<Commit>,
     /// Time since which the current owner is unresponsive.
@@ -45,7 +63,12 @@
 impl World {
     /// Starts a new owner, which acquires and loads the cell.
     pub(crate) fn take_over(&mut self, former_owner: FormerOwner) {
-        self.trace(|| "takeover".to_owned());
+        let former_owner = ownership::former_owner(
+            former_owner == FormerOwner::Inactive,
+            self.delays.awaits_predecessor,
+        );
+        self.delays.awaits_predecessor = former_owner == FormerOwner::Unresponsive;
+        self.trace(|| format!("takeover from {former_owner:?}"));
         self.next_token += 1;
         self.owner_token = self.next_token;
         let mut core = CellCore::new(settings(&self.plan));
@@ -70,7 +93,12 @@
             token: self.owner_token,
             alive: true,
             frozen_until: Duration::ZERO,
+            busy_until: Duration::ZERO,
+            beats_while_busy: false,
+            turned_away_until: Duration::ZERO,
+            unserved_relays: 0,
             last_heartbeat: self.now,
+            owners_read_at: self.now,
             renewals: BTreeMap::new(),
             commit: None,
             unresponsive_since: None,
@@ -81,21 +109,44 @@
         let now = self.now;
         let wall_ms = self.wall_ms();
         let listed = self.listed();
-        let store_up = now >= self.store_down_until;
+        let store_up = self.serves(number);
         let is_current = self.owners[number].token == self.owner_token;
+        let store = self.store_evidence(number);
         let owner = &mut self.owners[number];
         if !owner.alive || now < owner.frozen_until {
             return;
         }
-        owner.unresponsive_since = None;
-        if store_up && is_current {
+        let is_busy = now < owner.busy_until;
+        let writes_heartbeats =
+            now >= owner.turned_away_until && (!is_busy || owner.beats_while_busy);
+        if writes_heartbeats {
+            owner.unresponsive_since = None;
+        }
+        if writes_heartbeats && store_up {
+            // The node of a former owner writes heartbeats, too.
             owner.last_heartbeat = now;
         }
+        if is_busy {
+            return;
+        }
+        if store_up && now.saturating_sub(owner.owners_read_at) >= OWNER_READ_PERIOD {
+            owner.owners_read_at = now;
+            owner.alive = is_current;
+        }
+        if !owner.alive {
+            return;
+        }
         if store_up {
             owner.core.sync_workers(&listed, now);
         }
-        let may_extend = now.saturating_sub(owner.last_heartbeat) <= UNCONFIRMED_LEASE_LIMIT;
-        owner.core.tick(now, wall_ms, may_extend);
+        let evidence = OwnershipEvidence {
+            heartbeat_age: Some(now.saturating_sub(owner.last_heartbeat)),
+            owner_read_age: Some(now.saturating_sub(owner.owners_read_at)),
+            store,
+        };
+        let may_extend = ownership::may_extend_leases(&evidence, UNCONFIRMED_LEASE_LIMIT);
+        let may_start = ownership::may_start_runs(&evidence);
+        owner.core.tick(now, wall_ms, may_start);
         let actions = owner.core.take_actions();
         let events = owner.core.take_events();
         let mut renewals = Vec::new();
@@ -130,7 +181,7 @@
                     ..
                 } => {
                     let core = &mut self.owners[number].core;
-                    if !core.confirm_start(worker, task, run, may_extend) {
+                    if !core.confirm_start(worker, task, run, may_start) {
                         continue;
                     }
                     let message = Message::Start {
@@ -162,7 +213,7 @@
             if now < commit.at || !store_up {
                 return;
             }
-            if !is_current {
+            if !is_current && !commit.is_applied {
                 owner.alive = false;
                 return;
             }
@@ -174,34 +225,52 @@
             owner.core.has_dirty() || owner.core.has_unstored_ends() || !registered.is_empty();
         if has_work {
             let (jobs, watermarks) = owner.core.take_dirty(90);
-            owner.commit = Some(Commit {
-                at: now + Duration::from_millis(15),
+            let workers = owner.core.ledger_workers(now);
+            let mut commit = Commit {
+                at: now,
+                applied_at: now,
+                is_sent: store_up,
+                is_applied: false,
                 jobs,
                 watermarks,
                 registered,
-                workers: owner.core.ledger_workers(now),
-            });
+                workers,
+            };
+            self.schedule_commit(&mut commit);
+            self.owners[number].commit = Some(commit);
+        }
+    }
+
+    /// Carries out a transaction.
+    pub(crate) fn store_commit(&mut self, commit: &mut Commit) {
+        commit.is_applied = true;
+        for job in &commit.jobs {
+            if let Some((_, progress)) = self.jobs.get_mut(&job.id) {
+                *progress = job.progress.clone();
+            }
         }
+        self.ledger_workers.clone_from(&commit.workers);
     }
 
     pub(crate) fn finish_commit(&mut self, number: usize) {
         let owner = &mut self.owners[number];
-        let Some(commit) = owner.commit.take() else {
+        let Some(mut commit) = owner.commit.take() else {
             return;
         };
+        if !commit.is_applied {
+            self.store_commit(&mut commit);
+        }
         for job in &commit.jobs {
-            if let Some((_, progress)) = self.jobs.get_mut(&job.id) {
-                *progress = job.progress.clone();
-            }
             if job.progress.state == JobState::Cancelled
                 && let Some(at) = self.cancelled.get_mut(&job.id)
             {
                 *at = (*at).min(self.now);
             }
         }
-        self.ledger_workers = commit.workers;
+        let owner = &mut self.owners[number];
         owner.core.mark_stored(&commit.jobs, &commit.watermarks);
         owner.core.mark_registered(&commit.registered);
+        self.plan_power_loss();
     }
 
     /// The current owner releases the cell, and another node acquires it.
@@ -209,10 +278,14 @@
         let now = self.now;
         if let Some(owner) = self.current()
             && owner.alive
-            && now >= owner.frozen_until
+            && now >= owner.frozen_until.max(owner.busy_until)
+            && now >= owner.turned_away_until
             && owner.commit.is_none()
         {
             owner.alive = false;
+            // The row of a released cell says whether its owner still waited.
+            let is_recovering = owner.core.is_recovering();
+            self.delays.awaits_predecessor &= is_recovering;
             self.take_over(FormerOwner::Inactive);
         }
     }
@@ -222,7 +295,13 @@
         let now = self.now;
         let store_up = now >= self.store_down_until;
         let is_unresponsive = match self.current() {
-            Some(owner) if owner.alive && now >= owner.frozen_until => false,
+            Some(owner)
+                if owner.alive
+                    && now >= owner.frozen_until.max(owner.turned_away_until)
+                    && (now >= owner.busy_until || owner.beats_while_busy) =>
+            {
+                false
+            }
             Some(owner) => {
                 let since = *owner.unresponsive_since.get_or_insert(now);
                 now.saturating_sub(since) >= NODE_DEATH_TIMEOUT
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -24,6 +24,7 @@
 
 use super::calls::Transit;
 use super::check::RunRecord;
+use super::delays::DelayState;
 use super::moves::DrainingWorker;
 use super::owner::Owner;
 use super::worker::ModelWorker;
@@ -31,7 +32,8 @@
 
 pub(crate) const STEP: Duration = Duration::from_millis(5);
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
-/// An owner without a confirmed heartbeat stops extending leases after this time.
+/// An owner without a confirmed heartbeat stops extending leases after this time, unless the store
+/// is unavailable to all.
 pub(crate) const UNCONFIRMED_LEASE_LIMIT: Duration = Duration::from_millis(4_000);
 /// Time after an acknowledged cancellation from which nothing may start.
 const CANCEL_LIMIT: Duration = Duration::from_millis(3_000);
@@ -75,6 +77,19 @@
     pub(crate) gangs: f64,
     /// Whether owners hand over the cell.
     pub(crate) handovers: bool,
+    /// Whether owners handle responses and take decisions up to 3.5 s late, in bursts.
+    pub(crate) slow_owners: bool,
+    /// Whether the store turns away the owner while it serves others.
+    pub(crate) turns_away_owners: bool,
+    /// Whether at times only the present owner reaches a worker, and later owners do not.
+    pub(crate) one_sided_cuts: bool,
+    /// Whether owners see the workers' entries up to 2 s late, and entries vanish during an outage
+    /// of the store.
+    pub(crate) stale_lists: bool,
+    /// Whether all owners are killed right after some transactions.
+    pub(crate) power_losses: bool,
+    /// Share of transactions without a response, of which half are carried out 1 to 6 s late.
+    pub(crate) late_commits: f64,
 }
 
 pub(crate) struct World {
@@ -92,6 +107,7 @@
     pub(crate) store_down_until: Duration,
     /// Cut connections between an owner and a worker, with their end.
     pub(crate) cuts: BTreeMap<(usize, usize), Duration>,
+    pub(crate) delays: DelayState,
     pub(crate) restart_times: BTreeMap<usize, Duration>,
     /// Time at which the cancellation of a job was acknowledged.
     pub(crate) cancelled: BTreeMap<JobId, Duration>,
@@ -160,6 +176,7 @@
             ledger_workers: Vec::new(),
             store_down_until: Duration::ZERO,
             cuts: BTreeMap::new(),
+            delays: DelayState::default(),
             restart_times: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             poisoned: Vec::new(),
@@ -196,13 +213,6 @@
         !period.is_zero() && self.chance((STEP.as_secs_f64() / period.as_secs_f64()).min(1.0))
     }
 
-    pub(crate) fn listed(&self) -> Vec<WorkerEntry> {
-        (self.workers.iter())
-            .filter(|worker| worker.up)
-            .map(ModelWorker::entry)
-            .collect()
-    }
-
     /// Submits a job; it is accepted when the current owner can store it.
     pub(crate) fn submit(&mut self, steps: &[(u32, u64)]) -> Option<JobId> {
         let steps = (steps.iter().enumerate())
@@ -264,7 +274,8 @@
         let (now, wall_ms) = (self.now, self.wall_ms());
         let is_store_down = self.now < self.store_down_until;
         let owner = self.current()?;
-        if !owner.alive || now < owner.frozen_until || is_store_down {
+        let is_served = now >= owner.turned_away_until;
+        if !owner.alive || now < owner.frozen_until || is_store_down || !is_served {
             return None;
         }
         owner.core.add_job(record.clone(), now, wall_ms);
@@ -284,7 +295,7 @@
         let (now, wall_ms) = (self.now, self.wall_ms());
         if let Some(owner) = self.current()
             && owner.alive
-            && now >= owner.frozen_until
+            && now >= owner.frozen_until.max(owner.busy_until)
             && owner.core.cancel(id, now, wall_ms) != CancelResult::Unknown
         {
             // Acknowledged when it is stored; see `finish_commit`.
@@ -301,6 +312,7 @@
     pub(crate) fn step(&mut self) {
         self.now += STEP;
         self.inject_faults();
+        self.inject_delays();
         self.step_moves();
         for number in 0..self.workers.len() {
             self.workers[number].advance(STEP);
@@ -323,6 +335,12 @@
             || plan.store_outages
             || plan.cuts
             || plan.handovers
+            || plan.slow_owners
+            || plan.turns_away_owners
+            || plan.one_sided_cuts
+            || plan.stale_lists
+            || plan.power_losses
+            || plan.late_commits > 0.0
             || plan.crashing > 0.0
     }
 
@@ -432,6 +450,7 @@
         if self.plan.store_outages && self.chance_every(Duration::from_secs(12)) {
             let pause = Duration::from_millis(self.rng.random_range(500..5_000));
             self.store_down_until = self.now + pause;
+            self.unlist_workers();
         }
         if self.plan.cuts && self.chance_every(Duration::from_secs(4)) {
             let worker = self.rng.random_range(0..self.workers.len());
