Entries of workers and waves with values out of range are refused

At stake: an entry of another writer with fields of the right types was counted as a worker of its pool, whatever its values: capacity near 2^64 in the sums of a cell, a start in the far future, port 0, a multicast address, 10,000 labels, an id that cannot be sent in a header, a drain of 1e21 ms. A wave with a duration of 1e300 s or -1 s was taken as one of 0 s, in which runs are ended at once, and a row could replace the wave of another row by its number.

Entries that are nested too deeply, numbers beyond 64 bits and ports above 65535 were refused there already.

Change: the adapter checks each field of an entry and of a wave against named limits with unit and reason. Types of fields that are not used (slots, version, sequence, cold_remaining_ms) are checked too, because an entry with a wrong one is no worker's; they may be missing, as may labels and born. Duration and cap of a wave are required now, the key must name its number, and the cap is at most the number of its VMs. Messages no longer contain the value, which may be long. Sums and products of resource amounts saturate, also for what jobs request.

--- a/crates/tanager-jobs/src/worker.rs
+++ b/crates/tanager-jobs/src/worker.rs
@@ -29,13 +29,13 @@
         self.cpu >= other.cpu && self.memory_mb >= other.memory_mb && self.gpu >= other.gpu
     }
 
-    /// Returns the sum of both amounts.
+    /// Returns the sum of both amounts, with a maximum of 2^64 - 1 each.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            memory_mb: self.memory_mb + other.memory_mb,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 
--- a/crates/tanager-schedule/src/planning.rs
+++ b/crates/tanager-schedule/src/planning.rs
@@ -311,8 +311,8 @@
 fn times(amount: &ResourceAmount, count: u32) -> ResourceAmount {
     let count = u64::from(count);
     ResourceAmount {
-        cpu: amount.cpu * count,
-        memory_mb: amount.memory_mb * count,
-        gpu: amount.gpu * count,
+        cpu: amount.cpu.saturating_mul(count),
+        memory_mb: amount.memory_mb.saturating_mul(count),
+        gpu: amount.gpu.saturating_mul(count),
     }
 }
--- a/crates/tanager-service/src/operator_watch.rs
+++ b/crates/tanager-service/src/operator_watch.rs
@@ -164,7 +164,7 @@
             }
         })
     } else if row.name.key.starts_with(WAVE_PREFIX) {
-        decode_wave(&row.value).map(|wave| {
+        decode_wave(&row.name.key, &row.value).map(|wave| {
             log::info!(
                 "event=wave_seen wave={} vms={}",
                 wave.wave,
