Rows that cannot be used are logged and counted once

Operators saw row_skipped lines without end: an odd entry was logged at each full read of its table, which happens at each takeover and whenever the store has dropped its history, and at each rewrite by its writer. The key went into the line unquoted, and the message could contain a whole value of 64 KB.

A line is written once for each row and problem; tanager_rows_skipped counts each version once. A worker's row is forgotten when it is removed, because the worker and another writer may take turns in it; other rows also when they can be used again. The key is quoted. Applying workers' rows moves into a file of its own, and rows are decoded before the view is locked.

--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -32,12 +32,14 @@
 pub mod records;
 pub mod requests;
 mod sibling_loads;
+pub mod skipped_rows;
 pub mod store_access;
 pub mod supervision;
 pub mod table_watch;
 pub mod takeover;
 pub mod view;
 mod worker_orders;
+pub mod worker_rows;
 mod workspace_list;
 pub mod workspace_metrics;
 
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -43,6 +43,7 @@
 use crate::peers::DrainRequest;
 use crate::peers::PeerClient;
 use crate::records::Incarnation;
+use crate::skipped_rows::SkippedRows;
 use crate::store_access::StoreAccess;
 use crate::table_watch;
 use crate::takeover;
@@ -93,6 +94,8 @@
     pub(crate) config_reads: ConfigReads,
     /// Wakes the task that acquires cells.
     pub owners_changed: Notify,
+    /// Rows of other writers that cannot be used.
+    pub(crate) skipped_rows: SkippedRows,
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
     last_heartbeat: Mutex<Option<ConfirmedHeartbeat>>,
@@ -308,6 +311,7 @@
             owner_read_requested: Notify::new(),
             config_reads: ConfigReads::default(),
             owners_changed: Notify::new(),
+            skipped_rows: SkippedRows::default(),
             view: Mutex::default(),
             cells: Mutex::default(),
             last_heartbeat: Mutex::default(),
--- a/crates/tanager-service/src/operator_watch.rs
+++ b/crates/tanager-service/src/operator_watch.rs
@@ -147,7 +147,9 @@
 }
 
 fn apply_operator_row(context: &Arc<NodeContext>, row: &TableRow) {
+    let key = &row.name.key;
     if row.deleted {
+        context.skipped_rows.forget(OPERATOR_TABLE, key);
         return;
     }
     let result = if row.name.key == CONFIG_KEY {
@@ -178,11 +180,8 @@
     } else {
         Ok(())
     };
-    if let Err(error) = result {
-        context.metrics.rows_skipped.increment();
-        log::warn!(
-            "event=row_skipped table={OPERATOR_TABLE} key={} error={error:?}",
-            row.name.key
-        );
+    match result {
+        Ok(()) => context.skipped_rows.forget(OPERATOR_TABLE, key),
+        Err(error) => context.skip_row(OPERATOR_TABLE, key, row.version, &error),
     }
 }
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -12,7 +12,6 @@
 use tanager_jobs::record::encode_record;
 use tanager_protocol::error::TanagerResult;
 use tanager_site::fleet::WORKER_TABLE;
-use tanager_site::fleet::decode_worker;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::FeedPage;
 use tanager_site::store::RowVersion;
@@ -34,6 +33,7 @@
 use crate::supervision::spawn_loop;
 use crate::takeover;
 use crate::view::assign_racks;
+use crate::worker_rows::apply_worker_rows;
 
 /// Interval between reads of a table: a quarter of the two seconds within which a new configuration
 /// must be in force, so that one or two failed reads are tolerated.
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Returns the version of the store as of which the rows read so far are complete.
+    pub(crate) fn version(&self) -> RowVersion {
+        self.after.unwrap_or(0)
+    }
+
     pub(crate) async fn read(&mut self, context: &NodeContext) -> TanagerResult<TableRead> {
         if let Some(after) = self.after {
             match context.store.feed(self.name, after, READ_TIMEOUT).await? {
@@ -140,7 +145,7 @@
     let mut table = WatchedTable::new(WORKER_TABLE, true);
     loop {
         match table.read(&context).await {
-            Ok(read) => apply_worker_rows(&context, read),
+            Ok(read) => apply_worker_rows(&context, read, table.version()),
             Err(error) => log::debug!("event=read_failed table={WORKER_TABLE} error={error:?}"),
         }
         for cell in context.cells() {
@@ -169,7 +174,7 @@
 pub async fn refresh_workers(context: &NodeContext) {
     let read = context.store.all_rows(WORKER_TABLE, "", READ_TIMEOUT).await;
     match read {
-        Ok((rows, _)) => apply_worker_rows(context, TableRead::Full(rows)),
+        Ok((rows, version)) => apply_worker_rows(context, TableRead::Full(rows), version),
         Err(error) => log::info!("event=read_failed table={WORKER_TABLE} error={error:?}"),
     }
 }
@@ -202,50 +207,6 @@
     }
 }
 
-fn apply_worker_rows(context: &NodeContext, read: TableRead) {
-    let mut view = context.view();
-    let rows = match read {
-        TableRead::Full(rows) => {
-            let listed: BTreeSet<&str> = rows.iter().map(|row| row.name.key.as_str()).collect();
-            view.workers
-                .retain(|worker, _| listed.contains(worker.as_str()));
-            rows
-        }
-        TableRead::Changed(rows) => rows,
-    };
-    for row in rows {
-        let key = &row.name.key;
-        if row.deleted {
-            if view.workers.remove(key).is_some() {
-                log::debug!("event=worker_unlisted worker={key} row={}", row.version);
-            }
-            continue;
-        }
-        match decode_worker(key, &row.value) {
-            Ok(entry) => {
-                let before = view.workers.insert(key.clone(), entry.clone());
-                let is_change = before.as_ref().is_none_or(|before| {
-                    before.draining != entry.draining || before.started_ms != entry.started_ms
-                });
-                if is_change {
-                    log::debug!(
-                        "event=worker_listed worker={key} pool={} draining={} born={} row={}",
-                        entry.pool,
-                        entry.draining,
-                        entry.started_ms,
-                        row.version
-                    );
-                }
-            }
-            Err(error) => {
-                context.metrics.rows_skipped.increment();
-                view.workers.remove(key);
-                log::warn!("event=row_skipped table={WORKER_TABLE} key={key} error={error:?}");
-            }
-        }
-    }
-}
-
 /// Partitions pools that have no cells yet, and assigns new racks to cells.
 async fn partition_pools(context: &Arc<NodeContext>) {
     let pools: Vec<String> = {
@@ -317,6 +278,7 @@
     }
     match decode_record::<PoolRecord>(&row.name.key, &row.value) {
         Ok(record) => {
+            context.skipped_rows.forget(POOL_TABLE, &row.name.key);
             let mut view = context.view();
             let known_version = view
                 .pools
@@ -328,8 +290,7 @@
             }
         }
         Err(error) => {
-            context.metrics.rows_skipped.increment();
-            log::warn!("event=row_skipped table={POOL_TABLE} error={error:?}");
+            context.skip_row(POOL_TABLE, &row.name.key, row.version, &error.to_string());
         }
     }
 }
@@ -348,11 +309,14 @@
                         true => None,
                         false => decode_record::<NodeRecord>(&row.name.key, &row.value)
                             .inspect_err(|error| {
-                                context.metrics.rows_skipped.increment();
-                                log::warn!("event=row_skipped table={NODE_TABLE} error={error:?}");
+                                let problem = error.to_string();
+                                context.skip_row(NODE_TABLE, &row.name.key, row.version, &problem);
                             })
                             .ok(),
                     };
+                    if row.deleted || record.is_some() {
+                        context.skipped_rows.forget(NODE_TABLE, &row.name.key);
+                    }
                     (row.name.key, record, row.version)
                 });
                 let records = records.collect();
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -221,11 +221,11 @@
 /// Decodes an owner row and applies it to the view.
 pub fn apply_owner_row(context: &NodeContext, cell: &str, value: &[u8], version: RowVersion) {
     match decode_record::<OwnerRecord>(cell, value) {
-        Ok(record) => context.view().apply_owner(cell, record, version),
-        Err(error) => {
-            context.metrics.rows_skipped.increment();
-            log::warn!("event=row_skipped table={CELL_TABLE} cell={cell} error={error:?}");
+        Ok(record) => {
+            context.skipped_rows.forget(CELL_TABLE, cell);
+            context.view().apply_owner(cell, record, version);
         }
+        Err(error) => context.skip_row(CELL_TABLE, cell, version, &error.to_string()),
     }
 }
 
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -65,6 +65,8 @@
     pub previous_pools: BTreeMap<String, BTreeSet<PoolName>>,
     /// Workers by id.
     pub workers: BTreeMap<WorkerId, WorkerEntry>,
+    /// Version of the store as of which `workers` is complete.
+    pub workers_version: RowVersion,
     /// Nodes by name.
     pub nodes: BTreeMap<NodeName, ObservedNode>,
     /// Time of the last successful read of the nodes.
