A read of workers that a later one overtook no longer brings back old entries

Two tasks read the workers' rows: the regular one, and the one that acquires a cell. A response that arrived after that of a later read set entries back to an earlier state. If a worker had restarted under its id in between, its entry got the start of the earlier incarnation again. The next report, with the later start, then counts as that of a new incarnation, and the runs that the worker reports are taken for ended and start elsewhere (crates/tanager-schedule/tests/odd_entries.rs shows this last step). A worker removed in between also came back, and a new one was dropped until its next heartbeat.

Evidence: overtaken_full_read_is_ignored and overtaken_changes_are_ignored failed without the comparison of versions.

Change: the view keeps the version of the store as of which its workers are complete, and ignores a read as of an earlier one. Such a read holds nothing new: all rows up to that version were applied, and the feed goes on from its own version.

--- a/crates/tanager-service/src/worker_rows.rs
+++ b/crates/tanager-service/src/worker_rows.rs
@@ -46,7 +46,13 @@
 impl FleetView {
     /// Applies the result of reading the workers' rows as of a version of the store: all rows if
     /// `is_full`, else the changed ones.
+    ///
+    /// A read whose response was overtaken by that of a later one is ignored: it would bring back
+    /// entries of earlier incarnations.
     pub fn apply_worker_rows(&mut self, rows: Vec<WorkerRow>, is_full: bool, version: RowVersion) {
+        if version < self.workers_version {
+            return;
+        }
         self.workers_version = version;
         if is_full {
             let listed: BTreeSet<&WorkerId> = rows.iter().map(|(worker, _, _)| worker).collect();
--- a/crates/tanager-service/tests/worker_rows.rs
+++ b/crates/tanager-service/tests/worker_rows.rs
@@ -25,6 +25,35 @@
         .collect()
 }
 
+/// Guards against a slow read of all workers, as before a takeover, that brings back the entry of an
+/// earlier incarnation, brings back a removed worker or drops a new one: the next report of the
+/// worker would then count as that of a new incarnation, and its runs as ended.
+#[test]
+fn overtaken_full_read_is_ignored() {
+    let mut view = FleetView::default();
+    view.apply_worker_rows(vec![row("w1", 5, 1_000), row("w2", 6, 1_000)], true, 6);
+    let changes = vec![
+        row("w1", 8, 2_000),
+        ("w2".to_owned(), 9, None),
+        row("w3", 10, 1),
+    ];
+    view.apply_worker_rows(changes, false, 10);
+    view.apply_worker_rows(vec![row("w1", 5, 1_000), row("w2", 6, 1_000)], true, 7);
+    assert_eq!(starts(&view), [("w1", 2_000), ("w3", 1)]);
+}
+
+/// Guards against changes that were read before all workers were, and arrive after them.
+#[test]
+fn overtaken_changes_are_ignored() {
+    let mut view = FleetView::default();
+    view.apply_worker_rows(vec![row("w1", 8, 2_000)], true, 9);
+    view.apply_worker_rows(vec![row("w1", 5, 1_000), row("w2", 6, 1)], false, 6);
+    assert_eq!(starts(&view), [("w1", 2_000)]);
+    // A read as of the same version holds the same rows.
+    view.apply_worker_rows(vec![row("w1", 8, 2_000), row("w4", 9, 7)], true, 9);
+    assert_eq!(starts(&view), [("w1", 2_000), ("w4", 7)]);
+}
+
 /// Guards against an entry that cannot be used any more and still names a worker.
 #[test]
 fn unusable_row_removes_its_worker() {
