An odd run or VM no longer hides the others of its report or list

Callers saw jobs that never completed while a worker's report contained one run, end or number that cannot be used, and waves that never completed while the platform's list contained one such VM: the whole response was refused, so the owner knew nothing of the worker's runs, and the coordinator of no VM.

Evidence: in runs with node processes, jobs::odd_rows with reports and lists of this kind, the job and the wave were not completed within 40 s on and on.

Change: runs, ends and VMs are decoded one by one; those that cannot be used are left out and noted as row_skipped with table=report or table=machines. After an incomplete report, no run counts as ended because it is not listed: it may be the one that could not be read.

Open: the first report after a takeover accounts for its worker also when it is incomplete; that decision is in tanager-schedule/src/report.rs.

Measured: the tests of platform/tests/odd_responses.rs pass.

--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -66,6 +66,8 @@
 
 /// Maximum number of home pools stored in one change, beside its condition.
 const MAX_HOMES_PER_CHANGE: usize = MAX_ENTRIES - 1;
+/// Source of skipped entries of the list of VMs, in the log.
+const MACHINE_SOURCE: &str = "machines";
 
 /// State of the coordinator.
 struct CoordinatorState {
@@ -111,7 +113,12 @@
     while !state.cell.is_closed() {
         state.begin_waves().await;
         match machines.list(MACHINE_TIMEOUT).await {
-            Ok(listed) => {
+            Ok((listed, skipped)) => {
+                let context = &state.cell.context;
+                match skipped.count {
+                    0 => context.skipped_rows.forget(MACHINE_SOURCE, ""),
+                    _ => context.skip_row(MACHINE_SOURCE, "", 0, &skipped.first),
+                }
                 vms = listed.len();
                 state.step(&listed).await;
             }
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -7,6 +7,7 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::renewal_timing::RenewalTiming;
+use tanager_site::lenient_list::SkippedParts;
 use tanager_site::worker::LeaseRenewal;
 use tanager_site::worker::RenewalReply;
 use tokio::time;
@@ -20,6 +21,8 @@
 const MAX_STORE_WAIT: Duration = Duration::from_millis(120);
 /// Pause after a refused renewal.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// Source of skipped entries of workers' reports, in the log; the key is the worker.
+const REPORT_SOURCE: &str = "report";
 
 /// Renews a worker's leases until its incarnation ends or the cell is closed.
 pub async fn run(cell: Arc<CellHandle>, key: WorkerKey) {
@@ -56,7 +59,8 @@
             .await;
         let now = clock.now();
         match result {
-            Ok(RenewalReply::Report(report)) => {
+            Ok(RenewalReply::Report(report, skipped)) => {
+                note_skipped(&cell, &worker, &skipped);
                 if timing.failures() > 0 {
                     log::info!(
                         "event=worker_regained cell={} worker={worker} failures={}",
@@ -66,9 +70,14 @@
                 }
                 timing.record_reply(wait, now.saturating_sub(sent_at));
                 let wall_ms = clock.wall_ms();
+                // A run that an incomplete report does not list may still be there.
+                let complete_since = match skipped.count {
+                    0 => sent_at,
+                    _ => Duration::ZERO,
+                };
                 let (is_known, has_ends) = {
                     let mut core = cell.core();
-                    let is_known = core.apply_report(key, &report, sent_at, now, wall_ms);
+                    let is_known = core.apply_report(key, &report, complete_since, now, wall_ms);
                     let has_ends = (core.worker(key))
                         .is_some_and(|worker| worker.processed_end > worker.stored_end);
                     (is_known, has_ends)
@@ -129,3 +138,11 @@
         }
     }
 }
+
+/// Counts and logs the entries of a report that cannot be used.
+fn note_skipped(cell: &CellHandle, worker: &str, skipped: &SkippedParts) {
+    match skipped.count {
+        0 => cell.context.skipped_rows.forget(REPORT_SOURCE, worker),
+        _ => (cell.context).skip_row(REPORT_SOURCE, worker, 0, &skipped.first),
+    }
+}
