--- a/crates/tanager-standin/src/site/faults.rs
+++ b/crates/tanager-standin/src/site/faults.rs
@@ -23,6 +23,8 @@
     pub order_response_loss_rate: f64,
     /// Time for which the machine API delays the execution of an order.
     pub machine_order_delay: Duration,
+    /// The machine API lists VMs, and the workers report runs, that no client can use.
+    pub lists_odd_entries: bool,
     /// Share of runs that fail.
     pub run_failure_rate: f64,
 }
--- a/crates/tanager-standin/src/site/machines.rs
+++ b/crates/tanager-standin/src/site/machines.rs
@@ -37,7 +37,7 @@
 
 fn list_machines(state: &SiteState) -> HttpResponse {
     let now = state.start.elapsed();
-    let machines: Vec<Value> = (state.workers.iter())
+    let mut machines: Vec<Value> = (state.workers.iter())
         .map(|worker| {
             let is_up = worker.is_up(now);
             let listed = if is_up { "up" } else { worker.state };
@@ -46,6 +46,13 @@
                    "identifier": is_up.then(|| worker.id())})
         })
         .collect();
+    if state.faults.lists_odd_entries {
+        let huge = json!({"cpu": u64::MAX, "memory_request_mb": u64::MAX, "gpu": u64::MAX});
+        let odd = json!({"machine": "m-odd", "pool": "entry", "state": "up", "capacity": huge});
+        machines.insert(0, odd);
+        machines.push(json!({"machine": 7, "pool": [], "state": null}));
+        machines.push(json!([[[[{}]]]]));
+    }
     json_response(200, &json!({"machines": machines, "next_page_token": null}))
 }
 
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -195,6 +195,11 @@
         lock(&self.state).table.put(table, "", key, value);
     }
 
+    /// Like [`Self::put_row`], but responses contain this JSON text as the row's value.
+    pub fn put_raw_row(&self, table: &str, key: &str, json: &str) {
+        lock(&self.state).table.put_raw(table, "", key, json);
+    }
+
     /// Reads a row without a part.
     pub fn row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         lock(&self.state).table.value(table, "", key)
--- a/crates/tanager-standin/src/site/table.rs
+++ b/crates/tanager-standin/src/site/table.rs
@@ -39,6 +39,8 @@
 pub struct SiteTable {
     rows: BTreeMap<RowKey, SiteRow>,
     version: u64,
+    /// JSON texts that replace the values of rows in responses to reads, by placeholder.
+    raw_values: BTreeMap<String, String>,
     /// Number of served requests by kind.
     pub calls: BTreeMap<&'static str, u64>,
 }
@@ -56,6 +58,27 @@
             .insert((table.to_owned(), part.to_owned(), key.to_owned()), row);
     }
 
+    /// Writes a row whose value in responses is this JSON text instead of a Base64 string.
+    pub fn put_raw(&mut self, table: &str, part: &str, key: &str, json: &str) {
+        let placeholder = format!("raw value {}", self.raw_values.len());
+        self.raw_values
+            .insert(format!("\"{placeholder}\""), json.to_owned());
+        self.put(table, part, key, b"");
+        let row_key = (table.to_owned(), part.to_owned(), key.to_owned());
+        if let Some(row) = self.rows.get_mut(&row_key) {
+            row.value = placeholder;
+        }
+    }
+
+    /// Returns a response to a read.
+    fn read_response(&self, body: &Value) -> HttpResponse {
+        let mut text = body.to_string();
+        for (placeholder, json) in &self.raw_values {
+            text = text.replace(placeholder, json);
+        }
+        HttpResponse::with_content_type(StatusCode::OK, "application/json", text)
+    }
+
     /// Removes a row.
     pub fn remove(&mut self, table: &str, part: &str, key: &str) {
         let row_key = (table.to_owned(), part.to_owned(), key.to_owned());
@@ -224,8 +247,14 @@
             json_response(status, &body)
         }
         "/rows-feed" if faults.history_dropped => HttpResponse::new(StatusCode::GONE, ""),
-        "/rows-feed" => json_response(200, &lock(&state).table.read_feed(&query)),
-        "/rows-get" => json_response(200, &lock(&state).table.read_part(&query)),
+        "/rows-feed" => {
+            let table = &lock(&state).table;
+            table.read_response(&table.read_feed(&query))
+        }
+        "/rows-get" => {
+            let table = &lock(&state).table;
+            table.read_response(&table.read_part(&query))
+        }
         "/rows-parts" => json_response(200, &lock(&state).table.list_parts(&query)),
         _ => HttpResponse::new(StatusCode::NOT_FOUND, ""),
     }
--- a/crates/tanager-standin/src/site/worker.rs
+++ b/crates/tanager-standin/src/site/worker.rs
@@ -317,8 +317,8 @@
         (200, "")
     }
 
-    fn status_report(&self, now: Duration) -> Value {
-        let running: Vec<Value> = (self.running.iter())
+    fn status_report(&self, now: Duration, has_odd_entries: bool) -> Value {
+        let mut running: Vec<Value> = (self.running.iter())
             .map(|(task, run)| {
                 let percent = match run.duration {
                     None => 100,
@@ -330,9 +330,18 @@
                 json!([task, run.run, "", percent, run.cpu])
             })
             .collect();
-        let ended: Vec<Value> = (self.unacknowledged_ends.iter())
+        let mut ended: Vec<Value> = (self.unacknowledged_ends.iter())
             .map(|(number, task, run, cause)| json!([number, task, run, cause, ""]))
             .collect();
+        if has_odd_entries {
+            let task = "00000000000000ff.0.0.0";
+            running.insert(0, json!(["no task", 1, "", 0, 0]));
+            running.push(json!([task, u64::MAX, "", -1, 1e300]));
+            running.push(json!({"task": [[[[]]]]}));
+            ended.insert(0, json!([0, task, "one", "done", ""]));
+            ended.push(json!([u64::MAX, task, 1, "done", ""]));
+            ended.push(json!([1_000_000, task, 1, "vanished", ""]));
+        }
         json!({"clock_ms": self.clock_ms(now), "born": self.started_ms,
                "running": running, "ended": ended})
     }
@@ -367,11 +376,12 @@
         {
             let mut state = lock(state);
             let now = state.start.elapsed();
+            let has_odd_entries = state.faults.lists_odd_entries;
             let SiteState { workers, log, .. } = &mut *state;
             let worker = &mut workers[index];
             worker.advance(now, log);
             if !worker.unacknowledged_ends.is_empty() || now.saturating_sub(wait_start) >= wait {
-                return json_response(200, &worker.status_report(now));
+                return json_response(200, &worker.status_report(now, has_odd_entries));
             }
         }
         time::sleep(RENEWAL_POLL_PERIOD).await;
