--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -8,7 +8,9 @@
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
 
+use crate::action::CellEvent;
 use crate::action::ReleaseCause;
+use crate::action::ReplacementSource;
 use crate::core::CellCore;
 use crate::job::TaskPhase;
 use crate::renewal_timing::WorkerActivity;
@@ -65,6 +67,12 @@
     fn sync_worker(&mut self, entry: &WorkerEntry, now: Duration) {
         if let Some(&key) = self.workers_by_id.get(&entry.worker) {
             let worker = &mut self.workers[key];
+            // Reports reveal a restart before its entry is read, and reads may be applied out of
+            // order. An older entry would make the next report look like another restart.
+            let known_start = worker.entry.started_ms;
+            if entry.started_ms > 0 && entry.started_ms < known_start {
+                return;
+            }
             let is_restarted = entry.started_ms > 0
                 && worker.entry.started_ms > 0
                 && entry.started_ms > worker.entry.started_ms;
@@ -74,12 +82,20 @@
                     self.placement_needed = true;
                 }
                 worker.entry = entry.clone();
+                // An entry without a start says nothing about restarts.
+                worker.entry.started_ms = entry.started_ms.max(known_start);
                 return;
             }
-            self.replace_incarnation(key, entry.clone(), now);
+            self.replace_incarnation(key, entry.clone(), ReplacementSource::Entry, now);
             return;
         }
-        let slot = WorkerSlot::new(entry.clone(), self.settings.lease);
+        let assumed_lease = match self.unconfirmed_workers.contains_key(&entry.worker) {
+            // Orders of the former owner may have reached a later incarnation than they were meant
+            // for, which then granted the longest lease.
+            true => self.settings.max_lease,
+            false => self.settings.lease,
+        };
+        let slot = WorkerSlot::new(entry.clone(), assumed_lease);
         let key = self.workers.insert(slot);
         self.workers_by_id.insert(entry.worker.clone(), key);
     }
@@ -91,11 +107,13 @@
         &mut self,
         key: WorkerKey,
         entry: WorkerEntry,
+        source: ReplacementSource,
         now: Duration,
     ) {
         let Some(worker) = self.workers.get(key) else {
             return;
         };
+        let (started_ms_before, released) = (worker.entry.started_ms, worker.runs.len());
         let mut unconfirmed_starts = worker.unconfirmed_starts.clone();
         unconfirmed_starts.retain(|_, (_, at)| now.saturating_sub(*at) < MAX_EXECUTION_DELAY);
         // The new incarnation may have carried out orders sent after the last report.
@@ -106,8 +124,15 @@
             .filter(|(_, slot)| slot.ordered_at >= reported || slot.stage == RunStage::Starting)
             .map(|(task, slot)| (*task, slot.clone()))
             .collect();
-        self.end_incarnation(key);
         let id = entry.worker.clone();
+        let awaited_until = self.unconfirmed_workers.get(&id).copied();
+        self.end_incarnation(key);
+        if let Some(end) = awaited_until {
+            // The new incarnation may have runs of the former owner as well, with leases that were
+            // meant for the clock of the earlier one.
+            self.unconfirmed_workers.insert(id.clone(), end);
+            self.await_worker_again(&id, self.settings.max_lease, now);
+        }
         let mut slot = WorkerSlot::new(entry, self.settings.max_lease);
         // A third incarnation may start before these orders are certain to be lost.
         slot.unconfirmed_starts.clone_from(&unconfirmed_starts);
@@ -124,6 +149,16 @@
                 self.carry_over(key, task, &slot, now);
             }
         }
+        if let Some(worker) = self.workers.get(key) {
+            self.events.push(CellEvent::IncarnationReplaced {
+                worker: worker.entry.worker.clone(),
+                started_ms_before,
+                started_ms: worker.entry.started_ms,
+                source,
+                released,
+                carried_over: worker.runs.len(),
+            });
+        }
     }
 
     /// Adds a run of the former incarnation to the new one, which may have it. A confirmed run is
@@ -161,6 +196,21 @@
         }
     }
 
+    /// Ends an incarnation of a worker that refused an order because a later one responds.
+    pub fn end_refused_incarnation(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get(key) {
+            self.events.push(CellEvent::IncarnationReplaced {
+                worker: worker.entry.worker.clone(),
+                started_ms_before: worker.entry.started_ms,
+                started_ms: 0,
+                source: ReplacementSource::Refusal,
+                released: worker.runs.len(),
+                carried_over: 0,
+            });
+        }
+        self.end_incarnation(key);
+    }
+
     /// Ends an incarnation of a worker: releases its runs and removes it.
     pub fn end_incarnation(&mut self, key: WorkerKey) {
         self.record_crash(key, true);
