Keep the incarnation of a worker that reports, whatever an entry says

The cause: an entry was taken for proof that the worker had restarted. A restart at the same address shows in the worker's own reports, and one at another address makes the former address stop responding, so an entry alone now replaces only a worker without a report for 1.6 s. A restart at another address is noticed up to that much later.

--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -91,7 +91,11 @@
                 worker.entry.started_ms = entry.started_ms.max(known_start);
                 return;
             }
-            self.replace_incarnation(key, entry.clone(), ReplacementSource::Entry, now);
+            // What a worker reports itself is more certain than an entry, which another writer may
+            // have left under its id.
+            if !worker.reported_recently(now) {
+                self.replace_incarnation(key, entry.clone(), ReplacementSource::Entry, now);
+            }
             return;
         }
         let assumed_lease = match self.unconfirmed_workers.contains_key(&entry.worker) {
