--- a/crates/tanager-schedule/tests/delegation_runs/orders.rs
+++ b/crates/tanager-schedule/tests/delegation_runs/orders.rs
@@ -17,6 +17,10 @@
 
 /// Time limit of a call.
 const TIMEOUT: u64 = 400;
+/// Longest lease and maximum number of listed ends of a worker.
+const MAX_LEASE: Duration = Duration::from_millis(6_000);
+const LISTED_ENDS: usize = 500;
+
 /// Pauses before the next lease renewal, after a response and without one.
 const RENEWAL_PAUSE: u64 = 50;
 const MISSED_RENEWAL_PAUSE: u64 = 150;
@@ -32,7 +36,7 @@
     pub(crate) fn new(number: usize, cell: usize, clock_rate: f64) -> Self {
         Self {
             cell,
-            worker: ModelWorker::new(number, clock_rate),
+            worker: ModelWorker::new(number, clock_rate, MAX_LEASE, LISTED_ENDS),
             restart_at: None,
         }
     }
--- a/crates/tanager-schedule/tests/model/worker.rs
+++ b/crates/tanager-schedule/tests/model/worker.rs
@@ -13,8 +13,6 @@
 use tanager_jobs::WorkerEntry;
 use tanager_jobs::WorkerReport;
 
-use super::world::FaultPlan;
-
 /// Time for which a member of a gang waits for the others.
 const GANG_LIMIT: Duration = Duration::from_secs(3);
 
@@ -94,7 +92,7 @@
 }
 
 impl ModelWorker {
-    pub(crate) fn new(number: usize, rate: f64, plan: &FaultPlan) -> Self {
+    pub(crate) fn new(number: usize, rate: f64, max_lease: Duration, listed_ends: usize) -> Self {
         Self {
             id: format!("i-{number}"),
             started_ms: 1_000,
@@ -108,8 +106,8 @@
             next_end: 1,
             highest_ended: BTreeMap::new(),
             capacity: 8_000,
-            max_lease: plan.max_lease,
-            listed_ends: plan.listed_ends,
+            max_lease,
+            listed_ends,
             events: Vec::new(),
         }
     }
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -162,7 +162,10 @@
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let workers = (0..worker_count)
-            .map(|number| ModelWorker::new(number, rng.random_range(0.98..=1.0), &plan))
+            .map(|number| {
+                let rate = rng.random_range(0.98..=1.0);
+                ModelWorker::new(number, rate, plan.max_lease, plan.listed_ends)
+            })
             .collect();
         let mut world = Self {
             now: Duration::ZERO,
