Let a task wait for the stop of a run of it that cannot be adopted

At stake is TWICE: starts by a former owner that were not stored may have the same numbers as later runs. A run that a worker lists with such a number cannot be adopted. It was stopped, but its task stayed free, and started elsewhere in the same decision, while the stop takes up to 0.9 s and may be lost.

The task is placed on the worker until the stop is certain, as for orders that are carried over to the next incarnation; a task that already runs elsewhere is left alone.

--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -367,11 +367,22 @@
         slot.in_flight = false;
         slot.stage = RunStage::Stopping;
         worker.add_run(task, slot);
+        let (worker_id, started_ms) = (worker.entry.worker.clone(), worker.entry.started_ms);
+        // The task waits until the stop is certain.
+        if let Some(step) = self.step_mut(task) {
+            let index = task.index as usize;
+            if matches!(
+                step.tasks[index].phase,
+                TaskPhase::Idle | TaskPhase::Unaccounted
+            ) {
+                step.set_phase(index, TaskPhase::Placed(key));
+            }
+        }
         self.events.push(CellEvent::UnknownRunStopped {
             task,
             run: running.run,
-            worker: worker.entry.worker.clone(),
-            started_ms: worker.entry.started_ms,
+            worker: worker_id,
+            started_ms,
         });
         self.send_stop(key, task, now);
     }
