Number the incarnations of a worker also if it was removed meanwhile

At stake is TWICE: the token of an order rose only when a later incarnation replaced one that the owner still had. A worker whose entry was missing for 2.5 s and whose leases had expired was removed, and when it came back under its id its orders had the former token, and the usual lease was assumed. A renewal that was still to be carried out could acknowledge ends that nobody had read, or grant a lease of 10 s.

The numbers are kept by id for as long as the owner has the cell, so an incarnation always has a higher token than those with its id before, and the longest lease is assumed for ids that were met before. The numbers of different workers no longer depend on each other.

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -103,8 +103,8 @@
     pub(crate) health_rates: HealthRates,
     /// Limits of the workspaces in this cell.
     pub(crate) caps: CapState,
-    /// Number of incarnations that a later one with the same id has replaced.
-    pub(crate) replaced_incarnations: IncarnationNumber,
+    /// Numbers of the next incarnations by id, for all ids that this owner has met.
+    pub(crate) next_incarnations: HashMap<WorkerId, IncarnationNumber>,
     /// Ended jobs and early cancellations, ordered by the time of their end.
     pub(crate) ended: BTreeSet<(u64, JobId)>,
 }
@@ -154,7 +154,7 @@
             crashes: CrashTable::default(),
             health_rates: HealthRates::default(),
             caps: CapState::default(),
-            replaced_incarnations: 0,
+            next_incarnations: HashMap::new(),
             ended: BTreeSet::new(),
         }
     }
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerEntry;
 use tanager_jobs::ids::FencingToken;
+use tanager_jobs::ids::WorkerId;
 
 use crate::action::CellEvent;
 use crate::action::ReleaseCause;
@@ -98,18 +99,29 @@
             }
             return;
         }
-        let assumed_lease = match self.unconfirmed_workers.contains_key(&entry.worker) {
-            // Orders of the former owner may have reached a later incarnation than they were meant
-            // for, which then granted the longest lease.
+        let incarnation = self.number_incarnation(&entry.worker);
+        let is_known = incarnation > 0 || self.unconfirmed_workers.contains_key(&entry.worker);
+        let assumed_lease = match is_known {
+            // Orders to an earlier incarnation, or of the former owner, may have reached a later one
+            // than they were meant for, which then granted the longest lease.
             true => self.settings.max_lease,
             false => self.settings.lease,
         };
         let mut slot = WorkerSlot::new(entry.clone(), assumed_lease);
-        slot.incarnation = self.replaced_incarnations;
+        slot.incarnation = incarnation;
         let key = self.workers.insert(slot);
         self.workers_by_id.insert(entry.worker.clone(), key);
     }
 
+    /// Returns the number of the next incarnation with this id. A worker that was removed may come
+    /// back under its id while orders to it are still to be carried out.
+    fn number_incarnation(&mut self, id: &WorkerId) -> IncarnationNumber {
+        let next = self.next_incarnations.entry(id.clone()).or_default();
+        let number = *next;
+        *next = number.saturating_add(1);
+        number
+    }
+
     /// Replaces an incarnation of a worker by a later one with the same id. Orders without a
     /// response may still reach the new incarnation; they are stopped there before their tasks
     /// start elsewhere.
@@ -144,8 +156,7 @@
             self.await_worker_again(&id, self.settings.max_lease, now);
         }
         let mut slot = WorkerSlot::new(entry, self.settings.max_lease);
-        self.replaced_incarnations = self.replaced_incarnations.saturating_add(1);
-        slot.incarnation = self.replaced_incarnations;
+        slot.incarnation = self.number_incarnation(&id);
         // A third incarnation may start before these orders are certain to be lost.
         slot.unconfirmed_starts.clone_from(&unconfirmed_starts);
         let key = self.workers.insert(slot);
--- a/crates/tanager-schedule/src/order_token.rs
+++ b/crates/tanager-schedule/src/order_token.rs
@@ -8,11 +8,11 @@
 
 use tanager_jobs::ids::FencingToken;
 
-/// Number of incarnations that one ownership can tell apart. Tokens stay below 2^53, which JSON
+/// Number of incarnations of one worker that an ownership can tell apart. Tokens stay below 2^53, which JSON
 /// readers that use floating point represent exactly, up to an ownership of 2^37.
 const INCARNATIONS: u64 = 1 << 16;
 
-/// Position of an incarnation among those that an owner has met.
+/// Position of an incarnation among those with the same id that an owner has met.
 pub type IncarnationNumber = u16;
 
 /// Returns the token of orders to an incarnation. Tokens of a later ownership are higher than all of
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -115,7 +115,7 @@
 pub struct WorkerSlot {
     /// Entry in the store.
     pub entry: WorkerEntry,
-    /// Position among the incarnations that the owner has met; see `order_token`.
+    /// Position among the incarnations with its id that the owner has met; see `order_token`.
     pub incarnation: IncarnationNumber,
     /// Time since which the entry is missing from the store.
     pub missing_since: Option<Duration>,
--- a/crates/tanager-schedule/tests/later_incarnations.rs
+++ b/crates/tanager-schedule/tests/later_incarnations.rs
@@ -121,3 +121,58 @@
     assert!(starts(&actions).is_empty(), "{actions:?}");
 }
 
+/// Guards against orders to a worker that left and came back under its id with the token of the
+/// orders to its former incarnation (TWICE).
+#[test]
+fn worker_that_comes_back_has_a_higher_token() {
+    let mut core = new_cell();
+    let a = key_of(&core, "a");
+    let empty = report(10_000, 1_000, vec![], vec![]);
+    core.apply_report(a, &empty, millis(1), millis(2), WALL_MS);
+    core.plan_renewal(a, millis(3));
+    let before = core.order_token(a, 7).expect("known");
+    // The renewal has no response; the entry expires, and the lease ends.
+    core.record_missed_renewal(a);
+    for second in 1..11 {
+        core.sync_workers(&[entry("b")], Duration::from_secs(second));
+    }
+    assert_eq!(core.order_token(a, 7), None, "removed");
+    core.sync_workers(&[restarted("a"), entry("b")], Duration::from_secs(11));
+    let after = core.order_token(key_of(&core, "a"), 7).expect("known");
+    assert!(after > before, "{after} {before}");
+}
+
+/// As before, for the lease: a late renewal meant for the former clock is cut to the longest lease
+/// only.
+#[test]
+fn worker_that_comes_back_may_have_the_longest_lease() {
+    let mut core = new_cell();
+    let a = key_of(&core, "a");
+    let empty = report(100_000, 1_000, vec![], vec![]);
+    core.apply_report(a, &empty, millis(1), millis(2), WALL_MS);
+    core.plan_renewal(a, millis(3));
+    core.record_missed_renewal(a);
+    for second in 1..11 {
+        core.sync_workers(&[entry("b")], Duration::from_secs(second));
+    }
+    core.sync_workers(&[restarted("a"), entry("b")], Duration::from_secs(11));
+    let a = key_of(&core, "a");
+    let empty = report(500, RESTARTED_MS, vec![], vec![]);
+    core.apply_report(a, &empty, millis(11_100), millis(11_200), WALL_MS);
+    let worker = core.worker(a).expect("known");
+    // Granted up to 500 ms + 10 s on its clock.
+    assert!(!worker.leases_expired(millis(11_200 + 8_000)));
+}
+
+/// Guards against orders after a refusal (421) with the token of the orders before it (TWICE).
+#[test]
+fn worker_added_after_a_refusal_has_a_higher_token() {
+    let mut core = acquired_cell();
+    let a = key_of(&core, "a");
+    let before = core.order_token(a, 7).expect("known");
+    core.end_refused_incarnation(a);
+    core.sync_workers(&[restarted("a"), entry("b")], millis(20));
+    let after = core.order_token(key_of(&core, "a"), 7).expect("known");
+    assert!(after > before, "{after} {before}");
+}
+
