Release a repeated start that is late only once the leases have expired

At stake is TWICE: a worker that refuses the repetition of a start as late says nothing about the first one, which may run under a lease that lasts longer than that of the order. The run was released as not started, and its task started elsewhere.

Found by the review of the incident's fixes; late_repetition_does_not_release_a_run_within_an_assumed_lease failed before and passes now. Unless the leases are certain to have expired, the run is stopped first, as after every other refusal of a repetition.

--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -68,6 +68,7 @@
         now: Duration,
     ) {
         self.record_start_observation(key, task, result, now);
+        let has_expired = (self.workers.get(key)).is_some_and(|worker| worker.leases_expired(now));
         let Some(slot) = self.apply_order_result(key, task, run, result, now) else {
             return;
         };
@@ -114,9 +115,10 @@
                 slot.confirmed_at = Some(now);
             }
             OrderResult::Answered(answer) => {
-                if was_retried && !matches!(answer, OrderAnswer::Late) {
-                    // The refusal applies to this order only, not to an earlier one that had no
-                    // response.
+                // The refusal applies to this order only, not to an earlier one that had no
+                // response; only expired leases settle that one as well.
+                let is_settled = !was_retried || (answer == OrderAnswer::Late && has_expired);
+                if !is_settled {
                     slot.stage = RunStage::Stopping;
                     return;
                 }
--- a/crates/tanager-schedule/tests/later_incarnations.rs
+++ b/crates/tanager-schedule/tests/later_incarnations.rs
@@ -176,3 +176,24 @@
     assert!(after > before, "{after} {before}");
 }
 
+/// Guards against the release of a run whose repeated start was late while an earlier one may have
+/// been carried out and a lease from before lasts longer (TWICE).
+#[test]
+fn late_repetition_does_not_release_a_run_within_an_assumed_lease() {
+    let mut core = acquired_cell();
+    core.sync_workers(&[restarted("a")], millis(1));
+    let a = key_of(&core, "a");
+    let empty = report(100, RESTARTED_MS, vec![], vec![]);
+    core.apply_report(a, &empty, millis(2), millis(3), WALL_MS);
+    core.mark_registered(&[a]);
+    let b = key_of(&core, "b");
+    let empty_b = report(10_000, 1_000, vec![], vec![]);
+    core.apply_report(b, &empty_b, millis(2), millis(3), WALL_MS);
+    let (worker, task, run) = starts(&run_tick(&mut core, millis(10)))[0];
+    core.apply_start_result(worker, task, run, OrderResult::Unknown, millis(410));
+    let is_a = worker == a;
+    let late = OrderResult::Answered(OrderAnswer::Late);
+    core.apply_start_result(worker, task, run, late, millis(6_500));
+    let slot_exists = core.worker(worker).expect("known").runs.contains_key(&task);
+    assert!(slot_exists, "released on a: {is_a}");
+}
