--- a/crates/tanager-schedule/tests/later_incarnations.rs
+++ b/crates/tanager-schedule/tests/later_incarnations.rs
@@ -176,6 +176,20 @@
     assert!(after > before, "{after} {before}");
 }
 
+/// Guards against tasks that start although the worker that may have them was not reached: another
+/// worker at its former address refused the order (TWICE).
+#[test]
+fn refusal_does_not_account_for_a_worker_of_the_former_owner() {
+    let mut core = acquired_cell();
+    let b = key_of(&core, "b");
+    let empty = report(10_000, 1_000, vec![], vec![]);
+    core.apply_report(b, &empty, millis(1), millis(2), WALL_MS);
+    core.end_refused_incarnation(key_of(&core, "a"));
+    core.sync_workers(&[restarted("a"), entry("b")], millis(5));
+    let actions = run_tick(&mut core, millis(10));
+    assert!(starts(&actions).is_empty(), "{actions:?}");
+}
+
 /// Guards against the release of a run whose repeated start was late while an earlier one may have
 /// been carried out and a lease from before lasts longer (TWICE).
 #[test]
