--- a/crates/tanager-schedule/src/ownership.rs
+++ b/crates/tanager-schedule/src/ownership.rs
@@ -48,9 +48,9 @@
 
 /// Returns whether an owner may start runs.
 ///
-/// The limit is [`NODE_DEATH_TIMEOUT`], shorter than that of [`may_extend_leases`]. A new owner waits for the leases of the
-/// former one, but it may already have adopted a run that the former one takes for lost and would
-/// start again on a worker that the new owner has not reached.
+/// The limit is [`NODE_DEATH_TIMEOUT`], shorter than that of [`may_extend_leases`]. A new owner waits
+/// for the leases of the former one, but it may already have adopted a run that the former one takes
+/// for lost and would start again on a worker that the new owner has not reached.
 pub fn may_start_runs(evidence: &OwnershipEvidence) -> bool {
     is_confirmed(evidence, NODE_DEATH_TIMEOUT) || is_unavailable_to_all(evidence)
 }
