--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -37,6 +37,7 @@
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
 use crate::records::pool_of;
+use crate::run_log;
 use crate::sibling_loads::SiblingLoads;
 
 /// Maximum number of concurrent orders to one worker. Each needs a connection, and a worker accepts
@@ -295,7 +296,7 @@
         let (actions, events, has_work, awaits_allowance) = {
             let mut core = self.core();
             let now = clock.now();
-            let may_start = !self.is_paused() && self.context.may_extend_leases(now);
+            let may_start = !self.is_paused() && self.context.may_start_runs(now);
             core.tick(now, clock.wall_ms(), may_start);
             let has_work = core.has_dirty() || core.has_unstored_ends();
             let awaits_allowance = core.awaits_allowance();
@@ -341,6 +342,17 @@
                 task.job,
                 self.token
             ),
+            CellEvent::RunReleased {
+                task,
+                run,
+                worker,
+                cause,
+            } => log::debug!(
+                target: run_log::TARGET,
+                "event=run_released job={} task={task} run={run} worker={worker} cause={cause:?} cell={cell} token={}",
+                task.job,
+                self.token
+            ),
             CellEvent::WorkerCrashed {
                 task,
                 run,
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -6,7 +6,9 @@
 use tanager_jobs::OrderAnswer;
 use tanager_protocol::error::ErrorKind;
 use tanager_schedule::WorkerKey;
+use tanager_schedule::order_token::order_token;
 use tanager_schedule::renewal_timing::RenewalTiming;
+use tanager_site::lenient_list::SkippedParts;
 use tanager_site::worker::LeaseRenewal;
 use tanager_site::worker::RenewalReply;
 use tokio::time;
@@ -20,6 +22,8 @@
 const MAX_STORE_WAIT: Duration = Duration::from_millis(120);
 /// Pause after a refused renewal.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
+/// Source of skipped entries of workers' reports, in the log; the key is the worker.
+const REPORT_SOURCE: &str = "report";
 
 /// Renews a worker's leases until its incarnation ends or the cell is closed.
 pub async fn run(cell: Arc<CellHandle>, key: WorkerKey) {
@@ -51,7 +55,7 @@
         }
         let renewal = LeaseRenewal {
             lease_until_ms,
-            token: cell.token,
+            token: order_token(cell.token, plan.incarnation),
             acknowledged: plan.acknowledged,
             wait,
         };
@@ -61,7 +65,8 @@
             .await;
         let now = clock.now();
         match result {
-            Ok(RenewalReply::Report(report)) => {
+            Ok(RenewalReply::Report(report, skipped)) => {
+                note_skipped(&cell, &worker, &skipped);
                 if timing.failures() > 0 {
                     log::info!(
                         "event=worker_regained cell={} worker={worker} failures={}",
@@ -101,6 +106,10 @@
                     time::sleep(RENEWAL_PERIOD.saturating_sub(elapsed)).await;
                 }
             }
+            // The owner itself has contacted a later incarnation of the worker.
+            Ok(RenewalReply::Refused(OrderAnswer::Fenced)) if cell.core().worker(key).is_none() => {
+                return;
+            }
             Ok(RenewalReply::Refused(OrderAnswer::Fenced)) => {
                 cell.close("a worker knows a higher token");
                 return;
@@ -138,3 +147,11 @@
         }
     }
 }
+
+/// Counts and logs the entries of a report that cannot be used.
+fn note_skipped(cell: &CellHandle, worker: &str, skipped: &SkippedParts) {
+    match skipped.count {
+        0 => cell.context.skipped_rows.forget(REPORT_SOURCE, worker),
+        _ => (cell.context).skip_row(REPORT_SOURCE, worker, 0, &skipped.first),
+    }
+}
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -33,12 +33,14 @@
 pub mod requests;
 pub mod run_log;
 mod sibling_loads;
+pub mod skipped_rows;
 pub mod store_access;
 pub mod supervision;
 pub mod table_watch;
 pub mod takeover;
 pub mod view;
 mod worker_orders;
+pub mod worker_rows;
 mod workspace_list;
 pub mod workspace_metrics;
 
