Take an entry with a possible start for a restart also while the worker reports

At stake is TWICE: since entries no longer replace an incarnation that reports, the owner went on with the tokens of the former incarnation until a report of the next one, and a late order was carried out by the next incarnation in that time.

While a worker reports, an entry with a start between its last report and now, by the worker's own clock and with 5 s of tolerance, replaces its incarnation at once; another one only after 1.6 s without a report, as before.

--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -94,7 +94,8 @@
             }
             // What a worker reports itself is more certain than an entry, which another writer may
             // have left under its id.
-            if !worker.reported_recently(now) {
+            let is_plausible = is_restarted && worker.can_have_restarted(entry.started_ms, now);
+            if is_plausible || !worker.reported_recently(now) {
                 self.replace_incarnation(key, entry.clone(), ReplacementSource::Entry, now);
             }
             return;
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -38,6 +38,8 @@
 const UNANSWERED_LIMIT: u32 = 3;
 /// Maximum delay with which an unanswered call may be carried out. The platform documents 12 s.
 pub const MAX_EXECUTION_DELAY: Duration = Duration::from_millis(13_000);
+/// Tolerance of the start of a later incarnation, in milliseconds: the times of day of VMs differ.
+const START_TOLERANCE_MS: u64 = 5_000;
 /// Number of failures in a row after which a worker is ejected.
 const FAILURES_TO_EJECT: u32 = 3;
 /// Duration of the first ejection; doubles with each further failure.
@@ -202,6 +204,19 @@
         Some(clock_ms + elapsed_ms as u64)
     }
 
+    /// Returns whether a later incarnation of a worker that reports can have started at this time, in
+    /// milliseconds since 1970: not later than now, as the worker's clock counts from its own start.
+    pub fn can_have_restarted(&self, started_ms: u64, now: Duration) -> bool {
+        self.clock.is_some_and(|(clock_ms, received)| {
+            let elapsed_ms = now.saturating_sub(received).as_millis() as u64;
+            let age_ms = (clock_ms.saturating_add(elapsed_ms)) as f64 / MIN_CLOCK_RATE;
+            let latest_ms = (self.entry.started_ms)
+                .saturating_add(age_ms as u64)
+                .saturating_add(START_TOLERANCE_MS);
+            started_ms <= latest_ms
+        })
+    }
+
     /// Returns whether all leases granted so far have expired for certain.
     pub fn leases_expired(&self, now: Duration) -> bool {
         self.min_clock_ms(now)
