--- a/review/common/site_standin.py
+++ b/review/common/site_standin.py
@@ -255,6 +255,7 @@
         self.running, self.ended, self.closed = {}, [], {}
         self.next_end, self.sequence, self.port = 1, 0, 0
         self.changed = asyncio.Event()
+        self.is_up, self.state = True, "ready"
         self.labels = ["kind-a", rack]
         # Until this time of the record, each run that begins here fails after 50 ms.
         self.grey_until = 0.0
@@ -265,7 +266,7 @@
     def entry(self):
         self.sequence += 1
         return {"service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": "zone-1",
-                "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+                "version": "1", "slots": 8, "state": self.state, "cold_remaining_ms": 0,
                 "sequence": self.sequence, "born": self.born, "labels": self.labels,
                 "capacity": {"cpu": self.cpu, "memory_request_mb": 65536, "gpu": 0}}
 
@@ -334,6 +335,8 @@
         body = json.loads(raw)
         if headers.get("x-expected-instance", self.id) != self.id:
             return 421, None
+        if not self.is_up:
+            raise ConnectionResetError("the worker has left")
         self.advance()
         if body.get("fencing_token", 0) < self.token:
             return 409, {"clock_ms": self.clock(), "reason": "fence"}
@@ -403,7 +406,7 @@
             machines = [{"machine": worker.machine, "pool": worker.service, "state": "up",
                          "zone": "zone-1", "labels": ["kind-a", worker.rack], "identifier": worker.id,
                          "capacity": {"cpu": worker.cpu, "memory_request_mb": 65536, "gpu": 0}}
-                        for worker in self.workers]
+                        for worker in self.workers if worker.is_up]
             return 200, {"machines": machines}
         self.record.write("machine API: %s %s answered 429" % (path, body.decode()))
         return 429, None
@@ -417,6 +420,7 @@
             for number in range(count):
                 worker = Worker(self, service, number, "r-%s-%d" % (service, number // 4))
                 server, worker.port = await serve(worker.handle)
+                worker.server = server
                 self.servers.append(server)
                 self.workers.append(worker)
         self.beats = asyncio.ensure_future(self.beat())
@@ -425,12 +429,27 @@
         while True:
             for worker in self.workers:
                 worker.advance()
-                self.store.put("servers", worker.id, worker.entry())
+                if worker.is_up:
+                    self.store.put("servers", worker.id, worker.entry())
             for _ in range(50):
                 await asyncio.sleep(0.02)
                 for worker in self.workers:
                     worker.advance()
 
+    async def scale_in(self, worker):
+        """Empties a worker and takes it away: it reports `draining`, serves for `drain_ms` and a little longer,
+        and exits. What runs on it then ends."""
+        worker.state = "draining"
+        self.store.put("servers", worker.id, dict(worker.entry(), drain_remaining_ms=2000))
+        self.record.write("worker: %s reports draining" % worker.id)
+        await asyncio.sleep(3.0)
+        for task in list(worker.running):
+            worker.end(task, "gone")
+        worker.is_up = False
+        worker.server.close()
+        self.store.remove("servers", worker.id)
+        self.record.write("worker: %s has left" % worker.id)
+
     def put_config(self, version, routes):
         """Writes a config. `routes` is a list of (path prefix, service, max_attempts)."""
         routes = [{"host": "site.example", "path_prefix": prefix, "service": service, "priority": 0,
