Log for each order to a VM what it was based on, and count orders that are withheld

`vm_ordered` replaces both: holder, incarnation of the process, token, the ages of the heartbeat and of the read of the owner rows, the time of the check and of the response, and whether the ownership had ended by then. `vm_order_withheld` has the same for orders that were not sent; a counter for each. The stand-in's machine API, which checks no tokens, keeps the holder, the token and the arrival of each order for tests. No decision changes.

--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -42,6 +42,8 @@
 use crate::coordinator_waves::WaveProgress;
 use crate::records::COORDINATOR_CELL;
 use crate::records::cell_row;
+use crate::vm_orders::VmOrder;
+use crate::vm_orders::send_order;
 
 /// Minimum interval between two decisions, used in small fleets.
 const MIN_DECISION_PERIOD: Duration = Duration::from_millis(250);
@@ -344,28 +346,10 @@
         MoveStep::Accepted(_) => false,
     };
     match is_ready {
-        true => order_move(cell, &listed.vm, &entry.target).await,
+        true => {
+            let target = &entry.target;
+            send_order(cell, &listed.vm, VmOrder::Move { target }).await
+        }
         false => None,
     }
 }
-
-/// Orders a move; `None` if this node may send no orders.
-async fn order_move(
-    cell: &CellHandle,
-    vm: &str,
-    target: &str,
-) -> Option<TanagerResult<MachineResponse>> {
-    let machines = cell.context.machines.as_ref()?;
-    if !may_order(cell) {
-        return None;
-    }
-    let coordinator = &cell.context.settings.node;
-    let response = machines
-        .move_to(vm, target, coordinator, cell.token, MACHINE_TIMEOUT)
-        .await;
-    log::info!(
-        "event=vm_moved vm={vm} to={target} token={} answer={response:?}",
-        cell.token
-    );
-    Some(response)
-}
--- a/crates/tanager-service/src/coordinator_waves.rs
+++ b/crates/tanager-service/src/coordinator_waves.rs
@@ -23,16 +23,16 @@
 use tanager_site::machines::MachineState;
 
 use crate::cell::CellHandle;
-use crate::coordinator::MACHINE_TIMEOUT;
 use crate::coordinator::MAX_PARALLEL_VMS;
 use crate::coordinator::OWNER_TIMEOUT;
-use crate::coordinator::may_order;
 use crate::coordinator_cells::drain_vm;
 use crate::coordinator_records;
 use crate::coordinator_records::read_wave;
 use crate::coordinator_records::report_running;
 use crate::coordinator_records::write_wave;
 use crate::peers::DrainResponse;
+use crate::vm_orders::VmOrder;
+use crate::vm_orders::send_order;
 
 /// A wave in progress.
 pub(crate) struct WaveProgress {
@@ -271,32 +271,11 @@
         _ => false,
     };
     if is_ready {
-        result.response = order_maintenance(cell, wave, &entry.vm).await;
+        result.response = send_order(cell, &entry.vm, VmOrder::Maintenance { wave }).await;
     }
     result
 }
 
-/// Orders the maintenance of a VM; `None` if this node may send no orders.
-async fn order_maintenance(
-    cell: &CellHandle,
-    wave: u64,
-    vm: &str,
-) -> Option<TanagerResult<MachineResponse>> {
-    let machines = cell.context.machines.as_ref()?;
-    if !may_order(cell) {
-        return None;
-    }
-    let coordinator = &cell.context.settings.node;
-    let response = machines
-        .maintain(vm, wave, coordinator, cell.token, MACHINE_TIMEOUT)
-        .await;
-    log::info!(
-        "event=vm_maintenance wave={wave} vm={vm} token={} answer={response:?}",
-        cell.token
-    );
-    Some(response)
-}
-
 fn apply_maintenance_response(
     cell: &CellHandle,
     tracker: &mut WaveTracker,
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod table_watch;
 pub mod takeover;
 pub mod view;
+mod vm_orders;
 mod worker_orders;
 pub mod worker_rows;
 mod workspace_list;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -111,6 +111,8 @@
     CountMetric keys_rejected "Requests without a key, or with one that no workspace has";
     CountMetric keys_unverified "Requests with a key that came while the configuration was unverified";
     CountMetric access_refused "Requests about a job of another workspace";
+    CountMetric vm_orders_sent "Orders to VMs that were sent";
+    CountMetric vm_orders_withheld "Orders to VMs that were not sent because the ownership was not certain";
     CountMetric wave_vms_maintained "Maintenance orders that the platform accepted";
     CountMetric wave_vms_late "Maintenance orders that the platform accepted after the end of the wave";
     CountMetric wave_drains_interrupted "Drains for a wave that did not end and made room for other VMs";
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -209,7 +209,7 @@
     }
 
     /// Returns how recently this node was certain to own its cells.
-    fn ownership_evidence(&self, now: Duration) -> OwnershipEvidence {
+    pub(crate) fn ownership_evidence(&self, now: Duration) -> OwnershipEvidence {
         let owner_read = *self
             .last_owner_read
             .lock()
--- a/crates/tanager-standin/src/site/machines.rs
+++ b/crates/tanager-standin/src/site/machines.rs
@@ -8,6 +8,7 @@
 use tokio::time;
 
 use super::MACHINE_OPERATION_TIME;
+use super::ObservedOrder;
 use super::SharedSite;
 use super::SiteState;
 use super::json_response;
@@ -17,6 +18,11 @@
 /// Serves a request to the machine API.
 pub(crate) async fn handle(state: SharedSite, request: HttpRequest) -> HttpResponse {
     let body = parse_body(&request);
+    let header = |name: &str| request.headers.get(name)?.to_str().ok();
+    let holder = header("X-Duty-Holder").unwrap_or_default().to_owned();
+    let token = header("X-Fencing-Token")
+        .and_then(|token| token.parse().ok())
+        .unwrap_or(0);
     let new_state = match request.path.as_str() {
         "/machines" => return list_machines(&lock(&state)),
         "/machine-move" => "moving",
@@ -25,6 +31,13 @@
     };
     let delay = {
         let mut state = lock(&state);
+        let received_at = state.start.elapsed();
+        state.received_orders.push(ObservedOrder {
+            vm: body["machine"].as_str().unwrap_or_default().to_owned(),
+            holder,
+            token,
+            received_at,
+        });
         state.orders_in_progress.0 += 1;
         state.orders_in_progress.1 = state.orders_in_progress.1.max(state.orders_in_progress.0);
         state.faults.machine_order_delay
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -67,6 +67,7 @@
     pub(crate) faults: SiteFaults,
     pub(crate) start: Instant,
     pub(crate) orders: Vec<String>,
+    pub(crate) received_orders: Vec<ObservedOrder>,
     /// Orders to VMs in progress, and the most at any time.
     orders_in_progress: (usize, usize),
     /// Limit of the strict mode in the nodes' settings; `None` if it is off.
@@ -75,6 +76,19 @@
     pub(crate) ticket_pools: BTreeSet<String>,
 }
 
+/// An order to a VM as the machine API received it. The API checks no fencing tokens.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ObservedOrder {
+    /// Name of the VM.
+    pub vm: String,
+    /// Node that sent the order.
+    pub holder: String,
+    /// Fencing token; 0 if there was none.
+    pub token: u64,
+    /// Time since the start of the stand-in.
+    pub received_at: Duration,
+}
+
 pub(crate) type SharedSite = Arc<Mutex<SiteState>>;
 
 /// A running stand-in.
@@ -105,6 +119,7 @@
             faults: SiteFaults::default(),
             start: Instant::now(),
             orders: Vec::new(),
+            received_orders: Vec::new(),
             orders_in_progress: (0, 0),
             revocation_limit: None,
             ticket_pools: (pools.iter())
@@ -266,6 +281,11 @@
         lock(&self.state).orders.clone()
     }
 
+    /// Returns all orders to VMs that the machine API received, in the order of their arrival.
+    pub fn received_orders(&self) -> Vec<ObservedOrder> {
+        lock(&self.state).received_orders.clone()
+    }
+
     /// Ends the incarnation of a worker; the next one starts after `restart_delay`.
     pub fn crash_worker(&self, index: usize, restart_delay: Duration) {
         let mut state = lock(&self.state);
