--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -59,6 +59,17 @@
         name: &str,
         store: SocketAddr,
         features: &'static str,
+    ) -> Self {
+        Self::spawn_with_addresses(standin, name, store, standin.machines_address(), features)
+    }
+
+    /// Like [`Self::spawn_with_store`], but the node also accesses the machine API at an address.
+    pub(crate) fn spawn_with_addresses(
+        standin: &SiteStandin,
+        name: &str,
+        store: SocketAddr,
+        machines: SocketAddr,
+        features: &'static str,
     ) -> Self {
         let ports = NodePorts::find();
         let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
@@ -66,8 +77,8 @@
         let file =
             |ending: &str| directory.join(format!("jobs-{}-{number}.{ending}", std::process::id()));
         let settings = file("json");
-        fs::write(&settings, standin.settings_with_store(name, ports, store))
-            .expect("settings file");
+        let text = standin.settings_with_addresses(name, ports, store, machines);
+        fs::write(&settings, text).expect("settings file");
         let log = file("log");
         let child = Self::start(&settings, features, &log);
         Self {
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -4,9 +4,11 @@
 mod balance;
 mod cancellation;
 mod config;
+mod coordinator;
 mod faults;
 mod harness;
 mod identity;
+mod link;
 mod logs;
 mod merging;
 mod moved_queues;
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -68,6 +68,8 @@
     pub(crate) start: Instant,
     pub(crate) orders: Vec<String>,
     pub(crate) received_orders: Vec<ObservedOrder>,
+    /// Rejected changes of the store by table of their rows, with their times.
+    pub(crate) conflicts: Vec<(String, Duration)>,
     /// Orders to VMs in progress, and the most at any time.
     orders_in_progress: (usize, usize),
     /// Limit of the strict mode in the nodes' settings; `None` if it is off.
@@ -120,6 +122,7 @@
             start: Instant::now(),
             orders: Vec::new(),
             received_orders: Vec::new(),
+            conflicts: Vec::new(),
             orders_in_progress: (0, 0),
             revocation_limit: None,
             ticket_pools: (pools.iter())
@@ -220,6 +223,16 @@
         lock(&self.state).table.value(table, "", key)
     }
 
+    /// Writes a row of a part, as another client would.
+    pub fn put_part_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        lock(&self.state).table.put(table, part, key, value);
+    }
+
+    /// Reads a row of a part.
+    pub fn part_row(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
+        lock(&self.state).table.value(table, part, key)
+    }
+
     /// Returns the number of rows in a part of a table.
     pub fn row_count(&self, table: &str, part: &str) -> usize {
         lock(&self.state).table.count(table, part)
@@ -286,6 +299,15 @@
         lock(&self.state).received_orders.clone()
     }
 
+    /// Returns the times at which the store rejected a change of a table's rows because another row
+    /// had changed.
+    pub fn conflicts(&self, table: &str) -> Vec<Duration> {
+        (lock(&self.state).conflicts.iter())
+            .filter(|(of_table, _)| of_table == table)
+            .map(|(_, rejected_at)| *rejected_at)
+            .collect()
+    }
+
     /// Ends the incarnation of a worker; the next one starts after `restart_delay`.
     pub fn crash_worker(&self, index: usize, restart_delay: Duration) {
         let mut state = lock(&self.state);
--- a/crates/tanager-standin/src/site/settings.rs
+++ b/crates/tanager-standin/src/site/settings.rs
@@ -89,6 +89,18 @@
     /// Returns the settings file of a node that connects to the store at `store`, which may be the
     /// address of a proxy.
     pub fn settings_with_store(&self, name: &str, ports: NodePorts, store: SocketAddr) -> String {
+        self.settings_with_addresses(name, ports, store, self.machines_address())
+    }
+
+    /// Returns the settings file of a node that connects to the store at `store` and to the machine
+    /// API at `machines`, which may be addresses of proxies.
+    pub fn settings_with_addresses(
+        &self,
+        name: &str,
+        ports: NodePorts,
+        store: SocketAddr,
+        machines: SocketAddr,
+    ) -> String {
         let mut settings = json!({
             "node_name": name, "role": "jobs", "machine_class": "front", "serves": ["front"],
             "ip_address": "127.0.0.1", "zone": "zone-1", "region": "region-1",
@@ -100,7 +112,7 @@
                        "lease_ms": 1_000, "maintenance_s": 0.6, "move_s": 0.6},
             "orders": "call", "advice": self.advice_address().to_string(),
             "platform": {"address": store.to_string(), "form": "table", "row_bytes": 65_536},
-            "cloud_api": {"address": self.machines_address().to_string()},
+            "cloud_api": {"address": machines.to_string()},
         });
         if let Some(limit) = lock(&self.state).revocation_limit {
             settings["bounds"]["strict_revocation"] = json!(true);
--- a/crates/tanager-standin/src/site/table.rs
+++ b/crates/tanager-standin/src/site/table.rs
@@ -247,7 +247,18 @@
                 match faults.max_change_bytes {
                     0 if request.body.len() > MAX_CHANGE_BYTES => too_large(),
                     limit if limit > 0 && request.body.len() > limit => too_large(),
-                    _ => state.table.commit(&parse_body(&request)),
+                    _ => {
+                        let change = parse_body(&request);
+                        let (status, body) = state.table.commit(&change);
+                        if status == 412 {
+                            let rejected_at = state.start.elapsed();
+                            let tables = change["puts"].as_array().into_iter().flatten();
+                            let tables = tables.filter_map(|row| row["table"].as_str());
+                            let conflicts = tables.map(|table| (table.to_owned(), rejected_at));
+                            state.conflicts.extend(conflicts);
+                        }
+                        (status, body)
+                    }
                 }
             };
             if should_trigger(faults.change_response_loss_rate) {
