Ask for a permission right before a request is written, and discard unsent bytes on request

A check before `ClientPool::exchange` lies before a connection attempt of up to a second, a second try on a new connection and the task that writes; and bytes of a request that was given up are delivered when their link works again.

Change: `exchange_guarded` takes a guard that the socket asks before each write, on the idle connection as well as on the new one. A refused request is reported as not sent. `CloseMode::Discard` closes a connection with a reset (SO_LINGER of zero), so that what has not reached the server is dropped. It is the default nowhere; nothing uses either yet.

--- a/crates/tanager-http/src/client.rs
+++ b/crates/tanager-http/src/client.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream as StdTcpStream;
 use std::os::fd::AsFd;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,15 +36,30 @@
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 
+use crate::guarded_stream::GuardedStream;
+use crate::guarded_stream::SharedGuard;
+use crate::guarded_stream::WriteGuard;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 
+/// What happens to bytes that have not reached the server when a connection is closed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CloseMode {
+    /// The system goes on sending them, for as long as it takes.
+    #[default]
+    Deliver,
+    /// They are discarded, and the server sees a reset. A request that waits behind a broken link
+    /// is thus not executed once the link works again.
+    Discard,
+}
+
 /// An open connection to a server. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct ClientConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    guard: SharedGuard,
     /// Second handle of the socket, to detect unread data before a request is sent.
     socket: StdTcpStream,
     last_used: Instant,
@@ -57,6 +73,19 @@
     ///
     /// Every error has kind [`ErrorKind::NotSent`].
     pub async fn open(address: SocketAddr, timeout: Duration) -> TanagerResult<Self> {
+        Self::open_with(address, timeout, CloseMode::Deliver).await
+    }
+
+    /// Like [`Self::open`], with a choice of what happens to unsent bytes when it is closed.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::open`].
+    pub async fn open_with(
+        address: SocketAddr,
+        timeout: Duration,
+        close_mode: CloseMode,
+    ) -> TanagerResult<Self> {
         let not_sent_error = |step, message: String| {
             TanagerError::new(ErrorKind::NotSent, step, address.to_string(), message)
         };
@@ -72,12 +101,18 @@
         };
         stream
             .set_nodelay(true)
+            .and_then(|()| match close_mode {
+                CloseMode::Deliver => Ok(()),
+                CloseMode::Discard => stream.set_zero_linger(),
+            })
             .map_err(|error| not_sent_error("connect", error.to_string()))?;
         let socket = stream
             .as_fd()
             .try_clone_to_owned()
             .map(StdTcpStream::from)
             .map_err(|error| not_sent_error("connect", error.to_string()))?;
+        let guard = SharedGuard::default();
+        let stream = GuardedStream::new(stream, guard.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent_error("handshake", error.to_string()))?;
@@ -89,6 +124,7 @@
             address,
             sender,
             driver,
+            guard,
             socket,
             last_used: Instant::now(),
             keep_alive: true,
@@ -121,6 +157,35 @@
             .await
     }
 
+    /// Like [`Self::exchange`], but asks `guard` for permission right before each write.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::exchange`]; [`ErrorKind::NotSent`] if the guard refused the first write. A
+    /// request of which only a part was written is incomplete, so the server does not execute it,
+    /// but this is reported as [`ErrorKind::Unknown`].
+    pub async fn exchange_guarded(
+        &mut self,
+        request: HttpRequest,
+        timeout: Duration,
+        max_body: usize,
+        guard: &WriteGuard,
+    ) -> TanagerResult<HttpResponse> {
+        self.guard.set(Some(Arc::clone(guard)));
+        let result = self.exchange(request, timeout, max_body).await;
+        let is_refused = self.guard.was_refused_whole();
+        self.guard.set(None);
+        match result {
+            Err(error) if is_refused => Err(TanagerError::new(
+                ErrorKind::NotSent,
+                "send",
+                self.address.to_string(),
+                error,
+            )),
+            result => result,
+        }
+    }
+
     /// Like [`Self::exchange`], but can be cancelled.
     ///
     /// When `cancelled` completes, the sending side is closed. The call returns when the server has
--- a/crates/tanager-http/src/lib.rs
+++ b/crates/tanager-http/src/lib.rs
@@ -5,11 +5,14 @@
 //! of these, so the interfaces of the node use this crate.
 
 pub mod client;
+mod guarded_stream;
 pub mod message;
 pub mod pool;
 pub mod server;
 
 pub use client::ClientConnection;
+pub use client::CloseMode;
+pub use guarded_stream::WriteGuard;
 pub use message::HttpRequest;
 pub use message::HttpResponse;
 pub use pool::ClientPool;
--- a/crates/tanager-http/src/pool.rs
+++ b/crates/tanager-http/src/pool.rs
@@ -15,6 +15,8 @@
 use tanager_protocol::error::TanagerResult;
 
 use crate::client::ClientConnection;
+use crate::client::CloseMode;
+use crate::guarded_stream::WriteGuard;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 
@@ -31,6 +33,8 @@
     pub max_connections: usize,
     /// Largest accepted response body, in bytes.
     pub max_body: usize,
+    /// What happens to unsent bytes when a connection is closed.
+    pub close_mode: CloseMode,
 }
 
 impl Default for PoolLimits {
@@ -40,6 +44,7 @@
             max_idle: Duration::from_secs(5),
             max_connections: 64,
             max_body: 4 << 20,
+            close_mode: CloseMode::Deliver,
         }
     }
 }
@@ -90,20 +95,46 @@
         &self,
         request: &HttpRequest,
         timeout: Duration,
+    ) -> TanagerResult<HttpResponse> {
+        self.exchange_if(request, timeout, None).await
+    }
+
+    /// Like [`Self::exchange`], but asks `guard` for permission right before each write to a socket,
+    /// on the idle connection as well as on the new one.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ClientConnection::open`] and [`ClientConnection::exchange_guarded`].
+    pub async fn exchange_guarded(
+        &self,
+        request: &HttpRequest,
+        timeout: Duration,
+        guard: &WriteGuard,
+    ) -> TanagerResult<HttpResponse> {
+        self.exchange_if(request, timeout, Some(guard)).await
+    }
+
+    async fn exchange_if(
+        &self,
+        request: &HttpRequest,
+        timeout: Duration,
+        guard: Option<&WriteGuard>,
     ) -> TanagerResult<HttpResponse> {
         let start = Instant::now();
         if let Some(connection) = self.take_idle_connection() {
-            let result = self.exchange_on(connection, request.clone(), timeout).await;
-            match result {
+            let result = self.exchange_on(connection, request.clone(), timeout, guard);
+            match result.await {
                 Err(error) if error.kind == ErrorKind::NotSent => {}
                 result => return result,
             }
         }
         let remaining = timeout.saturating_sub(start.elapsed());
         let connect_timeout = self.limits.connect_timeout.min(remaining);
-        let connection = ClientConnection::open(self.address, connect_timeout).await?;
+        let close_mode = self.limits.close_mode;
+        let connection =
+            ClientConnection::open_with(self.address, connect_timeout, close_mode).await?;
         let remaining = timeout.saturating_sub(start.elapsed());
-        self.exchange_on(connection, request.clone(), remaining)
+        self.exchange_on(connection, request.clone(), remaining, guard)
             .await
     }
 
@@ -112,10 +143,16 @@
         mut connection: ClientConnection,
         request: HttpRequest,
         timeout: Duration,
+        guard: Option<&WriteGuard>,
     ) -> TanagerResult<HttpResponse> {
-        let response = connection
-            .exchange(request, timeout, self.limits.max_body)
-            .await?;
+        let max_body = self.limits.max_body;
+        let response = match guard {
+            Some(guard) => {
+                let exchange = connection.exchange_guarded(request, timeout, max_body, guard);
+                exchange.await?
+            }
+            None => connection.exchange(request, timeout, max_body).await?,
+        };
         self.return_connection(connection);
         Ok(response)
     }
