Send orders to VMs only under a lease that the owner row itself confirms

Cause: the right to order was "the cell is not closed and a heartbeat of the last 1.5 s was confirmed". The cell belongs to whom the owner row names, and a heartbeat says nothing about that row: a coordinator that stood still, or was cut off, for longer than it takes to replace it writes a heartbeat first, and could order until it read the owner rows. A conflict on the owner row, the store's own answer that it had been replaced, was logged and passed over. Orders were checked before a connection was open, were delivered after they had been given up, and were begun while the release of the cell was on its way. The class: a permission that lapsed and comes back to life with fresh evidence of something else.

Change: `order_lease.rs`, a pure module. The right to order lasts 1.5 s from the time at which a call was sent that found the owner row unchanged: a write of the coordinator's own rows on that condition, or a read of the row right before an order. A changed row or a conflict ends it for good and closes the cell. The lease is asked once more when the bytes are written, and an order that is still without a response when the lease lapses or ends is abandoned with a reset of its connection. A release waits for orders in progress, and abandons the rest, before it writes the owner row. A successor writes that row after the last call that confirmed the lease, so it waits for `lease_ms` + 1.5 s + 0.2 s with 2% for the clocks from the response to its write if its predecessor may still run (4.8 s instead of 3.6 s from the end of the load), and for `lease_ms` + 0.2 s if the predecessor released the cell or its process has ended (3.3 s).

It works because the lease is bounded by an event that precedes the successor's write, not by what either node believes about the other.

--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod job;
 pub mod merging;
 pub mod oldest_first;
+pub mod order_lease;
 pub mod order_token;
 pub mod orders;
 pub mod overload;
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -35,6 +35,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::LedgerVersions;
 use crate::node::NodeContext;
+use crate::order_gate::OrderGate;
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
 use crate::records::pool_of;
@@ -66,6 +67,8 @@
     pub(crate) refusals: RefusalCounts,
     /// State of the allocator, if this is its cell.
     pub(crate) allocator: Option<Allocator>,
+    /// Permission to send orders to VMs, if this is the coordinator's cell.
+    pub(crate) order_gate: Option<Arc<OrderGate>>,
     /// Wakes the exchange with the allocator when tasks wait for a limit.
     pub(crate) allowance_awaited: Notify,
     /// Whether the exchange with the allocator was started.
@@ -89,6 +92,8 @@
     pub(crate) absorbed: Vec<CellName>,
     /// Rows of these cells.
     pub(crate) absorption: Absorption,
+    /// Permission to send orders to VMs, if this is the coordinator's cell.
+    pub(crate) order_gate: Option<Arc<OrderGate>>,
 }
 
 /// Connections to a worker, with the limit on concurrent orders.
@@ -115,10 +120,12 @@
             versions,
             absorbed,
             absorption,
+            order_gate,
         } = loaded;
         let allocator = (name == ALLOCATOR_CELL).then(|| Allocator::new(&context, token));
         let cell = Arc::new(Self {
             allocator,
+            order_gate,
             allowance_awaited: Notify::new(),
             exchanges_allowances: AtomicBool::new(false),
             name,
@@ -189,6 +196,9 @@
 
     /// Closes the cell because this node no longer owns it.
     pub fn close(&self, reason: &str) {
+        if let Some(gate) = &self.order_gate {
+            gate.end();
+        }
         if !self.closed.send_replace(true) {
             log::warn!(
                 "event=cell_lost cell={} token={} reason={reason:?}",
--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -30,6 +30,7 @@
 use tanager_site::machines::MachineState;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::MAX_ENTRIES;
+use tanager_site::store::TableChange;
 use tokio::time;
 
 use crate::cell::CellHandle;
@@ -37,9 +38,9 @@
 use crate::coordinator_cells::pool_loads;
 use crate::coordinator_records::HOME_TABLE;
 use crate::coordinator_records::HomeRecord;
-use crate::coordinator_records::coordinator_change;
 use crate::coordinator_records::read_homes;
 use crate::coordinator_waves::WaveProgress;
+use crate::order_gate::change_as_coordinator;
 use crate::records::COORDINATOR_CELL;
 use crate::records::cell_row;
 use crate::vm_orders::VmOrder;
@@ -56,9 +57,6 @@
 pub(crate) const MACHINE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time limit of calls to owners of cells.
 pub(crate) const OWNER_TIMEOUT: Duration = Duration::from_millis(600);
-/// Maximum age of the last confirmed heartbeat for sending orders. Another node becomes coordinator
-/// only after this node has been unresponsive for longer.
-const COORDINATOR_HEARTBEAT_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Maximum number of VMs that are drained or get orders at the same time.
 ///
@@ -83,16 +81,12 @@
 }
 
 /// Carries out waves and moves until this node loses the coordinator's cell.
-pub async fn run(cell: Arc<CellHandle>, is_first_owner: bool) {
+pub async fn run(cell: Arc<CellHandle>) {
     let context = Arc::clone(&cell.context);
-    let Some(machines) = context.machines.as_ref() else {
+    let (Some(machines), Some(gate)) = (context.machines.as_ref(), &cell.order_gate) else {
         return;
     };
-    if !is_first_owner {
-        // The previous coordinator may have sent orders until just now, and only one coordinator
-        // may send orders within the coordinator lease.
-        time::sleep(context.settings.durations.coordinator_lease + OWNER_TIMEOUT).await;
-    }
+    time::sleep(gate.time_until_open()).await;
     let homes = loop {
         if cell.is_closed() {
             return;
@@ -284,7 +278,7 @@
 
     /// Stores the home pools of VMs before their first move.
     async fn record_homes(&mut self, new_vms: &[VmName], vms: &BTreeMap<VmName, VmPlacement>) {
-        let mut change = coordinator_change(&self.cell);
+        let mut change = TableChange::default();
         for vm in new_vms {
             let record = HomeRecord {
                 pool: vms[vm].pool.clone(),
@@ -295,8 +289,7 @@
                     .push((cell_row(HOME_TABLE, COORDINATOR_CELL, vm), value));
             }
         }
-        let result = self.cell.context.store.change(&change, MACHINE_TIMEOUT);
-        match result.await {
+        match change_as_coordinator(&self.cell, change).await {
             Ok(ChangeResult::Committed(_)) => {
                 for vm in new_vms {
                     self.homes.insert(vm.clone(), vms[vm].pool.clone());
@@ -324,13 +317,6 @@
     }
 }
 
-/// Returns whether this node may send an order to a VM. To be checked right before each order.
-pub(crate) fn may_order(cell: &CellHandle) -> bool {
-    let context = &cell.context;
-    !cell.is_closed()
-        && context.is_heartbeat_confirmed(context.clock.now(), COORDINATOR_HEARTBEAT_LIMIT)
-}
-
 /// Drains a VM and orders its move right after the response; see [`maintain_vm`].
 async fn move_vm(
     cell: &Arc<CellHandle>,
--- a/crates/tanager-service/src/coordinator_records.rs
+++ b/crates/tanager-service/src/coordinator_records.rs
@@ -19,9 +19,8 @@
 
 use crate::cell::CellHandle;
 use crate::coordinator::MACHINE_TIMEOUT;
-use crate::records::CELL_TABLE;
+use crate::order_gate::change_as_coordinator;
 use crate::records::COORDINATOR_CELL;
-use crate::records::OWNER_KEY;
 use crate::records::cell_row;
 use crate::records::unpartitioned_row;
 
@@ -64,28 +63,17 @@
     }
 }
 
-/// Returns a change that is applied only while this node is the coordinator.
-pub(crate) fn coordinator_change(cell: &CellHandle) -> TableChange {
-    TableChange {
-        expect: vec![(
-            cell_row(CELL_TABLE, COORDINATOR_CELL, OWNER_KEY),
-            cell.token,
-        )],
-        ..TableChange::default()
-    }
-}
-
 /// Stores the progress of a wave; returns whether it is stored.
 pub(crate) async fn write_wave(cell: &CellHandle, wave: u64, record: &WaveRecord) -> bool {
     let Ok(value) = encode_record(record) else {
         return false;
     };
-    let mut change = coordinator_change(cell);
-    change.puts.push((
-        cell_row(WAVE_TABLE, COORDINATOR_CELL, &wave.to_string()),
-        value,
-    ));
-    match cell.context.store.change(&change, MACHINE_TIMEOUT).await {
+    let row = cell_row(WAVE_TABLE, COORDINATOR_CELL, &wave.to_string());
+    let change = TableChange {
+        puts: vec![(row, value)],
+        ..TableChange::default()
+    };
+    match change_as_coordinator(cell, change).await {
         Ok(ChangeResult::Committed(_)) => true,
         other => {
             log::info!("event=wave_not_noted wave={wave} result={other:?}");
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator_watch;
+mod order_gate;
 pub mod peers;
 pub mod queue_pools;
 pub mod records;
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -20,6 +20,7 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::CellSettings;
 use tanager_schedule::durations::QueueDuration;
+use tanager_schedule::order_lease;
 use tanager_schedule::ownership;
 use tanager_schedule::recovery::FormerOwner;
 use tanager_site::store::ChangeResult;
@@ -37,6 +38,7 @@
 use crate::coordinator;
 use crate::ledger::LedgerVersions;
 use crate::node::NodeContext;
+use crate::order_gate::OrderGate;
 use crate::records::CELL_TABLE;
 use crate::records::COORDINATOR_CELL;
 use crate::records::CellWorkersRecord;
@@ -89,6 +91,12 @@
     let record = own_owner_record(context, former_owner);
     let version = write_owner(context, name, &record, previous.version).await?;
     let started = context.clock.now();
+    let order_gate = (name == COORDINATOR_CELL).then(|| {
+        let former_owner = (previous.version != 0).then_some(former_owner);
+        let lease = context.settings.durations.coordinator_lease;
+        let opens_at = started + order_lease::takeover_wait(former_owner, lease);
+        OrderGate::new(context.clock, opens_at)
+    });
     log::info!(
         "event=cell_taken cell={name} token={version} before={:?} before_version={}",
         previous.record,
@@ -145,15 +153,12 @@
         versions,
         absorbed,
         absorption,
+        order_gate,
     };
     let cell = CellHandle::spawn(Arc::clone(context), name.clone(), version, loaded);
     cell.sync_queues();
     if name == COORDINATOR_CELL {
-        let is_first_owner = previous.version == 0;
-        cell.spawn_task(
-            "coordinator",
-            coordinator::run(Arc::clone(&cell), is_first_owner),
-        );
+        cell.spawn_task("coordinator", coordinator::run(Arc::clone(&cell)));
     }
     Ok(cell)
 }
@@ -474,14 +479,19 @@
     while cell.ledger.is_busy() && context.clock.now() < limit && !cell.is_closed() {
         time::sleep(HANDOVER_POLL_INTERVAL).await;
     }
+    if let Some(gate) = &cell.order_gate {
+        gate.finish(HANDOVER_LIMIT).await;
+    }
     if cell.is_closed() {
         return false;
     }
     let row = cell_row(CELL_TABLE, &cell.name, OWNER_KEY);
+    let is_recovering = cell.core().is_recovering()
+        || (cell.order_gate.as_ref()).is_some_and(|gate| !gate.time_until_open().is_zero());
     let awaits_predecessor = (context.view().owners.get(&cell.name))
         .is_some_and(|observed| observed.record.awaits_predecessor);
     let released = OwnerRecord {
-        awaits_predecessor: awaits_predecessor && cell.core().is_recovering(),
+        awaits_predecessor: awaits_predecessor && is_recovering,
         ..OwnerRecord::default()
     };
     let record = match successor {
--- a/crates/tanager-service/src/vm_orders.rs
+++ b/crates/tanager-service/src/vm_orders.rs
@@ -3,14 +3,23 @@
 use std::fmt;
 use std::fmt::Display;
 use std::fmt::Formatter;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tanager_http::WriteGuard;
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
+use tanager_site::machines::MachineCaller;
 use tanager_site::machines::MachineResponse;
 
 use crate::cell::CellHandle;
+use crate::clock::NodeClock;
 use crate::coordinator::MACHINE_TIMEOUT;
-use crate::coordinator::may_order;
+use crate::order_gate::OrderGate;
+use crate::order_gate::extend_lease;
 
 /// What a VM is ordered to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,50 +46,77 @@
     order: VmOrder<'_>,
 ) -> Option<TanagerResult<MachineResponse>> {
     let context = &cell.context;
-    let machines = context.machines.as_ref()?;
-    let now = context.clock.now();
-    let evidence = context.ownership_evidence(now);
-    if !may_order(cell) {
+    let (machines, gate) = (context.machines.as_ref()?, cell.order_gate.as_ref()?);
+    let in_progress = gate.begin_order();
+    if in_progress.is_some() {
+        extend_lease(cell, gate).await;
+    }
+    let remaining = gate.remaining();
+    let (holder, incarnation, token) = (&context.settings.node, context.incarnation, cell.token);
+    if in_progress.is_none() || remaining.is_zero() {
         context.metrics.vm_orders_withheld.increment();
         log::info!(
-            "event=vm_order_withheld vm={vm} order={order} holder={} incarnation={} token={} \
-             closed={} heartbeat_age={} owner_read_age={}",
-            context.settings.node,
-            context.incarnation,
-            cell.token,
+            "event=vm_order_withheld vm={vm} order={order} holder={holder} \
+             incarnation={incarnation} token={token} lease_age={} closed={} handover={}",
+            Age(gate.age()),
             cell.is_closed(),
-            Age(evidence.heartbeat_age),
-            Age(evidence.owner_read_age)
+            in_progress.is_none()
         );
         return None;
     }
+    let lease_age = gate.age();
     let checked_ms = context.clock.wall_ms();
-    let (holder, token) = (&context.settings.node, cell.token);
-    let response = match order {
-        VmOrder::Move { target } => {
-            let call = machines.move_to(vm, target, holder, token, MACHINE_TIMEOUT);
-            call.await
+    let (guard, sent_ms) = write_guard(gate, context.clock);
+    let caller = MachineCaller {
+        coordinator: holder,
+        token,
+        timeout: MACHINE_TIMEOUT.min(remaining),
+        guard: &guard,
+    };
+    let call = async {
+        match order {
+            VmOrder::Move { target } => machines.move_to(vm, target, &caller).await,
+            VmOrder::Maintenance { wave } => machines.maintain(vm, wave, &caller).await,
         }
-        VmOrder::Maintenance { wave } => {
-            let call = machines.maintain(vm, wave, holder, token, MACHINE_TIMEOUT);
-            call.await
+    };
+    let response = tokio::select! {
+        biased;
+        response = call => response,
+        // Dropping the call discards what has not left this node yet.
+        () = gate.ended() => {
+            let message = "the lease for orders ended";
+            Err(TanagerError::new(ErrorKind::Unknown, "order machine", vm.to_owned(), message))
         }
     };
     context.metrics.vm_orders_sent.increment();
     log::info!(
-        "event=vm_ordered vm={vm} order={order} holder={holder} incarnation={} token={token} \
-         heartbeat_age={} owner_read_age={} checked_ms={checked_ms} answered_ms={} closed={} \
+        "event=vm_ordered vm={vm} order={order} holder={holder} incarnation={incarnation} \
+         token={token} lease_age={} checked_ms={checked_ms} sent_ms={} answered_ms={} closed={} \
          answer={response:?}",
-        context.incarnation,
-        Age(evidence.heartbeat_age),
-        Age(evidence.owner_read_age),
+        Age(lease_age),
+        sent_ms.load(Ordering::Relaxed),
         context.clock.wall_ms(),
         cell.is_closed()
     );
     Some(response)
 }
 
-/// Age of some evidence in the log: seconds, or `none`.
+/// Returns a guard that permits writes while the lease lasts, and the time of the last write that it
+/// permitted, in milliseconds since 1970; 0 before the first.
+fn write_guard(gate: &Arc<OrderGate>, clock: NodeClock) -> (WriteGuard, Arc<AtomicU64>) {
+    let sent_ms = Arc::new(AtomicU64::new(0));
+    let (gate, sent_by_guard) = (Arc::clone(gate), Arc::clone(&sent_ms));
+    let guard = move || {
+        let may_write = !gate.remaining().is_zero();
+        if may_write {
+            sent_by_guard.store(clock.wall_ms(), Ordering::Relaxed);
+        }
+        may_write
+    };
+    (Arc::new(guard), sent_ms)
+}
+
+/// Age of a lease in the log: seconds, or `none`.
 struct Age(Option<Duration>);
 
 impl Display for Age {
