Share between commands that read logs what `runs` has for it

Nothing changes for callers. A second command that reads the logs of all nodes needs the fields of a line, the level of a finding, the choice of the histories, the report with its counts and its exit code: they move from run_log.rs, run_history.rs, run_report.rs and commands/runs.rs to log_fields.rs, log_report.rs, input.rs and session.rs. The tests of `runs` import two types from their new module; no check changes.

--- a/crates/tanager-command/src/commands/runs.rs
+++ b/crates/tanager-command/src/commands/runs.rs
@@ -1,13 +1,10 @@
 //! `runs`: puts the runs of each task side by side from the logs of all nodes.
 
-use serde_json::json;
-
 use super::CommandSpec;
 use crate::failure::Failure;
-use crate::input::read_bytes;
-use crate::output;
+use crate::input::read_logs;
+use crate::log_report::HistoryChoice;
 use crate::run_log::read_log;
-use crate::run_report::HistoryChoice;
 use crate::run_report::report;
 use crate::session::Session;
 
@@ -40,29 +37,9 @@
 };
 
 fn run(session: &Session) -> Result<(), Failure> {
-    let choice = match (&session.options.task, session.options.all) {
-        (Some(_), true) => {
-            let message = "--task and --all exclude each other";
-            return Err(Failure::Usage(message.to_owned()));
-        }
-        (Some(task), false) => HistoryChoice::Only(task),
-        (None, true) => HistoryChoice::All,
-        (None, false) => HistoryChoice::Faults,
-    };
-    let mut texts = Vec::new();
-    for file in &session.positionals {
-        let bytes = read_bytes(file)?;
-        texts.push(String::from_utf8_lossy(&bytes).into_owned());
-    }
+    let options = &session.options;
+    let choice = HistoryChoice::from_options("task", options.task.as_deref(), options.all)?;
+    let texts = read_logs(&session.positionals)?;
     let log = read_log(texts.iter().map(String::as_str));
-    let report = report(&log, choice);
-    let (faults, near_misses) = (report.faults, report.near_misses);
-    let result = json!({"faults": faults, "near_misses": near_misses, "text": report.text});
-    session.print_result(&result, |_| output::print(&report.text));
-    match faults {
-        0 => Ok(()),
-        _ => Err(Failure::Overlaps(format!(
-            "faults: {faults}, near misses: {near_misses}"
-        ))),
-    }
+    session.print_log_report(&report(&log, choice))
 }
--- a/crates/tanager-command/src/failure.rs
+++ b/crates/tanager-command/src/failure.rs
@@ -14,9 +14,9 @@
     /// The checked configuration has warnings, but no error.
     #[error("{0}")]
     Warnings(String),
-    /// The logs show runs of one task that may have overlapped.
+    /// The logs show faults.
     #[error("{0}")]
-    Overlaps(String),
+    Faults(String),
     /// The checked configuration has errors.
     #[error("{0}")]
     Errors(String),
@@ -38,7 +38,7 @@
     /// Exit code of the process.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::Refused(_) | Self::Warnings(_) | Self::Overlaps(_) => 1,
+            Self::Refused(_) | Self::Warnings(_) | Self::Faults(_) => 1,
             Self::Usage(_) | Self::Errors(_) => 2,
             Self::Conflict(_) | Self::Unreadable(_) => 3,
             Self::Unreachable(_) => 4,
--- a/crates/tanager-command/src/input.rs
+++ b/crates/tanager-command/src/input.rs
@@ -34,6 +34,16 @@
     std::fs::read(path).map_err(read_error)
 }
 
+/// Reads log files, each of which may be standard input. Invalid UTF-8 is replaced, because a node
+/// may have been killed while it wrote.
+pub(crate) fn read_logs(paths: &[String]) -> Result<Vec<String>, Failure> {
+    let texts = paths.iter().map(|path| {
+        let bytes = read_bytes(path)?;
+        Ok(String::from_utf8_lossy(&bytes).into_owned())
+    });
+    texts.collect()
+}
+
 /// Parses the text of a file as JSON.
 pub(crate) fn parse_json<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, Failure> {
     serde_json::from_str(text).map_err(|error| Failure::Usage(format!("parse {path}: {error}")))
--- a/crates/tanager-command/src/lib.rs
+++ b/crates/tanager-command/src/lib.rs
@@ -5,6 +5,8 @@
 mod commands;
 mod failure;
 mod input;
+mod log_fields;
+pub mod log_report;
 mod options;
 mod output;
 pub mod run_history;
--- a/crates/tanager-command/src/run_history.rs
+++ b/crates/tanager-command/src/run_history.rs
@@ -6,6 +6,8 @@
 
 use tanager_jobs::TaskKey;
 
+use crate::log_fields::seconds;
+use crate::log_report::FindingLevel;
 use crate::run_log::RunEvent;
 use crate::run_log::RunLine;
 use crate::run_log::RunStep;
@@ -21,15 +23,6 @@
 /// A worker with the start of one of its incarnations in milliseconds since 1970, 0 if unknown.
 pub type WorkerIncarnation = (String, u64);
 
-/// How serious a finding is.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum FindingLevel {
-    /// Nothing in the logs shows that it was harmless.
-    Fault,
-    /// Harmless if what the owner knew of the worker was true.
-    NearMiss,
-}
-
 /// What was found.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum FindingKind {
@@ -412,8 +405,3 @@
         write!(formatter, "run {run} on {worker} born {born}")
     }
 }
-
-/// Formats a time as in the logs, in seconds.
-pub(crate) fn seconds(time_ms: u64) -> String {
-    format!("{}.{:03}", time_ms / 1000, time_ms % 1000)
-}
--- a/crates/tanager-command/src/run_log.rs
+++ b/crates/tanager-command/src/run_log.rs
@@ -1,9 +1,9 @@
 //! Reads the log lines of job service nodes that tell of single runs.
 
-use std::collections::HashMap;
-
 use tanager_jobs::TaskKey;
 
+use crate::log_fields::LogFields;
+
 /// A log line about a run, the ends of a worker or an incarnation.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct RunLine {
@@ -101,9 +101,9 @@
 pub fn read_log<'a>(texts: impl IntoIterator<Item = &'a str>) -> RunLog {
     let mut log = RunLog::default();
     for text in texts.into_iter().flat_map(str::lines) {
-        let fields = fields_of(text);
-        log.dropped += number(&fields, "dropped_lines").unwrap_or(0);
-        let Some(&event) = fields.get("event") else {
+        let fields = LogFields::parse(text);
+        log.dropped += fields.number("dropped_lines").unwrap_or(0);
+        let Some(event) = fields.get("event") else {
             continue;
         };
         if !EVENTS.contains(&event) {
@@ -135,42 +135,19 @@
     "recovery_ended",
 ];
 
-fn fields_of(text: &str) -> HashMap<&str, &str> {
-    let mut fields = HashMap::new();
-    for (name, value) in text
-        .split_whitespace()
-        .filter_map(|word| word.split_once('='))
-    {
-        // The fields of the line itself come first; later ones may be parts of quoted text.
-        fields.entry(name).or_insert(value);
-    }
-    fields
-}
-
-fn number(fields: &HashMap<&str, &str>, name: &str) -> Option<u64> {
-    fields.get(name)?.parse().ok()
-}
-
-/// Converts seconds, with or without the unit, to milliseconds.
-fn millis(fields: &HashMap<&str, &str>, name: &str) -> Option<u64> {
-    let seconds: f64 = fields.get(name)?.trim_end_matches('s').parse().ok()?;
-    (seconds.is_finite() && seconds >= 0.0).then(|| (seconds * 1e3).round() as u64)
-}
-
-fn read_line(event: &str, fields: &HashMap<&str, &str>) -> Option<RunLine> {
-    let text = |name: &str| fields.get(name).map(|value| (*value).to_owned());
+fn read_line(event: &str, fields: &LogFields<'_>) -> Option<RunLine> {
     let event = match event {
-        "ends_acknowledged" => RunEvent::Acknowledged(number(fields, "acknowledged")?),
-        "incarnation_replaced" => RunEvent::Replaced(number(fields, "born_before")?),
+        "ends_acknowledged" => RunEvent::Acknowledged(fields.number("acknowledged")?),
+        "incarnation_replaced" => RunEvent::Replaced(fields.number("born_before")?),
         "worker_linked" => RunEvent::Linked,
         "recovery_ended" => {
-            let workers = text("workers")?;
+            let workers = fields.get("workers")?;
             let workers = workers.split(',').filter(|worker| !worker.is_empty());
             RunEvent::LeasesExpired(workers.map(str::to_owned).collect())
         }
         _ => RunEvent::Run {
             task: fields.get("task")?.parse().ok()?,
-            run: number(fields, "run")?,
+            run: fields.number("run")?,
             step: read_step(event, fields)?,
         },
     };
@@ -179,15 +156,15 @@
         RunEvent::Run { step, .. } => !matches!(step, RunStep::Released(_)),
         _ => true,
     };
-    let born = number(fields, "born");
+    let born = fields.number("born");
     Some(RunLine {
-        time_ms: millis(fields, "time")?,
-        node: text("node")?,
-        cell: text("cell")?,
-        token: number(fields, "token")?,
+        time_ms: fields.millis("time")?,
+        node: fields.owned("node")?,
+        cell: fields.owned("cell")?,
+        token: fields.number("token")?,
         worker: match &event {
             RunEvent::LeasesExpired(_) => String::new(),
-            _ => text("worker")?,
+            _ => fields.owned("worker")?,
         },
         born: match names_incarnation {
             true => born?,
@@ -197,33 +174,32 @@
     })
 }
 
-fn read_step(event: &str, fields: &HashMap<&str, &str>) -> Option<RunStep> {
-    let text = |name: &str| fields.get(name).map(|value| (*value).to_owned());
+fn read_step(event: &str, fields: &LogFields<'_>) -> Option<RunStep> {
     Some(match event {
         "run_started" | "run_not_started" => RunStep::Ordered {
-            result: match *fields.get("result")? {
+            result: match fields.get("result")? {
                 "Answered(Accepted)" => StartResult::Accepted,
                 "Unknown" => StartResult::Unanswered,
                 other => StartResult::Refused(other.to_owned()),
             },
-            lease_until_ms: number(fields, "lease_until_ms")?,
-            after_ms: millis(fields, "after")?,
+            lease_until_ms: fields.number("lease_until_ms")?,
+            after_ms: fields.millis("after")?,
         },
         "run_adopted" => RunStep::Adopted,
         "unknown_run_stopped" => RunStep::UnknownStopped,
         "run_stopped" => {
             // A worker that is unwell, of another incarnation, or that knows a later owner has not
             // carried out the stop.
-            let result = *fields.get("result")?;
+            let result = fields.get("result")?;
             let is_ignored = ["Unwell", "OtherLife", "Fenced"]
                 .iter()
                 .any(|answer| result.contains(answer));
             RunStep::Stopped(result.starts_with("Answered(") && !is_ignored)
         }
-        "run_lost" | "run_released" => RunStep::Released(text("cause")?),
+        "run_lost" | "run_released" => RunStep::Released(fields.owned("cause")?),
         _ => RunStep::Ended {
-            cause: text("cause")?,
-            number: number(fields, "number")?,
+            cause: fields.owned("cause")?,
+            number: fields.number("number")?,
         },
     })
 }
--- a/crates/tanager-command/src/run_report.rs
+++ b/crates/tanager-command/src/run_report.rs
@@ -4,61 +4,37 @@
 
 use tanager_jobs::TaskKey;
 
+use crate::log_fields::seconds;
+use crate::log_report::FindingLevel;
+use crate::log_report::HistoryChoice;
+use crate::log_report::LogReport;
+use crate::log_report::count_of;
+use crate::log_report::describe_missing;
 use crate::run_history::Finding;
 use crate::run_history::FindingKind;
-use crate::run_history::FindingLevel;
 use crate::run_history::RunHistory;
-use crate::run_history::seconds;
 use crate::run_log::RunEvent;
 use crate::run_log::RunLine;
 use crate::run_log::RunLog;
 use crate::run_log::RunStep;
 use crate::run_log::StartResult;
 
-/// Which histories are printed.
-#[derive(Clone, Copy, Debug)]
-pub enum HistoryChoice<'a> {
-    /// Of the tasks with findings of level [`FindingLevel::Fault`].
-    Faults,
-    /// Of all tasks.
-    All,
-    /// Of one task, or of all tasks of a job.
-    Only(&'a str),
-}
-
-impl HistoryChoice<'_> {
-    fn includes(self, task: TaskKey) -> bool {
-        match self {
-            Self::Faults | Self::All => true,
-            Self::Only(name) => task.to_string() == name || task.job.to_string() == name,
-        }
-    }
-}
-
-/// A report about the runs in logs.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RunReport {
-    /// Text.
-    pub text: String,
-    /// Number of findings of level [`FindingLevel::Fault`].
-    pub faults: usize,
-    /// Number of findings of level [`FindingLevel::NearMiss`].
-    pub near_misses: usize,
-}
-
 /// Describes the histories of the chosen tasks and what was found about them. Ends that no owner
 /// read belong to no task and are always reported.
-pub fn report(log: &RunLog, choice: HistoryChoice<'_>) -> RunReport {
+pub fn report(log: &RunLog, choice: HistoryChoice<'_>) -> LogReport {
     let history = RunHistory::new(&log.lines);
+    let includes = |task: TaskKey| {
+        choice.includes(|name| task.to_string() == name || task.job.to_string() == name)
+    };
     let findings: Vec<Finding> = (history.findings().into_iter())
-        .filter(|finding| finding.task.is_none_or(|task| choice.includes(task)))
+        .filter(|finding| finding.task.is_none_or(includes))
         .collect();
     let with_faults: BTreeSet<TaskKey> = (findings.iter())
         .filter(|finding| finding.level == FindingLevel::Fault)
         .filter_map(|finding| finding.task)
         .collect();
     let mut text = String::new();
-    for task in history.tasks().filter(|task| choice.includes(*task)) {
+    for task in history.tasks().filter(|task| includes(*task)) {
         let is_printed = !matches!(choice, HistoryChoice::Faults) || with_faults.contains(&task);
         if is_printed {
             text.push_str(&format!("task {task}\n"));
@@ -70,10 +46,7 @@
     for finding in &findings {
         text.push_str(&describe_finding(finding));
     }
-    let count = |level| {
-        let of_level = findings.iter().filter(|finding| finding.level == level);
-        of_level.count()
-    };
+    let count = |level| count_of(level, findings.iter().map(|finding| finding.level));
     let (faults, near_misses) = (count(FindingLevel::Fault), count(FindingLevel::NearMiss));
     text.push_str(&format!(
         "tasks: {}, ends: {}, faults: {faults}, near misses: {near_misses}\n",
@@ -83,13 +56,8 @@
     if history.end_count() == 0 {
         text.push_str("no line of a run's end: was RUST_LOG=info,tanager::runs=debug set?\n");
     }
-    if log.dropped + log.unreadable > 0 {
-        text.push_str(&format!(
-            "incomplete: {} lines dropped by the nodes, {} unreadable\n",
-            log.dropped, log.unreadable
-        ));
-    }
-    RunReport {
+    text.push_str(&describe_missing(log.dropped, log.unreadable));
+    LogReport {
         text,
         faults,
         near_misses,
@@ -97,10 +65,7 @@
 }
 
 fn describe_finding(finding: &Finding) -> String {
-    let level = match finding.level {
-        FindingLevel::Fault => "fault",
-        FindingLevel::NearMiss => "near miss",
-    };
+    let level = finding.level;
     let kind = match finding.kind {
         FindingKind::Overlap => "overlap",
         FindingKind::StartAfterDone => "start after done",
--- a/crates/tanager-command/src/session.rs
+++ b/crates/tanager-command/src/session.rs
@@ -10,10 +10,12 @@
 use std::time::Instant;
 
 use serde_json::Value;
+use serde_json::json;
 
 use crate::client::NodeClient;
 use crate::failure::Failure;
 use crate::input::read_text;
+use crate::log_report::LogReport;
 use crate::options::CommandLine;
 use crate::options::Options;
 use crate::options::parse_address;
@@ -94,6 +96,19 @@
         }
     }
 
+    /// Prints a report about logs; the command fails if it has faults.
+    pub(crate) fn print_log_report(&self, report: &LogReport) -> Result<(), Failure> {
+        let (faults, near_misses) = (report.faults, report.near_misses);
+        let result = json!({"faults": faults, "near_misses": near_misses, "text": report.text});
+        self.print_result(&result, |_| output::print(&report.text));
+        match faults {
+            0 => Ok(()),
+            _ => Err(Failure::Faults(format!(
+                "faults: {faults}, near misses: {near_misses}"
+            ))),
+        }
+    }
+
     /// Reads the list of VMs and checks that it contains this VM.
     pub(crate) fn read_vms_containing(&self, vm: &str) -> Result<Value, Failure> {
         let reply = self.client.read("/v1/vms")?;
--- a/crates/tanager-command/src/unread_ends.rs
+++ b/crates/tanager-command/src/unread_ends.rs
@@ -4,13 +4,13 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use crate::log_fields::seconds;
+use crate::log_report::FindingLevel;
 use crate::run_history::Finding;
 use crate::run_history::FindingKind;
-use crate::run_history::FindingLevel;
 use crate::run_history::MAX_EXECUTION_DELAY_MS;
 use crate::run_history::RunHistory;
 use crate::run_history::WorkerIncarnation;
-use crate::run_history::seconds;
 
 impl RunHistory {
     pub(crate) fn find_unread_ends(&self, findings: &mut BTreeSet<Finding>) {
--- a/crates/tanager-command/tests/runs.rs
+++ b/crates/tanager-command/tests/runs.rs
@@ -4,12 +4,12 @@
 use std::path::PathBuf;
 use std::process::Command;
 
+use tanager_command::log_report::FindingLevel;
+use tanager_command::log_report::HistoryChoice;
 use tanager_command::run_history::Finding;
 use tanager_command::run_history::FindingKind;
-use tanager_command::run_history::FindingLevel;
 use tanager_command::run_history::RunHistory;
 use tanager_command::run_log::read_log;
-use tanager_command::run_report::HistoryChoice;
 use tanager_command::run_report::report;
 
 const TASK: &str = "3be3440cde88873d.0.0.1";
