Read the line that follows a line cut off by the end of its node

What operators got: when a node was killed while it wrote, its last line and the next one of another node are one line of the common file. `tanagerladder runs` read the fields of both as one line, the first of each name; the second line was lost, and a field that the first lacked came from it. Lines whose text has only one such beginning are read as before.

Measured: line_after_a_cut_line_is_read fails without the change (one line, which is a mixture, and none unreadable) and passes with it.

--- a/crates/tanager-command/src/log_fields.rs
+++ b/crates/tanager-command/src/log_fields.rs
@@ -42,6 +42,33 @@
     }
 }
 
+/// Returns the log lines of a text. The last line of a node that was killed may end anywhere, and the
+/// next line of the file then follows it without a line break.
+pub(crate) fn log_lines(text: &str) -> impl Iterator<Item = &str> {
+    text.lines().flat_map(|line| {
+        let mut starts: Vec<usize> = (line.match_indices("time="))
+            .map(|(start, _)| start)
+            .filter(|start| is_line_start(&line[*start..]))
+            .collect();
+        // Words before the first fields belong to the first line.
+        match starts.first_mut() {
+            Some(first) => *first = 0,
+            None => starts.push(0),
+        }
+        let ends: Vec<usize> = starts[1..].iter().copied().chain([line.len()]).collect();
+        let ranges = starts.into_iter().zip(ends);
+        ranges.map(move |(start, end)| &line[start..end])
+    })
+}
+
+/// Returns whether a text starts with `time=` and `level=`, the first fields of each line.
+fn is_line_start(text: &str) -> bool {
+    let mut words = text.split(' ');
+    let time = words.next().and_then(|word| word.strip_prefix("time="));
+    let is_time = time.is_some_and(|time| time.parse::<f64>().is_ok());
+    is_time && words.next().is_some_and(|word| word.starts_with("level="))
+}
+
 /// Formats a time as in the logs, in seconds.
 pub(crate) fn seconds(time_ms: u64) -> String {
     format!("{}.{:03}", time_ms / 1000, time_ms % 1000)
--- a/crates/tanager-command/src/run_log.rs
+++ b/crates/tanager-command/src/run_log.rs
@@ -3,6 +3,7 @@
 use tanager_jobs::TaskKey;
 
 use crate::log_fields::LogFields;
+use crate::log_fields::log_lines;
 
 /// A log line about a run, the ends of a worker or an incarnation.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -100,7 +101,7 @@
 /// are skipped. A line that occurs twice counts once.
 pub fn read_log<'a>(texts: impl IntoIterator<Item = &'a str>) -> RunLog {
     let mut log = RunLog::default();
-    for text in texts.into_iter().flat_map(str::lines) {
+    for text in texts.into_iter().flat_map(log_lines) {
         let fields = LogFields::parse(text);
         log.dropped += fields.number("dropped_lines").unwrap_or(0);
         let Some(event) = fields.get("event") else {
--- a/crates/tanager-command/tests/runs.rs
+++ b/crates/tanager-command/tests/runs.rs
@@ -243,6 +243,20 @@
     );
 }
 
+/// Guards against the line of another node that is lost, or mixed with the rest of a line, when a
+/// node was killed while it wrote.
+#[test]
+fn line_after_a_cut_line_is_read() {
+    let done = ended(2.0, 1, "a", "Done", 1);
+    let next = ended(3.0, 2, "b", "Done", 1);
+    let worker = done.find(" cause=").expect("a cause");
+    let cut = &done[..worker];
+    let log = read_log([format!("{cut}   20.2 {next}").as_str()]);
+    assert_eq!((log.lines.len(), log.unreadable), (1, 1));
+    let complete = read_log([next.as_str()]);
+    assert_eq!(log.lines, complete.lines);
+}
+
 /// Runs the command without a node in its environment; returns exit code and output.
 fn run_command(arguments: &[&str]) -> (Option<i32>, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_tanagerladder"))
