Find orders to one VM by two coordinators in the logs of the nodes

Faults are an order that may have reached the platform after one with a higher token was sent to the VM, and two holders with one token. Near misses are orders by two holders within a lease, answers after the ownership had ended, and more than a second in transit. An order that was not sent is none of these. The exit codes are those of `runs`.

An order may have arrived from its last permitted write (`sent_ms`; without it, from the check) to its end. Clocks of two nodes may differ by 100 ms, so orders with different tokens by two nodes this close together are a fault whose text says so; times of one node are compared as they are. The ages and `sent_ms` are optional, so logs from before and after the change of these fields can be read.

--- a/crates/tanager-command/src/commands/mod.rs
+++ b/crates/tanager-command/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod history;
 mod job;
 mod move_vm;
+mod orders;
 mod pools;
 mod queues;
 mod quotas;
@@ -45,7 +46,7 @@
 impl CommandSpec {
     /// Returns whether the command sends requests to a node when it is called with these arguments.
     pub(crate) fn sends_requests(&self, line: &CommandLine) -> bool {
-        if self.name == runs::SPEC.name {
+        if [runs::SPEC.name, orders::SPEC.name].contains(&self.name) {
             return false;
         }
         self.name != config::SPEC.name || line.options.against.as_deref() == Some(config::CURRENT)
@@ -76,4 +77,5 @@
     submit_job::SPEC,
     cancel_job::SPEC,
     runs::SPEC,
+    orders::SPEC,
 ];
--- a/crates/tanager-command/src/options.rs
+++ b/crates/tanager-command/src/options.rs
@@ -15,6 +15,7 @@
 /// A move waits until the work in progress on the VM finishes, which may take minutes.
 const DEFAULT_WAIT_TIMEOUT: Duration = Duration::from_secs(600);
 const DEFAULT_INTERVAL: Duration = Duration::from_secs(1);
+const DEFAULT_LEASE: Duration = Duration::from_secs(3);
 
 /// Options of all commands; each command accepts only some of them.
 #[derive(Clone, Debug)]
@@ -39,6 +40,8 @@
     pub(crate) against: Option<String>,
     pub(crate) task: Option<String>,
     pub(crate) all: bool,
+    pub(crate) vm: Option<String>,
+    pub(crate) lease: Duration,
 }
 
 /// A parsed command line.
@@ -78,6 +81,8 @@
                 against: None,
                 task: None,
                 all: false,
+                vm: None,
+                lease: DEFAULT_LEASE,
             },
             given_options: BTreeSet::new(),
         };
@@ -154,6 +159,14 @@
                         options.all = true;
                         "all"
                     }
+                    "vm" => {
+                        options.vm = Some(parse_text(parser)?);
+                        "vm"
+                    }
+                    "lease" => {
+                        options.lease = parse_duration(name, &parse_text(parser)?)?;
+                        "lease"
+                    }
                     "interval" => {
                         options.interval = parse_duration(name, &parse_text(parser)?)?;
                         "interval"
