--- a/crates/tanager-command/tests/runs.rs
+++ b/crates/tanager-command/tests/runs.rs
@@ -4,12 +4,12 @@
 use std::path::PathBuf;
 use std::process::Command;
 
+use tanager_command::log_report::FindingLevel;
+use tanager_command::log_report::HistoryChoice;
 use tanager_command::run_history::Finding;
 use tanager_command::run_history::FindingKind;
-use tanager_command::run_history::FindingLevel;
 use tanager_command::run_history::RunHistory;
 use tanager_command::run_log::read_log;
-use tanager_command::run_report::HistoryChoice;
 use tanager_command::run_report::report;
 
 const TASK: &str = "3be3440cde88873d.0.0.1";
@@ -243,6 +243,20 @@
     );
 }
 
+/// Guards against the line of another node that is lost, or mixed with the rest of a line, when a
+/// node was killed while it wrote.
+#[test]
+fn line_after_a_cut_line_is_read() {
+    let done = ended(2.0, 1, "a", "Done", 1);
+    let next = ended(3.0, 2, "b", "Done", 1);
+    let worker = done.find(" cause=").expect("a cause");
+    let cut = &done[..worker];
+    let log = read_log([format!("{cut}   20.2 {next}").as_str()]);
+    assert_eq!((log.lines.len(), log.unreadable), (1, 1));
+    let complete = read_log([next.as_str()]);
+    assert_eq!(log.lines, complete.lines);
+}
+
 /// Runs the command without a node in its environment; returns exit code and output.
 fn run_command(arguments: &[&str]) -> (Option<i32>, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_tanagerladder"))
