Search for node ports without listening sockets

Cause: `NodePorts::find` bound a listening socket to see whether a port is free. A child that another thread starts at that moment has a copy of the socket until its `exec`, and the node cannot bind the port while the copy listens.

Evidence: a trial program with 24 threads, each of which finds ports and starts a child that binds them, beside builds (load average 29 to 49): 12 of 9,698 and 16 of 10,171 children failed with this error. Where /proc still had the holder, it was the next child of the same process before its `exec` (state R, with the command line of its parent).

Ruled out: outgoing connections, whose ports start at 32768. A restart on the ports of a live process: the harness waits for a killed process, and the failing node had not been ready once.

Change: the search binds the ports without listening and sets SO_REUSEADDR after the call of `bind`, so that a copy does not keep a node from binding them.

--- a/crates/tanager-standin/src/site/settings.rs
+++ b/crates/tanager-standin/src/site/settings.rs
@@ -1,11 +1,12 @@
 //! Settings files and ports of nodes that use the stand-in.
 
+use std::io;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
 use serde_json::json;
+use tokio::net::TcpSocket;
 
 use super::SiteStandin;
 use super::lock;
@@ -26,8 +27,20 @@
     FIRST_PORT + process_offset.wrapping_add(port_offset) % PORT_COUNT
 }
 
+/// Binds a port that no other socket uses.
+///
+/// The socket does not listen: a child process that another thread starts has a copy of it until its
+/// `exec`, and a listening copy would keep the node from binding the port. `SO_REUSEADDR` is set
+/// after the call of `bind`, so that the node can bind the port while there is a copy.
+fn bind_port(port: u16) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], port)))?;
+    socket.set_reuseaddr(true)?;
+    Ok(socket)
+}
+
 fn is_free(port: u16) -> bool {
-    TcpListener::bind(("127.0.0.1", port)).is_ok()
+    bind_port(port).is_ok()
 }
 
 /// Ports of a node on 127.0.0.1.
