Retry the bind of a stand-in's port while a child has its listener

`WirePort::close` closes its listener and binds the address again without listening. While a child that another thread starts still has a copy of the listener (until its `exec`), this failed with "Address already in use" and the port was lost.

Evidence: the new test, which closes and opens a port while four threads start processes, failed in 3 of 3 runs on the former code, after 1, 56 and 86 cycles of 500.

Change: `close` tries again each millisecond for up to 10 s while the address is in use. It still returns only after the port is bound again.

Result: the test passes in 20 of 20 runs beside load.

--- a/crates/tanager-standin/src/port.rs
+++ b/crates/tanager-standin/src/port.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -19,6 +20,8 @@
 
 /// Connections that the operating system queues until they are accepted.
 const LISTEN_BACKLOG: u32 = 1_024;
+/// Limit of the wait for child processes to close their copies of a listener.
+const REBIND_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Future of a [`ConnectionHandler`].
 pub type ConnectionFuture = Pin<Box<dyn Future<Output = ()> + Send>>;
@@ -94,7 +97,7 @@
         let mut state = self.state.lock().await;
         if let PortState::Open(server) = std::mem::replace(&mut *state, PortState::Unbound) {
             server.stop().await;
-            *state = PortState::Closed(bind_socket(self.address)?);
+            *state = PortState::Closed(rebind_socket(self.address).await?);
         }
         Ok(())
     }
@@ -132,6 +135,22 @@
     Ok(socket)
 }
 
+/// Binds an address again after its listener was closed.
+///
+/// A child process that another thread starts has a copy of the listener until its `exec`, and the
+/// address stays in use until then.
+async fn rebind_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let end = Instant::now() + REBIND_TIMEOUT;
+    loop {
+        match bind_socket(address) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && Instant::now() < end => {
+                time::sleep(Duration::from_millis(1)).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 async fn accept_loop(
     listener: TcpListener,
     handler: ConnectionHandler,
--- a/crates/tanager-standin/tests/ports.rs
+++ b/crates/tanager-standin/tests/ports.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use tanager_standin::port::WirePort;
 use tanager_standin::site::NodePorts;
 
 /// Threads that start processes. Each process has copies of all sockets until its `exec`.
@@ -63,3 +64,16 @@
     }
     starter.stop();
 }
+
+/// Guards against a stand-in that cannot keep its port when it is closed while a process starts.
+#[tokio::test]
+async fn port_can_be_closed_while_processes_start() {
+    let starter = ProcessStarter::start();
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let port = WirePort::bind(address, Arc::new(|_, _| Box::pin(async {}))).expect("port");
+    for cycle in 0..500 {
+        (port.close().await).unwrap_or_else(|error| panic!("cycle {cycle}: {error}"));
+        (port.open().await).unwrap_or_else(|error| panic!("cycle {cycle}: {error}"));
+    }
+    starter.stop();
+}
