Reserve the ports of nodes for the process that found them

Cause: two test processes that run at the same time can find the same ports. The first offset is the process id modulo 1,000 times 12, which is three groups of ports, so processes with ids close to each other search the same groups after a few nodes. The second search succeeds until the first node listens.

Change: a search keeps a socket, bound without listening, on the first port of its group until the process ends. The group of another search then is not free; the node can bind the port, as SO_REUSEADDR is set after the call of `bind`. Groups never overlap, so one socket for each node is enough.

--- a/crates/tanager-standin/src/site/settings.rs
+++ b/crates/tanager-standin/src/site/settings.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
@@ -19,6 +21,8 @@
 const MAX_PORT_ATTEMPTS: usize = 500;
 
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
+/// Sockets on the first ports of the groups that were found.
+static RESERVED: Mutex<Vec<TcpSocket>> = Mutex::new(Vec::new());
 
 /// Returns the first port of the next group. Each process starts at a different offset.
 fn next_port_group() -> u16 {
@@ -31,16 +35,26 @@
 ///
 /// The socket does not listen: a child process that another thread starts has a copy of it until its
 /// `exec`, and a listening copy would keep the node from binding the port. `SO_REUSEADDR` is set
-/// after the call of `bind`, so that the node can bind the port while there is a copy.
-fn bind_port(port: u16) -> io::Result<TcpSocket> {
+/// after the call of `bind`, so that the node can bind the port and a search in another process
+/// cannot.
+fn reserve_port(port: u16) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.bind(SocketAddr::from(([127, 0, 0, 1], port)))?;
     socket.set_reuseaddr(true)?;
     Ok(socket)
 }
 
-fn is_free(port: u16) -> bool {
-    bind_port(port).is_ok()
+/// Returns whether all ports of a group were free, and keeps the first one reserved until the
+/// process ends. Groups of all processes start at multiples of [`NODE_PORTS`], so one socket is
+/// enough.
+fn reserve_group(first: u16) -> bool {
+    let sockets: io::Result<Vec<_>> = (first..first + NODE_PORTS).map(reserve_port).collect();
+    let Ok(sockets) = sockets else {
+        return false;
+    };
+    let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+    reserved.extend(sockets.into_iter().take(1));
+    true
 }
 
 /// Ports of a node on 127.0.0.1.
@@ -55,7 +69,8 @@
 }
 
 impl NodePorts {
-    /// Finds ports that are free now. Two calls in one process never return the same port.
+    /// Finds free ports. Two calls never return the same port, nor do calls in processes that run at
+    /// the same time.
     ///
     /// # Panics
     ///
@@ -63,7 +78,7 @@
     pub fn find() -> Self {
         let first = (0..MAX_PORT_ATTEMPTS)
             .map(|_| next_port_group())
-            .find(|first| (*first..*first + NODE_PORTS).all(is_free))
+            .find(|first| reserve_group(*first))
             .expect("free ports");
         Self {
             client: first,
--- a/crates/tanager-standin/tests/ports.rs
+++ b/crates/tanager-standin/tests/ports.rs
@@ -1,6 +1,7 @@
 //! Tests of the ports for nodes and stand-ins beside threads that start processes.
 
 use std::env;
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::process::Command;
@@ -13,6 +14,7 @@
 
 use tanager_standin::port::WirePort;
 use tanager_standin::site::NodePorts;
+use tokio::net::TcpSocket;
 
 /// Threads that start processes. Each process has copies of all sockets until its `exec`.
 struct ProcessStarter {
@@ -65,6 +67,19 @@
     starter.stop();
 }
 
+fn bind_exclusively(address: SocketAddr) -> io::Result<()> {
+    TcpSocket::new_v4()?.bind(address)
+}
+
+/// Guards against two processes that find the same ports before a node listens on them.
+#[test]
+fn found_ports_are_not_free_for_another_search() {
+    let address = NodePorts::find().client_address();
+    let error = bind_exclusively(address).expect_err("a reserved port");
+    assert_eq!(error.kind(), io::ErrorKind::AddrInUse);
+    TcpListener::bind(address).expect("the port of a node");
+}
+
 /// Guards against a stand-in that cannot keep its port when it is closed while a process starts.
 #[tokio::test]
 async fn port_can_be_closed_while_processes_start() {
