--- a/crates/tanager-node/tests/jobs/coordinator.rs
+++ b/crates/tanager-node/tests/jobs/coordinator.rs
@@ -1,6 +1,6 @@
 //! Orders of two coordinators to the same VMs, with node processes and a machine API that checks no
-//! fencing tokens. A machine API that responds later than the coordinator's time limit and carries
-//! nothing out makes each coordinator repeat its orders, so both order the same VMs.
+//! fencing tokens. A machine API that neither responds to orders nor carries them out makes each
+//! coordinator repeat its orders, so both order the same VMs.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -27,8 +27,8 @@
 
 /// The coordinator's lease in the stand-in's settings.
 const LEASE: Duration = Duration::from_millis(1_000);
-/// Longer than the coordinator's time limit of an order.
-const NO_RESPONSE: Duration = Duration::from_millis(1_500);
+/// Delay of a machine API that responds to no order during a test.
+const NO_RESPONSE: Duration = Duration::from_secs(300);
 /// Time in which both coordinators repeat orders that get no response.
 const OBSERVATION: Duration = Duration::from_secs(3);
 
@@ -114,7 +114,11 @@
     /// Waits until other nodes have sent at least `count` orders.
     async fn wait_for_successor_of(&self, node: usize, count: usize) {
         eventually("the successor has sent orders", async || {
-            self.orders().len() - self.orders_of(node).len() >= count
+            let orders = self.orders();
+            let others = orders
+                .iter()
+                .filter(|order| order.holder != node_name(node));
+            others.count() >= count
         })
         .await;
     }
@@ -182,6 +186,24 @@
     resume_beside_successor(3, LinkMode::HoldReads).await;
 }
 
+/// Guards against orders that a coordinator has checked before a pause and writes after it (ONE).
+#[tokio::test(flavor = "multi_thread")]
+async fn order_checked_before_a_pause_is_not_sent_after_it() {
+    let linked = LinkedSite::start(3, 64).await;
+    linked.set_order_delay(NO_RESPONSE);
+    let former = linked.coordinator().await;
+    let connections = linked.machines[former].connections();
+    linked.request_wave(64);
+    linked.machines[former]
+        .wait_for_connections(connections + 1)
+        .await;
+    linked.site.nodes[former].signal(Signal::SIGSTOP);
+    linked.wait_for_successor_of(former, 32).await;
+    linked.site.nodes[former].signal(Signal::SIGCONT);
+    time::sleep(OBSERVATION).await;
+    assert_one_coordinator(&linked.orders());
+}
+
 /// Guards against orders to the rest of a batch that a coordinator had begun before its replacement
 /// (ONE).
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/tanager-node/tests/jobs/link.rs
+++ b/crates/tanager-node/tests/jobs/link.rs
@@ -48,6 +48,8 @@
     pub(crate) address: SocketAddr,
     mode: watch::Sender<LinkMode>,
     waiting_writes: Arc<AtomicUsize>,
+    /// Number of connections that were opened.
+    connections: watch::Sender<usize>,
 }
 
 impl NetworkLink {
@@ -57,8 +59,11 @@
         let mode = watch::Sender::new(LinkMode::default());
         let waiting_writes = Arc::new(AtomicUsize::new(0));
         let (subscriber, counter) = (mode.clone(), Arc::clone(&waiting_writes));
+        let connections = watch::Sender::new(0);
+        let opened = connections.clone();
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
+                opened.send_modify(|count| *count += 1);
                 let connection = LinkConnection {
                     mode: subscriber.subscribe(),
                     waiting_writes: Arc::clone(&counter),
@@ -70,9 +75,22 @@
             address,
             mode,
             waiting_writes,
+            connections,
         }
     }
 
+    /// Returns the number of connections that were opened so far.
+    pub(crate) fn connections(&self) -> usize {
+        *self.connections.borrow()
+    }
+
+    /// Waits until this many connections were opened.
+    pub(crate) async fn wait_for_connections(&self, count: usize) {
+        let mut opened = self.connections.subscribe();
+        let result = opened.wait_for(|opened| *opened >= count).await;
+        result.expect("a running link");
+    }
+
     pub(crate) fn set_mode(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
     }
