--- a/crates/tanager-node/tests/jobs/coordinator.rs
+++ b/crates/tanager-node/tests/jobs/coordinator.rs
@@ -186,6 +186,12 @@
     resume_beside_successor(3, LinkMode::HoldReads).await;
 }
 
+/// Guards against orders of a coordinator that resumes after its replacement (ONE).
+#[tokio::test(flavor = "multi_thread")]
+async fn coordinator_resumed_after_its_replacement_sends_no_orders() {
+    resume_beside_successor(3, LinkMode::Forward).await;
+}
+
 /// Guards against orders that a coordinator has checked before a pause and writes after it (ONE).
 #[tokio::test(flavor = "multi_thread")]
 async fn order_checked_before_a_pause_is_not_sent_after_it() {
@@ -263,6 +269,21 @@
     assert_one_coordinator(&linked.orders());
 }
 
+/// Guards against a successor that orders within the lease of a coordinator that was told to stop
+/// (ONE).
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_coordinator_and_its_successor_order_a_lease_apart() {
+    let linked = LinkedSite::start(2, 6).await;
+    linked.set_order_delay(Duration::from_millis(800));
+    let former = linked.coordinator().await;
+    linked.request_wave(6);
+    linked.wait_for_orders_of(former, 1).await;
+    linked.site.nodes[former].signal(Signal::SIGTERM);
+    let released_at = wait_for_release(&linked, former).await;
+    linked.wait_for_successor_of(former, 1).await;
+    assert_no_late_orders(&linked, former, released_at);
+}
+
 /// Guards against orders of a coordinator whose release is stored while it waits for the store's
 /// response (ONE).
 #[tokio::test(flavor = "multi_thread")]
@@ -303,3 +324,40 @@
     assert!(gap >= LEASE, "{first:?} {gap:?} after {last:?}");
     assert_one_coordinator(&linked.orders());
 }
+
+/// Guards against orders of two processes of a node under tokens out of order (ONE).
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_coordinator_orders_under_higher_tokens() {
+    let mut linked = LinkedSite::start(3, 3).await;
+    linked.set_order_delay(NO_RESPONSE);
+    let former = linked.coordinator().await;
+    linked.request_wave(3);
+    linked.wait_for_orders_of(former, 1).await;
+    let token = linked.orders()[0].token;
+    linked.site.nodes[former].kill();
+    linked.site.nodes[former].restart();
+    eventually("orders are sent under a higher token", async || {
+        linked.orders().iter().any(|order| order.token > token)
+    })
+    .await;
+    time::sleep(OBSERVATION).await;
+    assert_one_coordinator(&linked.orders());
+}
+
+/// Guards against orders of a coordinator that reaches the platform and not the store, beside those
+/// of a successor (ONE).
+#[tokio::test(flavor = "multi_thread")]
+async fn coordinator_cut_off_from_the_store_is_the_only_one_to_order() {
+    let linked = LinkedSite::start(3, 3).await;
+    linked.set_order_delay(NO_RESPONSE);
+    let former = linked.coordinator().await;
+    linked.request_wave(3);
+    linked.wait_for_orders_of(former, 1).await;
+    linked.stores[former].set_mode(LinkMode::HoldRequests);
+    time::sleep(OBSERVATION * 2).await;
+    linked.stores[former].set_mode(LinkMode::Forward);
+    let count = linked.orders().len();
+    eventually("orders are sent", async || linked.orders().len() > count).await;
+    time::sleep(OBSERVATION).await;
+    assert_one_coordinator(&linked.orders());
+}
