Bound an order that its sender can no longer take back, and drain VMs only under the lease

- An order whose bytes wait behind a cut link while its process stands still cannot be reset by the process: delivered when the link heals, below the successor's token, without a bound.
The connections of the machine API now have a limit (TCP_USER_TIMEOUT of one lease) after which the system itself discards them.
`UnsentBytes::Discard` replaces `CloseMode`, which nothing else used.
- Timers do not count a suspension of the VM, so an order could be abandoned up to 1.2 s after the resumption.
While an order is in progress the node's clock, which counts it, is asked every 50 ms.
- A coordinator that was replaced went on draining VMs, for which no order followed.
The lease is now asked before a drain, and the rest of a round is left out once the cell is closed.
- The read that confirms the lease is bounded as a whole (0.8 s, also over relays), and orders that waited for a read share its result also if it failed.
An order is not begun with less than 0.2 s of the lease.
- The guard of a request that failed stays on its connection.
Two clocks of 2% each make 4%.

--- a/crates/tanager-http/src/client.rs
+++ b/crates/tanager-http/src/client.rs
@@ -28,6 +28,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -42,15 +43,31 @@
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 
-/// What happens to bytes that have not reached the server when a connection is closed.
+/// What happens to bytes of a request that the server has not acknowledged.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum CloseMode {
-    /// The system goes on sending them, for as long as it takes.
+pub enum UnsentBytes {
+    /// The system goes on sending them after the connection was closed.
     #[default]
     Deliver,
-    /// They are discarded, and the server sees a reset. A request that waits behind a broken link
-    /// is thus not executed once the link works again.
-    Discard,
+    /// They are discarded when the connection is closed, which the server sees as a reset, and, even
+    /// while this process stands still, once they have waited for `limit`. A request that waits
+    /// behind a broken link is thus not executed once the link works again.
+    Discard {
+        /// Maximum time for which bytes wait for an acknowledgement.
+        limit: Duration,
+    },
+}
+
+impl UnsentBytes {
+    fn apply(self, stream: &TcpStream) -> io::Result<()> {
+        match self {
+            Self::Deliver => Ok(()),
+            Self::Discard { limit } => {
+                stream.set_zero_linger()?;
+                SockRef::from(stream).set_tcp_user_timeout(Some(limit))
+            }
+        }
+    }
 }
 
 /// An open connection to a server. Dropping it closes the connection.
@@ -73,10 +90,10 @@
     ///
     /// Every error has kind [`ErrorKind::NotSent`].
     pub async fn open(address: SocketAddr, timeout: Duration) -> TanagerResult<Self> {
-        Self::open_with(address, timeout, CloseMode::Deliver).await
+        Self::open_with(address, timeout, UnsentBytes::Deliver).await
     }
 
-    /// Like [`Self::open`], with a choice of what happens to unsent bytes when it is closed.
+    /// Like [`Self::open`], with a choice of what happens to unsent bytes.
     ///
     /// # Errors
     ///
@@ -84,7 +101,7 @@
     pub async fn open_with(
         address: SocketAddr,
         timeout: Duration,
-        close_mode: CloseMode,
+        unsent_bytes: UnsentBytes,
     ) -> TanagerResult<Self> {
         let not_sent_error = |step, message: String| {
             TanagerError::new(ErrorKind::NotSent, step, address.to_string(), message)
@@ -101,10 +118,7 @@
         };
         stream
             .set_nodelay(true)
-            .and_then(|()| match close_mode {
-                CloseMode::Deliver => Ok(()),
-                CloseMode::Discard => stream.set_zero_linger(),
-            })
+            .and_then(|()| unsent_bytes.apply(&stream))
             .map_err(|error| not_sent_error("connect", error.to_string()))?;
         let socket = stream
             .as_fd()
@@ -163,7 +177,7 @@
     ///
     /// As for [`Self::exchange`]; [`ErrorKind::NotSent`] if the guard refused the first write. A
     /// request of which only a part was written is incomplete, so the server does not execute it,
-    /// but this is reported as [`ErrorKind::Unknown`].
+    /// but the error does not say so.
     pub async fn exchange_guarded(
         &mut self,
         request: HttpRequest,
@@ -173,16 +187,19 @@
     ) -> TanagerResult<HttpResponse> {
         self.guard.set(Some(Arc::clone(guard)));
         let result = self.exchange(request, timeout, max_body).await;
-        let is_refused = self.guard.was_refused_whole();
-        self.guard.set(None);
         match result {
-            Err(error) if is_refused => Err(TanagerError::new(
+            Ok(response) => {
+                self.guard.set(None);
+                Ok(response)
+            }
+            // The guard stays: bytes may be left that the connection's task would write.
+            Err(error) if self.guard.was_refused_whole() => Err(TanagerError::new(
                 ErrorKind::NotSent,
                 "send",
                 self.address.to_string(),
                 error,
             )),
-            result => result,
+            Err(error) => Err(error),
         }
     }
 
--- a/crates/tanager-http/src/lib.rs
+++ b/crates/tanager-http/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod server;
 
 pub use client::ClientConnection;
-pub use client::CloseMode;
+pub use client::UnsentBytes;
 pub use guarded_stream::WriteGuard;
 pub use message::HttpRequest;
 pub use message::HttpResponse;
--- a/crates/tanager-http/src/pool.rs
+++ b/crates/tanager-http/src/pool.rs
@@ -15,7 +15,7 @@
 use tanager_protocol::error::TanagerResult;
 
 use crate::client::ClientConnection;
-use crate::client::CloseMode;
+use crate::client::UnsentBytes;
 use crate::guarded_stream::WriteGuard;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
@@ -33,8 +33,8 @@
     pub max_connections: usize,
     /// Largest accepted response body, in bytes.
     pub max_body: usize,
-    /// What happens to unsent bytes when a connection is closed.
-    pub close_mode: CloseMode,
+    /// What happens to bytes that the server has not acknowledged.
+    pub unsent_bytes: UnsentBytes,
 }
 
 impl Default for PoolLimits {
@@ -44,7 +44,7 @@
             max_idle: Duration::from_secs(5),
             max_connections: 64,
             max_body: 4 << 20,
-            close_mode: CloseMode::Deliver,
+            unsent_bytes: UnsentBytes::Deliver,
         }
     }
 }
@@ -96,7 +96,7 @@
         request: &HttpRequest,
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
-        self.exchange_if(request, timeout, None).await
+        self.exchange_with_guard(request, timeout, None).await
     }
 
     /// Like [`Self::exchange`], but asks `guard` for permission right before each write to a socket,
@@ -111,10 +111,11 @@
         timeout: Duration,
         guard: &WriteGuard,
     ) -> TanagerResult<HttpResponse> {
-        self.exchange_if(request, timeout, Some(guard)).await
+        self.exchange_with_guard(request, timeout, Some(guard))
+            .await
     }
 
-    async fn exchange_if(
+    async fn exchange_with_guard(
         &self,
         request: &HttpRequest,
         timeout: Duration,
@@ -130,9 +131,9 @@
         }
         let remaining = timeout.saturating_sub(start.elapsed());
         let connect_timeout = self.limits.connect_timeout.min(remaining);
-        let close_mode = self.limits.close_mode;
+        let unsent_bytes = self.limits.unsent_bytes;
         let connection =
-            ClientConnection::open_with(self.address, connect_timeout, close_mode).await?;
+            ClientConnection::open_with(self.address, connect_timeout, unsent_bytes).await?;
         let remaining = timeout.saturating_sub(start.elapsed());
         self.exchange_on(connection, request.clone(), remaining, guard)
             .await
--- a/crates/tanager-schedule/src/order_lease.rs
+++ b/crates/tanager-schedule/src/order_lease.rs
@@ -15,12 +15,15 @@
 /// owner row unchanged. Shorter leases need more such calls, longer ones prolong each takeover.
 pub const ORDER_LEASE: Duration = Duration::from_millis(1_500);
 
-/// Time that an order may spend in the network. Orders that wait longer behind a broken link are
-/// discarded with their connection.
+/// Shortest rest of the lease with which an order is begun. An order that is abandoned right after it
+/// was sent has an unknown outcome.
+pub const MIN_ORDER_TIME: Duration = Duration::from_millis(200);
+
+/// Time that the network takes to deliver an order over a link that works.
 const MAX_TRANSIT: Duration = Duration::from_millis(200);
 
-/// Share by which the clocks of two nodes may differ in speed.
-const CLOCK_ERROR: f64 = 0.02;
+/// Share by which the clocks of two nodes may differ in speed, each being 2% off.
+const CLOCK_ERROR: f64 = 0.04;
 
 /// The right to send orders under one fencing token.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -218,6 +218,9 @@
 
     /// Stops starting tasks and accepting jobs before the cell is handed over.
     pub fn pause(&self) {
+        if let Some(gate) = &self.order_gate {
+            gate.pause();
+        }
         self.paused.send_replace(true);
     }
 
--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -44,6 +44,7 @@
 use crate::records::COORDINATOR_CELL;
 use crate::records::cell_row;
 use crate::vm_orders::VmOrder;
+use crate::vm_orders::may_order;
 use crate::vm_orders::send_order;
 
 /// Minimum interval between two decisions, used in small fleets.
@@ -116,7 +117,9 @@
                     _ => context.skip_row(MACHINE_SOURCE, "", 0, &skipped.first),
                 }
                 vms = listed.len();
-                state.step(&listed).await;
+                if !state.cell.is_closed() {
+                    state.step(&listed).await;
+                }
             }
             Err(error) => log::info!("event=machines_not_listed error={error:?}"),
         }
@@ -184,6 +187,9 @@
         }
         waves.retain(|number, _| !self.ended.contains(number));
         self.waves = waves;
+        if self.cell.is_closed() {
+            return;
+        }
         self.step_moves(&entries, &loads, &reserved, now).await;
     }
 
@@ -323,6 +329,10 @@
     listed: &MachineEntry,
     entry: &VmMove,
 ) -> Option<TanagerResult<MachineResponse>> {
+    let is_accepted = matches!(entry.step, MoveStep::Accepted(_));
+    if is_accepted || !may_order(cell).await {
+        return None;
+    }
     let is_ready = match entry.step {
         MoveStep::Draining => drain_vm(cell, listed, true).await.is_empty,
         MoveStep::Ordered => {
--- a/crates/tanager-service/src/coordinator_waves.rs
+++ b/crates/tanager-service/src/coordinator_waves.rs
@@ -32,6 +32,7 @@
 use crate::coordinator_records::write_wave;
 use crate::peers::DrainResponse;
 use crate::vm_orders::VmOrder;
+use crate::vm_orders::may_order;
 use crate::vm_orders::send_order;
 
 /// A wave in progress.
@@ -250,6 +251,13 @@
         drain: None,
         response: None,
     };
+    let needs_drain = matches!(
+        step,
+        MaintenanceStep::Preparing(_) | MaintenanceStep::Draining(_) | MaintenanceStep::Ordered(_)
+    );
+    if !needs_drain || !may_order(cell).await {
+        return result;
+    }
     let is_ready = match step {
         MaintenanceStep::Preparing(_) => {
             result.drain = Some(drain_vm(cell, entry, is_near_deadline).await);
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -18,6 +18,7 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
+use tanager_schedule::order_lease::ORDER_LEASE;
 use tanager_schedule::ownership;
 use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_site::machines::AdviceClient;
@@ -331,7 +332,8 @@
             advice: settings.advice_address.map(AdviceClient::new),
             advice_lock: tokio::sync::Mutex::new(()),
             cancellation_permits: Semaphore::new(MAX_REPEATED),
-            machines: settings.machines_address.map(MachineClient::new),
+            machines: (settings.machines_address)
+                .map(|address| MachineClient::new(address, ORDER_LEASE)),
             incarnation,
             clock,
             metrics,
--- a/crates/tanager-service/src/order_gate.rs
+++ b/crates/tanager-service/src/order_gate.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use tanager_protocol::error::TanagerResult;
+use tanager_schedule::order_lease::MIN_ORDER_TIME;
 use tanager_schedule::order_lease::OrderLease;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::TableChange;
@@ -26,15 +27,17 @@
 use crate::records::cell_row;
 use crate::takeover;
 
-/// Time limit of a read of the owner row.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time limit of a read of the owner row, over all attempts and relays.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval between checks of whether the lease has lapsed under an order in progress.
+const LAPSE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// Decides whether this node may send orders to VMs under one fencing token.
 #[derive(Debug)]
 pub(crate) struct OrderGate {
     clock: NodeClock,
     lease: Mutex<OrderLease>,
-    /// Time at which the last read of the owner row was sent. Locked while the row is read, so that
+    /// Time at which the last read of the owner row ended. Locked while the row is read, so that
     /// parallel orders share a read.
     last_read: AsyncMutex<Option<Duration>>,
     /// Set when orders in progress are to be abandoned.
@@ -42,7 +45,7 @@
     orders_in_progress: watch::Sender<usize>,
     /// Set when a handover begins: no order is begun any more.
     paused: AtomicBool,
-    /// Time from which the orders of the former coordinator no longer stand in the way.
+    /// Time from which no order of the former coordinator can arrive any more.
     opens_at: Duration,
 }
 
@@ -95,20 +98,31 @@
         (!self.paused.load(Ordering::SeqCst)).then_some(order)
     }
 
-    /// Begins no more orders, waits up to `limit` for those in progress, and ends the lease.
-    pub(crate) async fn finish(&self, limit: Duration) {
+    /// Begins no more orders.
+    pub(crate) fn pause(&self) {
         self.paused.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits up to `limit` for the orders in progress, of which no more begin, and ends the lease.
+    pub(crate) async fn finish(&self, limit: Duration) {
+        self.pause();
         let mut in_progress = self.orders_in_progress.subscribe();
         // The orders that are still in progress after the limit are abandoned.
         let _ = time::timeout(limit, in_progress.wait_for(|count| *count == 0)).await;
         self.end();
     }
 
-    /// Completes when orders in progress are to be abandoned.
-    pub(crate) async fn ended(&self) {
+    /// Completes when an order that was begun with the lease lasting until `lease_end` is to be
+    /// abandoned: at that time, or when the lease ends before.
+    pub(crate) async fn abandoned(&self, lease_end: Duration) {
         let mut ended = self.ended.subscribe();
-        // The sender lives as long as this gate.
-        let _ = ended.wait_for(|ended| *ended).await;
+        // The clock is asked again and again, because timers stand still while the VM is suspended.
+        while self.clock.now() < lease_end {
+            let end = ended.wait_for(|ended| *ended);
+            if time::timeout(LAPSE_CHECK_PERIOD, end).await.is_ok() {
+                return;
+            }
+        }
     }
 
     fn lease(&self) -> MutexGuard<'_, OrderLease> {
@@ -123,24 +137,33 @@
 }
 
 /// Extends the lease so that it outlasts an order, by a read of the owner row unless a recent call
-/// has confirmed it. Closes the cell if the row names another owner.
-pub(crate) async fn extend_lease(cell: &CellHandle, gate: &OrderGate) {
+/// has confirmed it. Closes the cell if the row has changed. Returns the time for which orders may be
+/// sent; zero if they may not, or only for less than [`MIN_ORDER_TIME`].
+pub(crate) async fn extend_lease(cell: &CellHandle, gate: &OrderGate) -> Duration {
     let asked_at = gate.clock.now();
     let mut last_read = gate.last_read.lock().await;
-    let was_read_meanwhile = last_read.is_some_and(|sent_at| sent_at >= asked_at);
-    if was_read_meanwhile || gate.remaining() >= MACHINE_TIMEOUT || cell.is_closed() {
-        return;
+    let was_read_meanwhile = last_read.is_some_and(|ended_at| ended_at >= asked_at);
+    if !was_read_meanwhile && gate.remaining() < MACHINE_TIMEOUT && !cell.is_closed() {
+        confirm_lease(cell, gate).await;
+        *last_read = Some(gate.clock.now());
+    }
+    match gate.remaining() {
+        remaining if remaining >= MIN_ORDER_TIME => remaining,
+        _ => Duration::ZERO,
     }
+}
+
+async fn confirm_lease(cell: &CellHandle, gate: &OrderGate) {
     let sent_at = gate.clock.now();
-    *last_read = Some(sent_at);
     let store = &cell.context.store;
     let read = store.rows(CELL_TABLE, COORDINATOR_CELL, None, CONFIRMATION_TIMEOUT);
-    match read.await {
-        Ok(page) => match page.rows.iter().find(|row| row.name.key == OWNER_KEY) {
+    match time::timeout(CONFIRMATION_TIMEOUT, read).await {
+        Ok(Ok(page)) => match page.rows.iter().find(|row| row.name.key == OWNER_KEY) {
             Some(row) if row.version == cell.token => gate.lease().confirm(sent_at),
             row => close_lost_cell(cell, row),
         },
-        Err(error) => log::info!("event=order_lease_not_confirmed error={error:?}"),
+        Ok(Err(error)) => log::info!("event=order_lease_not_confirmed error={error:?}"),
+        Err(_) => log::info!("event=order_lease_not_confirmed error=timeout"),
     }
 }
 
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -513,6 +513,7 @@
         Ok(value) => value,
         Err(error) => {
             log::error!("event=record_not_encoded error={error:?}");
+            cell.close("the release cannot be encoded");
             return false;
         }
     };
--- a/crates/tanager-service/src/vm_orders.rs
+++ b/crates/tanager-service/src/vm_orders.rs
@@ -48,12 +48,12 @@
     let context = &cell.context;
     let (machines, gate) = (context.machines.as_ref()?, cell.order_gate.as_ref()?);
     let in_progress = gate.begin_order();
-    if in_progress.is_some() {
-        extend_lease(cell, gate).await;
-    }
-    let remaining = gate.remaining();
+    let remaining = match in_progress {
+        Some(_) => extend_lease(cell, gate).await,
+        None => Duration::ZERO,
+    };
     let (holder, incarnation, token) = (&context.settings.node, context.incarnation, cell.token);
-    if in_progress.is_none() || remaining.is_zero() {
+    if remaining.is_zero() {
         context.metrics.vm_orders_withheld.increment();
         log::info!(
             "event=vm_order_withheld vm={vm} order={order} holder={holder} \
@@ -79,28 +79,39 @@
             VmOrder::Maintenance { wave } => machines.maintain(vm, wave, &caller).await,
         }
     };
+    let lease_end = context.clock.now() + remaining;
     let response = tokio::select! {
         biased;
         response = call => response,
-        // Dropping the call discards what has not left this node yet.
-        () = gate.ended() => {
-            let message = "the lease for orders ended";
+        () = gate.abandoned(lease_end) => {
+            let message = "the lease ended before the response";
             Err(TanagerError::new(ErrorKind::Unknown, "order machine", vm.to_owned(), message))
         }
     };
-    context.metrics.vm_orders_sent.increment();
+    let sent_ms = sent_ms.load(Ordering::Relaxed);
+    if sent_ms != 0 {
+        context.metrics.vm_orders_sent.increment();
+    }
     log::info!(
         "event=vm_ordered vm={vm} order={order} holder={holder} incarnation={incarnation} \
-         token={token} lease_age={} checked_ms={checked_ms} sent_ms={} answered_ms={} closed={} \
+         token={token} lease_age={} checked_ms={checked_ms} sent_ms={sent_ms} answered_ms={} closed={} \
          answer={response:?}",
         Age(lease_age),
-        sent_ms.load(Ordering::Relaxed),
         context.clock.wall_ms(),
         cell.is_closed()
     );
     Some(response)
 }
 
+/// Returns whether this node may send orders to VMs, which is asked before a worker is drained for
+/// one: a drain without an order only keeps tasks from a worker.
+pub(crate) async fn may_order(cell: &CellHandle) -> bool {
+    match &cell.order_gate {
+        Some(gate) => !extend_lease(cell, gate).await.is_zero(),
+        None => false,
+    }
+}
+
 /// Returns a guard that permits writes while the lease lasts, and the time of the last write that it
 /// permitted, in milliseconds since 1970; 0 before the first.
 fn write_guard(gate: &Arc<OrderGate>, clock: NodeClock) -> (WriteGuard, Arc<AtomicU64>) {
