Confirm an ownership after a gap only by a read of the owner rows after it

Cause: starts, drains, allowances and "no such job" ask for a heartbeat and a read of the owner rows of the last 2.6 s, each by its own age. A node that stood still, or whose writes were not answered, for longer than 2.6 s may have been replaced in that time; its next heartbeat then renewed the permission together with a read from before the gap, until the rows were read again (up to 2.6 s).

Change: a heartbeat that is confirmed 2.6 s or more after the previous one was sent ends a gap; reads that were sent before its confirmation do not count any more, and the rows are read at once. Leases keep their limit of 4 s: the read precedes the takeover, so they end within the time that the next owner waits for. The model's owners use the same code.

--- a/crates/tanager-schedule/src/ownership.rs
+++ b/crates/tanager-schedule/src/ownership.rs
@@ -27,10 +27,63 @@
     pub heartbeat_age: Option<Duration>,
     /// Time since the last successful read of the owner rows was sent; `None` before the first.
     pub owner_read_age: Option<Duration>,
+    /// Whether the heartbeats had a gap in which another node may have acquired a cell, and the owner
+    /// rows have not been read since.
+    pub has_unread_gap: bool,
     /// What is known about the store.
     pub store: StoreEvidence,
 }
 
+/// When a node's ownership was last confirmed, by the clock of its process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OwnershipConfirmations {
+    /// Time at which the last confirmed heartbeat was sent.
+    heartbeat: Option<Duration>,
+    /// Time at which the last successful read of the owner rows was sent.
+    owner_read: Option<Duration>,
+    /// Time at which the heartbeat that ended the last gap was confirmed.
+    gap_end: Option<Duration>,
+}
+
+impl OwnershipConfirmations {
+    /// Records a heartbeat that was sent at `sent_at` and confirmed at `confirmed_at`; returns whether
+    /// it ended a gap, so that the owner rows have to be read again.
+    ///
+    /// Before a confirmation within [`NODE_DEATH_TIMEOUT`] of the previous heartbeat, no node can have
+    /// seen the time out. A later one says nothing about the rows that were read before it.
+    pub fn record_heartbeat(&mut self, sent_at: Duration, confirmed_at: Duration) -> bool {
+        let previous = self.heartbeat.replace(sent_at);
+        let ends_gap = previous
+            .is_some_and(|previous| confirmed_at.saturating_sub(previous) >= NODE_DEATH_TIMEOUT);
+        if ends_gap {
+            self.gap_end = Some(confirmed_at);
+        }
+        ends_gap
+    }
+
+    /// Records a successful read of the owner rows that was sent at `sent_at`.
+    pub fn record_owner_read(&mut self, sent_at: Duration) {
+        self.owner_read = Some(sent_at);
+    }
+
+    /// Returns the time since the last confirmed heartbeat was sent; `None` before the first.
+    pub fn heartbeat_age(&self, now: Duration) -> Option<Duration> {
+        self.heartbeat.map(|sent_at| now.saturating_sub(sent_at))
+    }
+
+    /// Returns how recently the ownership was certain.
+    pub fn evidence(&self, store: StoreEvidence, now: Duration) -> OwnershipEvidence {
+        OwnershipEvidence {
+            heartbeat_age: self.heartbeat_age(now),
+            owner_read_age: self.owner_read.map(|sent_at| now.saturating_sub(sent_at)),
+            has_unread_gap: self
+                .gap_end
+                .is_some_and(|gap_end| self.owner_read < Some(gap_end)),
+            store,
+        }
+    }
+}
+
 /// Silence of a node after which others acquire its cells.
 pub const NODE_DEATH_TIMEOUT: Duration = Duration::from_millis(2_600);
 
@@ -42,8 +95,11 @@
 /// neither does one that does not respond: the store may turn away a part of the nodes, and a
 /// network partition may separate some of them, while it serves the others. The ownership must also
 /// have been certain when the outage began: a slow owner may have been replaced before.
+///
+/// A gap between the heartbeats does not count within the limit: the owner rows were read before any
+/// takeover in it, so the leases end within the time that the new owner expects.
 pub fn may_extend_leases(evidence: &OwnershipEvidence, limit: Duration) -> bool {
-    is_confirmed(evidence, limit) || is_unavailable_to_all(evidence)
+    is_recent(evidence, limit) || is_unavailable_to_all(evidence)
 }
 
 /// Returns whether an owner may start runs.
@@ -69,11 +125,15 @@
 }
 
 /// Returns whether the ownership was confirmed within the last `limit`: by a heartbeat, and by a
-/// read of the owner rows.
+/// read of the owner rows that no gap between the heartbeats followed.
 ///
 /// A heartbeat alone proves nothing after a gap: a node that was turned away writes heartbeats again
 /// before it learns that its cells have other owners.
 pub fn is_confirmed(evidence: &OwnershipEvidence, limit: Duration) -> bool {
+    is_recent(evidence, limit) && !evidence.has_unread_gap
+}
+
+fn is_recent(evidence: &OwnershipEvidence, limit: Duration) -> bool {
     let is_recent = |age: Option<Duration>| age.is_some_and(|age| age <= limit);
     is_recent(evidence.heartbeat_age) && is_recent(evidence.owner_read_age)
 }
--- a/crates/tanager-schedule/tests/model/owner.rs
+++ b/crates/tanager-schedule/tests/model/owner.rs
@@ -12,7 +12,7 @@
 use tanager_schedule::WorkerKey;
 use tanager_schedule::ownership;
 use tanager_schedule::ownership::NODE_DEATH_TIMEOUT;
-use tanager_schedule::ownership::OwnershipEvidence;
+use tanager_schedule::ownership::OwnershipConfirmations;
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
 use tanager_schedule::recovery::FormerOwner;
@@ -56,7 +56,7 @@
     pub(crate) turned_away_until: Duration,
     /// Relays that are turned away, too.
     pub(crate) unserved_relays: usize,
-    pub(crate) last_heartbeat: Duration,
+    pub(crate) confirmations: OwnershipConfirmations,
     pub(crate) owners_read_at: Duration,
     pub(crate) renewals: BTreeMap<WorkerKey, Duration>,
     pub(crate) commit: Option<Commit>,
@@ -97,6 +97,9 @@
             }
         }
         core.sync_workers(&entries, self.now);
+        let mut confirmations = OwnershipConfirmations::default();
+        confirmations.record_heartbeat(self.now, self.now);
+        confirmations.record_owner_read(self.now);
         self.owners.push(Owner {
             core,
             cell,
@@ -108,7 +111,7 @@
             beats_while_busy: false,
             turned_away_until: Duration::ZERO,
             unserved_relays: 0,
-            last_heartbeat: self.now,
+            confirmations,
             owners_read_at: self.now,
             renewals: BTreeMap::new(),
             commit: None,
@@ -142,13 +145,14 @@
         }
         if writes_heartbeats && store_up {
             // The node of a former owner writes heartbeats, too.
-            owner.last_heartbeat = now;
+            owner.confirmations.record_heartbeat(now, now);
         }
         if is_busy {
             return;
         }
         if store_up && now.saturating_sub(owner.owners_read_at) >= OWNER_READ_PERIOD {
             owner.owners_read_at = now;
+            owner.confirmations.record_owner_read(now);
             owner.alive = is_current;
             if must_reload && owner.commit.is_none() {
                 self.reload(number);
@@ -161,11 +165,7 @@
         if store_up {
             owner.core.sync_workers(&listed, now);
         }
-        let evidence = OwnershipEvidence {
-            heartbeat_age: Some(now.saturating_sub(owner.last_heartbeat)),
-            owner_read_age: Some(now.saturating_sub(owner.owners_read_at)),
-            store,
-        };
+        let evidence = owner.confirmations.evidence(store, now);
         let may_extend = ownership::may_extend_leases(&evidence, UNCONFIRMED_LEASE_LIMIT);
         let may_start = ownership::may_start_runs(&evidence);
         owner.core.tick(now, wall_ms, may_start);
--- a/crates/tanager-schedule/tests/ownership.rs
+++ b/crates/tanager-schedule/tests/ownership.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tanager_schedule::ownership;
+use tanager_schedule::ownership::OwnershipConfirmations;
 use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_schedule::ownership::StoreEvidence;
 use tanager_schedule::recovery::FormerOwner;
@@ -15,6 +16,7 @@
     OwnershipEvidence {
         heartbeat_age: Some(Duration::from_millis(heartbeat_ms)),
         owner_read_age: Some(Duration::from_millis(read_ms)),
+        has_unread_gap: false,
         store: StoreEvidence {
             is_direct_failing: true,
             relays: 6,
@@ -82,6 +84,65 @@
     assert!(ownership::may_start_runs(&after_read));
 }
 
+/// Returns the evidence of a node at `now_ms` whose heartbeats and reads of the owner rows were sent at
+/// these times, in milliseconds, and confirmed 10 ms later.
+fn evidence_at(heartbeats: &[u64], reads: &[u64], now_ms: u64) -> OwnershipEvidence {
+    let mut confirmations = OwnershipConfirmations::default();
+    for sent_ms in heartbeats {
+        let sent_at = Duration::from_millis(*sent_ms);
+        confirmations.record_heartbeat(sent_at, sent_at + Duration::from_millis(10));
+    }
+    for sent_ms in reads {
+        confirmations.record_owner_read(Duration::from_millis(*sent_ms));
+    }
+    confirmations.evidence(StoreEvidence::default(), Duration::from_millis(now_ms))
+}
+
+/// Guards against a former owner that stood still for less than the age up to which a read of the
+/// owner rows counts, writes a heartbeat and starts runs before it reads them again (TWICE).
+#[test]
+fn owner_read_from_before_a_gap_does_not_confirm_the_ownership() {
+    let before_gap = evidence_at(&[1_000], &[1_990], 3_590);
+    assert!(ownership::may_start_runs(&before_gap));
+    // The last heartbeat is 3.2 s old, so another node may have acquired the cells.
+    let after_gap = evidence_at(&[1_000, 4_200], &[1_990], 4_215);
+    assert!(!ownership::may_start_runs(&after_gap));
+    // This read may have been served before the heartbeat that kept other nodes away.
+    let before_confirmation = evidence_at(&[1_000, 4_200], &[1_990, 4_205], 4_220);
+    assert!(!ownership::may_start_runs(&before_confirmation));
+    let after_read = evidence_at(&[1_000, 4_200], &[1_990, 4_205, 4_210], 4_225);
+    assert!(ownership::may_start_runs(&after_read));
+}
+
+/// Guards against an outage that lets a former owner extend leases for as long as it lasts because
+/// one heartbeat after a gap was confirmed before it (TWICE).
+#[test]
+fn outage_after_a_gap_keeps_nothing() {
+    let mut evidence = evidence_at(&[1_000, 4_200], &[1_990], 60_000);
+    evidence.store = StoreEvidence {
+        is_direct_failing: true,
+        relays: 6,
+        unserved_relays: 6,
+        unserved_time: Duration::from_millis(55_700),
+    };
+    assert!(!ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+    assert!(!ownership::may_start_runs(&evidence));
+}
+
+/// Guards against accepted work that ends because of a gap that a new owner allows for.
+#[test]
+fn owner_after_a_gap_extends_leases_within_their_limit() {
+    let evidence = evidence_at(&[1_000, 4_200], &[1_990], 4_215);
+    assert!(ownership::may_extend_leases(&evidence, LEASE_LIMIT));
+}
+
+/// Guards against an owner that stops starting runs beside slow heartbeats, though none is overdue.
+#[test]
+fn slow_heartbeats_without_a_gap_need_no_further_read() {
+    let evidence = evidence_at(&[1_000, 3_500], &[1_990], 3_520);
+    assert!(ownership::may_start_runs(&evidence));
+}
+
 /// Guards against a start of a task that the next owner has adopted on another worker (TWICE): an
 /// owner that may have been replaced extends leases for a while, but starts nothing.
 #[test]
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -19,6 +19,7 @@
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
 use tanager_schedule::ownership;
+use tanager_schedule::ownership::OwnershipConfirmations;
 use tanager_schedule::ownership::OwnershipEvidence;
 use tanager_site::machines::AdviceClient;
 use tanager_site::machines::MachineClient;
@@ -104,17 +105,16 @@
     pub(crate) skipped_rows: SkippedRows,
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
-    last_heartbeat: Mutex<Option<ConfirmedHeartbeat>>,
-    /// Time at which the last successful read of the owner rows was sent.
-    last_owner_read: Mutex<Option<Duration>>,
+    confirmations: Mutex<NodeConfirmations>,
     stopping: watch::Sender<bool>,
 }
 
-/// The last heartbeat that the store confirmed.
-#[derive(Clone, Copy, Debug)]
-struct ConfirmedHeartbeat {
-    sent_at: Duration,
-    latency: Duration,
+/// What the store has confirmed.
+#[derive(Clone, Copy, Debug, Default)]
+struct NodeConfirmations {
+    ownership: OwnershipConfirmations,
+    /// Latency of the last confirmed heartbeat.
+    heartbeat_latency: Duration,
 }
 
 /// A running node.
@@ -167,20 +167,22 @@
 
     /// Records that the store confirmed a heartbeat sent at `sent_at`.
     pub fn record_heartbeat(&self, sent_at: Duration, latency: Duration) {
-        *self
-            .last_heartbeat
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) =
-            Some(ConfirmedHeartbeat { sent_at, latency });
+        let ends_gap = {
+            let mut confirmations = self.confirmations();
+            confirmations.heartbeat_latency = latency;
+            (confirmations.ownership).record_heartbeat(sent_at, sent_at + latency)
+        };
+        if ends_gap {
+            self.owner_read_requested.notify_one();
+        }
     }
 
     /// Returns whether the store confirms this node's own heartbeats at present. Otherwise it may
     /// refuse those of other nodes as well, and their silence proves nothing.
     pub fn can_write_heartbeats(&self, now: Duration) -> bool {
-        self.confirmed_heartbeat().is_some_and(|heartbeat| {
-            let age = now.saturating_sub(heartbeat.sent_at);
-            age <= table_watch::HEARTBEAT_PERIOD + HEARTBEAT_MARGIN + heartbeat.latency
-        })
+        let latency = self.confirmations().heartbeat_latency;
+        let limit = table_watch::HEARTBEAT_PERIOD + HEARTBEAT_MARGIN + latency;
+        self.is_heartbeat_confirmed(now, limit)
     }
 
     /// Returns whether a heartbeat sent within the last `limit` was confirmed.
@@ -190,35 +192,23 @@
 
     /// Returns the time since the last confirmed heartbeat was sent; `None` before the first one.
     pub fn heartbeat_age(&self, now: Duration) -> Option<Duration> {
-        self.confirmed_heartbeat()
-            .map(|heartbeat| now.saturating_sub(heartbeat.sent_at))
-    }
-
-    fn confirmed_heartbeat(&self) -> Option<ConfirmedHeartbeat> {
-        let heartbeat = self.last_heartbeat.lock();
-        *heartbeat.unwrap_or_else(PoisonError::into_inner)
+        self.confirmations().ownership.heartbeat_age(now)
     }
 
     /// Records that the owner rows were read and cells of other owners were closed; the read was sent
     /// at `sent_at`.
     pub fn record_owner_read(&self, sent_at: Duration) {
-        *self
-            .last_owner_read
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(sent_at);
+        (self.confirmations().ownership).record_owner_read(sent_at);
     }
 
     /// Returns how recently this node was certain to own its cells.
     pub(crate) fn ownership_evidence(&self, now: Duration) -> OwnershipEvidence {
-        let owner_read = *self
-            .last_owner_read
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        OwnershipEvidence {
-            heartbeat_age: self.heartbeat_age(now),
-            owner_read_age: owner_read.map(|sent_at| now.saturating_sub(sent_at)),
-            store: self.store_access.evidence(now),
-        }
+        let store = self.store_access.evidence(now);
+        self.confirmations().ownership.evidence(store, now)
+    }
+
+    fn confirmations(&self) -> MutexGuard<'_, NodeConfirmations> {
+        (self.confirmations.lock()).unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether no other node can have acquired a cell of this node: they do so only after a
@@ -345,8 +335,7 @@
             skipped_rows: SkippedRows::default(),
             view: Mutex::default(),
             cells: Mutex::default(),
-            last_heartbeat: Mutex::default(),
-            last_owner_read: Mutex::default(),
+            confirmations: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
         });
