Take a cell only from an owner that was seen as silent just now

Cause: that a node is silent was decided once and used later. choose_cells_to_acquire asked only whether the nodes' rows had ever been read, and its caller for a heartbeat of this node; after a freeze or failed reads the heartbeat is fresh and the silence of the others is not, so cells of owners that are back were taken, by every candidate at once. And cells that were chosen together were acquired one after the other; the last of them on evidence that was seconds old. The condition on the owner row holds in both cases, since a live owner does not write it.

Change: rows of nodes that were read longer ago than the gap that resets the unresponsive time (1.5 s) justify no acquisition, and each cell is chosen anew right before it is acquired. Left open: the transaction itself does not depend on the owner's node row, so one that the store carries out seconds later still takes the cell from an owner that is back.

--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -15,6 +15,7 @@
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
 use crate::view::FleetView;
+use crate::view::MAX_READ_GAP;
 
 /// A node whose row did not change for this long is considered dead. Heartbeats are written every
 /// second and read every half second. Leases of five seconds or more outlast the detection and the
@@ -28,7 +29,8 @@
 /// A cell whose row names this node although it does not run the cell is acquired at once: an
 /// earlier process owned it, or the store carried out the acquiring write after the node had
 /// abandoned it. Other cells are acquired only if `may_acquire_others`, and those of an owner whose
-/// node's row is missing only after the time for which a known node may be unresponsive.
+/// node's row is missing only after the time for which a known node may be unresponsive. Rows of nodes
+/// that were read too long ago do not show that a node is unresponsive: it may have come back.
 pub fn choose_cells_to_acquire(
     view: &mut FleetView,
     own_node: &str,
@@ -36,10 +38,12 @@
     may_acquire_others: bool,
     now: Duration,
 ) -> Vec<CellName> {
-    if view.nodes_read_at.is_none() {
-        // Without the rows of the other nodes, every owner would look dead.
+    // Without the rows of the other nodes, every owner would look dead.
+    let Some(nodes_read_at) = view.nodes_read_at else {
         return Vec::new();
-    }
+    };
+    let may_acquire_others =
+        may_acquire_others && now.saturating_sub(nodes_read_at) <= MAX_READ_GAP;
     let cells = view.configured_cells();
     let mut loads: BTreeMap<NodeName, NodeLoad> = (view.nodes.iter())
         .filter(|(name, observed)| {
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -436,30 +436,35 @@
     loop {
         // Decide at once when an owner changed.
         let _ = time::timeout(ACQUISITION_PERIOD, context.owners_changed.notified()).await;
-        let now = context.clock.now();
-        let may_acquire = !context.is_stopping()
-            && context.is_heartbeat_confirmed(now, HEARTBEAT_PERIOD * 2)
-            && context.view().has_read_owners;
-        if !may_acquire {
-            continue;
-        }
-        let owned_cells: BTreeSet<String> = (context.cells().iter())
-            .map(|cell| cell.name.clone())
-            .collect();
-        let cells = {
-            let mut view = context.view();
-            let may_acquire_others = now >= ACQUISITION_DELAY;
-            let own_node = &context.settings.node;
-            membership::choose_cells_to_acquire(
-                &mut view,
-                own_node,
-                &owned_cells,
-                may_acquire_others,
-                now,
-            )
-        };
-        for name in cells {
+        // Each acquisition takes up to seconds, in which a silent owner may come back, so the next
+        // cell is chosen anew.
+        let mut tried = BTreeSet::new();
+        while let Some(name) =
+            (choose_cells(&context).into_iter()).find(|name| !tried.contains(name))
+        {
             context.acquire_cell(&name).await;
+            tried.insert(name);
         }
     }
 }
+
+/// Returns the cells that this node should acquire now.
+fn choose_cells(context: &NodeContext) -> Vec<String> {
+    let now = context.clock.now();
+    let may_acquire = !context.is_stopping()
+        && context.is_heartbeat_confirmed(now, HEARTBEAT_PERIOD * 2)
+        && context.view().has_read_owners;
+    if !may_acquire {
+        return Vec::new();
+    }
+    let owned_cells: BTreeSet<String> = (context.cells().iter())
+        .map(|cell| cell.name.clone())
+        .collect();
+    membership::choose_cells_to_acquire(
+        &mut context.view(),
+        &context.settings.node,
+        &owned_cells,
+        now >= ACQUISITION_DELAY,
+        now,
+    )
+}
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -30,7 +30,7 @@
 /// the shortest tasks per second, which the owner must handle with 0.12 to 0.5 of a core.
 pub const TARGET_CELL_WORKERS: usize = 13;
 /// Maximum gap between two successful reads that counts towards a node's unresponsive time.
-const MAX_READ_GAP: Duration = Duration::from_millis(1_500);
+pub(crate) const MAX_READ_GAP: Duration = Duration::from_millis(1_500);
 
 /// A node's row as last read.
 #[derive(Clone, Debug)]
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -207,6 +207,28 @@
     assert!(cells_chosen_by(&mut view, "b", &[]).is_empty());
 }
 
+/// Guards against taking the cells of an owner that is back: a node that stood still writes its own
+/// heartbeat before it has read those of the others again.
+#[test]
+fn silence_that_was_seen_long_ago_proves_nothing() {
+    let step = Duration::from_millis(500);
+    let mut view = view(&[("a", 0.25), ("b", 0.25)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "a", 10);
+    }
+    let mut now = Duration::ZERO;
+    while now < NODE_DEATH_TIMEOUT {
+        now += step;
+        view.apply_node_rows(Vec::new(), false, true, now);
+    }
+    assert_eq!(cells_chosen_at(&mut view, "b", now), names(&ALL));
+    let resumed = now + Duration::from_secs(3);
+    assert!(cells_chosen_at(&mut view, "b", resumed).is_empty());
+    let rows = vec![("a".to_owned(), Some(node(10, 0.25)), 10)];
+    view.apply_node_rows(rows, false, true, resumed);
+    assert!(cells_chosen_at(&mut view, "b", resumed).is_empty());
+}
+
 /// Guards against taking the cells of live owners before the rows of their nodes were read, for
 /// instance by a node that starts while the store is slow (kusluk-ladder-grown trouble-2, seed
 /// 676075769862: CONFIG, LOST).
@@ -231,6 +253,7 @@
     assert!(cells_chosen_at(&mut view, "b", start).is_empty());
     let end = start + NODE_DEATH_TIMEOUT;
     let just_before = end - Duration::from_millis(1);
+    view.apply_node_rows(Vec::new(), false, true, just_before);
     assert!(cells_chosen_at(&mut view, "b", just_before).is_empty());
     assert_eq!(cells_chosen_at(&mut view, "b", end), names(&ALL));
 }
