Open no cell that another node acquired while its rows were read

Cause: after the owner row is written, the rows of the cell are read for up to seconds, and only then is the cell added to those that a read of the owner rows closes. If the node stood still meanwhile and was replaced, its heartbeat and its read of the owner rows are both recent when the cell opens, with the lower token: it may start runs, drain workers and answer clients until the next read (0.5 s, up to 2.6 s if reads fail). A cell that closed before it was added was never removed, so that the node took itself for the owner of a closed cell; found by reading, not seen in a run.

Change: the owner row that was read last is compared before the tasks of the cell start, and again once the cell is among those that reads close; a cell that is closed by then is removed.

The removal of a closed cell has no test of its own.

--- a/crates/tanager-node/tests/jobs/faults.rs
+++ b/crates/tanager-node/tests/jobs/faults.rs
@@ -351,3 +351,49 @@
         assert!(!text.contains("\"empty\":true"), "{text}");
     }
 }
+
+/// Guards against a cell that opens although another node acquired it while its rows were read, and
+/// that starts runs and answers clients until the owner rows are read again (TWICE, LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn cell_lost_while_it_is_loaded_does_not_open() {
+    let mut site = small_site(1).await;
+    let ledger = site.standin.part_row("ledger", CELL, "ledger");
+    let ledger = ledger.expect("the ledger's row");
+    site.nodes[0].kill();
+    let log = site.nodes[0].log.clone();
+    let length = std::fs::metadata(&log).expect("log").len() as usize;
+    let new_lines = || std::fs::read_to_string(&log).expect("log")[length..].to_owned();
+    // A row that cannot be decoded is read again for three seconds.
+    (site.standin).put_part_row("ledger", CELL, "ledger", b"{");
+    site.nodes[0].restart();
+    eventually("the cell is being loaded", async || {
+        new_lines().contains(&format!("event=cell_read_failed cell={CELL}"))
+    })
+    .await;
+    let successor = json!({"node": "elsewhere", "incarnation": 1}).to_string();
+    (site.standin).put_part_row("cell", CELL, "owner", successor.as_bytes());
+    // Long enough for a read of the owner rows.
+    time::sleep(Duration::from_millis(1_000)).await;
+    (site.standin).put_part_row("ledger", CELL, "ledger", &ledger);
+    let taken = format!("event=cell_taken cell={CELL} token=");
+    let text = new_lines();
+    let rest = text.split(&taken).nth(1).expect("the lost acquisition");
+    let token = rest.split(' ').next().expect("its token").to_owned();
+    eventually("the cell is loaded", async || {
+        new_lines().contains(&format!("event=cell_loaded cell={CELL}"))
+    })
+    .await;
+    time::sleep(Duration::from_millis(300)).await;
+    let text = new_lines();
+    let linked = format!("event=worker_linked cell={CELL} ");
+    let end = format!(" token={token}");
+    let linked: Vec<&str> = (text.lines())
+        .filter(|line| line.contains(&linked) && line.trim_end().ends_with(&end))
+        .collect();
+    assert!(linked.is_empty(), "{linked:#?}");
+    // The successor is no known node, so the cell is acquired again.
+    let id = new_job_id();
+    let body = job_of_steps(&[2], "ms=100");
+    assert!(site.submit(0, POOL, &id, &body).await);
+    site.wait_for_state(POOL, &id, "completed").await;
+}
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -134,6 +134,10 @@
             closed: watch::Sender::new(false),
             paused: watch::Sender::new(false),
         });
+        // Another node may have acquired the cell while its rows were read.
+        if cell.close_if_replaced() {
+            return cell;
+        }
         cell.spawn_task("ledger", ledger::run(Arc::clone(&cell), versions));
         cell.spawn_task("tick", tick_loop(Arc::clone(&cell)));
         cell.connect_workers();
@@ -200,6 +204,16 @@
         }
     }
 
+    /// Closes the cell if its owner row is newer than the one that this node wrote; returns whether it
+    /// is.
+    pub(crate) fn close_if_replaced(&self) -> bool {
+        let is_replaced = (self.context.view()).has_newer_owner(&self.name, self.token);
+        if is_replaced {
+            self.close("the owner row names another node");
+        }
+        is_replaced
+    }
+
     /// Returns whether tasks wait for room on a worker.
     pub fn has_waiting_tasks(&self) -> bool {
         let (_, waiting_steps, _) = self.core().sizes();
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -159,6 +159,13 @@
         match takeover::acquire_cell(self, name).await {
             Ok(cell) => {
                 self.lock_cells().insert(name.clone(), Arc::clone(&cell));
+                // Until now, reads of the owner rows did not close the cell, and closing did not
+                // remove it.
+                cell.close_if_replaced();
+                if cell.is_closed() {
+                    self.remove_cell(name, cell.token);
+                    return;
+                }
                 self.notify_peers().await;
             }
             Err(error) => log::info!("event=cell_not_taken cell={name} error={error:?}"),
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -369,14 +369,7 @@
 /// Closes cells that another node has acquired.
 fn close_lost_cells(context: &NodeContext) {
     for cell in context.cells() {
-        let version = context
-            .view()
-            .owners
-            .get(&cell.name)
-            .map(|observed| observed.version);
-        if version.is_some_and(|version| version > cell.token) {
-            cell.close("the owner row names another node");
-        }
+        cell.close_if_replaced();
     }
 }
 
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -11,6 +11,7 @@
 use tanager_jobs::WorkerEntry;
 use tanager_jobs::WorkspaceTable;
 use tanager_jobs::ids::CellName;
+use tanager_jobs::ids::FencingToken;
 use tanager_jobs::ids::NodeName;
 use tanager_jobs::ids::PoolName;
 use tanager_jobs::ids::WorkerId;
@@ -195,6 +196,11 @@
         }
     }
 
+    /// Returns whether the owner row of a cell is newer than the one whose version is `token`.
+    pub fn has_newer_owner(&self, cell: &str, token: FencingToken) -> bool {
+        (self.owners.get(cell)).is_some_and(|observed| observed.version > token)
+    }
+
     /// Returns the cells of all configured pools, the coordinator's cell and, where a workspace has a
     /// cap, the allocator's cell.
     pub fn configured_cells(&self) -> Vec<CellName> {
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -210,6 +210,11 @@
         lock(&self.state).table.put(table, "", key, value);
     }
 
+    /// Writes a row with a part, as another node would.
+    pub fn put_part_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        lock(&self.state).table.put(table, part, key, value);
+    }
+
     /// Like [`Self::put_row`], but responses contain this JSON text as the row's value.
     pub fn put_raw_row(&self, table: &str, key: &str, json: &str) {
         lock(&self.state).table.put_raw(table, "", key, json);
@@ -220,6 +225,11 @@
         lock(&self.state).table.value(table, "", key)
     }
 
+    /// Reads a row with a part.
+    pub fn part_row(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
+        lock(&self.state).table.value(table, part, key)
+    }
+
     /// Returns the number of rows in a part of a table.
     pub fn row_count(&self, table: &str, part: &str) -> usize {
         lock(&self.state).table.count(table, part)
