End an ownership when its owner row cannot be decoded

Cause: an owner row that cannot be decoded, for instance of a newer program with a further field, was skipped, so the version of the row before it stayed in the view, and the read counted as a confirmation. The former owner went on until a worker or a transaction refused it, without a limit while the cell stored nothing; where the site checks no fencing tokens, nothing refuses the coordinator.

Change: the version of such a row is kept. It ends the ownership of a node with a lower token, and no node tries to take the cell until a row follows that can be decoded; the condition on the version would fail in any case. Ruled out: taking the cell over, which would replace an owner that may be live.

--- a/crates/tanager-node/tests/jobs/odd_rows.rs
+++ b/crates/tanager-node/tests/jobs/odd_rows.rs
@@ -266,3 +266,26 @@
     })
     .await;
 }
+
+/// Guards against an owner that goes on for as long as it stores nothing after a newer program, whose
+/// owner rows it cannot decode, has acquired its cell (two owners of one cell).
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_row_of_a_newer_program_ends_the_ownership() {
+    let site = JobSite::start(2, &[pool(POOL, 3)]).await;
+    assert!(site.owner(CELL).await.is_some());
+    let newer = json!({"node": "elsewhere", "incarnation": 1, "unheard_of": true}).to_string();
+    (site.standin).put_part_row("cell", CELL, "owner", newer.as_bytes());
+    eventually("the cell is closed", async || {
+        site.owner(CELL).await.is_none()
+    })
+    .await;
+    time::sleep(Duration::from_millis(1_000)).await;
+    assert!(site.owner(CELL).await.is_none());
+    let readable = json!({"node": "elsewhere", "incarnation": 1}).to_string();
+    (site.standin).put_part_row("cell", CELL, "owner", readable.as_bytes());
+    eventually("the cell is acquired again", async || {
+        site.owner(CELL).await.is_some()
+    })
+    .await;
+    complete_job(&site, 0, 2, "ms=100").await;
+}
--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -30,7 +30,8 @@
 /// earlier process owned it, or the store carried out the acquiring write after the node had
 /// abandoned it. Other cells are acquired only if `may_acquire_others`, and those of an owner whose
 /// node's row is missing only after the time for which a known node may be unresponsive. Rows of nodes
-/// that were read too long ago do not show that a node is unresponsive: it may have come back.
+/// that were read too long ago do not show that a node is unresponsive: it may have come back. A cell
+/// whose owner row cannot be decoded is left to the unknown owner.
 pub fn choose_cells_to_acquire(
     view: &mut FleetView,
     own_node: &str,
@@ -61,6 +62,9 @@
         .collect();
     let mut orphans = Vec::new();
     for cell in cells {
+        if view.has_unreadable_owner(&cell) {
+            continue;
+        }
         let owner = live_owner(view, &cell, own_node)
             .filter(|owner| owner != own_node || owned_cells.contains(&cell));
         let is_node_known = (view.owners.get(&cell))
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -266,7 +266,10 @@
             context.skipped_rows.forget(CELL_TABLE, cell);
             context.view().apply_owner(cell, record, version);
         }
-        Err(error) => context.skip_row(CELL_TABLE, cell, version, &error.to_string()),
+        Err(error) => {
+            context.skip_row(CELL_TABLE, cell, version, &error.to_string());
+            context.view().apply_unreadable_owner(cell, version);
+        }
     }
 }
 
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -51,6 +51,8 @@
     pub record: OwnerRecord,
     /// Version of the row; 0 if there is none.
     pub version: RowVersion,
+    /// Version of the newest row that cannot be decoded; 0 if there is none.
+    pub unreadable_version: RowVersion,
     /// Time since which the cell has had no live owner.
     pub orphaned_since: Option<Duration>,
     /// Time since which the row of the owner's node has been missing: the two rows are in different
@@ -191,14 +193,30 @@
             *observed = ObservedOwner {
                 record,
                 version,
+                unreadable_version: observed.unreadable_version,
                 ..ObservedOwner::default()
             };
         }
     }
 
+    /// Records that the owner row of a cell has this version and cannot be decoded, for instance because
+    /// a newer program wrote it. Who owns the cell is not known; a former owner does not.
+    pub fn apply_unreadable_owner(&mut self, cell: &str, version: RowVersion) {
+        let observed = self.owners.entry(cell.to_owned()).or_default();
+        observed.unreadable_version = observed.unreadable_version.max(version);
+    }
+
+    /// Returns whether the newest owner row of a cell cannot be decoded, so that the cell may have an
+    /// owner that is not known.
+    pub fn has_unreadable_owner(&self, cell: &str) -> bool {
+        (self.owners.get(cell))
+            .is_some_and(|observed| observed.unreadable_version > observed.version)
+    }
+
     /// Returns whether the owner row of a cell is newer than the one whose version is `token`.
     pub fn has_newer_owner(&self, cell: &str, token: FencingToken) -> bool {
-        (self.owners.get(cell)).is_some_and(|observed| observed.version > token)
+        (self.owners.get(cell))
+            .is_some_and(|observed| observed.version.max(observed.unreadable_version) > token)
     }
 
     /// Returns the cells of all configured pools, the coordinator's cell and, where a workspace has a
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -159,6 +159,30 @@
     assert!(cells_chosen_by(&mut view, "b", &[]).is_empty());
 }
 
+/// Guards against an owner that takes a row that it cannot decode for its own, and against nodes that
+/// try to take the cell from the unknown owner again and again.
+#[test]
+fn owner_row_that_cannot_be_decoded_ends_the_ownership() {
+    let mut view = view(&[("a", 0.25), ("b", 0.25)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "a", 10);
+    }
+    let token = view.owners["duty"].version;
+    assert!(!view.has_newer_owner("duty", token));
+    view.apply_unreadable_owner("duty", 200);
+    assert!(view.has_newer_owner("duty", token));
+    let others = ["alpha/0", "beta/0", "gamma/0", "delta/0"];
+    assert!(cells_chosen_by(&mut view, "a", &others).is_empty());
+    // A row that was written before the unreadable one and is read after it.
+    view.apply_owner("duty", OwnerRecord::default(), 199);
+    assert!(view.has_newer_owner("duty", 199));
+    view.apply_owner("duty", OwnerRecord::default(), 201);
+    assert!(!view.has_newer_owner("duty", 201));
+    let chosen = [("a", &others[..]), ("b", &[][..])]
+        .map(|(node, owned)| cells_chosen_by(&mut view, node, owned).contains("duty"));
+    assert!(chosen.contains(&true));
+}
+
 /// Guards against a node that reacquires a cell that it has just released.
 #[test]
 fn releasing_node_is_not_a_candidate() {
