--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -15,6 +15,7 @@
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
 use crate::view::FleetView;
+use crate::view::MAX_READ_GAP;
 
 /// A node whose row did not change for this long is considered dead. Heartbeats are written every
 /// second and read every half second. Leases of five seconds or more outlast the detection and the
@@ -28,7 +29,9 @@
 /// A cell whose row names this node although it does not run the cell is acquired at once: an
 /// earlier process owned it, or the store carried out the acquiring write after the node had
 /// abandoned it. Other cells are acquired only if `may_acquire_others`, and those of an owner whose
-/// node's row is missing only after the time for which a known node may be unresponsive.
+/// node's row is missing only after the time for which a known node may be unresponsive. Rows of nodes
+/// that were read too long ago do not show that a node is unresponsive: it may have come back. A cell
+/// whose owner row cannot be decoded is left to the unknown owner.
 pub fn choose_cells_to_acquire(
     view: &mut FleetView,
     own_node: &str,
@@ -36,10 +39,12 @@
     may_acquire_others: bool,
     now: Duration,
 ) -> Vec<CellName> {
-    if view.nodes_read_at.is_none() {
-        // Without the rows of the other nodes, every owner would look dead.
+    // Without the rows of the other nodes, every owner would look dead.
+    let Some(nodes_read_at) = view.nodes_read_at else {
         return Vec::new();
-    }
+    };
+    let may_acquire_others =
+        may_acquire_others && now.saturating_sub(nodes_read_at) <= MAX_READ_GAP;
     let cells = view.configured_cells();
     let mut loads: BTreeMap<NodeName, NodeLoad> = (view.nodes.iter())
         .filter(|(name, observed)| {
@@ -57,6 +62,9 @@
         .collect();
     let mut orphans = Vec::new();
     for cell in cells {
+        if view.has_unreadable_owner(&cell) {
+            continue;
+        }
         let owner = live_owner(view, &cell, own_node)
             .filter(|owner| owner != own_node || owned_cells.contains(&cell));
         let is_node_known = (view.owners.get(&cell))
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -159,6 +159,30 @@
     assert!(cells_chosen_by(&mut view, "b", &[]).is_empty());
 }
 
+/// Guards against an owner that takes a row that it cannot decode for its own, and against nodes that
+/// try to take the cell from the unknown owner again and again.
+#[test]
+fn owner_row_that_cannot_be_decoded_ends_the_ownership() {
+    let mut view = view(&[("a", 0.25), ("b", 0.25)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "a", 10);
+    }
+    let token = view.owners["duty"].version;
+    assert!(!view.has_newer_owner("duty", token));
+    view.apply_unreadable_owner("duty", 200);
+    assert!(view.has_newer_owner("duty", token));
+    let others = ["alpha/0", "beta/0", "gamma/0", "delta/0"];
+    assert!(cells_chosen_by(&mut view, "a", &others).is_empty());
+    // A row that was written before the unreadable one and is read after it.
+    view.apply_owner("duty", OwnerRecord::default(), 199);
+    assert!(view.has_newer_owner("duty", 199));
+    view.apply_owner("duty", OwnerRecord::default(), 201);
+    assert!(!view.has_newer_owner("duty", 201));
+    let chosen = [("a", &others[..]), ("b", &[][..])]
+        .map(|(node, owned)| cells_chosen_by(&mut view, node, owned).contains("duty"));
+    assert!(chosen.contains(&true));
+}
+
 /// Guards against a node that reacquires a cell that it has just released.
 #[test]
 fn releasing_node_is_not_a_candidate() {
@@ -207,6 +231,28 @@
     assert!(cells_chosen_by(&mut view, "b", &[]).is_empty());
 }
 
+/// Guards against taking the cells of an owner that is back: a node that stood still writes its own
+/// heartbeat before it has read those of the others again.
+#[test]
+fn silence_that_was_seen_long_ago_proves_nothing() {
+    let step = Duration::from_millis(500);
+    let mut view = view(&[("a", 0.25), ("b", 0.25)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "a", 10);
+    }
+    let mut now = Duration::ZERO;
+    while now < NODE_DEATH_TIMEOUT {
+        now += step;
+        view.apply_node_rows(Vec::new(), false, true, now);
+    }
+    assert_eq!(cells_chosen_at(&mut view, "b", now), names(&ALL));
+    let resumed = now + Duration::from_secs(3);
+    assert!(cells_chosen_at(&mut view, "b", resumed).is_empty());
+    let rows = vec![("a".to_owned(), Some(node(10, 0.25)), 10)];
+    view.apply_node_rows(rows, false, true, resumed);
+    assert!(cells_chosen_at(&mut view, "b", resumed).is_empty());
+}
+
 /// Guards against taking the cells of live owners before the rows of their nodes were read, for
 /// instance by a node that starts while the store is slow (kusluk-ladder-grown trouble-2, seed
 /// 676075769862: CONFIG, LOST).
@@ -231,6 +277,7 @@
     assert!(cells_chosen_at(&mut view, "b", start).is_empty());
     let end = start + NODE_DEATH_TIMEOUT;
     let just_before = end - Duration::from_millis(1);
+    view.apply_node_rows(Vec::new(), false, true, just_before);
     assert!(cells_chosen_at(&mut view, "b", just_before).is_empty());
     assert_eq!(cells_chosen_at(&mut view, "b", end), names(&ALL));
 }
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -213,6 +213,11 @@
         lock(&self.state).table.put(table, "", key, value);
     }
 
+    /// Writes a row with a part, as another node would.
+    pub fn put_part_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        lock(&self.state).table.put(table, part, key, value);
+    }
+
     /// Like [`Self::put_row`], but responses contain this JSON text as the row's value.
     pub fn put_raw_row(&self, table: &str, key: &str, json: &str) {
         lock(&self.state).table.put_raw(table, "", key, json);
