--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -228,11 +228,6 @@
         lock(&self.state).table.value(table, "", key)
     }
 
-    /// Writes a row of a part, as another client would.
-    pub fn put_part_row(&self, table: &str, part: &str, key: &str, value: &[u8]) {
-        lock(&self.state).table.put(table, part, key, value);
-    }
-
     /// Reads a row of a part.
     pub fn part_row(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
         lock(&self.state).table.value(table, part, key)
