--- a/crates/tanager-schedule/tests/order_lease.rs
+++ b/crates/tanager-schedule/tests/order_lease.rs
@@ -171,6 +171,7 @@
     store_refuses_writes_of_one_node: FaultPlan { lost: 0.03, late: 0.05, refused_writes: true, ..NO_FAULTS };
     slow_platform: FaultPlan { slow_platform: true, restarts: true, ..PAUSES };
     clocks: FaultPlan { clock_errors: true, store_cuts: true, refused_writes: true, ..PAUSES };
+    orders_held_by_cut_links_in_pauses: FaultPlan { pauses_in_cuts: true, ..NO_FAULTS };
     held_orders_that_the_kernel_discards: FaultPlan {
         pauses_in_cuts: true,
         kernel_discards: true,
