Play the limit after which the system discards an order's bytes in the model of the order lease

The node now asks the system to discard bytes that waited for one lease, so the case plays that, counted from the write as the socket option does (the model counted to the order's own deadline, which was earlier).

--- a/crates/tanager-schedule/tests/order_lease/faults.rs
+++ b/crates/tanager-schedule/tests/order_lease/faults.rs
@@ -42,7 +42,8 @@
     pub(crate) pauses_in_cuts: bool,
     pub(crate) slow_platform: bool,
     pub(crate) clock_errors: bool,
-    /// The kernel discards bytes at the deadline of an order, also while the process is paused.
+    /// The kernel discards bytes that have waited for the time of a lease, also while the process is
+    /// paused, as the node asks it to.
     pub(crate) kernel_discards: bool,
 }
 
