--- a/crates/tanager-node/tests/jobs/coordinator.rs
+++ b/crates/tanager-node/tests/jobs/coordinator.rs
@@ -237,7 +237,7 @@
     linked.wait_for_successor_of(former, 3).await;
     linked.stores[former].set_mode(LinkMode::Forward);
     let conflicts = linked.site.standin.conflicts("wave");
-    // The lease may lapse before the coordinator has anything to write.
+    // The lease may expire before the coordinator has anything to write.
     let end = (conflicts.first()).map_or(lease_end, |conflict| lease_end.min(*conflict));
     let late: Vec<_> = (linked.orders_of(former).into_iter())
         .filter(|order| order.received_at > end)
--- a/crates/tanager-schedule/src/order_lease.rs
+++ b/crates/tanager-schedule/src/order_lease.rs
@@ -5,7 +5,7 @@
 //! former one must have stopped before its successor begins. The right is a lease: each call that
 //! finds the owner row of the coordinator's cell unchanged extends it, from the time at which the
 //! call was sent. A successor writes that row after the last such call, so the right of its predecessor
-//! has lapsed at most [`ORDER_LEASE`] after the write, whatever the predecessor believes.
+//! has expired at most [`ORDER_LEASE`] after the write, whatever the predecessor believes.
 
 use std::time::Duration;
 
@@ -64,7 +64,7 @@
 /// the cell never had an owner.
 ///
 /// A former owner that released the cell, or whose process has ended, sent its last order before the
-/// row was written. An unresponsive one may resume and send orders until its lease lapses.
+/// row was written. An unresponsive one may resume and send orders until its lease expires.
 pub fn takeover_wait(former_owner: Option<FormerOwner>, coordinator_lease: Duration) -> Duration {
     let last_order = match former_owner {
         None => return Duration::ZERO,
--- a/crates/tanager-service/src/order_gate.rs
+++ b/crates/tanager-service/src/order_gate.rs
@@ -29,8 +29,8 @@
 
 /// Time limit of a read of the owner row, over all attempts and relays.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
-/// Interval between checks of whether the lease has lapsed under an order in progress.
-const LAPSE_CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Interval between checks of whether the lease has expired under an order in progress.
+const EXPIRY_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
 /// Decides whether this node may send orders to VMs under one fencing token.
 #[derive(Debug)]
@@ -119,7 +119,7 @@
         // The clock is asked again and again, because timers stand still while the VM is suspended.
         while self.clock.now() < lease_end {
             let end = ended.wait_for(|ended| *ended);
-            if time::timeout(LAPSE_CHECK_PERIOD, end).await.is_ok() {
+            if time::timeout(EXPIRY_CHECK_PERIOD, end).await.is_ok() {
                 return;
             }
         }
