Count the work of a cell's decisions

DecisionWork counts the steps, checks against caps, workers, runs and tasks that decisions look at. The counts do not depend on the machine, so a test can bound them and a simulated owner can be charged for them. No decision changes.

--- a/crates/tanager-schedule/src/admission.rs
+++ b/crates/tanager-schedule/src/admission.rs
@@ -59,6 +59,7 @@
         self.refresh_ranking(now);
         let policy = self.policy(queue);
         let (critical_path, _) = self.record_arrival(workspace, queue, spec, now);
+        self.work.add_workers(self.workers.len());
         let cores: f64 = (self.workers.values())
             .filter(|worker| worker.responded_recently(now) && !worker.entry.draining)
             .map(|worker| worker.entry.capacity.cpu as f64 / 1e3)
--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -76,6 +76,7 @@
     pub fn cap_usage(&self) -> BTreeMap<WorkspaceName, Amounts> {
         let mut usage: HashMap<&str, Amounts> = HashMap::new();
         for (task, run) in self.workers.values().flat_map(|worker| &worker.runs) {
+            self.work.add_runs(1);
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
@@ -116,6 +117,7 @@
             };
             for occurrence in job.occurrences.values() {
                 for (spec, step) in job.record.spec.steps.iter().zip(&occurrence.steps) {
+                    self.work.add_tasks(step.tasks.len());
                     let count = (step.tasks.iter())
                         .filter(|task| task.phase == TaskPhase::Unaccounted)
                         .count();
@@ -186,6 +188,7 @@
         count: usize,
         now: Duration,
     ) -> usize {
+        self.work.add_cap_check();
         let Some(job) = self.jobs.get(&key.0) else {
             return 0;
         };
@@ -324,6 +327,7 @@
         let workspace = workspace?;
         let cap = (self.workspace_policy(workspace))
             .map_or_else(Amounts::default, |policy| amounts(&policy.cap));
+        self.work.add_workers(self.workers.len());
         let cell_cpu = (self.workers.values())
             .filter(|worker| !worker.entry.draining)
             .map(|worker| worker.entry.capacity.cpu)
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -20,6 +20,8 @@
 use crate::cancellation::EarlyCancellation;
 use crate::caps::CapState;
 use crate::crashes::CrashTable;
+use crate::decision_work::DecisionWork;
+use crate::decision_work::WorkCounters;
 use crate::delegation_table::DelegationTable;
 use crate::durations::DurationTable;
 use crate::durations::QueueDuration;
@@ -110,6 +112,8 @@
     pub(crate) next_incarnations: HashMap<WorkerId, IncarnationNumber>,
     /// Ended jobs and early cancellations, ordered by the time of their end.
     pub(crate) ended: BTreeSet<(u64, JobId)>,
+    /// Work of the decisions so far.
+    pub(crate) work: WorkCounters,
 }
 
 /// Phase of a job, from which the status reported to clients is derived.
@@ -160,6 +164,7 @@
             caps: CapState::default(),
             next_incarnations: HashMap::new(),
             ended: BTreeSet::new(),
+            work: WorkCounters::default(),
         }
     }
 
@@ -353,6 +358,11 @@
         (self.open_jobs.len(), self.ready.len(), runs)
     }
 
+    /// Returns the work of the decisions since the cell was created.
+    pub fn decision_work(&self) -> DecisionWork {
+        self.work.get()
+    }
+
     /// Returns the statistics of each queue: learned durations of tasks, and the mean processor
     /// time of a job in core-seconds.
     pub fn queue_statistics(&self) -> Vec<(String, QueueDuration, f64)> {
@@ -416,6 +426,7 @@
     fn resend_orders(&mut self, now: Duration) {
         let mut repeats = Vec::new();
         for (key, worker) in &self.workers {
+            self.work.add_runs(worker.runs.len());
             for (task, run) in &worker.runs {
                 let is_due = !run.in_flight && now.saturating_sub(run.ordered_at) >= RESEND_DELAY;
                 if is_due && matches!(run.stage, RunStage::Starting | RunStage::Stopping) {
--- a/crates/tanager-schedule/src/drain.rs
+++ b/crates/tanager-schedule/src/drain.rs
@@ -143,6 +143,7 @@
             let last_report = worker
                 .clock
                 .map_or(Duration::ZERO, |(_, received)| received);
+            self.work.add_runs(worker.runs.len());
             for (task, run) in &worker.runs {
                 // A run whose pace was reduced may be idle by order.
                 let is_stalled = run.stage == RunStage::Running
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caps;
 pub mod core;
 pub mod crashes;
+pub mod decision_work;
 pub mod delegated_jobs;
 pub mod delegation;
 pub mod delegation_entry;
--- a/crates/tanager-schedule/src/placement.rs
+++ b/crates/tanager-schedule/src/placement.rs
@@ -104,6 +104,7 @@
         // In a surge hundreds of steps wait and few workers have room: most steps are skipped by
         // this bound alone.
         let mut largest_free = largest_free(&candidates);
+        self.work.add_steps(steps.len());
         for (_, key) in &steps {
             if !self.ready.contains(key) || !self.may_place(*key, &largest_free) {
                 continue;
@@ -129,6 +130,7 @@
     }
 
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
+        self.work.add_workers(self.workers.len());
         (self.workers.iter())
             .filter(|(_, worker)| worker.is_available(now) && worker.clock.is_some())
             .map(|(key, worker)| (key, worker, worker.standing(now)))
@@ -400,6 +402,7 @@
         rack: Option<&str>,
         is_included: impl Fn(&Candidate) -> bool,
     ) -> Option<usize> {
+        self.work.add_workers(candidates.len());
         let spec = demand.spec;
         let is_avoided = |candidate: &Candidate| demand.avoided == Some(candidate.key);
         let is_suitable = |candidate: &Candidate| {
--- a/crates/tanager-schedule/src/ranking.rs
+++ b/crates/tanager-schedule/src/ranking.rs
@@ -147,6 +147,7 @@
             ranking.counted.clear();
             ranking.backlog = 0.0;
             ranking.computed_at = now;
+            self.work.add_steps(self.ready.len());
             for &key in &self.ready {
                 let Some((rank, unplaced)) = self.rank(key, now) else {
                     continue;
--- a/crates/tanager-schedule/src/worker_review.rs
+++ b/crates/tanager-schedule/src/worker_review.rs
@@ -101,6 +101,7 @@
         match self.settings.weighs_workers {
             false => usize::MAX,
             true => {
+                self.work.add_runs(worker.runs.len());
                 let (lasting, others): (Vec<&RunSlot>, Vec<&RunSlot>) =
                     worker.runs.values().partition(|run| run.has_lasted);
                 let ordered_at = others.iter().map(|run| run.ordered_at);
@@ -301,6 +302,7 @@
     /// Returns the rate of bad observations on the other workers that are not ejected.
     fn baseline(&self, kind: ObservationKind, queue: &str, key: WorkerKey) -> f64 {
         self.health_rates.baseline(kind, queue, |other| {
+            self.work.add_workers(1);
             other != key
                 && (self.workers.get(other))
                     .is_some_and(|worker| !worker.health.evidence.is_ejected())
@@ -370,6 +372,7 @@
             if !worker.reported_recently(now) {
                 continue;
             }
+            self.work.add_runs(worker.runs.len());
             for (task, run) in &worker.runs {
                 // A run whose pace was reduced takes long by order.
                 let is_at_full_speed = run.pace_confirmed && run.pace == 100;
