--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -237,7 +237,11 @@
         for (vm, target) in &new_moves {
             let from = &vms[vm].pool;
             log::info!(
-                "event=vm_move_begun vm={vm} from={from} to={target} loads={loads:?} expected={:?}",
+                "event=vm_move_begun vm={vm} from={from} to={target} from_load={:?} to_load={:?} \
+                 pools={} expected={:?}",
+                loads.get(from),
+                loads.get(target),
+                loads.len(),
                 expected.get(target).map(|load| load.arrival)
             );
         }
