Count what an owner spends and how far its loop lags, and log it by second

- loop_lag: a task samples every 50 ms by how much the loop of the runtime runs late: histogram loop_lag_seconds, and lag_since() for decisions that take a missing answer as evidence.
- cpu_time: processor time of the thread around the synchronous sections, by duty: counters cpu_seconds and process_cpu_seconds.
- The counts of DecisionWork are counters.
- cell_load: at most one line a second and cell, only if something happened or waits: calls asked, answered, refused, dropped and uncertain, runs started and ended, lag, and processor time by duty. owner_overloaded at begin and end. recovery_waits once a second while a takeover lasts, with at most eight workers.

No decision changes. A call in progress that is abandoned counts as dropped; a call that the process never read is not known to it. Considered and not done: the time since the runtime last had nothing to do. The lag shows the same, and the callback would have to be installed where the runtime is built.

Measured: `cargo test -p tanager-service -p tanager-command` passed.

--- a/crates/tanager-service/src/admission.rs
+++ b/crates/tanager-service/src/admission.rs
@@ -8,6 +8,8 @@
 use tanager_schedule::overload::PlanOutcome;
 
 use crate::cell::CellHandle;
+use crate::cpu_time;
+use crate::cpu_time::Duty;
 
 impl CellHandle {
     /// Decides whether a job is admitted, and refuses the jobs that it displaces. Jobs that were
@@ -21,7 +23,9 @@
             true => self.ledger.unsent_jobs(),
             false => Vec::new(),
         };
-        let report = self.core().admit_record(record, &unsent, now);
+        let report = cpu_time::measured(Duty::Admission, || {
+            self.core().admit_record(record, &unsent, now)
+        });
         let metrics = &self.context.metrics;
         match report.decision {
             AdmissionDecision::Accept => match report.outcome {
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -30,6 +30,10 @@
 use crate::access::RefusalCounts;
 use crate::allowance_exchange;
 use crate::allowance_exchange::Allocator;
+use crate::cell_load;
+use crate::cell_load::CellLoad;
+use crate::cpu_time;
+use crate::cpu_time::Duty;
 use crate::lease_renewal;
 use crate::ledger;
 use crate::ledger::Ledger;
@@ -63,6 +67,8 @@
     pub context: Arc<NodeContext>,
     /// Jobs and progress to be stored.
     pub ledger: Ledger,
+    /// Counts of what this owner does.
+    pub(crate) load: CellLoad,
     /// Refused submissions by workspace.
     pub(crate) refusals: RefusalCounts,
     /// State of the allocator, if this is its cell.
@@ -134,6 +140,7 @@
             token,
             context,
             ledger: Ledger::new(),
+            load: CellLoad::default(),
             refusals: RefusalCounts::default(),
             siblings: SiblingLoads::default(),
             core: Mutex::new(core),
@@ -147,6 +154,7 @@
         }
         cell.spawn_task("ledger", ledger::run(Arc::clone(&cell), versions));
         cell.spawn_task("tick", tick_loop(Arc::clone(&cell)));
+        cell.spawn_task("load", cell_load::run(Arc::clone(&cell)));
         cell.connect_workers();
         cell.spawn_balancing();
         cell.spawn_merging();
@@ -371,7 +379,9 @@
             let mut core = self.core();
             let now = clock.now();
             let may_start = !self.is_paused() && self.context.may_start_runs(now);
-            core.tick(now, clock.wall_ms(), may_start);
+            let tick = || core.tick(now, clock.wall_ms(), may_start);
+            let ((), spent) = cpu_time::measure(Duty::Decisions, tick);
+            self.load.add_decisions(spent);
             let has_work = core.has_dirty() || core.has_unstored_ends();
             let awaits_allowance = core.awaits_allowance();
             let (actions, events) = (core.take_actions(), core.take_events());
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -14,6 +14,8 @@
 use tokio::time;
 
 use crate::cell::CellHandle;
+use crate::cpu_time;
+use crate::cpu_time::Duty;
 
 /// Minimum interval between two renewals, so that one reply reports many ends during a surge.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(25);
@@ -37,7 +39,8 @@
     let mut acknowledged = 0;
     while !cell.is_closed() {
         let sent_at = clock.now();
-        let Some(plan) = cell.core().plan_renewal(key, sent_at) else {
+        let plan_renewal = || cell.core().plan_renewal(key, sent_at);
+        let Some(plan) = cpu_time::measured(Duty::Renewals, plan_renewal) else {
             return;
         };
         let lease_until_ms = match cell.context.may_extend_leases(sent_at) {
@@ -79,7 +82,9 @@
                 let (is_known, has_ends) = {
                     let mut core = cell.core();
                     let read_before = core.worker(key).map_or(0, |slot| slot.processed_end);
-                    let is_known = core.apply_report(key, &report, sent_at, now, wall_ms);
+                    let is_known = cpu_time::measured(Duty::Reports, || {
+                        core.apply_report(key, &report, sent_at, now, wall_ms)
+                    });
                     let slot = core.worker(key).filter(|_| is_known);
                     if let Some(slot) = slot {
                         cell.log_ends(slot, &report.ended, read_before);
@@ -91,6 +96,7 @@
                     .metrics
                     .runs_ended
                     .add(report.ended.len() as u64);
+                cell.load.add_ends(report.ended.len() as u64);
                 cell.run_decisions();
                 if !is_known {
                     cell.connect_workers();
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -29,6 +29,8 @@
 use crate::authentication::JobOwnership;
 use crate::batch_limits::BatchLimits;
 use crate::cell::CellHandle;
+use crate::cpu_time;
+use crate::cpu_time::Duty;
 use crate::ledger_batch::LedgerBatch;
 use crate::ledger_batch::StoredWorkers;
 use crate::ledger_batch::build_batch;
@@ -263,8 +265,9 @@
             () = cell.ledger.wake.notified() => {}
             _ = closed.wait_for(|closed| *closed) => break,
         }
-        while let Some(batch) = build_batch(&cell, versions, limits, &stored_workers, sequence + 1)
-        {
+        while let Some(batch) = cpu_time::measured(Duty::Ledger, || {
+            build_batch(&cell, versions, limits, &stored_workers, sequence + 1)
+        }) {
             sequence = batch.sequence;
             let started = cell.context.clock.now();
             cell.ledger.lock().started = Some(started);
@@ -435,7 +438,7 @@
         .metrics
         .store_seconds
         .observe(now.saturating_sub(started));
-    {
+    cpu_time::measured(Duty::Ledger, || {
         let mut core = cell.core();
         let wall_ms = clock.wall_ms();
         core.mark_delegations_stored(&batch.delegations);
@@ -444,7 +447,7 @@
         }
         core.mark_stored(&batch.dirty, &batch.watermarks);
         core.mark_registered(&batch.registered);
-    }
+    });
     for record in &batch.inserts {
         cell.ledger.resolve(record.id, StoreResult::Stored);
     }
--- a/crates/tanager-service/src/logging.rs
+++ b/crates/tanager-service/src/logging.rs
@@ -21,6 +21,9 @@
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 
+use crate::cpu_time;
+use crate::cpu_time::Duty;
+
 /// Capacity of the queue, in lines; at 200 bytes a line it takes at most 400 KB.
 const QUEUE_CAPACITY: usize = 2_048;
 /// Pause before each write, so that lines are written in batches.
@@ -71,13 +74,15 @@
     while let Ok(first) = queue.recv() {
         // Collect more lines, so that one write covers many of them.
         thread::sleep(WRITE_PERIOD);
-        batch.push_str(&first);
-        while let Ok(line) = queue.try_recv() {
-            batch.push_str(&line);
-        }
-        // A closed standard output must not stop the node.
-        let _ = std::io::stdout().write_all(batch.as_bytes());
-        batch.clear();
+        cpu_time::measured(Duty::LogWriter, || {
+            batch.push_str(&first);
+            while let Ok(line) = queue.try_recv() {
+                batch.push_str(&line);
+            }
+            // A closed standard output must not stop the node.
+            let _ = std::io::stdout().write_all(batch.as_bytes());
+            batch.clear();
+        });
     }
 }
 
@@ -90,6 +95,14 @@
         if !self.enabled(record.metadata()) {
             return;
         }
+        cpu_time::measured(Duty::LogLines, || self.queue_line(record));
+    }
+
+    fn flush(&self) {}
+}
+
+impl QueueLogger {
+    fn queue_line(&self, record: &Record<'_>) {
         let time = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0.0, |elapsed| elapsed.as_secs_f64());
@@ -108,6 +121,4 @@
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
     }
-
-    fn flush(&self) {}
 }
--- /dev/null
+++ b/crates/tanager-service/src/loop_lag.rs
@@ -0,0 +1,100 @@
+//! How far the loop of the node's single-threaded runtime lags.
+//!
+//! A task sleeps for a short period again and again. By as much as it wakes late, every other task that
+//! was due waited as well: answers that had arrived were not read, and timers that had expired did
+//! not run. While the loop lags, a missing answer says nothing about the other side.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time;
+
+use crate::node::NodeContext;
+use crate::supervision;
+
+/// Period of the samples: short enough that a lag of 100 ms is seen, and 20 wake-ups a second cost a
+/// small node less than a thousandth of a core.
+pub const SAMPLE_PERIOD: Duration = Duration::from_millis(50);
+/// Time for which samples are kept, which is longer than any time limit of a call.
+const KEPT_TIME: Duration = Duration::from_secs(5);
+
+/// Recent lags. Times are on the clock of the node.
+#[derive(Clone, Debug, Default)]
+pub struct LagHistory {
+    /// End of each sample and its lag, oldest first.
+    samples: VecDeque<(Duration, Duration)>,
+    /// When the sample in progress is due.
+    due: Option<Duration>,
+}
+
+impl LagHistory {
+    /// Begins a sample that is due at `due`.
+    pub fn begin(&mut self, due: Duration) {
+        self.due = Some(due);
+    }
+
+    /// Ends the sample in progress and returns its lag.
+    pub fn end(&mut self, now: Duration) -> Duration {
+        let lag = (self.due.take()).map_or(Duration::ZERO, |due| now.saturating_sub(due));
+        let oldest = now.saturating_sub(KEPT_TIME);
+        while self.samples.front().is_some_and(|(end, _)| *end < oldest) {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, lag));
+        lag
+    }
+
+    /// Returns the largest lag of the samples that ended after `started`, and of the one in
+    /// progress. A lag that began before `started` counts only from then on.
+    pub fn largest_since(&self, started: Duration, now: Duration) -> Duration {
+        let within = |end: Duration, lag: Duration| lag.min(end.saturating_sub(started));
+        let in_progress = self
+            .due
+            .map_or(Duration::ZERO, |due| within(now, now.saturating_sub(due)));
+        let ended = (self.samples.iter().rev())
+            .take_while(|(end, _)| *end > started)
+            .map(|(end, lag)| within(*end, *lag));
+        ended.fold(in_progress, Duration::max)
+    }
+}
+
+/// Lag of the loop of a node.
+#[derive(Debug, Default)]
+pub struct LoopLag {
+    history: Mutex<LagHistory>,
+}
+
+impl LoopLag {
+    fn update<R>(&self, change: impl FnOnce(&mut LagHistory) -> R) -> R {
+        change(&mut self.history.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl NodeContext {
+    /// Returns the largest lag of the loop since `started`, up to five seconds ago.
+    pub fn lag_since(&self, started: Duration) -> Duration {
+        let now = self.clock.now();
+        (self.loop_lag).update(|history| history.largest_since(started, now))
+    }
+}
+
+/// Starts to sample the lag of the loop.
+pub(crate) fn spawn(context: &Arc<NodeContext>) {
+    let context = Arc::clone(context);
+    supervision::spawn_loop("loop_lag", move || run(Arc::clone(&context)));
+}
+
+async fn run(context: Arc<NodeContext>) -> Infallible {
+    loop {
+        let due = context.clock.now() + SAMPLE_PERIOD;
+        context.loop_lag.update(|history| history.begin(due));
+        time::sleep(SAMPLE_PERIOD).await;
+        let now = context.clock.now();
+        let lag = context.loop_lag.update(|history| history.end(now));
+        context.metrics.loop_lag_seconds.observe(lag);
+    }
+}
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -4,7 +4,9 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use tanager_schedule::decision_work::DecisionWork;
 
+use crate::cpu_time::CpuCollector;
 use crate::workspace_metrics::WorkspaceMetrics;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -30,6 +32,7 @@
                     registry.register(stringify!($name), $text, $name.handle());
                 )*
                 let workspaces = WorkspaceMetrics::register(&mut registry);
+                registry.register_collector(Box::new(CpuCollector));
                 Self { registry, workspaces, $($name,)* }
             }
         }
@@ -118,6 +121,12 @@
     CountMetric wave_drains_interrupted "Drains for a wave that did not end and made room for other VMs";
     CountMetric workers_ejected "Workers that get no runs for a while because of evidence against them";
     CountMetric rows_skipped "Rows of other writers that could not be used";
+    CountMetric decision_steps "Waiting steps that decisions ranked or considered for a start";
+    CountMetric decision_cap_checks "Checks of a step against the cap of its workspace";
+    CountMetric decision_workers "Workers that decisions compared";
+    CountMetric decision_runs "Runs that scans and counts of decisions visited";
+    CountMetric decision_tasks "Tasks that counts of decisions visited";
+    LatencyMetric loop_lag_seconds "Lag of the loop of the node's runtime, sampled every 50 ms";
     LatencyMetric accept_seconds "Time from a submission to its answer at the owner";
     LatencyMetric store_seconds "Time of a transaction of a ledger";
     LatencyMetric start_seconds "Time of a start order";
@@ -130,6 +139,15 @@
 }
 
 impl NodeMetrics {
+    /// Counts the work of a cell's decisions between two readings.
+    pub(crate) fn count_work(&self, before: &DecisionWork, after: &DecisionWork) {
+        self.decision_steps.add(after.steps - before.steps);
+        (self.decision_cap_checks).add(after.cap_checks - before.cap_checks);
+        self.decision_workers.add(after.workers - before.workers);
+        self.decision_runs.add(after.runs - before.runs);
+        self.decision_tasks.add(after.tasks - before.tasks);
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -38,6 +38,8 @@
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
 use crate::job_api;
+use crate::loop_lag;
+use crate::loop_lag::LoopLag;
 use crate::membership::NODE_DEATH_TIMEOUT;
 use crate::metrics::NodeMetrics;
 use crate::operator_watch::ConfigReads;
@@ -80,6 +82,8 @@
     pub clock: NodeClock,
     /// Counters and latency histograms.
     pub metrics: Arc<NodeMetrics>,
+    /// Lag of the loop of the runtime.
+    pub(crate) loop_lag: LoopLag,
     /// Client of the store.
     pub store: TableStore,
     /// Transport of `store`: direct or through relays.
@@ -334,6 +338,7 @@
             incarnation,
             clock,
             metrics,
+            loop_lag: LoopLag::default(),
             store,
             store_access,
             peers,
@@ -350,6 +355,7 @@
         });
         let node = Self::bind(context).await?;
         table_watch::spawn(&node.context);
+        loop_lag::spawn(&node.context);
         log::info!(
             "event=started incarnation={incarnation} client={} peer={} zone={} version={}",
             node.context.settings.client_address,
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -39,6 +39,8 @@
 use crate::access::JobDescription;
 use crate::access::WorkspaceLoad;
 use crate::authentication::Caller;
+use crate::cpu_time;
+use crate::cpu_time::Duty;
 
 /// Path of calls to the owner of a cell.
 pub const CELL_PATH: &str = "/cell";
@@ -424,7 +426,7 @@
         body: &Q,
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
-        let body = serde_json::to_vec(body)
+        let body = cpu_time::measured(Duty::PeerCalls, || serde_json::to_vec(body))
             .map_err(|error| call_failure(ErrorKind::NotSent, address, error.to_string()))?;
         let request = HttpRequest::new(Method::POST, path, body);
         let pool = self.pool(address);
@@ -446,7 +448,7 @@
     response: &HttpResponse,
 ) -> TanagerResult<A> {
     match response.status {
-        StatusCode::OK => serde_json::from_slice(&response.body)
+        StatusCode::OK => decode_body(&response.body)
             .map_err(|error| call_failure(ErrorKind::Unknown, address, error.to_string())),
         // The peer did not process the call.
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => Err(call_failure(
@@ -462,19 +464,23 @@
     }
 }
 
+fn decode_body<T: for<'a> Deserialize<'a>>(body: &[u8]) -> serde_json::Result<T> {
+    cpu_time::measured(Duty::PeerCalls, || serde_json::from_slice(body))
+}
+
 /// Decodes the body of a call between nodes.
 ///
 /// # Errors
 ///
 /// [`ErrorKind::Invalid`] if the body is malformed.
 pub fn decode_request<T: for<'a> Deserialize<'a>>(body: &[u8]) -> TanagerResult<T> {
-    serde_json::from_slice(body)
+    decode_body(body)
         .map_err(|error| TanagerError::new(ErrorKind::Invalid, "decode call", "peer", error))
 }
 
 /// Encodes the response to a call between nodes.
 pub fn encode_response<T: Serialize>(response: &T) -> HttpResponse {
-    match serde_json::to_vec(response) {
+    match cpu_time::measured(Duty::PeerCalls, || serde_json::to_vec(response)) {
         Ok(body) => HttpResponse::new(StatusCode::OK, body),
         Err(error) => HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -48,6 +48,13 @@
 impl CellHandle {
     /// Handles a request to the owner of this cell.
     pub async fn handle(self: &Arc<Self>, request: CellRequest) -> CellResponse {
+        let call = self.load.begin_call();
+        let response = self.answer(request).await;
+        call.end(&response);
+        response
+    }
+
+    async fn answer(self: &Arc<Self>, request: CellRequest) -> CellResponse {
         // This cell does not know yet what the other one has that was merged into it.
         let is_unloaded = match &request.home {
             Some(home) => !self.is_home(home),
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -113,6 +113,7 @@
         };
         let sent_at = self.context.clock.now();
         self.context.metrics.runs_started.increment();
+        self.load.add_starts(1);
         let result = connection.link.start(&order, ORDER_TIMEOUT).await;
         drop(permit);
         let result = self.order_result(result);
