Add the command load: what each cell's owner did in each second

`tanagerladder load LOG...` reads the logs of all nodes and prints for each cell and second what its owner was asked, answered, refused and dropped, started and ended, the lag of its loop and the processor time of its decisions and process. Seconds in which calls were left without an answer (owner_silent of other nodes, or calls that the owner dropped) are marked and are faults.

--- a/crates/tanager-command/src/commands/mod.rs
+++ b/crates/tanager-command/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod dump;
 mod history;
 mod job;
+mod load;
 mod move_vm;
 mod orders;
 mod pools;
@@ -46,7 +47,7 @@
 impl CommandSpec {
     /// Returns whether the command sends requests to a node when it is called with these arguments.
     pub(crate) fn sends_requests(&self, line: &CommandLine) -> bool {
-        if [runs::SPEC.name, orders::SPEC.name].contains(&self.name) {
+        if [runs::SPEC.name, orders::SPEC.name, load::SPEC.name].contains(&self.name) {
             return false;
         }
         self.name != config::SPEC.name || line.options.against.as_deref() == Some(config::CURRENT)
@@ -78,4 +79,5 @@
     cancel_job::SPEC,
     runs::SPEC,
     orders::SPEC,
+    load::SPEC,
 ];
--- a/crates/tanager-command/src/lib.rs
+++ b/crates/tanager-command/src/lib.rs
@@ -5,6 +5,8 @@
 mod commands;
 mod failure;
 mod input;
+pub mod load_log;
+pub mod load_report;
 mod log_fields;
 pub mod log_report;
 mod options;
--- a/crates/tanager-command/src/options.rs
+++ b/crates/tanager-command/src/options.rs
@@ -41,6 +41,7 @@
     pub(crate) task: Option<String>,
     pub(crate) all: bool,
     pub(crate) vm: Option<String>,
+    pub(crate) cell: Option<String>,
     pub(crate) lease: Duration,
 }
 
@@ -82,6 +83,7 @@
                 task: None,
                 all: false,
                 vm: None,
+                cell: None,
                 lease: DEFAULT_LEASE,
             },
             given_options: BTreeSet::new(),
@@ -163,6 +165,10 @@
                         options.vm = Some(parse_text(parser)?);
                         "vm"
                     }
+                    "cell" => {
+                        options.cell = Some(parse_text(parser)?);
+                        "cell"
+                    }
                     "lease" => {
                         options.lease = parse_duration(name, &parse_text(parser)?)?;
                         "lease"
