Skip the rest of a cut log line before the line that follows it

A node that is killed may end its output anywhere; the line of another node then follows in a shared file. If the cut came within the first field, as in `time=1781430 18.98 b time=1781430716.733 level=info ...`, the text before the first whole line was taken for a part of it, and its cut time for the time of that line. What precedes the first `time=... level=` of a text line is now skipped.

--- a/crates/tanager-command/src/log_fields.rs
+++ b/crates/tanager-command/src/log_fields.rs
@@ -50,10 +50,9 @@
             .map(|(start, _)| start)
             .filter(|start| is_line_start(&line[*start..]))
             .collect();
-        // Words before the first fields belong to the first line.
-        match starts.first_mut() {
-            Some(first) => *first = 0,
-            None => starts.push(0),
+        // What precedes the first fields may be the rest of a cut line, with its time.
+        if starts.is_empty() {
+            starts.push(0);
         }
         let ends: Vec<usize> = starts[1..].iter().copied().chain([line.len()]).collect();
         let ranges = starts.into_iter().zip(ends);
--- a/crates/tanager-command/tests/load.rs
+++ b/crates/tanager-command/tests/load.rs
@@ -123,6 +123,18 @@
     assert!(text.contains("no line about a cell"), "{text}");
 }
 
+/// Guards against events that get the cut time of a killed node whose last words precede them.
+#[test]
+fn cut_time_of_another_node_is_skipped() {
+    let text = format!(
+        "  13.7 a time=178143  13.8 b {}",
+        silent("leti/0", "1001.100")
+    );
+    let log = read_log([text.as_str()]);
+    let seconds: Vec<u64> = log.cells["leti/0"].keys().copied().collect();
+    assert_eq!(seconds, [1_001]);
+}
+
 /// Runs the command without a node in its environment; returns exit code and output.
 fn run_command(arguments: &[&str]) -> (Option<i32>, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_tanagerladder"))
