Keep the usage of workspaces instead of counting all runs

Callers of an owner whose jobs wait for the cap of their workspace got no answer: its decisions took the processor. A step that a cap refused asked for another round, as tasks could have ended since the last count, so each tick went through all waiting steps, and each 5 ms all runs were counted. After a takeover all tasks were counted in each round.

The usage is now kept with each start and end of a run (CellCore::add_run and remove_run are the only ways), so a refusal is exact and needs no other round: ends, limits and configurations ask for one as before. The bound over tasks on unconfirmed workers is at most 40 ms old; a loaded job, an awaited worker or a new entry makes it outdated, and otherwise it only shrinks, so an old one is too large at most. A full count each 10 s compares; a difference is corrected and logged (cap_usage_corrected).

Decisions differ in this: ends count at once instead of up to 40 ms later; while a cell recovers a run that was adopted may count twice for up to 40 ms; a refusal that only time can change (a step served first, an unknown workspace) is looked at each 100 ms instead of each tick; a run whose job was removed still counts.

The model has three cases whose jobs belong to workspaces; it compares the kept usage with a count after each step of an owner.

--- a/crates/tanager-schedule/src/action.rs
+++ b/crates/tanager-schedule/src/action.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::ids::RunNumber;
 use tanager_jobs::ids::WorkerId;
 
+use crate::cap_usage::UsageDifference;
 use crate::worker::WorkerKey;
 use crate::worker_health::Observation;
 use crate::worker_health::StartLimit;
@@ -39,6 +40,11 @@
 /// An event that explains the end of a job, for the owner's log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CellEvent {
+    /// The kept usage of workspaces differed from a count of their runs, and was corrected.
+    CapUsageCorrected {
+        /// Workspaces with another usage.
+        differences: Vec<UsageDifference>,
+    },
     /// A run ended as failed.
     RunFailed {
         /// Task.
--- a/crates/tanager-schedule/src/allowance/holder.rs
+++ b/crates/tanager-schedule/src/allowance/holder.rs
@@ -134,6 +134,20 @@
         self.usage = usage;
     }
 
+    /// Sets the usage of one workspace.
+    pub fn set_used(&mut self, workspace: &str, amount: Amounts) {
+        if amount == Amounts::default() {
+            self.usage.remove(workspace);
+            return;
+        }
+        match self.usage.get_mut(workspace) {
+            Some(used) => *used = amount,
+            None => {
+                self.usage.insert(workspace.to_owned(), amount);
+            }
+        }
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_version(&mut self, version: u64) {
         self.version = version;
@@ -222,6 +236,11 @@
                 self.usage.insert(workspace.to_owned(), *amount);
             }
         }
+        self.end_excess(workspace);
+    }
+
+    /// Records that a task was started, which may have been the one above the limit.
+    pub fn end_excess(&mut self, workspace: &str) {
         if let Some(held) = self.limits.get_mut(workspace) {
             held.excess = Amounts::default();
         }
--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -25,17 +25,14 @@
 use crate::allowance::report::AllowanceReport;
 use crate::allowance::request::StartRequest;
 use crate::allowance::smaller;
+use crate::allowance::subtract;
+use crate::cap_usage::CapUsage;
 use crate::core::CellCore;
 use crate::core::StepKey;
 use crate::job::TaskPhase;
 use crate::rounds::RoundLimits;
 use crate::settings::WorkspacePolicy;
 
-/// Maximum age of the counted usage. Starts are added to it at once; ends only by the next count.
-const COUNT_PERIOD: Duration = Duration::from_millis(40);
-/// Age of the counted usage from which a task that does not fit causes a new count. To count 2,000
-/// runs takes about 0.1 ms, and a cell decides up to a thousand times a second.
-const RECOUNT_DELAY: Duration = Duration::from_millis(5);
 /// Time after its end for which a job's runs may still go on when its cell is taken over.
 const STOPPING_TIME_MS: u64 = 15_000;
 
@@ -44,8 +41,8 @@
 pub struct CapState {
     /// Limits that the cell holds.
     pub allowances: CellAllowances,
-    /// Time of the last count of the usage.
-    counted_at: Option<Duration>,
+    /// Usage of the workspaces.
+    pub(crate) usage: CapUsage,
     /// Jobs that had been failed or cancelled shortly before the takeover: their runs may go on
     /// until they are listed and stopped.
     ended_at_takeover: Vec<JobId>,
@@ -65,6 +62,7 @@
                 && matches!(job.state, JobState::Failed | JobState::Cancelled)
                 && job.ended_ms + STOPPING_TIME_MS > wall_ms
         });
+        self.caps.usage.expire_bound();
         if may_run {
             self.caps.ended_at_takeover.push(id);
         }
@@ -73,26 +71,56 @@
     /// Returns what each workspace uses by the requests of its tasks. After a takeover this
     /// includes the tasks that may run on workers that have not reported, up to the capacity of
     /// these workers.
+    ///
+    /// Decisions use the usage that is kept with each start and end.
     pub fn cap_usage(&self) -> BTreeMap<WorkspaceName, Amounts> {
+        let mut usage = self.count_running_usage();
+        if !self.unconfirmed_workers.is_empty() {
+            self.add_unconfirmed_usage(&mut usage);
+        }
+        (usage.into_iter())
+            .map(|(workspace, used)| (workspace.to_owned(), used))
+            .collect()
+    }
+
+    /// Counts what each workspace uses by the requests of its runs. A run whose job is no longer known
+    /// counts as it did before.
+    pub(crate) fn count_running_usage(&self) -> HashMap<&str, Amounts> {
         let mut usage: HashMap<&str, Amounts> = HashMap::new();
         for (task, run) in self.workers.values().flat_map(|worker| &worker.runs) {
             self.work.add_runs(1);
-            let Some(job) = self.jobs.get(&task.job) else {
-                continue;
-            };
-            let Some(workspace) = job.record.workspace.as_deref() else {
-                continue;
+            let (workspace, amount) = match (self.jobs.get(&task.job), &run.charge) {
+                (Some(job), _) => {
+                    let spec = job.record.spec.steps.get(usize::from(task.step));
+                    let amount = amounts(spec.map_or(&run.amount, |spec| &spec.request));
+                    (job.record.workspace.as_deref(), amount)
+                }
+                (None, Some(charge)) => (Some(charge.workspace.as_str()), charge.amount),
+                (None, None) => continue,
             };
-            let spec = job.record.spec.steps.get(usize::from(task.step));
-            let amount = amounts(spec.map_or(&run.amount, |spec| &spec.request));
-            let used = usage.entry(workspace).or_default();
-            *used = add(used, &amount);
-        }
-        if !self.unconfirmed_workers.is_empty() {
-            self.add_unconfirmed_usage(&mut usage);
+            if let Some(workspace) = workspace {
+                let used = usage.entry(workspace).or_default();
+                *used = add(used, &amount);
+            }
         }
+        usage.retain(|_, used| *used != Amounts::default());
+        usage
+    }
+
+    /// Returns a bound over the tasks that may run on workers that have not reported after a
+    /// takeover.
+    pub(crate) fn unconfirmed_usage(&self) -> BTreeMap<WorkspaceName, Amounts> {
+        let running = self.caps.usage.running();
+        let mut usage: HashMap<&str, Amounts> = (running.iter())
+            .map(|(workspace, used)| (workspace.as_str(), *used))
+            .collect();
+        self.add_unconfirmed_usage(&mut usage);
         (usage.into_iter())
-            .map(|(workspace, used)| (workspace.to_owned(), used))
+            .map(|(workspace, used)| {
+                let running = running.get(workspace).copied().unwrap_or_default();
+                (workspace.to_owned(), subtract(&used, &running))
+            })
+            .filter(|(_, used)| *used != Amounts::default())
             .collect()
     }
 
@@ -156,16 +184,6 @@
         })
     }
 
-    fn count_cap_usage(&mut self, now: Duration) {
-        self.caps.counted_at = Some(now);
-        let usage = self.cap_usage();
-        self.caps.allowances.set_usage(usage);
-    }
-
-    fn count_age(&self, now: Duration) -> Duration {
-        (self.caps.counted_at).map_or(Duration::MAX, |counted| now.saturating_sub(counted))
-    }
-
     /// Begins a round of placement.
     pub(crate) fn begin_cap_round(&mut self, now: Duration) {
         if !self.has_caps() {
@@ -175,9 +193,7 @@
         if self.unconfirmed_workers.is_empty() {
             self.caps.ended_at_takeover.clear();
         }
-        if !self.unconfirmed_workers.is_empty() || self.count_age(now) >= COUNT_PERIOD {
-            self.count_cap_usage(now);
-        }
+        self.refresh_cap_usage(now);
     }
 
     /// Returns how many of `count` tasks of a step may start under the cap of their workspace.
@@ -216,33 +232,18 @@
             is_gang: spec.gang,
         };
         let allowances = &mut self.caps.allowances;
-        let mut allowed = allowances.count_allowed(workspace, policy.as_ref(), &request, now);
-        if allowed < request.count && policy.is_some() {
-            if self.count_age(now) >= RECOUNT_DELAY {
-                self.count_cap_usage(now);
-                let allowances = &mut self.caps.allowances;
-                allowed = allowances.count_allowed(workspace, policy.as_ref(), &request, now);
-            } else {
-                // Tasks may have ended since the count.
-                self.placement_needed = true;
-            }
-        }
+        let allowed = allowances.count_allowed(workspace, policy.as_ref(), &request, now);
         if allowed < request.count {
-            let allowances = &mut self.caps.allowances;
             allowances.record_waiting(workspace, policy.as_ref(), &request, allowed, now);
         }
         allowed as usize
     }
 
-    /// Adds a start to the usage of its workspace.
+    /// Records a start in the limits of its workspace.
     pub(crate) fn record_cap_start(&mut self, task: TaskKey) {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
-        };
-        let spec = job.record.spec.steps.get(usize::from(task.step));
-        if let (Some(workspace), Some(spec)) = (&job.record.workspace, spec) {
-            let amount = amounts(&spec.request);
-            self.caps.allowances.record_start(workspace, &amount);
+        let workspace = (self.jobs.get(&task.job)).and_then(|job| job.record.workspace.as_deref());
+        if let Some(workspace) = workspace {
+            self.caps.allowances.end_excess(workspace);
         }
     }
 
@@ -261,7 +262,7 @@
         token: FencingToken,
         now: Duration,
     ) -> AllowanceReport {
-        self.count_cap_usage(now);
+        self.refresh_cap_usage(now);
         if self.ready.is_empty() {
             self.caps.allowances.begin_round();
         }
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -225,6 +225,7 @@
             }
         }
         self.jobs.insert(id, entry);
+        self.charge_earlier_runs(id);
         self.open_due_occurrences(id, now, wall_ms);
         self.add_ready_steps(id);
         self.placement_needed = true;
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -46,6 +46,8 @@
     /// Synchronizes the workers of the cell with the store's current entries.
     pub fn sync_workers(&mut self, entries: &[WorkerEntry], now: Duration) {
         self.scan_needed = true;
+        // Entries may state other capacities of unconfirmed workers.
+        self.caps.usage.expire_bound();
         let mut listed = HashSet::new();
         for entry in entries {
             listed.insert(entry.worker.as_str());
@@ -162,6 +164,7 @@
         slot.unconfirmed_starts.clone_from(&unconfirmed_starts);
         let key = self.workers.insert(slot);
         self.workers_by_id.insert(id, key);
+        self.caps.usage.expire_bound();
         for (task, slot) in recent {
             self.carry_over(key, task, &slot, now);
         }
@@ -197,9 +200,7 @@
             false => RunStage::Stopping,
         };
         slot.confirmed_at = is_confirmed.then_some(now);
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.add_run(task, slot);
-        }
+        self.add_run(key, task, slot);
         if let Some(step) = self.step_mut(task) {
             let index = task.index as usize;
             if step.tasks[index].phase == TaskPhase::Idle {
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod advice;
 pub mod allowance;
 pub mod cancellation;
+pub mod cap_usage;
 pub mod capacity;
 pub mod caps;
 pub mod core;
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -271,10 +271,10 @@
 
     /// Releases a run that is certain not to run now or later.
     pub(crate) fn release_run(&mut self, key: WorkerKey, task: TaskKey, cause: ReleaseCause) {
-        let Some(worker) = self.workers.get_mut(key) else {
+        let Some(slot) = self.remove_run(key, &task) else {
             return;
         };
-        let Some(slot) = worker.remove_run(&task) else {
+        let Some(worker) = self.workers.get(key) else {
             return;
         };
         let id = worker.entry.worker.clone();
--- a/crates/tanager-schedule/src/placement.rs
+++ b/crates/tanager-schedule/src/placement.rs
@@ -89,9 +89,9 @@
         if self.ready.is_empty() || !(self.placement_needed || is_due) {
             return;
         }
+        self.begin_cap_round(now);
         self.placement_needed = false;
         self.last_placement = now;
-        self.begin_cap_round(now);
         let mut candidates = self.candidates(now);
         if candidates.is_empty() {
             return;
@@ -606,9 +606,7 @@
             entry.suspect_run = run;
             self.mark_dirty(task.job);
         }
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.add_run(task, RunSlot::starting(run, amount, now));
-        }
+        self.add_run(key, task, RunSlot::starting(run, amount, now));
         self.record_cap_start(task);
         self.actions.push(CellAction::Start {
             worker: key,
--- a/crates/tanager-schedule/src/recovery.rs
+++ b/crates/tanager-schedule/src/recovery.rs
@@ -93,6 +93,7 @@
         };
         let lease = max_lease_time(self.settings.lease);
         // Stops ordered by the former owner appear in the lists only once the runs have ended.
+        self.caps.usage.expire_bound();
         self.stops_visible_from = now + self.settings.max_stop_time + STOP_MARGIN;
         for entry in workers {
             self.unconfirmed_workers
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -105,7 +105,7 @@
         let matching_slot = worker.runs.get(&task).filter(|slot| slot.run == ended.run);
         let matching_slot = matching_slot.cloned();
         if matching_slot.is_some() {
-            worker.remove_run(&task);
+            self.remove_run(key, &task);
             self.placement_needed = true;
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -345,8 +345,8 @@
         // The former owner may have changed its pace.
         slot.pace_confirmed = false;
         slot.record_listed(running, now);
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.add_run(task, slot);
+        self.add_run(key, task, slot);
+        if let Some(worker) = self.workers.get(key) {
             self.events.push(CellEvent::RunAdopted {
                 task,
                 run: running.run,
@@ -370,8 +370,8 @@
         let mut slot = RunSlot::starting(running.run, amount, now);
         slot.in_flight = false;
         slot.stage = RunStage::Stopping;
-        worker.add_run(task, slot);
         let (worker_id, started_ms) = (worker.entry.worker.clone(), worker.entry.started_ms);
+        self.add_run(key, task, slot);
         // The task waits until the stop is certain.
         if let Some(step) = self.step_mut(task) {
             let index = task.index as usize;
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -1,6 +1,7 @@
 //! State of a worker: clock, leases, runs and health.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -10,6 +11,7 @@
 use tanager_jobs::WorkerEntry;
 use tanager_jobs::ids::RunNumber;
 
+use crate::cap_usage::RunCharge;
 use crate::crashes::CrashedRun;
 use crate::crashes::WorkerIsolation;
 use crate::ejection::FailureStreak;
@@ -64,6 +66,8 @@
     pub run: RunNumber,
     /// Resources.
     pub amount: ResourceAmount,
+    /// What it adds to the usage of its workspace; `None` without a workspace.
+    pub charge: Option<Arc<RunCharge>>,
     /// Stage.
     pub stage: RunStage,
     /// Time of the last order.
@@ -293,11 +297,13 @@
     }
 
     /// Adds a run and reserves its resources.
-    pub fn add_run(&mut self, task: TaskKey, slot: RunSlot) {
+    ///
+    /// Returns the run that it replaces.
+    pub(crate) fn add_run(&mut self, task: TaskKey, slot: RunSlot) -> Option<RunSlot> {
         self.reserved = self.reserved.plus(&slot.amount);
-        if let Some(before) = self.runs.insert(task, slot) {
-            self.reserved = self.reserved.minus(&before.amount);
-        }
+        let before = self.runs.insert(task, slot)?;
+        self.reserved = self.reserved.minus(&before.amount);
+        Some(before)
     }
 
     /// Records a start without a response.
@@ -313,7 +319,7 @@
     }
 
     /// Removes a run and releases its resources.
-    pub fn remove_run(&mut self, task: &TaskKey) -> Option<RunSlot> {
+    pub(crate) fn remove_run(&mut self, task: &TaskKey) -> Option<RunSlot> {
         let slot = self.runs.remove(task)?;
         self.reserved = self.reserved.minus(&slot.amount);
         Some(slot)
@@ -381,6 +387,7 @@
         Self {
             run,
             amount,
+            charge: None,
             stage: RunStage::Starting,
             ordered_at: now,
             confirmed_at: None,
--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -72,6 +72,7 @@
     merges: false,
     leaves: false,
     checks_idle_jobs: true,
+    workspaces: false,
 };
 
 const EVERYTHING: FaultPlan = FaultPlan {
@@ -104,6 +105,7 @@
     merges: false,
     leaves: false,
     checks_idle_jobs: true,
+    workspaces: false,
 };
 
 fn run_seed(seed: u64, plan: FaultPlan) -> Result<(), String> {
@@ -401,6 +403,30 @@
         freezes: true,
         ..NO_FAULTS
     };
+    usage_of_workspaces: FaultPlan { workspaces: true, ..NO_FAULTS };
+    usage_of_workspaces_beside_faults: FaultPlan {
+        workspaces: true,
+        late: 0.03,
+        response_lost: 0.05,
+        call_lost: 0.05,
+        crash_every: Duration::from_secs(6),
+        freezes: true,
+        cuts: true,
+        poison: 0.1,
+        handovers: true,
+        ..NO_FAULTS
+    };
+    usage_of_workspaces_beside_merges: FaultPlan {
+        workspaces: true,
+        cells: 2,
+        merges: true,
+        gangs: 0.2,
+        late: 0.03,
+        response_lost: 0.05,
+        reaches_next_incarnation: true,
+        crash_every: Duration::from_secs(6),
+        ..NO_FAULTS
+    };
     everything_and_delays: FaultPlan {
         slow_owners: true,
         turns_away_owners: true,
--- a/crates/tanager-schedule/tests/model/owner.rs
+++ b/crates/tanager-schedule/tests/model/owner.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::WorkerEntry;
 use tanager_schedule::CellAction;
 use tanager_schedule::CellCore;
+use tanager_schedule::CellEvent;
 use tanager_schedule::QueuePolicy;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::ownership;
@@ -182,6 +183,9 @@
             }
         }
         for event in events {
+            if matches!(event, CellEvent::CapUsageCorrected { .. }) {
+                self.record.violations.push(format!("USAGE: {event:?}"));
+            }
             self.trace(|| format!("owner {number} {event:?}"));
         }
         for (key, plan) in renewals {
@@ -222,12 +226,25 @@
             }
         }
         self.run_commit(number, store_up, is_current);
+        self.check_usage(number);
         if let Some(task) = self.traced_task {
             let line = self.owners[number].core.describe_task(task);
             self.trace(|| format!("owner {number} {line}"));
         }
     }
 
+    /// Checks the usage of workspaces that the owner keeps against a count of its runs.
+    fn check_usage(&mut self, number: usize) {
+        if !self.plan.workspaces {
+            return;
+        }
+        let differences = self.owners[number].core.usage_differences();
+        if !differences.is_empty() {
+            let text = format!("USAGE: owner {number} at {:?}: {differences:?}", self.now);
+            self.record.violations.push(text);
+        }
+    }
+
     pub(crate) fn run_commit(&mut self, number: usize, store_up: bool, is_current: bool) {
         let now = self.now;
         let owner = &mut self.owners[number];
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -107,6 +107,8 @@
     /// Whether jobs are checked for standing still; not yet beside tasks that crash their workers, see
     /// `suspects_stand_still`.
     pub(crate) checks_idle_jobs: bool,
+    /// Whether jobs belong to workspaces, whose usage is then checked.
+    pub(crate) workspaces: bool,
 }
 
 pub(crate) struct World {
@@ -292,7 +294,7 @@
             accepted_ms: self.wall_ms(),
             max_attempts: MAX_ATTEMPTS,
             spec,
-            workspace: None,
+            workspace: (self.plan.workspaces).then(|| format!("w{}", id.0 % 3)),
             exceeds_rate: false,
         };
         let (now, wall_ms) = (self.now, self.wall_ms());
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -511,6 +511,10 @@
                 age > objective,
                 self.token
             ),
+            CellEvent::CapUsageCorrected { differences } => log::warn!(
+                "event=cap_usage_corrected differences={differences:?} cell={cell} token={}",
+                self.token
+            ),
             CellEvent::RecoveryEnded { unreached_workers } => log::info!(
                 "event=recovery_ended cell={cell} token={} unreached={} workers={}",
                 self.token,
