Log what the allocator keeps for each cell, and why a cell has no limit

Change, no decision is affected: - allowance_limited (allocator): cap, and for each other cell its limit, the limit sent, used, wanted, age of its report, whether it has an owner; since when the table is rebuilt and which cells are unknown. - cell_unreported and cell_reservation_updated (allocator): begin and end of reservations for a cell without reports. - allowance_missing (owner of a cell): no limit yet, expired or void, with the last limit, the age of the last reply and the reports in a row that nobody answered. Each at most once a second for a workspace, for 32 workspaces a second; the cause is computed only for a line that is written. The line about the first request of a workspace in a cell, which always waits for a reply, is left out.

--- a/crates/tanager-schedule/src/allowance/holder.rs
+++ b/crates/tanager-schedule/src/allowance/holder.rs
@@ -15,6 +15,7 @@
 use crate::allowance::is_served_first;
 use crate::allowance::is_within;
 use crate::allowance::larger;
+use crate::allowance::missing::EndedLimit;
 use crate::allowance::multiply;
 use crate::allowance::report::AllowanceReply;
 use crate::allowance::report::AllowanceReport;
@@ -41,15 +42,15 @@
 /// Limits of the workspaces in one cell.
 #[derive(Debug, Default)]
 pub struct CellAllowances {
-    limits: BTreeMap<WorkspaceName, HeldLimit>,
+    pub(super) limits: BTreeMap<WorkspaceName, HeldLimit>,
     usage: BTreeMap<WorkspaceName, Amounts>,
-    waiting: BTreeMap<WorkspaceName, WaitingTasks>,
+    pub(super) waiting: BTreeMap<WorkspaceName, WaitingTasks>,
     /// Steps at which a limit blocked a workspace first, with the time since when.
     blocked: BTreeMap<WorkspaceName, BlockedStep>,
     unknown_since: BTreeMap<WorkspaceName, Duration>,
     arrivals: BTreeMap<WorkspaceName, VecDeque<Duration>>,
     /// Version of the configuration in force.
-    version: u64,
+    pub(super) version: u64,
     /// Highest token of an allocator that replied.
     allocator: FencingToken,
     /// Number of the last report.
@@ -57,6 +58,10 @@
     /// Time of the report whose reply is awaited.
     awaited_since: Option<Duration>,
     reported_at: Option<Duration>,
+    /// Time at which the last reply was applied.
+    pub(super) replied_at: Option<Duration>,
+    /// Limits that were given up since, until the next reply.
+    pub(super) ended: BTreeMap<WorkspaceName, EndedLimit>,
     /// Whether the last reply lowered a limit. What the cell gave up stays reserved for it until its
     /// next report.
     has_lowered: bool,
@@ -64,19 +69,19 @@
 
 /// A limit that the cell holds.
 #[derive(Clone, Debug, PartialEq)]
-struct HeldLimit {
-    limit: Amounts,
-    cap: Amounts,
+pub(super) struct HeldLimit {
+    pub(super) limit: Amounts,
+    pub(super) cap: Amounts,
     /// Size of a single task that may start above the limit.
     excess: Amounts,
     /// Version of the allocator's configuration.
     version: u64,
     rate: f64,
-    valid_until: Duration,
+    pub(super) valid_until: Duration,
 }
 
 impl HeldLimit {
-    fn is_void(&self, version: u64, cap: &Amounts) -> bool {
+    pub(super) fn is_void(&self, version: u64, cap: &Amounts) -> bool {
         self.version < version && is_lowered(&self.cap, cap)
     }
 }
@@ -337,13 +342,7 @@
         self.awaited_since = Some(now);
         self.reported_at = Some(now);
         self.has_lowered = false;
-        self.limits.retain(|_, held| now < held.valid_until);
-        // A void limit is given up, because it would be valid again if the cap were raised.
-        let version = self.version;
-        self.limits.retain(|name, held| {
-            let policy = policies.get(name);
-            policy.is_none_or(|policy| !held.is_void(version, &amounts(&policy.cap)))
-        });
+        self.end_limits(policies, now);
         for held in self.limits.values_mut() {
             // The report does not state it, so the allocator takes it back.
             held.excess = Amounts::default();
@@ -399,6 +398,7 @@
             return None;
         }
         let requested_at = self.awaited_since.take()?;
+        self.replied_at = Some(now);
         let valid_until = requested_at + Duration::from_millis(reply.valid_ms);
         let mut effect = ReplyEffect::default();
         if reply.allocator > self.allocator {
@@ -420,6 +420,7 @@
                 valid_until,
             };
             self.limits.insert(name.clone(), held);
+            self.ended.remove(name);
             self.has_lowered |= !is_within(&before, &allowance.limit, &allowance.cap);
             let used = self.usage.get(name).copied().unwrap_or_default();
             let waiting = self.waiting.get(name).cloned().unwrap_or_default();
--- a/crates/tanager-schedule/src/allowance/mod.rs
+++ b/crates/tanager-schedule/src/allowance/mod.rs
@@ -7,8 +7,10 @@
 
 pub mod division;
 pub mod holder;
+pub mod missing;
 pub mod report;
 pub mod request;
+pub mod reservation;
 pub mod table;
 
 use std::time::Duration;
--- a/crates/tanager-schedule/src/allowance/table.rs
+++ b/crates/tanager-schedule/src/allowance/table.rs
@@ -39,43 +39,47 @@
 /// Time for which a peak of usage is remembered.
 const PEAK_TIME: Duration = Duration::from_secs(1);
 /// Age of a report from which its waiting tasks no longer count. Cells report every second.
-const REPORT_AGE_LIMIT: Duration = Duration::from_millis(1_500);
+pub(super) const REPORT_AGE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Limits of all cells, as the allocator knows them.
 #[derive(Debug)]
 pub struct AllowanceTable {
     token: FencingToken,
     /// Time after which an unresponsive cell without an owner certainly runs nothing.
-    hold_time: Duration,
-    started_at: Duration,
+    pub(super) hold_time: Duration,
+    pub(super) started_at: Duration,
     /// Whether the limits granted by former allocators are known.
     is_rebuilt: bool,
+    /// Time from which they were known.
+    pub(super) rebuilt_at: Option<Duration>,
     /// Whether the set of cells is known.
     knows_cells: bool,
     policies: BTreeMap<WorkspaceName, WorkspacePolicy>,
     /// Version of the configuration that the policies are from.
     version: u64,
-    cells: BTreeMap<CellName, CellEntry>,
+    pub(super) cells: BTreeMap<CellName, CellEntry>,
 }
 
 /// A cell as known to the allocator.
 #[derive(Debug, Default)]
-struct CellEntry {
+pub(super) struct CellEntry {
     token: FencingToken,
     number: u64,
-    has_reported: bool,
-    reported_at: Duration,
+    pub(super) has_reported: bool,
+    pub(super) reported_at: Duration,
     /// Last time at which the cell reported or had an owner.
-    alive_at: Duration,
-    workspaces: BTreeMap<WorkspaceName, CellShare>,
+    pub(super) alive_at: Duration,
+    /// Whether the cell has a live owner.
+    pub(super) has_owner: bool,
+    pub(super) workspaces: BTreeMap<WorkspaceName, CellShare>,
 }
 
 /// A workspace in a cell.
 #[derive(Debug, Default)]
-struct CellShare {
-    report: WorkspaceReport,
+pub(super) struct CellShare {
+    pub(super) report: WorkspaceReport,
     /// Limit sent in the reply to the last report.
-    sent: Amounts,
+    pub(super) sent: Amounts,
     peak: Amounts,
     peak_at: Duration,
     /// Time since which no waiting task fits into the limit.
@@ -83,7 +87,7 @@
 }
 
 impl CellShare {
-    fn reserved(&self) -> Amounts {
+    pub(super) fn reserved(&self) -> Amounts {
         larger(&larger(&self.report.limit, &self.sent), &self.report.used)
     }
 }
@@ -97,6 +101,7 @@
             hold_time: (LIMIT_VALIDITY + longest_lease).mul_f64(1.0 / MIN_CLOCK_RATE),
             started_at: now,
             is_rebuilt: false,
+            rebuilt_at: None,
             knows_cells: false,
             policies: BTreeMap::new(),
             version: 0,
@@ -123,6 +128,7 @@
         self.knows_cells = true;
         for (name, has_owner) in cells {
             let entry = self.cells.entry(name.clone()).or_default();
+            entry.has_owner = *has_owner;
             if *has_owner || entry.alive_at.is_zero() {
                 entry.alive_at = now;
             }
@@ -133,6 +139,7 @@
             if !is_held {
                 entry.workspaces.clear();
             }
+            entry.has_owner &= cells.contains_key(name);
             is_held || cells.contains_key(name)
         });
     }
@@ -157,6 +164,9 @@
         entry.apply_report(report, now);
         self.is_rebuilt |= now.saturating_sub(self.started_at) >= self.hold_time
             || (self.knows_cells && self.cells.values().all(|entry| entry.has_reported));
+        if self.is_rebuilt {
+            self.rebuilt_at.get_or_insert(now);
+        }
         let allowances = (report.workspaces.iter())
             .map(|reported| self.allow(&report.cell, reported, now))
             .collect();
@@ -288,7 +298,7 @@
         }
     }
 
-    fn cap(&self, name: &str) -> Amounts {
+    pub(super) fn cap(&self, name: &str) -> Amounts {
         match self.policies.get(name) {
             Some(policy) => amounts(&policy.cap),
             // The workspace was removed before this node became the allocator.
--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -20,6 +20,7 @@
 use crate::allowance::holder::CellAllowances;
 use crate::allowance::holder::ReplyEffect;
 use crate::allowance::is_within;
+use crate::allowance::missing::MissingLimit;
 use crate::allowance::multiply;
 use crate::allowance::report::AllowanceReply;
 use crate::allowance::report::AllowanceReport;
@@ -270,6 +271,14 @@
         (self.caps.allowances).create_report(cell, token, policies, now)
     }
 
+    /// Returns the workspaces whose tasks wait because the cell has no valid limit, for the log.
+    pub fn missing_allowances(&self, now: Duration) -> Vec<MissingLimit> {
+        let policies = self.workspaces.as_ref();
+        policies.map_or_else(Vec::new, |policies| {
+            self.caps.allowances.missing_limits(policies, now)
+        })
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&mut self, version: u64) {
         self.caps.allowances.set_version(version);
--- a/crates/tanager-schedule/tests/allowance.rs
+++ b/crates/tanager-schedule/tests/allowance.rs
@@ -8,10 +8,15 @@
 use tanager_schedule::allowance::Amounts;
 use tanager_schedule::allowance::division::CellDemand;
 use tanager_schedule::allowance::division::divide;
+use tanager_schedule::allowance::holder::CellAllowances;
+use tanager_schedule::allowance::missing::LimitEnd;
 use tanager_schedule::allowance::report::AllowanceReply;
 use tanager_schedule::allowance::report::AllowanceReport;
 use tanager_schedule::allowance::report::WorkspaceReport;
+use tanager_schedule::allowance::request::StartRequest;
+use tanager_schedule::allowance::reservation::is_refused;
 use tanager_schedule::allowance::table::AllowanceTable;
+use tanager_schedule::allowance::table::LIMIT_VALIDITY;
 
 const CAP: Amounts = [10_000, 0, 0];
 const LEASE: Duration = Duration::from_millis(5_700);
@@ -73,6 +78,17 @@
     }
 }
 
+fn policies(cap: u64) -> BTreeMap<String, WorkspacePolicy> {
+    let policy = WorkspacePolicy {
+        weight: 4.0,
+        cap: ResourceAmount {
+            cpu: cap,
+            ..ResourceAmount::default()
+        },
+    };
+    BTreeMap::from([("w".to_owned(), policy)])
+}
+
 fn limit(reply: &Option<AllowanceReply>) -> u64 {
     reply.as_ref().expect("a reply").workspaces[0].limit[0]
 }
@@ -158,3 +174,62 @@
     println!("{} bytes and {entry} for each workspace", one - entry);
     assert!(entry < 300, "{entry} bytes for each workspace");
 }
+
+/// Guards against a refusal whose cause, a cell that keeps more than it uses, is in no log line.
+#[test]
+fn refusal_names_what_is_reserved_elsewhere() {
+    let mut table = table(&["a", "b"]);
+    let at = Duration::from_millis;
+    table.answer(&report("b", 1, 9_500, 500, 0, 0), at(10));
+    let refused = report("a", 1, 0, 0, 8_000, 1_000);
+    let reply = table.answer(&refused, at(400)).expect("a reply");
+    assert!(is_refused(&refused.workspaces[0], &reply.workspaces[0]));
+    let cause = table.refusal_cause(&refused, "w", at(400));
+    assert_eq!((cause.cap, cause.unknown_cells.len()), (CAP, 0));
+    assert_eq!(cause.rebuilt_for, Some(Duration::ZERO));
+    let other = &cause.others[0];
+    assert_eq!(
+        (other.limit, other.sent, other.used),
+        (cpu(9_500), cpu(9_500), cpu(500))
+    );
+    assert_eq!((other.report_age, other.has_owner), (at(390), true));
+    let held: Vec<_> = table
+        .held_cells(at(1_600))
+        .into_iter()
+        .map(|held| held.cell)
+        .collect();
+    assert_eq!(held, vec!["b"]);
+}
+
+/// Guards against a log that doesn't tell a limit that expired from one that was never granted or is
+/// void.
+#[test]
+fn missing_limit_tells_how_it_ended() {
+    let at = Duration::from_millis;
+    let mut held = CellAllowances::default();
+    let terms = policies(CAP[0]);
+    let request = StartRequest {
+        step: 1,
+        amount: cpu(1_000),
+        count: 2,
+        is_gang: false,
+    };
+    held.record_waiting("w", terms.get("w"), &request, 0, at(0));
+    let end = |held: &CellAllowances, cap, now| {
+        let missing = held.missing_limits(&policies(cap), now);
+        missing
+            .first()
+            .map(|missing| (missing.end, missing.ended_for))
+    };
+    assert_eq!(end(&held, CAP[0], at(0)), Some((None, Duration::ZERO)));
+    let sent = held.create_report(&"a".to_owned(), 1, &terms, at(0));
+    let reply = table(&["a"]).answer(&sent, at(5)).expect("a reply");
+    held.apply_reply(&reply, at(10));
+    assert_eq!(end(&held, CAP[0], at(10)), None);
+    held.set_version(2);
+    let void = Some((Some(LimitEnd::Void), Duration::ZERO));
+    assert_eq!(end(&held, 5_000, at(20)), void);
+    held.create_report(&"a".to_owned(), 1, &terms, LIMIT_VALIDITY);
+    let expired = Some((Some(LimitEnd::Expired), at(1_000)));
+    assert_eq!(end(&held, CAP[0], LIMIT_VALIDITY + at(1_000)), expired);
+}
--- a/crates/tanager-service/src/allowance_exchange.rs
+++ b/crates/tanager-service/src/allowance_exchange.rs
@@ -14,12 +14,13 @@
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::WorkspacePolicy;
-use tanager_schedule::allowance::holder::LimitChange;
 use tanager_schedule::allowance::report::AllowanceReport;
 use tanager_schedule::allowance::report::AllowanceResponse;
 use tanager_schedule::allowance::table::AllowanceTable;
 use tokio::time;
 
+use crate::allowance_log::HolderLog;
+use crate::allowance_log::TableLog;
 use crate::cell::CellHandle;
 use crate::membership::NODE_DEATH_TIMEOUT;
 use crate::node::NodeContext;
@@ -36,10 +37,6 @@
 /// Interval between updates of the allocator's cells and caps from the view. Each cell reports up to
 /// 25 times a second.
 const SYNC_PERIOD: Duration = Duration::from_millis(100);
-/// Minimum interval between two log lines about the same workspace in a cell.
-const LOG_PERIOD: Duration = Duration::from_millis(1_000);
-/// Maximum number of workspaces with log lines in one such interval.
-const MAX_LOGGED_WORKSPACES: usize = 32;
 
 /// State of the allocator.
 #[derive(Debug)]
@@ -52,6 +49,7 @@
     table: AllowanceTable,
     synced_at: Option<Duration>,
     is_rebuilt: bool,
+    log: TableLog,
 }
 
 impl Allocator {
@@ -64,6 +62,7 @@
                 table,
                 synced_at: None,
                 is_rebuilt: false,
+                log: TableLog::default(),
             }),
         }
     }
@@ -111,6 +110,7 @@
         if has_all_pools && view.has_read_owners {
             self.table.set_cells(&job_cells(view), now);
         }
+        self.log.record_held_cells(&self.table.held_cells(now));
     }
 }
 
@@ -165,6 +165,10 @@
             state.table.workspaces().len()
         );
     }
+    let state = &mut *state;
+    if let Some(reply) = &reply {
+        (state.log).record_refusals(&state.table, report, reply, now);
+    }
     match reply {
         Some(reply) => AllowanceResponse::Granted(reply),
         None => AllowanceResponse::Outdated,
@@ -176,7 +180,7 @@
 pub async fn run(cell: Arc<CellHandle>) {
     let clock = cell.context.clock;
     let mut closed = cell.closed();
-    let mut log = RefusalLog::default();
+    let mut log = HolderLog::default();
     while !cell.is_closed() {
         let now = clock.now();
         let due = cell.core().allowance_report_due(now);
@@ -194,10 +198,16 @@
 }
 
 /// Sends one report; returns the pause before the next one.
-async fn exchange(cell: &Arc<CellHandle>, log: &mut RefusalLog) -> Duration {
+async fn exchange(cell: &Arc<CellHandle>, log: &mut HolderLog) -> Duration {
     let context = &cell.context;
     let sent_at = context.clock.now();
-    let report = (cell.core()).create_allowance_report(&cell.name, cell.token, sent_at);
+    let (missing, report) = {
+        let mut core = cell.core();
+        let missing = core.missing_allowances(sent_at);
+        let report = core.create_allowance_report(&cell.name, cell.token, sent_at);
+        (missing, report)
+    };
+    log.record_missing(&cell.name, &missing, sent_at);
     let response = match context.cell(ALLOCATOR_CELL) {
         Some(_) => Ok(answer(context, &report)),
         None => send(context, &report).await,
@@ -207,6 +217,7 @@
         Ok(AllowanceResponse::Granted(reply)) => cell.core().apply_allowance_reply(&reply, now),
         response => {
             cell.core().abandon_allowance_report();
+            log.unanswered += 1;
             log::debug!(
                 "event=allowance_not_reported cell={} number={} response={response:?}",
                 cell.name,
@@ -223,9 +234,8 @@
                 now.saturating_sub(sent_at)
             );
         }
-        for refusal in &effect.refusals {
-            log.record(cell, refusal, now);
-        }
+        log.unanswered = 0;
+        log.record_refusals(&cell.name, &effect.refusals, now);
         cell.run_decisions();
     }
     Duration::ZERO
@@ -249,29 +259,3 @@
         .report_allowance(address, report, REPORT_TIMEOUT)
         .await
 }
-
-/// Logs limits that are too small for waiting tasks, at a limited rate.
-#[derive(Default)]
-struct RefusalLog {
-    logged_at: BTreeMap<WorkspaceName, Duration>,
-}
-
-impl RefusalLog {
-    fn record(&mut self, cell: &CellHandle, refusal: &LimitChange, now: Duration) {
-        (self.logged_at).retain(|_, logged| now.saturating_sub(*logged) < LOG_PERIOD);
-        let is_logged = self.logged_at.contains_key(&refusal.workspace);
-        if is_logged || self.logged_at.len() >= MAX_LOGGED_WORKSPACES {
-            return;
-        }
-        self.logged_at.insert(refusal.workspace.clone(), now);
-        log::info!(
-            "event=allowance_refused cell={} workspace={:?} limit={:?} before={:?} used={:?} wanted={:?}",
-            cell.name,
-            refusal.workspace,
-            refusal.limit,
-            refusal.before,
-            refusal.used,
-            refusal.wanted
-        );
-    }
-}
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod admission;
 pub mod allowance_exchange;
+mod allowance_log;
 pub mod authentication;
 pub mod batch_limits;
 pub mod cancellations;
