Bound the usage after a takeover by the stored capacity of each worker

Measured by the users: allowance_refused cell=jeti8c/0 used=[, ..] from 35 to 41 s, in a cell of some 4,500 cores, and limit=[0, 0, 0] on other cells of that workspace.

Cause: after a takeover, tasks that may run on unreported workers count as running, up to the capacity of these workers. A worker that is only in the ledger has an entry without capacity, and one such worker removed the bound: each waiting task of each job counted.

Change: the ledger's row of a worker has its capacity (optional). The bound of an unreported worker is the larger of that and of its entry, or the largest capacity in the fleet and the ledger for rows of earlier versions, or none if no capacity is known, as before. A worker that is only in the ledger keeps its capacity in the next owner's ledger.

Why it holds: an owner starts tasks on a worker only within the capacity of the entry that it has, and the worker is in the ledger before that. With rows of earlier versions the bound is the largest known worker, so it could be too low for a worker larger than any that is listed.

--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -10,6 +10,7 @@
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::StepSpec;
 use tanager_jobs::TaskKey;
+use tanager_jobs::WorkerEntry;
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::FencingToken;
 use tanager_jobs::ids::WorkspaceName;
@@ -31,6 +32,8 @@
 use crate::job::TaskPhase;
 use crate::rounds::RoundLimits;
 use crate::settings::WorkspacePolicy;
+use crate::unconfirmed_usage::FormerCapacities;
+use crate::unconfirmed_usage::sum_bounds;
 
 /// Maximum age of the counted usage. Starts are added to it at once; ends only by the next count.
 const COUNT_PERIOD: Duration = Duration::from_millis(40);
@@ -50,6 +53,8 @@
     /// Jobs that had been failed or cancelled shortly before the takeover: their runs may go on
     /// until they are listed and stopped.
     ended_at_takeover: Vec<JobId>,
+    /// Capacities of the former owner's workers.
+    former_capacities: FormerCapacities,
 }
 
 impl CellCore {
@@ -147,14 +152,29 @@
         }
     }
 
+    /// Sets the capacities of the workers on which the former owner may have runs.
+    pub fn set_former_capacities(&mut self, capacities: FormerCapacities) {
+        self.caps.former_capacities = capacities;
+    }
+
+    /// Returns the capacity of a worker for the ledger: that of its entry, or what the former owner's
+    /// ledger has if the worker is not listed; `None` if neither is known.
+    pub fn ledger_capacity(&self, entry: &WorkerEntry) -> Option<ResourceAmount> {
+        let stored = self.caps.former_capacities.by_worker.get(&entry.worker);
+        let is_known = |capacity: &ResourceAmount| *capacity != ResourceAmount::default();
+        (Some(entry.capacity).filter(is_known)).or_else(|| stored.copied().filter(is_known))
+    }
+
     /// Returns the capacity of the workers that have not reported after a takeover; `None` if the
     /// capacity of one of them is not known.
     fn unconfirmed_capacity(&self) -> Option<Amounts> {
-        (self.unconfirmed_workers.keys()).try_fold(Amounts::default(), |sum, id| {
-            let worker = self.workers.get(*self.workers_by_id.get(id)?)?;
-            let capacity = &worker.entry.capacity;
-            (*capacity != ResourceAmount::default()).then(|| add(&sum, &amounts(capacity)))
-        })
+        let capacities = &self.caps.former_capacities;
+        sum_bounds(self.unconfirmed_workers.keys().map(|id| {
+            let listed = (self.workers_by_id.get(id))
+                .and_then(|key| self.workers.get(*key))
+                .map(|worker| &worker.entry.capacity);
+            capacities.bound(id, listed)
+        }))
     }
 
     fn count_cap_usage(&mut self, now: Duration) {
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod report;
 pub mod rounds;
 pub mod settings;
+pub mod unconfirmed_usage;
 mod unheld_steps;
 pub mod waiting;
 pub mod wave;
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -228,7 +228,7 @@
         (queue, record)
     };
     let mut workers: Vec<LedgerWorker> = (core.ledger_workers(now).iter())
-        .map(LedgerWorker::from_entry)
+        .map(|entry| LedgerWorker::from_entry(entry, core.ledger_capacity(entry)))
         .collect();
     workers.sort_by(|left, right| left.worker.cmp(&right.worker));
     CellWorkersRecord {
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -11,6 +12,7 @@
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::NodeName;
 use tanager_jobs::ids::PoolName;
+use tanager_schedule::unconfirmed_usage::FormerCapacities;
 use tanager_site::store::RowName;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -133,6 +135,10 @@
     /// Start of the worker's incarnation, in milliseconds.
     #[serde(rename = "born_ms")]
     pub started_ms: u64,
+    /// Capacity of the worker, which bounds what may run there if it never reports to the next owner.
+    /// Not in rows of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<ResourceAmount>,
 }
 
 /// Row with the partition of a pool into cells.
@@ -162,13 +168,33 @@
     }
 }
 
+/// Returns the capacities of the workers of a ledger. `fleet` has the capacities of all listed workers:
+/// one of the ledger without a capacity is at most as large as the largest of all.
+pub fn former_capacities(
+    workers: &[LedgerWorker],
+    fleet: impl Iterator<Item = ResourceAmount>,
+) -> FormerCapacities {
+    let by_worker: HashMap<_, _> = (workers.iter())
+        .filter_map(|worker| Some((worker.worker.clone(), worker.capacity?)))
+        .collect();
+    let largest = (fleet.chain(by_worker.values().copied()))
+        .filter(|capacity| *capacity != ResourceAmount::default())
+        .reduce(|largest, capacity| ResourceAmount {
+            cpu: largest.cpu.max(capacity.cpu),
+            memory_mb: largest.memory_mb.max(capacity.memory_mb),
+            gpu: largest.gpu.max(capacity.gpu),
+        });
+    FormerCapacities { by_worker, largest }
+}
+
 impl LedgerWorker {
-    /// Describes a listed worker.
-    pub fn from_entry(entry: &WorkerEntry) -> Self {
+    /// Describes a worker with this capacity.
+    pub fn from_entry(entry: &WorkerEntry, capacity: Option<ResourceAmount>) -> Self {
         Self {
             worker: entry.worker.clone(),
             address: entry.address,
             started_ms: entry.started_ms,
+            capacity,
         }
     }
 
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -51,6 +51,7 @@
 use crate::records::PROGRESS_TABLE;
 use crate::records::WORKERS_KEY;
 use crate::records::cell_row;
+use crate::records::former_capacities;
 use crate::records::pool_of;
 use crate::table_watch;
 
@@ -128,7 +129,13 @@
     core.await_former_workers(&ledger_workers, former_owner, now);
     let mut homes = vec![name.clone()];
     homes.extend(absorbed.iter().cloned());
-    let listed = context.view().workers_in(&homes);
+    let (listed, capacities) = {
+        let view = context.view();
+        let fleet = view.workers.values().map(|entry| entry.capacity);
+        let capacities = former_capacities(&rows.workers.workers, fleet);
+        (view.workers_in(&homes), capacities)
+    };
+    core.set_former_capacities(capacities);
     let unlisted: Vec<_> = (ledger_workers.iter())
         .filter(|entry| !listed.iter().any(|other| other.worker == entry.worker))
         .cloned()
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -7,12 +7,16 @@
 
 use tanager_jobs::FleetConfig;
 use tanager_jobs::PoolConfig;
+use tanager_jobs::ResourceAmount;
+use tanager_jobs::record::decode_record;
 use tanager_service::membership::NODE_DEATH_TIMEOUT;
 use tanager_service::membership::choose_cells_to_acquire;
+use tanager_service::records::CellWorkersRecord;
 use tanager_service::records::LedgerWorker;
 use tanager_service::records::NodeRecord;
 use tanager_service::records::OwnerRecord;
 use tanager_service::records::PoolRecord;
+use tanager_service::records::former_capacities;
 use tanager_service::table_watch::ReadSituation;
 use tanager_service::table_watch::worker_period;
 use tanager_service::view::FleetView;
@@ -320,12 +324,38 @@
         worker: "i-1".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         started_ms: 7,
+        capacity: None,
     };
     let entry = worker.placeholder_entry(&"alpha".to_owned());
     assert!(!entry.draining);
     assert_eq!(entry.capacity.cpu, 0);
 }
 
+/// Guards against an unbounded usage after a takeover from a node of an earlier version, whose rows have
+/// no capacities.
+#[test]
+fn ledger_without_capacities_is_bounded_by_the_fleet() {
+    let row = br#"{"workers":[{"worker":"i-1","address":"127.0.0.1:1","born_ms":7},
+        {"worker":"i-2","address":"127.0.0.1:2","born_ms":7,"capacity":{"cpu":4000,"memory_mb":9000,"gpu":0}}]}"#;
+    let record: CellWorkersRecord = decode_record("a/0", row).expect("a record");
+    let listed = ResourceAmount {
+        cpu: 8_000,
+        memory_mb: 1_000,
+        gpu: 0,
+    };
+    let capacities = former_capacities(&record.workers, [listed].into_iter());
+    assert_eq!(
+        capacities.bound(&"i-1".to_owned(), None),
+        Some([8_000, 9_000, 0])
+    );
+    assert_eq!(
+        capacities.bound(&"i-2".to_owned(), None),
+        Some([4_000, 9_000, 0])
+    );
+    let unknown = former_capacities(&record.workers[..1], [].into_iter());
+    assert_eq!(unknown.bound(&"i-1".to_owned(), None), None);
+}
+
 /// Guards against cells of very different sizes, and against racks that move between cells.
 #[test]
 fn racks_are_assigned_evenly_and_permanently() {
--- a/crates/tanager-service/tests/merging.rs
+++ b/crates/tanager-service/tests/merging.rs
@@ -102,6 +102,7 @@
         worker: name.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         started_ms,
+        capacity: None,
     };
     let statistics = |mean| QueueStatistics {
         mean,
