--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -10,6 +10,7 @@
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::StepSpec;
 use tanager_jobs::TaskKey;
+use tanager_jobs::WorkerEntry;
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::FencingToken;
 use tanager_jobs::ids::WorkspaceName;
@@ -20,6 +21,7 @@
 use crate::allowance::holder::CellAllowances;
 use crate::allowance::holder::ReplyEffect;
 use crate::allowance::is_within;
+use crate::allowance::missing::MissingLimit;
 use crate::allowance::multiply;
 use crate::allowance::report::AllowanceReply;
 use crate::allowance::report::AllowanceReport;
@@ -32,6 +34,8 @@
 use crate::job::TaskPhase;
 use crate::rounds::RoundLimits;
 use crate::settings::WorkspacePolicy;
+use crate::unconfirmed_usage::FormerCapacities;
+use crate::unconfirmed_usage::sum_bounds;
 
 /// Time after its end for which a job's runs may still go on when its cell is taken over.
 const STOPPING_TIME_MS: u64 = 15_000;
@@ -46,6 +50,8 @@
     /// Jobs that had been failed or cancelled shortly before the takeover: their runs may go on
     /// until they are listed and stopped.
     ended_at_takeover: Vec<JobId>,
+    /// Capacities of the former owner's workers.
+    former_capacities: FormerCapacities,
 }
 
 impl CellCore {
@@ -174,14 +180,29 @@
         }
     }
 
+    /// Sets the capacities of the workers on which the former owner may have runs.
+    pub fn set_former_capacities(&mut self, capacities: FormerCapacities) {
+        self.caps.former_capacities = capacities;
+    }
+
+    /// Returns the capacity of a worker for the ledger: that of its entry, or what the former owner's
+    /// ledger has if the worker is not listed; `None` if neither is known.
+    pub fn ledger_capacity(&self, entry: &WorkerEntry) -> Option<ResourceAmount> {
+        let stored = self.caps.former_capacities.by_worker.get(&entry.worker);
+        let is_known = |capacity: &ResourceAmount| *capacity != ResourceAmount::default();
+        (Some(entry.capacity).filter(is_known)).or_else(|| stored.copied().filter(is_known))
+    }
+
     /// Returns the capacity of the workers that have not reported after a takeover; `None` if the
     /// capacity of one of them is not known.
     fn unconfirmed_capacity(&self) -> Option<Amounts> {
-        (self.unconfirmed_workers.keys()).try_fold(Amounts::default(), |sum, id| {
-            let worker = self.workers.get(*self.workers_by_id.get(id)?)?;
-            let capacity = &worker.entry.capacity;
-            (*capacity != ResourceAmount::default()).then(|| add(&sum, &amounts(capacity)))
-        })
+        let capacities = &self.caps.former_capacities;
+        sum_bounds(self.unconfirmed_workers.keys().map(|id| {
+            let listed = (self.workers_by_id.get(id))
+                .and_then(|key| self.workers.get(*key))
+                .map(|worker| &worker.entry.capacity);
+            capacities.bound(id, listed)
+        }))
     }
 
     /// Begins a round of placement.
@@ -271,6 +292,14 @@
         (self.caps.allowances).create_report(cell, token, policies, now)
     }
 
+    /// Returns the workspaces whose tasks wait because the cell has no valid limit, for the log.
+    pub fn missing_allowances(&self, now: Duration) -> Vec<MissingLimit> {
+        let policies = self.workspaces.as_ref();
+        policies.map_or_else(Vec::new, |policies| {
+            self.caps.allowances.missing_limits(policies, now)
+        })
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&mut self, version: u64) {
         self.caps.allowances.set_version(version);
