Report the load of a closed cell without holding the lock of its state

A cell that was closed by a panic while its state was locked was never acquired again, and the node stood still: the test panics::panic_while_the_state_of_a_cell_is_locked hung. The report at the end of an ownership ran in an arm of select! whose value, the guard of the watch channel, lives until the arm ends. The report reads the state of the cell, which closes the cell if a panic left it inconsistent, and closing waits for that guard. The arms now only return.

--- a/crates/tanager-service/src/cell_load.rs
+++ b/crates/tanager-service/src/cell_load.rs
@@ -164,13 +164,16 @@
         overload: OverloadState::default(),
     };
     loop {
-        tokio::select! {
-            () = time::sleep(REPORT_PERIOD) => reporter.report(&cell),
-            _ = closed.wait_for(|closed| *closed) => {
-                // The last second of an ownership is often the one to be explained.
-                reporter.report(&cell);
-                return;
-            }
+        // The arms return only: the receiver locks the state of the channel until they end, and a
+        // report may close the cell.
+        let is_closed = tokio::select! {
+            () = time::sleep(REPORT_PERIOD) => false,
+            _ = closed.wait_for(|closed| *closed) => true,
+        };
+        // The last second of an ownership is often the one to be explained.
+        reporter.report(&cell);
+        if is_closed {
+            return;
         }
     }
 }
