Do not cut a cell's part below its usage of a resource that is not scarce

Cause: divide() cut a part to the fair amount of the scarcest resource and all of its other resources in proportion, the usage included. Where the waiting tasks need more of the scarce resource than the running ones, the part of another resource fell below the usage, and a cell above its limit in any resource starts nothing. It stood still until enough of its tasks had ended, even if it was the only cell and most of the cap was free.

Change: only what a part has above the usage is reduced in proportion.

Why the cap holds: each resource is still cut to what is left of it in its own turn, and later cuts of other resources only lower it. The seeded test checks the sum.

--- a/crates/tanager-schedule/src/allowance/division.rs
+++ b/crates/tanager-schedule/src/allowance/division.rs
@@ -63,7 +63,7 @@
         left = subtract(cap, &parts[first]);
     }
     for resource in by_scarcity(cap, &sum(&parts)) {
-        fill(&mut parts, resource, left[resource], starved);
+        fill(&mut parts, cells, resource, left[resource], starved);
     }
     for (index, cell) in cells.iter().enumerate() {
         if cell.is_waiting() && Some(index) != starved {
@@ -107,8 +107,14 @@
 }
 
 /// Reduces the parts, except one, so that they have at most `left` of a resource, the largest parts
-/// first. The other resources of a part are reduced in proportion.
-fn fill(parts: &mut [Amounts], resource: usize, left: u64, exempt: Option<usize>) {
+/// first.
+fn fill(
+    parts: &mut [Amounts],
+    cells: &[CellDemand],
+    resource: usize,
+    left: u64,
+    exempt: Option<usize>,
+) {
     let mut order: Vec<usize> = (0..parts.len())
         .filter(|&index| Some(index) != exempt)
         .collect();
@@ -119,16 +125,28 @@
         let demand = parts[index][resource];
         let part = demand.min(left / others);
         if part < demand {
-            parts[index] = std::array::from_fn(|other| match other == resource {
-                true => part,
-                false => scale(parts[index][other], part, demand),
-            });
+            parts[index] = reduce(&parts[index], &cells[index].used, resource, part);
         }
         left -= part;
         others -= 1;
     }
 }
 
+/// Reduces a part to `amount` of a resource. What it has of the other resources above the usage is for
+/// waiting tasks and is reduced in proportion to them: a part below the usage in any resource lets no
+/// task start.
+fn reduce(part: &Amounts, used: &Amounts, resource: usize, amount: u64) -> Amounts {
+    let room = part[resource].saturating_sub(used[resource]);
+    let left = amount.saturating_sub(used[resource]);
+    std::array::from_fn(|other| {
+        if other == resource {
+            return amount;
+        }
+        let spare = part[other].saturating_sub(used[other]);
+        part[other] - spare + scale(spare, left, room)
+    })
+}
+
 /// Returns `amount` times `numerator` / `denominator`, rounded down.
 pub(crate) fn scale(amount: u64, numerator: u64, denominator: u64) -> u64 {
     let product = u128::from(amount) * u128::from(numerator);
--- a/crates/tanager-schedule/tests/allowance.rs
+++ b/crates/tanager-schedule/tests/allowance.rs
@@ -3,12 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tanager_jobs::ResourceAmount;
 use tanager_schedule::WorkspacePolicy;
 use tanager_schedule::allowance::Amounts;
+use tanager_schedule::allowance::add;
 use tanager_schedule::allowance::division::CellDemand;
 use tanager_schedule::allowance::division::divide;
 use tanager_schedule::allowance::holder::CellAllowances;
+use tanager_schedule::allowance::is_within;
 use tanager_schedule::allowance::missing::LimitEnd;
 use tanager_schedule::allowance::report::AllowanceReply;
 use tanager_schedule::allowance::report::AllowanceReport;
@@ -102,6 +107,70 @@
     assert_eq!(parts, vec![cpu(5_000), cpu(5_000)]);
 }
 
+/// Guards against a part below what a cell uses of a resource that is not scarce, because its waiting
+/// tasks need more of the scarce one than its running tasks (fmra-atlas-grown, trouble-3: SHORT).
+#[test]
+fn waiting_tasks_of_another_mix_get_what_is_free() {
+    let cap = [10_000, 10_000, 0];
+    let cell = CellDemand {
+        used: [5_000, 1_000, 0],
+        wanted: [1_000, 20_000, 0],
+        smallest: [100, 2_000, 0],
+        ..CellDemand::default()
+    };
+    assert_eq!(
+        divide(&cap, std::slice::from_ref(&cell)),
+        vec![[5_400, 9_000, 0]]
+    );
+    let other = CellDemand {
+        used: [0, 4_000, 0],
+        ..CellDemand::default()
+    };
+    assert_eq!(
+        divide(&cap, &[cell, other]),
+        vec![[5_200, 5_000, 0], [0, 4_000, 0]]
+    );
+}
+
+/// Guards against parts whose sum is above the cap, and against a cell that gets nothing although its
+/// smallest task fits beside all that is in use and no other cell waits.
+#[test]
+fn parts_of_mixed_tasks_are_within_the_cap() {
+    let mut rng = SmallRng::seed_from_u64(47);
+    for _ in 0..20_000 {
+        let cap = [10_000, 10_000, 40];
+        let mut cells: Vec<CellDemand> = (0..rng.random_range(1..6))
+            .map(|_| {
+                let smallest = cap.map(|amount| rng.random_range(0..=amount / 10));
+                let count = rng.random_range(0..50);
+                CellDemand {
+                    used: cap.map(|amount| rng.random_range(0..=amount / 4)),
+                    wanted: smallest.map(|amount| amount * count),
+                    smallest: smallest.map(|amount| amount * count.min(1)),
+                    ..CellDemand::default()
+                }
+            })
+            .collect();
+        let check = |cells: &[CellDemand]| {
+            let parts = divide(&cap, cells);
+            let total = parts.iter().fold([0; 3], |sum, part| add(&sum, part));
+            assert!(is_within(&total, &cap, &cap), "{total:?}: {cells:?}");
+            parts
+        };
+        check(&cells);
+        for cell in &mut cells[1..] {
+            (cell.wanted, cell.smallest) = Default::default();
+        }
+        let parts = check(&cells);
+        let used = cells.iter().fold([0; 3], |sum, cell| add(&sum, &cell.used));
+        let least = add(&used, &cells[0].smallest);
+        if cells[0].wanted != [0; 3] && is_within(&least, &cap, &cap) {
+            let needed = add(&cells[0].used, &cells[0].smallest);
+            assert!(is_within(&needed, &parts[0], &cap), "{parts:?}: {cells:?}");
+        }
+    }
+}
+
 /// Guards against a part that stands idle because it is too small for a waiting task.
 #[test]
 fn parts_consist_of_whole_tasks() {
