Drop calls to the owner of a cell whose callers have given up

Cause, as far as shown here: a call carried no time limit, so an owner that is late handles it like any other one.

Change: calls that lose their use with their caller (submissions, status, numbers of waiting jobs) carry the remaining time in a header, because nodes of former versions reject unknown fields of the message. The node measures the lag of its event loop by the overshoot of a timer of 100 ms; all its tasks run on one thread, so a call that is read now has waited in its socket for at most about that long. If the remaining time is below the lag, the call is refused before it is decoded and counted (tanager_calls_dropped). A cancellation is wanted also when it is late, so it is never dropped. At the entry node the calls of one request share the client's time limit in place of having it each.

--- /dev/null
+++ b/crates/tanager-node/tests/jobs/late_calls.rs
@@ -0,0 +1,68 @@
+//! Calls to owners of cells that answer late or answer less than they are asked.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Method;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use serde_json::json;
+use tanager_http::HttpRequest;
+use tanager_standin::site::HOST;
+use tokio::time;
+
+use crate::CELL;
+use crate::POOL;
+use crate::harness::JobSite;
+use crate::harness::exchange;
+use crate::harness::job_of_steps;
+use crate::harness::new_job_id;
+use crate::small_site;
+
+/// Returns a counter of a node.
+async fn counter(site: &JobSite, node: usize, name: &str) -> u64 {
+    let address = site.nodes[node].ports.admin_address();
+    let request = HttpRequest::new(Method::GET, "/metrics", "");
+    let response = exchange(address, request).await.expect("metrics");
+    let text = String::from_utf8_lossy(&response.body).into_owned();
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.and_then(|line| line.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("no counter {name} in {text}"))
+}
+
+/// Guards against an owner that stores and runs a job after its caller has given up, where it does not
+/// see that the connection was closed, and so spends the time in which it could answer others.
+#[tokio::test(flavor = "multi_thread")]
+async fn submission_whose_caller_gave_up_is_dropped() {
+    let site = small_site(2).await;
+    let owner = site.owner(CELL).await.expect("owner");
+    let id = new_job_id();
+    let body = job_of_steps(&[1], "ms=10").to_string();
+    let queue = format!("{HOST}/{POOL}/");
+    let call = json!({
+        "cell": CELL,
+        "queue": queue,
+        "ask": {"submit": {"id": id, "job": {"body": body}}},
+    });
+    let mut request = HttpRequest::new(Method::POST, "/cell", call.to_string());
+    let remaining = HeaderValue::from_static("400");
+    request
+        .headers
+        .insert("x-remaining-milliseconds", remaining);
+    site.nodes[owner].signal(Signal::SIGSTOP);
+    let address = site.nodes[owner].ports.peer_address();
+    let response = tokio::spawn(exchange(address, request));
+    time::sleep(Duration::from_millis(1_000)).await;
+    site.nodes[owner].signal(Signal::SIGCONT);
+    let response = response.await.expect("a task that ends");
+    let response = response.expect("a response").body;
+    let response: Value = serde_json::from_slice(&response).expect("a response");
+    assert!(response["refused"].is_object(), "{response}");
+    assert_eq!(
+        counter(&site, owner, "tanager_calls_dropped_total").await,
+        1
+    );
+    let path = format!("/{POOL}/{id}");
+    let response = site.request(owner, Method::GET, &path, "").await;
+    assert_eq!(response.expect("a response").status.as_u16(), 410);
+}
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod harness;
 mod identity;
+mod late_calls;
 mod link;
 mod logs;
 mod merging;
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -156,6 +156,12 @@
         .max(MIN_OWNER_TIMEOUT)
 }
 
+/// Returns the time limit of the next call for a request that ends at `deadline`.
+fn remaining_timeout(context: &NodeContext, deadline: Duration) -> Duration {
+    let remaining = deadline.saturating_sub(context.clock.now());
+    remaining.max(MIN_OWNER_TIMEOUT)
+}
+
 async fn submit(
     context: &Arc<NodeContext>,
     caller: &Caller,
@@ -188,6 +194,7 @@
     if !context.knows_former_pools(&queue.key).await {
         return refused("the former pools of the queue are not known yet");
     }
+    let deadline = context.clock.now() + timeout;
     let cells = JobCells::find(context, queue, id);
     if cells.misses_former {
         return refused("a former pool of the queue is not known yet");
@@ -195,6 +202,7 @@
     // The id may have been accepted or cancelled before the queue was assigned to another pool.
     for cell in &cells.former {
         let known = CellOperation::Known(id);
+        let timeout = remaining_timeout(context, deadline);
         match send_cell_request(context, caller, cell, &queue.key, known, timeout).await {
             CellResponse::NotFound => {}
             response @ (CellResponse::Done | CellResponse::Cancelled | CellResponse::Forbidden) => {
@@ -206,6 +214,7 @@
     let Some(cell) = cells.current else {
         return no_workers_yet();
     };
+    let timeout = remaining_timeout(context, deadline);
     let operation = CellOperation::Submit { id, job };
     let response = send_cell_request(context, caller, &cell, &queue.key, operation, timeout).await;
     if response != CellResponse::Done {
@@ -225,6 +234,7 @@
     id: JobId,
     timeout: Duration,
 ) -> HttpResponse {
+    let deadline = context.clock.now() + timeout;
     let cells = JobCells::find(context, queue, id);
     let is_partitioned = cells.current.is_some();
     for cell in cells
@@ -234,6 +244,7 @@
         .chain(&cells.others)
     {
         let operation = CellOperation::Show(id);
+        let timeout = remaining_timeout(context, deadline);
         match send_cell_request(context, caller, cell, &queue.key, operation, timeout).await {
             CellResponse::NotFound => {}
             // The cell has the job, or it cannot be determined now whether it has.
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod allowance_exchange;
 pub mod authentication;
 pub mod batch_limits;
+mod call_guard;
 pub mod cancellations;
 pub mod cell;
 pub mod clock;
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -34,6 +34,8 @@
 
 use crate::admin;
 use crate::allowance_exchange;
+use crate::call_guard;
+use crate::call_guard::CallGuard;
 use crate::cancellations::MAX_REPEATED;
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
@@ -92,6 +94,8 @@
     pub advice_lock: tokio::sync::Mutex<()>,
     /// Limits the number of cancellations that are repeated in the background.
     pub(crate) cancellation_permits: Semaphore,
+    /// State of the calls to and from other nodes.
+    pub(crate) call_guard: CallGuard,
     /// Client of the machine API, if the site has one.
     pub machines: Option<MachineClient>,
     /// Wakes the task that reads the owners of cells.
@@ -329,6 +333,7 @@
             advice: settings.advice_address.map(AdviceClient::new),
             advice_lock: tokio::sync::Mutex::new(()),
             cancellation_permits: Semaphore::new(MAX_REPEATED),
+            call_guard: CallGuard::default(),
             machines: (settings.machines_address)
                 .map(|address| MachineClient::new(address, ORDER_LEASE)),
             incarnation,
@@ -350,6 +355,7 @@
         });
         let node = Self::bind(context).await?;
         table_watch::spawn(&node.context);
+        call_guard::spawn(&node.context);
         log::info!(
             "event=started incarnation={incarnation} client={} peer={} zone={} version={}",
             node.context.settings.client_address,
@@ -443,13 +449,20 @@
         HttpResponse::new(StatusCode::BAD_REQUEST, error.to_string())
     };
     match request.path.as_str() {
-        peers::CELL_PATH => match peers::decode_request::<CellRequest>(&request.body) {
-            Ok(call) => match context.cell(&call.cell) {
-                Some(cell) => peers::encode_response(&cell.handle(call).await),
-                None => peers::encode_response(&CellResponse::NotOwner),
-            },
-            Err(error) => invalid(error),
-        },
+        peers::CELL_PATH => {
+            // Before the call is decoded, since a node that is late has no time to spare.
+            let remaining = peers::remaining_time(&request);
+            if let Some(refusal) = call_guard::drop_late_call(&context, remaining) {
+                return peers::encode_response(&refusal);
+            }
+            match peers::decode_request::<CellRequest>(&request.body) {
+                Ok(call) => match context.cell(&call.cell) {
+                    Some(cell) => peers::encode_response(&cell.handle(call).await),
+                    None => peers::encode_response(&CellResponse::NotOwner),
+                },
+                Err(error) => invalid(error),
+            }
+        }
         peers::RELAY_PATH => match peers::decode_relay_request(&request.body) {
             Ok((call, timeout)) => relay(&context, &call, timeout).await,
             Err(error) => invalid(error),
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -14,6 +14,8 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
@@ -55,6 +57,9 @@
 pub const RELAY_PATH: &str = "/relay";
 /// Path of notifications that owners of cells changed.
 pub const NOTIFY_PATH: &str = "/poke";
+/// Header with the time for which the caller still waits, in milliseconds. Nodes of former versions
+/// ignore it; they reject unknown fields of [`CellRequest`].
+const REMAINING_HEADER: HeaderName = HeaderName::from_static("x-remaining-milliseconds");
 /// Path of requests to drain a worker.
 pub const DRAIN_PATH: &str = "/empty";
 /// Path of reports to the allocator.
@@ -144,6 +149,15 @@
 }
 
 impl CellOperation {
+    /// Returns whether the operation is pointless once its caller has given up. A cancellation is not:
+    /// it is wanted and will be repeated.
+    fn expires(&self) -> bool {
+        matches!(
+            self,
+            Self::Submit { .. } | Self::Known(_) | Self::Show(_) | Self::Waiting
+        )
+    }
+
     /// Returns whether the response depends on all jobs of the cell.
     pub(crate) fn concerns_all_jobs(&self) -> bool {
         matches!(self, Self::Waiting | Self::Load | Self::Workspaces)
@@ -327,7 +341,13 @@
         request: &CellRequest,
         timeout: Duration,
     ) -> TanagerResult<CellResponse> {
-        self.call(address, CELL_PATH, request, timeout).await
+        let mut call = encode_call(address, CELL_PATH, request)?;
+        if request.operation.expires() {
+            let remaining = HeaderValue::from(timeout.as_millis() as u64);
+            call.headers.insert(REMAINING_HEADER, remaining);
+        }
+        let response = self.exchange(address, &call, timeout).await?;
+        decode_response(address, &response)
     }
 
     /// Asks the owner of a cell to drain a worker.
@@ -386,7 +406,8 @@
             body: STANDARD.encode(&request.body),
             timeout_ms: timeout.as_millis() as u64,
         };
-        let response = self.exchange(address, RELAY_PATH, &wire, timeout).await?;
+        let call = encode_call(address, RELAY_PATH, &wire)?;
+        let response = self.exchange(address, &call, timeout).await?;
         if response.status == StatusCode::SERVICE_UNAVAILABLE {
             let millis = std::str::from_utf8(&response.body)
                 .ok()
@@ -413,22 +434,19 @@
         body: &Q,
         timeout: Duration,
     ) -> TanagerResult<A> {
-        let response = self.exchange(address, path, body, timeout).await?;
+        let call = encode_call(address, path, body)?;
+        let response = self.exchange(address, &call, timeout).await?;
         decode_response(address, &response)
     }
 
-    async fn exchange<Q: Serialize>(
+    async fn exchange(
         &self,
         address: SocketAddr,
-        path: &str,
-        body: &Q,
+        request: &HttpRequest,
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
-        let body = serde_json::to_vec(body)
-            .map_err(|error| call_failure(ErrorKind::NotSent, address, error.to_string()))?;
-        let request = HttpRequest::new(Method::POST, path, body);
         let pool = self.pool(address);
-        let result = pool.exchange(&request, timeout).await;
+        let result = pool.exchange(request, timeout).await;
         if result.is_err() {
             // The peer may no longer respond on the other idle connections, either.
             pool.clear();
@@ -437,6 +455,16 @@
     }
 }
 
+fn encode_call(
+    address: SocketAddr,
+    path: &str,
+    body: &impl Serialize,
+) -> TanagerResult<HttpRequest> {
+    let body = serde_json::to_vec(body)
+        .map_err(|error| call_failure(ErrorKind::NotSent, address, error.to_string()))?;
+    Ok(HttpRequest::new(Method::POST, path, body))
+}
+
 fn call_failure(kind: ErrorKind, address: SocketAddr, error: String) -> TanagerError {
     TanagerError::new(kind, "call peer", address.to_string(), error)
 }
@@ -472,6 +500,13 @@
         .map_err(|error| TanagerError::new(ErrorKind::Invalid, "decode call", "peer", error))
 }
 
+/// Returns the time for which the caller of a request to the owner of a cell waited when it sent it;
+/// `None` if it does not say, or if the operation is wanted also when it is late.
+pub fn remaining_time(request: &HttpRequest) -> Option<Duration> {
+    let text = request.header(REMAINING_HEADER.as_str())?;
+    text.parse().ok().map(Duration::from_millis)
+}
+
 /// Encodes the response to a call between nodes.
 pub fn encode_response<T: Serialize>(response: &T) -> HttpResponse {
     match serde_json::to_vec(response) {
