Bound the submissions that wait at the owner of a cell, by sender

What callers saw: a submission that joins hundreds of others waits for the store for 1.5 s and is answered as uncertain, in place of a refusal that says when to come back.

Cause: nothing bounded the submissions of a cell that wait for the store, except that the owner refuses all of them once a transaction takes too long.

The places become fewer with the lag of the owner's loop and the age of the oldest submission that waits. Beyond that the answer is 429 with Retry-After, counted as tanager_refused_intake. An id that is known or being stored is answered as before. Status calls and cancellations take no place; leases, ends and reports do not pass through here.

--- a/crates/tanager-node/tests/jobs/late_calls.rs
+++ b/crates/tanager-node/tests/jobs/late_calls.rs
@@ -1,6 +1,7 @@
 //! Calls to owners of cells that answer late or answer less than they are asked.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use http::HeaderValue;
 use http::Method;
@@ -14,6 +15,7 @@
 use crate::CELL;
 use crate::POOL;
 use crate::harness::JobSite;
+use crate::harness::eventually;
 use crate::harness::exchange;
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
@@ -66,3 +68,52 @@
     let response = site.request(owner, Method::GET, &path, "").await;
     assert_eq!(response.expect("a response").status.as_u16(), 410);
 }
+
+/// Guards against an owner that lets submissions wait until all callers have given up, in place of a
+/// refusal, and against a refused job that runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn flood_beside_a_silent_store_is_refused_at_once() {
+    let site = small_site(1).await;
+    let body = job_of_steps(&[1], "ms=10").to_string();
+    let accepted = format!("/{POOL}/{}", new_job_id());
+    let response = site.request(0, Method::POST, &accepted, &body).await;
+    assert_eq!(response.expect("a response").status.as_u16(), 200);
+    site.standin
+        .set_faults(|faults| faults.store_unresponsive = true);
+    let paths: Vec<String> = (0..400)
+        .map(|_| format!("/{POOL}/{}", new_job_id()))
+        .collect();
+    let submit = async |path: &String| {
+        let started = Instant::now();
+        let response = site.request(0, Method::POST, path, &body).await;
+        (response.expect("a response"), started.elapsed())
+    };
+    let (responses, repeated) = tokio::join!(
+        futures_util::future::join_all(paths.iter().map(submit)),
+        // An accepted job is not refused.
+        submit(&accepted)
+    );
+    assert_eq!(repeated.0.status.as_u16(), 200);
+    let refused: Vec<&String> = (paths.iter().zip(&responses))
+        .filter(|(_, (response, wait))| {
+            response.status.as_u16() == 429
+                && response.header("retry-after").is_some()
+                && *wait < Duration::from_millis(1_400)
+        })
+        .map(|(path, _)| path)
+        .collect();
+    assert!(refused.len() >= 100, "{} refused", refused.len());
+    assert!(counter(&site, 0, "tanager_refused_intake_total").await >= 100);
+    site.standin
+        .set_faults(|faults| faults.store_unresponsive = false);
+    eventually("the owner accepts again", async || {
+        let path = format!("/{POOL}/{}", new_job_id());
+        let response = site.request(0, Method::POST, &path, &body).await;
+        response.is_some_and(|response| response.status.as_u16() == 200)
+    })
+    .await;
+    for path in refused {
+        let response = site.request(0, Method::GET, path, "").await;
+        assert_eq!(response.expect("a response").status.as_u16(), 410, "{path}");
+    }
+}
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod advice;
 pub mod allowance;
 pub mod call_deadline;
+pub mod call_intake;
 pub mod cancellation;
 pub mod capacity;
 pub mod caps;
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -19,6 +19,7 @@
 use tanager_schedule::QueuePolicy;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::WorkspacePolicy;
+use tanager_schedule::call_intake::CallIntake;
 use tanager_schedule::worker_health::StartLimit;
 use tanager_site::worker::WorkerLink;
 use tokio::sync::Notify;
@@ -67,6 +68,8 @@
     pub(crate) refusals: RefusalCounts,
     /// State of the allocator, if this is its cell.
     pub(crate) allocator: Option<Allocator>,
+    /// Submissions that wait for the store.
+    pub(crate) intake: Mutex<CallIntake>,
     /// Permission to send orders to VMs, if this is the coordinator's cell.
     pub(crate) order_gate: Option<Arc<OrderGate>>,
     /// Wakes the exchange with the allocator when tasks wait for a limit.
@@ -134,6 +137,7 @@
             token,
             context,
             ledger: Ledger::new(),
+            intake: Mutex::default(),
             refusals: RefusalCounts::default(),
             siblings: SiblingLoads::default(),
             core: Mutex::new(core),
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -40,6 +40,7 @@
 mod sibling_loads;
 pub mod skipped_rows;
 pub mod store_access;
+mod submission_intake;
 pub mod supervision;
 pub mod table_watch;
 pub mod takeover;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -88,6 +88,7 @@
     CountMetric refused_cap "Jobs refused because a gang exceeds the cap of its workspace";
     CountMetric refused_no_worker "Jobs refused because a task fits on no worker";
     CountMetric refused_store "Jobs refused because the store is away";
+    CountMetric refused_intake "Submissions refused before the job was decoded because too many waited for the store";
     CountMetric jobs_planned "Jobs admitted by a plan in which they end in time";
     CountMetric jobs_delayed "Jobs admitted by a plan in which they end late";
     CountMetric jobs_delegated "Jobs that cells of this node delegated to another cell of their pool";
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -12,6 +12,7 @@
 use tanager_jobs::record::encode_record;
 use tanager_schedule::AdmissionDecision;
 use tanager_schedule::CancelResult;
+use tanager_schedule::call_intake;
 use tanager_schedule::core::JobPhase;
 use tanager_site::job_api::JobStatus;
 use tokio::sync::oneshot;
@@ -31,7 +32,7 @@
 use crate::records::pool_of;
 
 /// Time for which a request waits for the store; after that, its outcome is reported as uncertain.
-pub(crate) const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const STORE_TIMEOUT: Duration = call_intake::MAX_WAIT;
 /// Time for which a worker gets no new tasks after a request to drain it. The coordinator repeats
 /// the request more often.
 const DRAIN_PERIOD: Duration = Duration::from_millis(2_500);
@@ -153,10 +154,15 @@
         if self.core().record(id).is_some() {
             return CellResponse::Done;
         }
+        let _place;
         let receiver = match self.ledger.join(id) {
             Some(receiver) => receiver,
             None if self.core().is_cancelled_early(id) => return CellResponse::Cancelled,
             None => {
+                _place = match self.take_place(&queue, workspace.as_ref(), started) {
+                    Ok(place) => place,
+                    Err(refusal) => return refusal,
+                };
                 let spec = match decode_job(job) {
                     Ok(spec) => spec,
                     Err(error) => return CellResponse::Invalid(error),
@@ -337,7 +343,7 @@
     }
 }
 
-fn overload_refusal(after: Duration, reason: &str) -> CellResponse {
+pub(crate) fn overload_refusal(after: Duration, reason: &str) -> CellResponse {
     CellResponse::Refused {
         retry_after: after.as_secs_f64().ceil().max(1.0) as u64,
         overload: true,
--- /dev/null
+++ b/crates/tanager-service/src/submission_intake.rs
@@ -0,0 +1,57 @@
+//! Places of the submissions that wait for the store at the owner of a cell.
+
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tanager_jobs::ids::WorkspaceName;
+use tanager_schedule::call_intake::CallIntake;
+use tanager_schedule::call_intake::PlaceKey;
+
+use crate::cell::CellHandle;
+use crate::peers::CellResponse;
+use crate::requests::overload_refusal;
+
+/// Place of a submission, which is freed when it is dropped.
+pub(crate) struct SubmissionPlace {
+    cell: Arc<CellHandle>,
+    key: PlaceKey,
+}
+
+impl Drop for SubmissionPlace {
+    fn drop(&mut self) {
+        self.cell.lock_intake().release(self.key);
+    }
+}
+
+impl CellHandle {
+    /// Takes a place for a submission of a workspace or, without workspaces, to a queue. Otherwise
+    /// returns the refusal; the job was not decoded then.
+    pub(crate) fn take_place(
+        self: &Arc<Self>,
+        queue: &str,
+        workspace: Option<&WorkspaceName>,
+        now: Duration,
+    ) -> Result<SubmissionPlace, CellResponse> {
+        let sender = workspace.map_or(queue, |workspace| workspace.as_str());
+        let lag = self.context.call_guard.lag(now);
+        let result = self.lock_intake().admit(sender, lag, now);
+        match result {
+            Ok(key) => Ok(SubmissionPlace {
+                cell: Arc::clone(self),
+                key,
+            }),
+            Err(after) => {
+                self.context.metrics.refused_intake.increment();
+                self.record_refusal(workspace);
+                let reason = "too many submissions wait for the store";
+                Err(overload_refusal(after, reason))
+            }
+        }
+    }
+
+    fn lock_intake(&self) -> MutexGuard<'_, CallIntake> {
+        self.intake.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
