Limit the calls of an entry node to what the owner of a cell answers

Cause: an entry node kept no memory of what the owner of a cell said, or that it said nothing.

Change (call_limits.rs, pure): the calls in flight from an entry node to a cell are limited, by halving what is in flight when calls of at least 0.5 s get no answer (once in 250 ms) and by adding about one with each round of answers; at least one call is in flight, so the end of the silence is seen. Submissions share the free calls by sender as at the owner; questions and cancellations may use all of them. If the owner refuses a sender as a whole (the intake does, and now says so in its answer), the entry node refuses its submissions with the remaining time and passes one on each 0.5 s. A refusal because of the job itself holds for that job only. What is refused here was not passed on, so it has not run: 429 while the owner refuses the sender, 503 while it is silent, both with Retry-After. A cancellation that is not passed on is answered 503 and goes on being repeated. Calls between owners are not limited. A node whose own loop lags by 0.2 s takes a missing answer for no evidence about the owner. Counted as tanager_calls_withheld.

--- a/crates/tanager-node/tests/jobs/late_calls.rs
+++ b/crates/tanager-node/tests/jobs/late_calls.rs
@@ -117,3 +117,51 @@
         assert_eq!(response.expect("a response").status.as_u16(), 410, "{path}");
     }
 }
+
+/// Guards against an entry node that passes every call on to an owner that answers none, so that all
+/// callers wait until their deadlines.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_owner_is_not_asked_for_every_call() {
+    let site = small_site(2).await;
+    let owner = site.owner(CELL).await.expect("owner");
+    let entry = 1 - owner;
+    let address = site.nodes[entry].ports.client_address();
+    let body = job_of_steps(&[1], "ms=10").to_string();
+    let submit = async || {
+        let path = format!("/{POOL}/{}", new_job_id());
+        let mut request = HttpRequest::new(Method::POST, path.as_str(), body.clone());
+        let deadline = HeaderValue::from_static("800");
+        request.headers.insert("x-deadline-milliseconds", deadline);
+        let started = Instant::now();
+        let response = exchange(address, request).await.expect("a response");
+        (path, response, started.elapsed())
+    };
+    site.nodes[owner].signal(Signal::SIGSTOP);
+    let first = futures_util::future::join_all((0..40).map(|_| submit())).await;
+    let second = futures_util::future::join_all((0..40).map(|_| submit())).await;
+    site.nodes[owner].signal(Signal::SIGCONT);
+    let statuses: Vec<u16> = (first.iter())
+        .map(|(_, response, _)| response.status.as_u16())
+        .collect();
+    assert!(statuses.iter().all(|status| *status == 504), "{statuses:?}");
+    let refused: Vec<&String> = (second.iter())
+        .filter(|(_, response, wait)| {
+            response.status.as_u16() == 503
+                && response.header("retry-after").is_some()
+                && *wait < Duration::from_millis(400)
+        })
+        .map(|(path, ..)| path)
+        .collect();
+    assert!(refused.len() >= 20, "{} refused at once", refused.len());
+    assert!(counter(&site, entry, "tanager_calls_withheld_total").await >= 20);
+    // A job that was not passed on has not run, and the node soon accepts again.
+    eventually("the entry node accepts again", async || {
+        site.submit(entry, POOL, &new_job_id(), &job_of_steps(&[1], "ms=10"))
+            .await
+    })
+    .await;
+    for path in refused {
+        let response = site.request(owner, Method::GET, path, "").await;
+        assert_eq!(response.expect("a response").status.as_u16(), 410, "{path}");
+    }
+}
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod allowance;
 pub mod call_deadline;
 pub mod call_intake;
+pub mod call_limits;
 pub mod cancellation;
 pub mod capacity;
 pub mod caps;
--- a/crates/tanager-service/src/delegations.rs
+++ b/crates/tanager-service/src/delegations.rs
@@ -230,6 +230,7 @@
             retry_after: wait.ceil().clamp(1.0, 60.0) as u64,
             overload: true,
             reason: "too much work waits".to_owned(),
+            sender_wide: false,
         })
     }
 
@@ -274,6 +275,7 @@
                 retry_after: 1,
                 overload: false,
                 reason: format!("the job was delegated to {sibling}, which has no owner"),
+                sender_wide: false,
             },
             CellResponse::NotFound => match core.delegations.answer(id) {
                 Some(DelegationAnswer::Accepted) => CellResponse::NotFound,
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -26,6 +26,7 @@
 use crate::authentication::CallRejection;
 use crate::authentication::Caller;
 use crate::authentication::authenticate;
+use crate::call_guard::begin_call;
 use crate::cancellations;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
@@ -190,6 +191,7 @@
         retry_after: 1,
         overload: false,
         reason: reason.to_owned(),
+        sender_wide: false,
     };
     if !context.knows_former_pools(&queue.key).await {
         return refused("the former pools of the queue are not known yet");
@@ -302,6 +304,7 @@
         retry_after: 1,
         overload: false,
         reason: "the pool has no workers yet".to_owned(),
+        sender_wide: false,
     }
 }
 
@@ -428,7 +431,15 @@
     let Some((owner, address)) = owner.filter(|(node, _)| *node != context.settings.node) else {
         return CellResponse::NotOwner;
     };
-    match context.peers.call_cell(address, request, timeout).await {
+    let call = match begin_call(context, request, &owner) {
+        Ok(call) => call,
+        Err(refusal) => return refusal,
+    };
+    let result = context.peers.call_cell(address, request, timeout).await;
+    if let Some(call) = call {
+        call.end(&result);
+    }
+    match result {
         Ok(response) => response,
         Err(error) if error.kind == ErrorKind::NotSent => {
             log::info!(
@@ -462,6 +473,7 @@
             retry_after,
             overload,
             reason,
+            ..
         } => {
             let status = match overload {
                 true => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -96,6 +96,7 @@
     CountMetric jobs_received "Jobs that cells of this node accepted from another cell of their pool";
     CountMetric jobs_uncertain "Submissions answered without knowing whether the job is stored";
     CountMetric jobs_ended "Jobs that ended";
+    CountMetric calls_withheld "Calls to owners that were refused without passing them on";
     CountMetric calls_dropped "Calls of other nodes that were dropped because their callers had given up";
     CountMetric runs_started "Start orders sent";
     CountMetric runs_refused "Start orders that a worker refused";
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -35,6 +35,7 @@
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
 use tanager_schedule::allowance::report::AllowanceResponse;
+use tanager_schedule::call_limits::CallKind;
 use tanager_schedule::capacity::PoolLoad;
 use tanager_site::job_api::JobStatus;
 
@@ -149,6 +150,17 @@
 }
 
 impl CellOperation {
+    /// Returns how an entry node limits the operation; `None` if it does not.
+    pub(crate) fn call_kind(&self) -> Option<CallKind> {
+        match self {
+            Self::Submit { .. } => Some(CallKind::Submission),
+            Self::Known(_) | Self::Show(_) | Self::Waiting | Self::Cancel(_) => {
+                Some(CallKind::Question)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns whether the operation is pointless once its caller has given up. A cancellation is not:
     /// it is wanted and will be repeated.
     fn expires(&self) -> bool {
@@ -188,6 +200,9 @@
         overload: bool,
         /// Reason for the log and the client.
         reason: String,
+        /// Whether the owner refuses every submission of the sender, whatever the job is.
+        #[serde(default, skip_serializing_if = "is_false")]
+        sender_wide: bool,
     },
     /// The job was cancelled before it was accepted, and will never run.
     Cancelled,
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -319,6 +319,7 @@
                     retry_after: STORE_RETRY_S,
                     overload: true,
                     reason: "too many cancellations of unknown jobs".to_owned(),
+                    sender_wide: false,
                 };
             }
             CancelResult::Pending | CancelResult::Unknown => {}
@@ -348,6 +349,7 @@
         retry_after: after.as_secs_f64().ceil().max(1.0) as u64,
         overload: true,
         reason: reason.to_owned(),
+        sender_wide: false,
     }
 }
 
@@ -356,5 +358,6 @@
         retry_after: STORE_RETRY_S,
         overload: false,
         reason: "the store is away".to_owned(),
+        sender_wide: false,
     }
 }
--- a/crates/tanager-service/src/submission_intake.rs
+++ b/crates/tanager-service/src/submission_intake.rs
@@ -46,7 +46,11 @@
                 self.context.metrics.refused_intake.increment();
                 self.record_refusal(workspace);
                 let reason = "too many submissions wait for the store";
-                Err(overload_refusal(after, reason))
+                let mut refusal = overload_refusal(after, reason);
+                if let CellResponse::Refused { sender_wide, .. } = &mut refusal {
+                    *sender_wide = true;
+                }
+                Err(refusal)
             }
         }
     }
