--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -91,6 +91,7 @@
     CountMetric refused_cap "Jobs refused because a gang exceeds the cap of its workspace";
     CountMetric refused_no_worker "Jobs refused because a task fits on no worker";
     CountMetric refused_store "Jobs refused because the store is away";
+    CountMetric refused_intake "Submissions refused before the job was decoded because too many waited for the store";
     CountMetric jobs_planned "Jobs admitted by a plan in which they end in time";
     CountMetric jobs_delayed "Jobs admitted by a plan in which they end late";
     CountMetric jobs_delegated "Jobs that cells of this node delegated to another cell of their pool";
@@ -98,6 +99,8 @@
     CountMetric jobs_received "Jobs that cells of this node accepted from another cell of their pool";
     CountMetric jobs_uncertain "Submissions answered without knowing whether the job is stored";
     CountMetric jobs_ended "Jobs that ended";
+    CountMetric calls_withheld "Calls to owners that were refused without passing them on";
+    CountMetric calls_dropped "Calls of other nodes that were dropped because their callers had given up";
     CountMetric runs_started "Start orders sent";
     CountMetric runs_refused "Start orders that a worker refused";
     CountMetric orders_unanswered "Orders to workers without an answer";
