--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -19,6 +19,9 @@
 use crate::peers::CellResponse;
 use crate::requests::overload_refusal;
 
+/// A call that ends without an answer says nothing about the owner while this node itself is as late
+/// as this.
+const MAX_OWN_LAG: Duration = Duration::from_millis(200);
 /// `Retry-After` in seconds of a call that reached the owner too late.
 const LATE_RETRY_S: u64 = 1;
 
@@ -28,6 +31,99 @@
     limits: Mutex<CallLimits>,
 }
 
+/// A call that is passed on to the owner of a cell. If it is dropped, its outcome is unknown.
+pub(crate) struct PassedCall<'a> {
+    context: &'a NodeContext,
+    cell: &'a str,
+    owner: String,
+    sender: &'a str,
+    kind: CallKind,
+    started: Duration,
+    outcome: CallOutcome,
+}
+
+impl PassedCall<'_> {
+    /// Records the result of the call.
+    pub(crate) fn end(mut self, result: &TanagerResult<CellResponse>) {
+        let now = self.context.clock.now();
+        self.outcome = match result {
+            Ok(CellResponse::Refused {
+                retry_after,
+                sender_wide: true,
+                ..
+            }) => CallOutcome::Refused(Duration::from_secs(*retry_after)),
+            Ok(_) => CallOutcome::Answered,
+            Err(error) if error.kind == ErrorKind::NotSent => CallOutcome::Unknown,
+            // The response may wait in this node's own socket.
+            Err(_) if self.context.recent_lag() >= MAX_OWN_LAG => CallOutcome::Unknown,
+            Err(_) => CallOutcome::Silent(now.saturating_sub(self.started)),
+        };
+    }
+}
+
+impl Drop for PassedCall<'_> {
+    fn drop(&mut self) {
+        let now = self.context.clock.now();
+        let (cell, outcome) = (self.cell, self.outcome);
+        lock(&self.context.call_guard.limits).end(
+            cell,
+            &self.owner,
+            self.sender,
+            self.kind,
+            outcome,
+            now,
+        );
+    }
+}
+
+/// Decides whether a request is passed on to the owner of its cell, and returns the refusal
+/// otherwise. Calls that do not come from clients are not limited (`None`).
+pub(crate) fn begin_call<'a>(
+    context: &'a NodeContext,
+    request: &'a CellRequest,
+    owner: &str,
+) -> Result<Option<PassedCall<'a>>, CellResponse> {
+    let Some(kind) = request.operation.call_kind() else {
+        return Ok(None);
+    };
+    let sender = request.workspace.as_ref();
+    let sender = sender.map_or(request.queue.as_str(), |workspace| workspace.as_str());
+    let (cell, started) = (request.cell.as_str(), context.clock.now());
+    let result = lock(&context.call_guard.limits).begin(cell, owner, sender, kind, started);
+    match result {
+        Ok(()) => Ok(Some(PassedCall {
+            context,
+            cell,
+            owner: owner.to_owned(),
+            sender,
+            kind,
+            started,
+            outcome: CallOutcome::Unknown,
+        })),
+        Err(refusal) => {
+            context.metrics.calls_withheld.increment();
+            log::debug!("event=call_withheld cell={cell} owner={owner} refusal={refusal:?}");
+            Err(withheld_response(refusal))
+        }
+    }
+}
+
+fn withheld_response(refusal: CallRefusal) -> CellResponse {
+    match refusal {
+        CallRefusal::Held(after) => overload_refusal(
+            after,
+            "too many submissions wait at the owner of the cell; this one was not passed on",
+        ),
+        CallRefusal::InFlight(after) => CellResponse::Refused {
+            retry_after: after.as_secs().max(1),
+            overload: false,
+            reason: "the owner of the cell answers too slowly; the request was not passed on"
+                .to_owned(),
+            sender_wide: false,
+        },
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/tanager-service/tests/cell_load.rs
+++ b/crates/tanager-service/tests/cell_load.rs
@@ -23,6 +23,7 @@
         retry_after: 1,
         overload: true,
         reason: String::new(),
+        sender_wide: false,
     };
     load.begin_call().end(&refusal);
     drop(load.begin_call());
