Bound how often the decisions of a cell run

The tick loop (moved to decision_loop.rs) runs them at once if the last round ended 4 ms ago or earlier, else when that time has passed: at most 250 rounds a second however many messages arrive. Ticks without an event stay at 50 ms. All other callers still run decisions directly (drain_worker, cancellation, withdrawal, sync_workers, stored batches, allowances, ended incarnations). Nothing after the changed calls reads the result of a round: a renewal that waits for a commit is woken by the ledger, which a round wakes up to 4 ms later than before.

--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caps;
 pub mod core;
 pub mod crashes;
+pub mod decision_timing;
 pub mod decision_work;
 pub mod delegated_jobs;
 pub mod delegation;
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -24,12 +24,12 @@
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
-use tokio::time;
 
 use crate::absorption::Absorption;
 use crate::access::RefusalCounts;
 use crate::allowance_exchange;
 use crate::allowance_exchange::Allocator;
+use crate::decision_loop;
 use crate::lease_renewal;
 use crate::ledger;
 use crate::ledger::Ledger;
@@ -45,8 +45,6 @@
 /// Maximum number of concurrent orders to one worker. Each needs a connection, and a worker accepts
 /// 64 connections in total.
 const MAX_PARALLEL_ORDERS: usize = 6;
-/// Interval between decisions without an event.
-const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// Idle time after which a connection to a worker is closed.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -71,6 +69,8 @@
     pub(crate) order_gate: Option<Arc<OrderGate>>,
     /// Wakes the exchange with the allocator when tasks wait for a limit.
     pub(crate) allowance_awaited: Notify,
+    /// Notified when decisions are wanted soon.
+    pub(crate) decisions_requested: Notify,
     /// Whether the exchange with the allocator was started.
     exchanges_allowances: AtomicBool,
     /// Loads of the other cells of the pool.
@@ -127,6 +127,7 @@
             allocator,
             order_gate,
             allowance_awaited: Notify::new(),
+            decisions_requested: Notify::new(),
             exchanges_allowances: AtomicBool::new(false),
             name,
             absorbed,
@@ -146,7 +147,7 @@
             return cell;
         }
         cell.spawn_task("ledger", ledger::run(Arc::clone(&cell), versions));
-        cell.spawn_task("tick", tick_loop(Arc::clone(&cell)));
+        cell.spawn_task("tick", decision_loop::run(Arc::clone(&cell)));
         cell.connect_workers();
         cell.spawn_balancing();
         cell.spawn_merging();
@@ -538,14 +539,3 @@
             .map_or_else(String::new, |worker| worker.entry.worker.clone())
     }
 }
-
-/// Runs the decisions regularly, because some depend on time alone.
-async fn tick_loop(cell: Arc<CellHandle>) {
-    let mut closed = cell.closed();
-    loop {
-        tokio::select! {
-            () = time::sleep(TICK_PERIOD) => cell.run_decisions(),
-            _ = closed.wait_for(|closed| *closed) => return,
-        }
-    }
-}
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -91,7 +91,7 @@
                     .metrics
                     .runs_ended
                     .add(report.ended.len() as u64);
-                cell.run_decisions();
+                cell.request_decisions();
                 if !is_known {
                     cell.connect_workers();
                     return;
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -18,6 +18,7 @@
 mod coordinator_cells;
 mod coordinator_records;
 mod coordinator_waves;
+mod decision_loop;
 mod delegated_jobs;
 mod delegations;
 pub mod job_api;
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -134,7 +134,7 @@
         self.log_start(&sent, result, now.saturating_sub(sent_at).as_secs_f64());
         self.core()
             .apply_start_result(worker, task, run, result, now);
-        self.run_decisions();
+        self.request_decisions();
     }
 
     async fn stop(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: RunNumber) {
@@ -165,7 +165,7 @@
         let now = self.context.clock.now();
         self.core()
             .apply_stop_result(worker, task, run, result, now);
-        self.run_decisions();
+        self.request_decisions();
     }
 
     async fn pace(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: RunNumber, percent: u32) {
@@ -228,7 +228,7 @@
         };
         self.core()
             .apply_advice_result(key, result, requested_at, now);
-        self.run_decisions();
+        self.request_decisions();
     }
 
     /// Converts the result of a call into the form that `CellCore` expects.
