--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -97,7 +97,7 @@
                     .runs_ended
                     .add(report.ended.len() as u64);
                 cell.load.add_ends(report.ended.len() as u64);
-                cell.run_decisions();
+                cell.request_decisions();
                 if !is_known {
                     cell.connect_workers();
                     return;
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -22,6 +22,7 @@
 mod coordinator_records;
 mod coordinator_waves;
 pub mod cpu_time;
+mod decision_loop;
 mod delegated_jobs;
 mod delegations;
 pub mod job_api;
