--- a/crates/tanager-schedule/src/allowance/mod.rs
+++ b/crates/tanager-schedule/src/allowance/mod.rs
@@ -12,6 +12,7 @@
 pub mod request;
 pub mod reservation;
 pub mod table;
+pub mod waiting;
 
 use std::time::Duration;
 
