Repeat unconfirmed cancellations with growing pauses and in batches

Cause: the pause between two attempts was 0.7 s whatever the owner said, and repeats of one node did not know of each other.

Change: pauses grow from 0.7 s to 1.8 s with 25% of jitter and follow the Retry-After of the owner within that limit; with the 1.5 s of the call the longest one stays below the 4 s within which a cancellation must take effect in calm. Repeats of one node for one cell go in one call of up to 64, one call at a time; the owner performs and answers each of them on its own, with the access check of its own caller. Every fourth attempt goes alone, because owners of former versions do not know the batch. A cancellation is repeated for 40 s (was 14 times, 10 to 31 s) and a node repeats up to 1,024 (was 256, the others were given up at once).

--- a/crates/tanager-node/tests/jobs/late_calls.rs
+++ b/crates/tanager-node/tests/jobs/late_calls.rs
@@ -21,6 +21,9 @@
 use crate::harness::new_job_id;
 use crate::small_site;
 
+/// Time within which a cancellation takes effect in calm, the least of the deployments.
+const CANCELLATION_LIMIT: Duration = Duration::from_secs(4);
+
 /// Returns a counter of a node.
 async fn counter(site: &JobSite, node: usize, name: &str) -> u64 {
     let address = site.nodes[node].ports.admin_address();
@@ -165,3 +168,54 @@
         assert_eq!(response.expect("a response").status.as_u16(), 410, "{path}");
     }
 }
+
+/// Guards against unconfirmed cancellations that are each repeated with a call of their own, and against
+/// one of them that is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn unconfirmed_cancellations_are_repeated_together() {
+    let site = small_site(2).await;
+    let owner = site.owner(CELL).await.expect("owner");
+    let entry = 1 - owner;
+    let address = site.nodes[entry].ports.client_address();
+    let body = job_of_steps(&[1], "ms=60000");
+    let mut paths = Vec::new();
+    for _ in 0..60 {
+        let id = new_job_id();
+        assert!(site.submit(owner, POOL, &id, &body).await);
+        paths.push(format!("/{POOL}/{id}"));
+    }
+    let cancel = async |path: &String| {
+        let mut request = HttpRequest::new(Method::DELETE, path.as_str(), "");
+        let deadline = HeaderValue::from_static("400");
+        request.headers.insert("x-deadline-milliseconds", deadline);
+        let response = exchange(address, request).await.expect("a response");
+        response.status.as_u16()
+    };
+    site.nodes[owner].signal(Signal::SIGSTOP);
+    let statuses = futures_util::future::join_all(paths.iter().map(cancel)).await;
+    assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
+    time::sleep(Duration::from_millis(1_200)).await;
+    site.nodes[owner].signal(Signal::SIGCONT);
+    let resumed = Instant::now();
+    for path in &paths {
+        eventually("the job is cancelled", async || {
+            let response = site.request(owner, Method::GET, path, "").await;
+            response.is_some_and(|response| {
+                String::from_utf8_lossy(&response.body).contains("cancelled")
+            })
+        })
+        .await;
+    }
+    assert!(
+        resumed.elapsed() < CANCELLATION_LIMIT,
+        "{:?}",
+        resumed.elapsed()
+    );
+    let calls = counter(&site, entry, "tanager_cancellation_batches_total").await;
+    let cancellations = counter(&site, entry, "tanager_cancellations_batched_total").await;
+    assert!(cancellations >= 60, "{cancellations}");
+    assert!(
+        calls <= cancellations / 4,
+        "{calls} calls for {cancellations} cancellations"
+    );
+}
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -9,10 +9,12 @@
 use tanager_http::HttpResponse;
 use tanager_jobs::JobId;
 use tanager_jobs::QueueConfig;
+use tanager_schedule::call_backoff::repeat_pause;
 use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::authentication::Caller;
+use crate::cancellation_batches::cancel_in_batch;
 use crate::job_api::JobCells;
 use crate::job_api::client_response;
 use crate::job_api::no_workers_yet;
@@ -22,15 +24,15 @@
 use crate::peers::CellResponse;
 use crate::supervision::spawn_task;
 
-/// Pause between two attempts to confirm a cancellation; a takeover takes about three seconds.
-const REPEAT_PAUSE: Duration = Duration::from_millis(700);
-/// Number of repeated attempts. With the pauses and the time limits of the attempts they last for
-/// 10 to 30 s, longer than a takeover beside an outage of the store.
-const MAX_REPEATS: u32 = 14;
+/// Time for which an unconfirmed cancellation is repeated, longer than a takeover beside an outage of
+/// the store and an overload of the owner after them.
+const REPEAT_PERIOD: Duration = Duration::from_secs(40);
 /// Time limit of a repeated attempt.
 const REPEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Each such attempt to confirm a cancellation is sent alone, the others in batches.
+const SINGLE_INTERVAL: u32 = 4;
 /// Maximum number of cancellations that a node repeats at the same time.
-pub(crate) const MAX_REPEATED: usize = 256;
+pub(crate) const MAX_REPEATED: usize = 1_024;
 
 /// Cancels a job. If no owner confirms that in time, the client is told so, and the node goes on in
 /// the background. Unlike other requests, it also goes on if the client closes the connection.
@@ -46,17 +48,17 @@
     spawn_task("cancellation", async move {
         let context = task_context;
         let started = context.clock.now();
-        let result = find_and_cancel(&context, &caller, &queue, id, timeout).await;
+        let result = find_and_cancel(&context, &caller, &queue, id, timeout, false).await;
         log::info!(
             "event=cancellation_answered job={id} queue={} answer={result:?} after={:?}{caller}",
             queue.key,
             context.clock.now().saturating_sub(started)
         );
-        let is_final = is_final(&result);
+        let (is_final, retry_after) = (is_final(&result), retry_after(&result));
         // The client may have closed the connection.
         let _ = sender.send(result);
         if !is_final {
-            repeat(&context, &caller, &queue, id).await;
+            repeat(&context, &caller, &queue, id, retry_after).await;
         }
     });
     client_response(receiver.await.unwrap_or(CellResponse::Uncertain))
@@ -70,14 +72,18 @@
     queue: &QueueConfig,
     id: JobId,
     timeout: Duration,
+    is_batched: bool,
 ) -> CellResponse {
     let cells = JobCells::find(context, queue, id);
-    let (cancel, known) = (CellOperation::Cancel(id), CellOperation::Known(id));
     let send =
         |cell, operation| send_cell_request(context, caller, cell, &queue.key, operation, timeout);
+    let cancel = async |cell| match is_batched {
+        true => cancel_in_batch(context, caller, cell, &queue.key, id).await,
+        false => send(cell, CellOperation::Cancel(id)).await,
+    };
     let mut result = CellResponse::NotFound;
     for cell in cells.current.iter().chain(&cells.former) {
-        match send(cell, cancel.clone()).await {
+        match cancel(cell).await {
             CellResponse::NotFound => {}
             response if is_final(&result) => result = response,
             _ => {}
@@ -87,9 +93,9 @@
         return result;
     }
     for cell in &cells.others {
-        match send(cell, known.clone()).await {
+        match send(cell, CellOperation::Known(id)).await {
             CellResponse::NotFound | CellResponse::Cancelled => {}
-            CellResponse::Done => return send(cell, cancel).await,
+            CellResponse::Done => return cancel(cell).await,
             response => return response,
         }
     }
@@ -108,18 +114,39 @@
     matches!(response, Done | NotFound | Forbidden)
 }
 
-async fn repeat(context: &Arc<NodeContext>, caller: &Caller, queue: &QueueConfig, id: JobId) {
+/// Returns the time after which the owner of a cell wants to be asked again.
+fn retry_after(response: &CellResponse) -> Option<Duration> {
+    match response {
+        CellResponse::Refused { retry_after, .. } => Some(Duration::from_secs(*retry_after)),
+        _ => None,
+    }
+}
+
+async fn repeat(
+    context: &Arc<NodeContext>,
+    caller: &Caller,
+    queue: &QueueConfig,
+    id: JobId,
+    mut wanted: Option<Duration>,
+) {
     let Ok(_permit) = context.cancellation_permits.try_acquire() else {
         log::warn!("event=cancellation_not_repeated job={id}{caller}");
         return;
     };
-    for attempt in 1..=MAX_REPEATS {
-        time::sleep(REPEAT_PAUSE).await;
-        let result = find_and_cancel(context, caller, queue, id, REPEAT_TIMEOUT).await;
+    let end = context.clock.now() + REPEAT_PERIOD;
+    let mut attempts = 0;
+    while context.clock.now() < end {
+        attempts += 1;
+        time::sleep(repeat_pause(attempts, wanted, rand::random())).await;
+        // Owners of former versions confirm only cancellations that come alone.
+        let is_batched = attempts % SINGLE_INTERVAL != 0;
+        let timeout = REPEAT_TIMEOUT;
+        let result = find_and_cancel(context, caller, queue, id, timeout, is_batched).await;
         if is_final(&result) {
-            log::info!("event=cancellation_confirmed job={id} attempts={attempt}{caller}");
+            log::info!("event=cancellation_confirmed job={id} attempts={attempts}{caller}");
             return;
         }
+        wanted = retry_after(&result);
     }
-    log::warn!("event=cancellation_unconfirmed job={id} attempts={MAX_REPEATS}{caller}");
+    log::warn!("event=cancellation_unconfirmed job={id} attempts={attempts}{caller}");
 }
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -502,12 +502,13 @@
             StatusCode::FORBIDDEN,
             "the job belongs to another workspace",
         ),
-        // Clients cannot request a load or what operators see, so such a response is treated as a
-        // missing owner.
+        // Clients cannot request a load, what operators see or a batch, so such a response is treated
+        // as a missing owner.
         CellResponse::Load(_)
         | CellResponse::Description(_)
         | CellResponse::Workspaces(_)
         | CellResponse::Located(_)
+        | CellResponse::Many(_)
         | CellResponse::Expired
         | CellResponse::NotOwner => refusal(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod authentication;
 pub mod batch_limits;
 mod call_guard;
+mod cancellation_batches;
 pub mod cancellations;
 pub mod cell;
 pub mod clock;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -98,6 +98,8 @@
     CountMetric jobs_ended "Jobs that ended";
     CountMetric calls_withheld "Calls to owners that were refused without passing them on";
     CountMetric calls_dropped "Calls of other nodes that were dropped because their callers had given up";
+    CountMetric cancellations_batched "Repeated cancellations that were sent together with others";
+    CountMetric cancellation_batches "Calls with such cancellations";
     CountMetric runs_started "Start orders sent";
     CountMetric runs_refused "Start orders that a worker refused";
     CountMetric orders_unanswered "Orders to workers without an answer";
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -36,6 +36,7 @@
 use crate::allowance_exchange;
 use crate::call_guard;
 use crate::call_guard::CallGuard;
+use crate::cancellation_batches::CancellationBatches;
 use crate::cancellations::MAX_REPEATED;
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
@@ -94,6 +95,8 @@
     pub advice_lock: tokio::sync::Mutex<()>,
     /// Limits the number of cancellations that are repeated in the background.
     pub(crate) cancellation_permits: Semaphore,
+    /// Repeated cancellations that wait for a call to the owner of their cell.
+    pub(crate) cancellation_batches: CancellationBatches,
     /// State of the calls to and from other nodes.
     pub(crate) call_guard: CallGuard,
     /// Client of the machine API, if the site has one.
@@ -333,6 +336,7 @@
             advice: settings.advice_address.map(AdviceClient::new),
             advice_lock: tokio::sync::Mutex::new(()),
             cancellation_permits: Semaphore::new(MAX_REPEATED),
+            cancellation_batches: CancellationBatches::default(),
             call_guard: CallGuard::default(),
             machines: (settings.machines_address)
                 .map(|address| MachineClient::new(address, ORDER_LEASE)),
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -120,6 +120,8 @@
     Show(JobId),
     /// Cancel a job.
     Cancel(JobId),
+    /// Cancel jobs, each for its own caller. Owners of former versions do not know the operation.
+    CancelMany(Vec<CancelledJob>),
     /// Accept a job that another cell of the pool delegates.
     Delegate(Box<JobRecord>),
     /// Make certain that a delegated job never runs here, unless it is stored here already.
@@ -154,9 +156,11 @@
     pub(crate) fn call_kind(&self) -> Option<CallKind> {
         match self {
             Self::Submit { .. } => Some(CallKind::Submission),
-            Self::Known(_) | Self::Show(_) | Self::Waiting | Self::Cancel(_) => {
-                Some(CallKind::Question)
-            }
+            Self::Known(_)
+            | Self::Show(_)
+            | Self::Waiting
+            | Self::Cancel(_)
+            | Self::CancelMany(_) => Some(CallKind::Question),
             _ => None,
         }
     }
@@ -176,6 +180,22 @@
     }
 }
 
+/// A job to cancel, with the fields of [`CellRequest`] that depend on the client.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CancelledJob {
+    /// Id of the job.
+    pub id: JobId,
+    /// Key of the queue.
+    pub queue: String,
+    /// Workspace of the client.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
+    /// Whether an operator sent the request.
+    #[serde(default, rename = "operator", skip_serializing_if = "is_false")]
+    pub is_operator: bool,
+}
+
 /// A job as it was submitted. The owner decodes it, which it can skip for a repeated id.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -228,6 +248,8 @@
     Expired,
     /// Cell that runs the job.
     Located(CellName),
+    /// Responses to the parts of a request, in its order.
+    Many(Vec<CellResponse>),
     /// The node does not own the cell.
     NotOwner,
 }
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -1,12 +1,15 @@
 //! Requests that the owner of a cell handles: clients' jobs and the draining of workers.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
 use tanager_jobs::JobSpec;
 use tanager_jobs::JobState;
+use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::WorkerId;
 use tanager_jobs::ids::WorkspaceName;
 use tanager_jobs::record::encode_record;
@@ -22,6 +25,7 @@
 use crate::authentication::Caller;
 use crate::cell::CellHandle;
 use crate::ledger::StoreResult;
+use crate::peers::CancelledJob;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
@@ -95,6 +99,11 @@
                 let caller = request.caller();
                 self.cancel(&request.queue, id, &caller).await
             }
+            CellOperation::CancelMany(jobs) => {
+                let cancellations =
+                    (jobs.iter()).map(|job| self.cancel_one(request.home.as_ref(), job));
+                CellResponse::Many(join_all(cancellations).await)
+            }
             CellOperation::Describe(id) => self.describe_job(id),
             CellOperation::Workspaces => CellResponse::Workspaces(self.workspace_loads()),
             CellOperation::Delegate(record) => self.accept_delegated(*record).await,
@@ -290,6 +299,23 @@
         }
     }
 
+    /// Handles a cancellation that came together with others. The future is boxed, because it is part
+    /// of the one that handles the request for all of them.
+    fn cancel_one<'a>(
+        self: &'a Arc<Self>,
+        home: Option<&CellName>,
+        job: &CancelledJob,
+    ) -> Pin<Box<dyn Future<Output = CellResponse> + Send + 'a>> {
+        Box::pin(self.handle(CellRequest {
+            cell: self.name.clone(),
+            home: home.cloned(),
+            queue: job.queue.clone(),
+            workspace: job.workspace.clone(),
+            is_operator: job.is_operator,
+            operation: CellOperation::Cancel(job.id),
+        }))
+    }
+
     async fn cancel(self: &Arc<Self>, queue: &str, id: JobId, caller: &Caller) -> CellResponse {
         // The cancellation of an unknown job must be found as well when the queue has another pool.
         let is_unknown = self.core().record(id).is_none();
