Limit status calls apart from calls that wait for the store

What callers would see: while the store is silent, the owner leaves cancellations and submissions without an answer within the caller's time, and the entry node would take that for an owner that answers nothing and refuse status calls as well, which the owner answers from memory.

Change: the calls whose answer waits for the store and those that it answers from memory have a limit each. The time limit of repeated cancellations is 1.7 s (was 1.5 s, equal to the time for which the owner waits for the store), so that the owner's answer is not missed by a few milliseconds.

--- a/crates/tanager-schedule/src/call_limits.rs
+++ b/crates/tanager-schedule/src/call_limits.rs
@@ -32,7 +32,9 @@
 pub enum CallKind {
     /// A submission.
     Submission,
-    /// A question about a job or a queue, or a cancellation.
+    /// Cancellations, whose answer waits for the store like that of a submission.
+    Cancellation,
+    /// A question about a job or a queue, which the owner answers from memory.
     Question,
 }
 
@@ -68,10 +70,19 @@
 #[derive(Debug)]
 struct CellCalls {
     owner: String,
+    /// Calls whose answers wait for the store.
+    changes: CallWindow,
+    /// Calls that the owner answers from memory. A silent store does not limit them.
+    questions: CallWindow,
+    senders: HashMap<String, SenderCalls>,
+}
+
+/// Calls in flight and their limit.
+#[derive(Clone, Copy, Debug)]
+struct CallWindow {
     limit: f64,
     in_flight: usize,
     decreased: Option<Duration>,
-    senders: HashMap<String, SenderCalls>,
 }
 
 #[derive(Debug, Default)]
@@ -124,11 +135,10 @@
         }
     }
 
-    /// Returns the number of calls that may be in flight to a cell.
-    pub fn limit(&self, cell: &str) -> f64 {
-        self.cells
-            .get(cell)
-            .map_or(MAX_IN_FLIGHT, |calls| calls.limit)
+    /// Returns the number of calls of a kind that may be in flight to a cell, together with those that
+    /// share its limit.
+    pub fn limit(&self, cell: &str, kind: CallKind) -> f64 {
+        (self.cells.get(cell)).map_or(MAX_IN_FLIGHT, |calls| calls.window(kind).limit)
     }
 }
 
@@ -136,13 +146,26 @@
     fn new(owner: &str) -> Self {
         Self {
             owner: owner.to_owned(),
-            limit: MAX_IN_FLIGHT,
-            in_flight: 0,
-            decreased: None,
+            changes: CallWindow::new(),
+            questions: CallWindow::new(),
             senders: HashMap::new(),
         }
     }
 
+    fn window(&self, kind: CallKind) -> &CallWindow {
+        match kind {
+            CallKind::Submission | CallKind::Cancellation => &self.changes,
+            CallKind::Question => &self.questions,
+        }
+    }
+
+    fn window_mut(&mut self, kind: CallKind) -> &mut CallWindow {
+        match kind {
+            CallKind::Submission | CallKind::Cancellation => &mut self.changes,
+            CallKind::Question => &mut self.questions,
+        }
+    }
+
     /// Forgets what a former owner said. The limit remains, since the load may be the same.
     fn set_owner(&mut self, owner: &str) {
         if self.owner != owner {
@@ -154,12 +177,12 @@
     }
 
     fn begin(&mut self, sender: &str, kind: CallKind, now: Duration) -> Result<(), CallRefusal> {
-        let free = self.limit - self.in_flight as f64;
+        let free = self.window(kind).free();
         let calls = self.senders.get(sender);
         let own = calls.map_or(0, |calls| calls.in_flight);
         let has_room = match kind {
             CallKind::Submission => (own as f64) < SHARE_FACTOR * free,
-            CallKind::Question => free > 0.0,
+            CallKind::Cancellation | CallKind::Question => free > 0.0,
         };
         let held = (calls.and_then(|calls| calls.held))
             .filter(|held| kind == CallKind::Submission && now < held.until);
@@ -170,16 +193,15 @@
             _ if !has_room => return Err(CallRefusal::InFlight(IN_FLIGHT_RETRY)),
             _ => {}
         }
-        let calls = self.senders.entry(sender.to_owned()).or_default();
-        calls.in_flight += 1;
-        calls.held = match (kind, held) {
-            (CallKind::Submission, held) => held.map(|held| SenderHold {
+        self.window_mut(kind).in_flight += 1;
+        if kind == CallKind::Submission {
+            let calls = self.senders.entry(sender.to_owned()).or_default();
+            calls.in_flight += 1;
+            calls.held = held.map(|held| SenderHold {
                 next_probe: now + PROBE_PERIOD,
                 ..held
-            }),
-            (CallKind::Question, _) => calls.held,
-        };
-        self.in_flight += 1;
+            });
+        }
         Ok(())
     }
 
@@ -192,17 +214,21 @@
         now: Duration,
     ) {
         let is_current = self.owner == owner;
+        let window = self.window_mut(kind);
         match outcome {
-            CallOutcome::Silent(wait) if wait >= MIN_SILENCE && is_current => self.decrease(now),
-            CallOutcome::Answered => self.increase(),
+            CallOutcome::Silent(wait) if wait >= MIN_SILENCE && is_current => window.decrease(now),
+            CallOutcome::Answered => window.increase(),
             CallOutcome::Refused(_) | CallOutcome::Silent(_) | CallOutcome::Unknown => {}
         }
-        self.in_flight = self.in_flight.saturating_sub(1);
+        window.in_flight = window.in_flight.saturating_sub(1);
+        if kind != CallKind::Submission {
+            return;
+        }
         let Some(calls) = self.senders.get_mut(sender) else {
             return;
         };
         calls.in_flight = calls.in_flight.saturating_sub(1);
-        if kind == CallKind::Submission && is_current {
+        if is_current {
             match outcome {
                 CallOutcome::Refused(after) => {
                     calls.held = Some(SenderHold {
@@ -218,6 +244,20 @@
             self.senders.remove(sender);
         }
     }
+}
+
+impl CallWindow {
+    fn new() -> Self {
+        Self {
+            limit: MAX_IN_FLIGHT,
+            in_flight: 0,
+            decreased: None,
+        }
+    }
+
+    fn free(&self) -> f64 {
+        self.limit - self.in_flight as f64
+    }
 
     fn increase(&mut self) {
         self.limit = (self.limit + 1.0 / self.limit).min(MAX_IN_FLIGHT);
--- a/crates/tanager-schedule/tests/call_backoff.rs
+++ b/crates/tanager-schedule/tests/call_backoff.rs
@@ -7,7 +7,7 @@
 use tanager_schedule::call_backoff::repeat_pause;
 
 /// Time limit of a repeated call to an owner.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_700);
 /// Time within which a cancellation must take effect in calm, the least of the deployments.
 const EFFECT_LIMIT: Duration = Duration::from_secs(4);
 
--- a/crates/tanager-schedule/tests/call_limits.rs
+++ b/crates/tanager-schedule/tests/call_limits.rs
@@ -73,7 +73,7 @@
 fn limit_grows_again_within_two_seconds_of_answers() {
     let mut limits = CallLimits::default();
     play_silence(&mut limits, ms(0), 10);
-    assert!(limits.limit(CELL) < 2.0);
+    assert!(limits.limit(CELL, CallKind::Submission) < 2.0);
     let mut now = ms(20_000);
     while now < ms(22_000) {
         let count = flood(&mut limits, "a", now);
@@ -82,14 +82,18 @@
             end(&mut limits, "a", CallOutcome::Answered, now);
         }
     }
-    assert!(limits.limit(CELL) > 30.0, "{}", limits.limit(CELL));
+    assert!(
+        limits.limit(CELL, CallKind::Submission) > 30.0,
+        "{}",
+        limits.limit(CELL, CallKind::Submission)
+    );
 }
 
 /// Guards against a node that limits calls because its clients hardly wait.
 #[test]
 fn short_time_limits_of_clients_are_no_silence() {
     let mut limits = CallLimits::default();
-    let before = limits.limit(CELL);
+    let before = limits.limit(CELL, CallKind::Submission);
     for step in 0..50 {
         submit(&mut limits, "a", ms(step * 300)).expect("passed on");
         end(
@@ -99,7 +103,7 @@
             ms(step * 300 + 150),
         );
     }
-    assert!(limits.limit(CELL) >= before);
+    assert!(limits.limit(CELL, CallKind::Submission) >= before);
 }
 
 /// Guards against many calls lost in one stall that close the cell at once.
@@ -117,14 +121,14 @@
             CALL_TIMEOUT,
         );
     }
-    assert_eq!(limits.limit(CELL), 20.0);
+    assert_eq!(limits.limit(CELL, CallKind::Submission), 20.0);
 }
 
 /// Guards against a flood of one workspace that takes the calls of its neighbours and of questions.
 #[test]
 fn flood_leaves_calls_to_others() {
     let mut limits = CallLimits::default();
-    assert!((flood(&mut limits, "flood", ms(0)) as f64) < limits.limit(CELL));
+    assert!((flood(&mut limits, "flood", ms(0)) as f64) < limits.limit(CELL, CallKind::Submission));
     for _ in 0..10 {
         assert!(submit(&mut limits, "neighbour", ms(0)).is_ok());
     }
@@ -178,3 +182,33 @@
     let next = limits.begin(CELL, "node-2", "flood", CallKind::Submission, ms(100));
     assert!(next.is_ok());
 }
+
+/// Guards against status calls that are refused because the store leaves cancellations unanswered.
+#[test]
+fn questions_are_passed_on_beside_unanswered_cancellations() {
+    let mut limits = CallLimits::default();
+    let mut now = ms(0);
+    for _ in 0..10 {
+        let kind = CallKind::Cancellation;
+        let _ = limits.begin(CELL, OWNER, "a", kind, now);
+        now += CALL_TIMEOUT;
+        limits.end(
+            CELL,
+            OWNER,
+            "a",
+            kind,
+            CallOutcome::Silent(CALL_TIMEOUT),
+            now,
+        );
+    }
+    let kind = CallKind::Cancellation;
+    assert!(limits.begin(CELL, OWNER, "a", kind, now).is_ok());
+    assert!(limits.begin(CELL, OWNER, "a", kind, now).is_err());
+    for _ in 0..10 {
+        assert!(
+            limits
+                .begin(CELL, OWNER, "a", CallKind::Question, now)
+                .is_ok()
+        );
+    }
+}
--- a/crates/tanager-service/src/cancellation_batches.rs
+++ b/crates/tanager-service/src/cancellation_batches.rs
@@ -28,8 +28,8 @@
 const COLLECT_PERIOD: Duration = Duration::from_millis(50);
 /// Maximum number of cancellations in a call; the ledger stores them in one transaction.
 const MAX_BATCH: usize = 64;
-/// Time limit of a call.
-const BATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time limit of a call: longer than the owner waits for the store, so that its answer is not missed.
+const BATCH_TIMEOUT: Duration = Duration::from_millis(1_700);
 
 /// Cancellations that wait for a call, by cell. A cell has an entry while a task sends its calls.
 #[derive(Debug, Default)]
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -28,7 +28,7 @@
 /// the store and an overload of the owner after them.
 const REPEAT_PERIOD: Duration = Duration::from_secs(40);
 /// Time limit of a repeated attempt.
-const REPEAT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const REPEAT_TIMEOUT: Duration = Duration::from_millis(1_700);
 /// Each such attempt to confirm a cancellation is sent alone, the others in batches.
 const SINGLE_INTERVAL: u32 = 4;
 /// Maximum number of cancellations that a node repeats at the same time.
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -156,11 +156,8 @@
     pub(crate) fn call_kind(&self) -> Option<CallKind> {
         match self {
             Self::Submit { .. } => Some(CallKind::Submission),
-            Self::Known(_)
-            | Self::Show(_)
-            | Self::Waiting
-            | Self::Cancel(_)
-            | Self::CancelMany(_) => Some(CallKind::Question),
+            Self::Cancel(_) | Self::CancelMany(_) => Some(CallKind::Cancellation),
+            Self::Known(_) | Self::Show(_) | Self::Waiting => Some(CallKind::Question),
             _ => None,
         }
     }
