--- a/crates/tanager-node/tests/jobs/late_calls.rs
+++ b/crates/tanager-node/tests/jobs/late_calls.rs
@@ -107,6 +107,11 @@
         .collect();
     assert!(refused.len() >= 100, "{} refused", refused.len());
     assert!(counter(&site, 0, "tanager_refused_intake_total").await >= 100);
+    eventually("a line tells of the refusals", async || {
+        let text = std::fs::read_to_string(&site.nodes[0].log).expect("a log");
+        text.contains("event=calls_refused dropped=0 not_admitted=")
+    })
+    .await;
     site.standin
         .set_faults(|faults| faults.store_unresponsive = false);
     eventually("the owner accepts again", async || {
--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use tanager_protocol::error::ErrorKind;
@@ -30,6 +32,8 @@
 /// A call that ends without an answer says nothing about the owner while this node itself is as late
 /// as this.
 const MAX_OWN_LAG: Duration = Duration::from_millis(200);
+/// Shortest time between two log lines about refused calls; a flood refuses hundreds a second.
+const LINE_PERIOD: Duration = Duration::from_secs(1);
 /// `Retry-After` in seconds of a call that reached the owner too late.
 const LATE_RETRY_S: u64 = 1;
 
@@ -38,6 +42,29 @@
 pub(crate) struct CallGuard {
     lag: Mutex<TimerLag>,
     limits: Mutex<CallLimits>,
+    refused: RefusedCalls,
+}
+
+/// Calls that were refused since the last log line.
+#[derive(Debug, Default)]
+struct RefusedCalls {
+    dropped: AtomicU64,
+    not_admitted: AtomicU64,
+    withheld: AtomicU64,
+}
+
+impl RefusedCalls {
+    /// Logs the numbers, if there are any, and starts from zero.
+    fn log(&self, lag: Duration) {
+        let [dropped, not_admitted, withheld] =
+            [&self.dropped, &self.not_admitted, &self.withheld].map(|n| n.swap(0, Relaxed));
+        if dropped + not_admitted + withheld > 0 {
+            log::info!(
+                "event=calls_refused dropped={dropped} not_admitted={not_admitted} \
+                 withheld={withheld} lag={lag:?}"
+            );
+        }
+    }
 }
 
 impl CallGuard {
@@ -45,6 +72,11 @@
     pub(crate) fn lag(&self, now: Duration) -> Duration {
         lock(&self.lag).lag(now)
     }
+
+    /// Counts a submission that found no place at its owner.
+    pub(crate) fn record_not_admitted(&self) {
+        self.refused.not_admitted.fetch_add(1, Relaxed);
+    }
 }
 
 /// A call that is passed on to the owner of a cell. If it is dropped, its outcome is unknown.
@@ -118,7 +150,7 @@
         })),
         Err(refusal) => {
             context.metrics.calls_withheld.increment();
-            log::debug!("event=call_withheld cell={cell} owner={owner} refusal={refusal:?}");
+            context.call_guard.refused.withheld.fetch_add(1, Relaxed);
             Err(withheld_response(refusal))
         }
     }
@@ -151,9 +183,15 @@
 }
 
 async fn measure_lag(context: Arc<NodeContext>) -> Infallible {
+    let guard = &context.call_guard;
+    let mut next_line = Duration::ZERO;
     loop {
         let now = context.clock.now();
-        lock(&context.call_guard.lag).record(now, now + LAG_PERIOD);
+        lock(&guard.lag).record(now, now + LAG_PERIOD);
+        if now >= next_line {
+            next_line = now + LINE_PERIOD;
+            guard.refused.log(guard.lag(now));
+        }
         time::sleep(LAG_PERIOD).await;
     }
 }
@@ -169,7 +207,7 @@
         return None;
     }
     context.metrics.calls_dropped.increment();
-    log::debug!("event=call_dropped remaining={remaining:?} lag={lag:?}");
+    context.call_guard.refused.dropped.fetch_add(1, Relaxed);
     Some(CellResponse::Refused {
         retry_after: LATE_RETRY_S,
         overload: false,
--- a/crates/tanager-service/src/submission_intake.rs
+++ b/crates/tanager-service/src/submission_intake.rs
@@ -44,6 +44,7 @@
             }),
             Err(after) => {
                 self.context.metrics.refused_intake.increment();
+                self.context.call_guard.record_not_admitted();
                 self.record_refusal(workspace);
                 let reason = "too many submissions wait for the store";
                 let mut refusal = overload_refusal(after, reason);
