--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -1,9 +1,13 @@
 //! Calls between nodes at both ends: the receiver drops those whose caller has given up, and the
 //! sender keeps to what the owner of a cell can answer.
 
+use std::convert::Infallible;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use tanager_protocol::error::ErrorKind;
@@ -13,15 +17,19 @@
 use tanager_schedule::call_limits::CallLimits;
 use tanager_schedule::call_limits::CallOutcome;
 use tanager_schedule::call_limits::CallRefusal;
+use tokio::time;
 
 use crate::node::NodeContext;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
 use crate::requests::overload_refusal;
+use crate::supervision::spawn_loop;
 
 /// A call that ends without an answer says nothing about the owner while this node itself is as late
 /// as this.
 const MAX_OWN_LAG: Duration = Duration::from_millis(200);
+/// Shortest time between two log lines about refused calls; a flood refuses hundreds a second.
+const LINE_PERIOD: Duration = Duration::from_secs(1);
 /// `Retry-After` in seconds of a call that reached the owner too late.
 const LATE_RETRY_S: u64 = 1;
 
@@ -29,6 +37,36 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallGuard {
     limits: Mutex<CallLimits>,
+    refused: RefusedCalls,
+}
+
+/// Calls that were refused since the last log line.
+#[derive(Debug, Default)]
+struct RefusedCalls {
+    dropped: AtomicU64,
+    not_admitted: AtomicU64,
+    withheld: AtomicU64,
+}
+
+impl RefusedCalls {
+    /// Logs the numbers, if there are any, and starts from zero.
+    fn log(&self, lag: Duration) {
+        let [dropped, not_admitted, withheld] =
+            [&self.dropped, &self.not_admitted, &self.withheld].map(|n| n.swap(0, Relaxed));
+        if dropped + not_admitted + withheld > 0 {
+            log::info!(
+                "event=calls_refused dropped={dropped} not_admitted={not_admitted} \
+                 withheld={withheld} lag={lag:?}"
+            );
+        }
+    }
+}
+
+impl CallGuard {
+    /// Counts a submission that found no place at its owner.
+    pub(crate) fn record_not_admitted(&self) {
+        self.refused.not_admitted.fetch_add(1, Relaxed);
+    }
 }
 
 /// A call that is passed on to the owner of a cell. If it is dropped, its outcome is unknown.
@@ -102,7 +140,7 @@
         })),
         Err(refusal) => {
             context.metrics.calls_withheld.increment();
-            log::debug!("event=call_withheld cell={cell} owner={owner} refusal={refusal:?}");
+            context.call_guard.refused.withheld.fetch_add(1, Relaxed);
             Err(withheld_response(refusal))
         }
     }
@@ -128,6 +166,19 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Starts to log the calls that are refused.
+pub(crate) fn spawn(context: &Arc<NodeContext>) {
+    let context = Arc::clone(context);
+    spawn_loop("refused_calls", move || log_refused(Arc::clone(&context)));
+}
+
+async fn log_refused(context: Arc<NodeContext>) -> Infallible {
+    loop {
+        time::sleep(LINE_PERIOD).await;
+        context.call_guard.refused.log(context.recent_lag());
+    }
+}
+
 /// Returns the response to a call that was just read if its caller, which waited for `remaining`
 /// when it sent the call, has given up.
 pub(crate) fn drop_late_call(
@@ -139,7 +190,7 @@
         return None;
     }
     context.metrics.calls_dropped.increment();
-    log::debug!("event=call_dropped remaining={remaining:?} lag={lag:?}");
+    context.call_guard.refused.dropped.fetch_add(1, Relaxed);
     Some(CellResponse::Refused {
         retry_after: LATE_RETRY_S,
         overload: false,
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod authentication;
 pub mod batch_limits;
 mod call_guard;
+mod cancellation_batches;
 pub mod cancellations;
 pub mod cell;
 pub mod cell_load;
