Take a missing answer of a worker as no evidence while the owner's own loop lagged

Limited workers lose room, three missing answers in a row or one missed renewal take a worker out altogether, and tasks wait beside it.

Cause: a time limit that passes was always read as the silence of the other side. A call takes up to four turns of the owner's loop, so that a lag of a quarter of the limit can use it up.

Change: MissedResponse decides from the largest lag during the call (100 ms for an order of 400 ms; a quarter of the margin of a renewal). Such an order has the result Unread, such a renewal is recorded as unread. Both still count as possibly carried out: the start is repeated with its run number at the same worker, a refusal of a repetition settles nothing, an unread order acknowledges no ends and an unread renewal extends no lease before the next report, because another incarnation may respond. They are no observation, do not count towards the three orders or the renewal that make a worker unavailable, do not turn a start into a stop, and do not close the idle connections to the worker. A dead worker still loses its tasks when its leases expire. Counters: orders_unread, renewals_unread. worker_lost is logged at the first failure that is not the owner's own.

Evidence: with Unread treated as Unknown, four of the nine tests of tests/missed_response.rs fail, the first with `WorkerWeighed { worker: "a", limit: Limited(2), observation: Unanswered(Start) }`; with unread orders left out of the acknowledgement, and unread renewals out of the lease, one fails each. The model has a new case in which owners take half of the missing answers for their own fault.

--- a/crates/tanager-command/src/run_log.rs
+++ b/crates/tanager-command/src/run_log.rs
@@ -180,7 +180,7 @@
         "run_started" | "run_not_started" => RunStep::Ordered {
             result: match fields.get("result")? {
                 "Answered(Accepted)" => StartResult::Accepted,
-                "Unknown" => StartResult::Unanswered,
+                "Unknown" | "Unread" => StartResult::Unanswered,
                 other => StartResult::Refused(other.to_owned()),
             },
             lease_until_ms: fields.number("lease_until_ms")?,
--- a/crates/tanager-command/tests/runs.rs
+++ b/crates/tanager-command/tests/runs.rs
@@ -104,6 +104,10 @@
     start_beside_an_unanswered_order_is_found: [
         started_by(OWNER, 1.0, 1, "a", "Unknown"), started(2.0, 2, "b"),
     ] => [Fault Overlap];
+    /// Guards against the same order if its owner ran late, which is logged with another result.
+    start_beside_an_unread_order_is_found: [
+        started_by(OWNER, 1.0, 1, "a", "Unread"), started(2.0, 2, "b"),
+    ] => [Fault Overlap];
     /// Guards against a late order that is overlooked when it acts on another worker or a later
     /// incarnation, where a report shows the run first.
     unknown_run_beside_a_run_is_found: [
--- a/crates/tanager-schedule/src/drain.rs
+++ b/crates/tanager-schedule/src/drain.rs
@@ -128,7 +128,7 @@
             return false;
         };
         (self.workers.get(worker))
-            .filter(|worker| worker.reported_recently(now) && !worker.renewal_unanswered)
+            .filter(|worker| worker.reported_recently(now) && !worker.misses_renewal())
             .and_then(|worker| worker.runs.get(&task))
             .is_some_and(|run| run.stage == RunStage::Running && run.percent >= 100)
     }
@@ -137,7 +137,7 @@
     pub(crate) fn move_stalled_runs(&mut self, now: Duration) {
         let mut stalled: Vec<(WorkerKey, TaskKey)> = Vec::new();
         for (key, worker) in &self.workers {
-            if !worker.responded_recently(now) || worker.renewal_unanswered {
+            if !worker.responded_recently(now) || worker.misses_renewal() {
                 continue;
             }
             let last_report = worker
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -306,7 +306,7 @@
     pub fn plan_renewal(&mut self, key: WorkerKey, now: Duration) -> Option<RenewalPlan> {
         let lease = self.settings.lease;
         let worker = self.workers.get_mut(key)?;
-        let lease_until_ms = match worker.renewal_unanswered || !worker.responded_recently(now) {
+        let lease_until_ms = match worker.misses_renewal() || !worker.responded_recently(now) {
             true => None,
             false => worker
                 .min_clock_ms(now)
@@ -317,7 +317,7 @@
         }
         // After a missed response, another incarnation with its own numbering of ends may respond
         // under the same id.
-        let is_same_incarnation = !worker.renewal_unanswered && worker.unanswered_orders == 0;
+        let is_same_incarnation = !worker.misses_response();
         let activity = self.activity(key);
         let worker = self.workers.get(key)?;
         Some(RenewalPlan {
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod incarnations;
 pub mod job;
 pub mod merging;
+pub mod missed_response;
 pub mod oldest_first;
 pub mod order_lease;
 pub mod order_token;
--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -38,6 +38,8 @@
     NotSent,
     /// No response; the order may be carried out now or later.
     Unknown,
+    /// As `Unknown`, but the owner itself ran late, so it says nothing about the worker.
+    Unread,
 }
 
 impl CellCore {
@@ -86,9 +88,10 @@
                     job.first_start_at.get_or_insert(now);
                 }
             }
-            OrderResult::Unknown => {
+            OrderResult::Unknown | OrderResult::Unread => {
                 slot.unanswered_starts += 1;
-                if slot.unanswered_starts >= MAX_UNANSWERED_STARTS
+                if result == OrderResult::Unknown
+                    && slot.unanswered_starts >= MAX_UNANSWERED_STARTS
                     && slot.stage == RunStage::Starting
                 {
                     slot.stage = RunStage::Stopping;
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -17,6 +17,7 @@
 use crate::job::TaskPhase;
 use crate::worker::RunSlot;
 use crate::worker::RunStage;
+use crate::worker::UnreadCalls;
 use crate::worker::WorkerKey;
 
 impl CellCore {
@@ -50,6 +51,7 @@
         worker.record_clock(report.clock_ms, now);
         worker.renewal_unanswered = false;
         worker.unanswered_orders = 0;
+        worker.unread_calls = UnreadCalls::default();
         let id = worker.entry.worker.clone();
         self.placement_needed |= was_unusable;
         self.record_renewal_observation(key, true, now);
@@ -82,6 +84,16 @@
         self.store_suspect_runs(key);
     }
 
+    /// Records that the response to a lease renewal may have been missed because this owner ran late.
+    /// Until the next report, the worker may be another incarnation.
+    pub fn record_unread_renewal(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.unread_calls.has_renewal = true;
+        }
+        // The worker may have crashed all the same.
+        self.store_suspect_runs(key);
+    }
+
     /// Replaces the incarnation of a worker that restarted under its id.
     fn restart_incarnation(&mut self, key: WorkerKey, started_ms: u64, now: Duration) {
         let Some(worker) = self.workers.get(key) else {
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -134,6 +134,8 @@
     pub renewal_unanswered: bool,
     /// Orders without a response since the last response.
     pub unanswered_orders: u32,
+    /// Calls without a response since the last report that say nothing about the worker.
+    pub unread_calls: UnreadCalls,
     /// Whether the worker is in the ledger; only then may it be used.
     pub registered: bool,
     /// Runs that may exist.
@@ -162,6 +164,16 @@
     pub lapsed_runs: Vec<CrashedRun>,
 }
 
+/// Kinds of calls whose responses the owner may have missed because it ran late. They are no evidence
+/// against the worker, but each may have been carried out, also by its next incarnation.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UnreadCalls {
+    /// An order.
+    pub has_order: bool,
+    /// The last lease renewal.
+    pub has_renewal: bool,
+}
+
 impl WorkerSlot {
     /// Creates the state of a worker that has not reported yet.
     pub fn new(entry: WorkerEntry, assumed_lease: Duration) -> Self {
@@ -176,6 +188,7 @@
             last_contact: None,
             renewal_unanswered: false,
             unanswered_orders: 0,
+            unread_calls: UnreadCalls::default(),
             registered: false,
             runs: HashMap::new(),
             unconfirmed_starts: HashMap::new(),
@@ -220,6 +233,17 @@
             .is_some_and(|clock| clock > self.lease_sent_ms.max(self.lease_assumed_ms))
     }
 
+    /// Returns whether the last lease renewal had no response, for whatever reason.
+    pub fn misses_renewal(&self) -> bool {
+        self.renewal_unanswered || self.unread_calls.has_renewal
+    }
+
+    /// Returns whether the response to a call was missed, so that another incarnation may respond
+    /// under the same id.
+    pub fn misses_response(&self) -> bool {
+        self.misses_renewal() || self.unanswered_orders > 0 || self.unread_calls.has_order
+    }
+
     /// Returns whether the worker responded recently.
     pub fn responded_recently(&self, now: Duration) -> bool {
         self.last_contact
@@ -345,6 +369,7 @@
             }
             OrderResult::NotSent => self.renewal_unanswered = true,
             OrderResult::Unknown => self.unanswered_orders += 1,
+            OrderResult::Unread => self.unread_calls.has_order = true,
         }
     }
 
--- a/crates/tanager-schedule/src/worker_review.rs
+++ b/crates/tanager-schedule/src/worker_review.rs
@@ -238,6 +238,7 @@
             return;
         };
         let observation = match result {
+            OrderResult::Unread => return,
             OrderResult::Unknown
             | OrderResult::NotSent
             | OrderResult::Answered(OrderAnswer::Unwell) => {
--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -54,6 +54,7 @@
     freezes: false,
     store_outages: false,
     cuts: false,
+    lagging_owners: false,
     poison: 0.0,
     crashing: 0.0,
     moves: false,
@@ -86,6 +87,7 @@
     freezes: true,
     store_outages: true,
     cuts: true,
+    lagging_owners: false,
     poison: 0.1,
     crashing: 0.0,
     moves: true,
@@ -219,6 +221,15 @@
         ..NO_FAULTS
     };
     disconnected_workers: FaultPlan { cuts: true, ..NO_FAULTS };
+    lagging_owners: FaultPlan {
+        lagging_owners: true,
+        late: 0.05,
+        response_lost: 0.05,
+        call_lost: 0.05,
+        crash_every: Duration::from_secs(5),
+        cuts: true,
+        ..NO_FAULTS
+    };
     poison: FaultPlan { poison: 0.3, crash_every: Duration::from_secs(8), ..NO_FAULTS };
     crashing_tasks: FaultPlan { crashing: 0.03, checks_idle_jobs: false, ..NO_FAULTS };
     suspects_stand_still: FaultPlan { crashing: 0.03, ..NO_FAULTS };
--- a/crates/tanager-schedule/tests/model/world.rs
+++ b/crates/tanager-schedule/tests/model/world.rs
@@ -69,6 +69,8 @@
     pub(crate) store_outages: bool,
     /// Whether connections between owners and workers are cut at times.
     pub(crate) cuts: bool,
+    /// Whether owners take half of the calls without a response for missed by themselves.
+    pub(crate) lagging_owners: bool,
     /// Share of jobs whose tasks always fail.
     pub(crate) poison: f64,
     /// Share of jobs whose tasks crash each worker that starts them.
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -6,6 +6,7 @@
 use tanager_jobs::OrderAnswer;
 use tanager_protocol::error::ErrorKind;
 use tanager_schedule::WorkerKey;
+use tanager_schedule::missed_response::MissedResponse;
 use tanager_schedule::order_token::order_token;
 use tanager_schedule::renewal_timing::RenewalTiming;
 use tanager_site::lenient_list::SkippedParts;
@@ -37,6 +38,9 @@
     let mut committed = cell.ledger.committed();
     let mut timing = RenewalTiming::default();
     let mut acknowledged = 0;
+    // Whether `worker_lost` was logged since the last report: several renewals a second fail while a
+    // worker is down.
+    let mut is_lost = false;
     while !cell.is_closed() {
         let sent_at = clock.now();
         let plan_renewal = || cell.core().plan_renewal(key, sent_at);
@@ -62,15 +66,14 @@
             acknowledged: plan.acknowledged,
             wait,
         };
-        let result = connection
-            .link
-            .renew_leases(&renewal, timing.timeout(wait))
-            .await;
+        let timeout = timing.timeout(wait);
+        let limit = timeout.saturating_sub(wait);
+        let result = connection.link.renew_leases(&renewal, timeout).await;
         let now = clock.now();
         match result {
             Ok(RenewalReply::Report(report, skipped)) => {
                 note_skipped(&cell, &worker, &skipped);
-                if timing.failures() > 0 {
+                if std::mem::take(&mut is_lost) {
                     log::info!(
                         "event=worker_regained cell={} worker={worker} failures={}",
                         cell.name,
@@ -127,7 +130,7 @@
                 return;
             }
             Ok(RenewalReply::Refused(answer)) => {
-                if timing.failures() == 0 {
+                if !std::mem::replace(&mut is_lost, true) {
                     let name = &cell.name;
                     log::info!("event=worker_lost cell={name} worker={worker} answer={answer:?}");
                 }
@@ -135,10 +138,13 @@
                 cell.core().record_missed_renewal(key);
                 time::sleep(REFUSAL_PAUSE).await;
             }
+            Err(error) if error.kind != ErrorKind::NotSent && is_unread(&cell, sent_at, limit) => {
+                cell.context.metrics.renewals_unread.increment();
+                cell.core().record_unread_renewal(key);
+                time::sleep(timing.record_failure()).await;
+            }
             Err(error) => {
-                // Log only the first failure: several renewals a second fail while a worker is
-                // down.
-                if timing.failures() == 0 {
+                if !std::mem::replace(&mut is_lost, true) {
                     let name = &cell.name;
                     log::info!("event=worker_lost cell={name} worker={worker} error={error:?}");
                 }
@@ -154,6 +160,12 @@
     }
 }
 
+/// Returns whether the response to a renewal may have been missed because this node ran late.
+fn is_unread(cell: &CellHandle, sent_at: Duration, limit: Duration) -> bool {
+    let lag = cell.context.lag_since(sent_at);
+    MissedResponse::from_lag(lag, limit) == MissedResponse::Unread
+}
+
 /// Counts and logs the entries of a report that cannot be used.
 fn note_skipped(cell: &CellHandle, worker: &str, skipped: &SkippedParts) {
     match skipped.count {
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -101,6 +101,8 @@
     CountMetric runs_started "Start orders sent";
     CountMetric runs_refused "Start orders that a worker refused";
     CountMetric orders_unanswered "Orders to workers without an answer";
+    CountMetric orders_unread "Orders to workers whose answer this node may have missed because its loop lagged";
+    CountMetric renewals_unread "Lease renewals whose answer this node may have missed because its loop lagged";
     CountMetric runs_ended "Ends taken from workers";
     CountMetric runs_adopted "Runs of a former owner found in a report that continue";
     CountMetric unknown_runs_stopped "Runs found in a report that must not continue";
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -14,6 +14,7 @@
 use tanager_schedule::CellAction;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::core::StepKey;
+use tanager_schedule::missed_response::MissedResponse;
 use tanager_schedule::orders::OrderResult;
 use tanager_site::worker::OrderReply;
 use tanager_site::worker::StartOrder;
@@ -116,7 +117,7 @@
         self.load.add_starts(1);
         let result = connection.link.start(&order, ORDER_TIMEOUT).await;
         drop(permit);
-        let result = self.order_result(result);
+        let result = self.order_result(result, sent_at);
         let now = self.context.clock.now();
         self.context
             .metrics
@@ -152,9 +153,10 @@
             return;
         };
         let started_ms = self.started_ms(worker);
+        let sent_at = self.context.clock.now();
         let result = connection.link.stop(task, run, token, ORDER_TIMEOUT).await;
         drop(permit);
-        let result = self.order_result(result);
+        let result = self.order_result(result, sent_at);
         log::info!(
             "event=run_stopped job={} task={task} run={run} worker={} born={started_ms} \
              result={result:?} cell={} token={}",
@@ -176,10 +178,11 @@
         let Some(token) = self.core().order_token(worker, self.token) else {
             return;
         };
+        let sent_at = self.context.clock.now();
         let result = connection
             .link
             .pace(task, run, percent, token, ORDER_TIMEOUT);
-        let result = self.order_result(result.await);
+        let result = self.order_result(result.await, sent_at);
         log::info!(
             "event=run_paced job={} task={task} run={run} percent={percent} result={result:?}",
             task.job
@@ -232,14 +235,24 @@
         self.run_decisions();
     }
 
-    /// Converts the result of a call into the form that `CellCore` expects.
-    fn order_result(&self, result: TanagerResult<OrderReply>) -> OrderResult {
+    /// Converts the result of an order that was sent at `sent_at` into the form that `CellCore`
+    /// expects.
+    fn order_result(&self, result: TanagerResult<OrderReply>, sent_at: Duration) -> OrderResult {
         match result {
             Ok(reply) => OrderResult::Answered(reply.answer),
             Err(error) if error.kind == ErrorKind::NotSent => OrderResult::NotSent,
             Err(_) => {
-                self.context.metrics.orders_unanswered.increment();
-                OrderResult::Unknown
+                let lag = self.context.lag_since(sent_at);
+                match MissedResponse::from_lag(lag, ORDER_TIMEOUT) {
+                    MissedResponse::Unanswered => {
+                        self.context.metrics.orders_unanswered.increment();
+                        OrderResult::Unknown
+                    }
+                    MissedResponse::Unread => {
+                        self.context.metrics.orders_unread.increment();
+                        OrderResult::Unread
+                    }
+                }
             }
         }
     }
