--- a/crates/tanager-schedule/src/allowance/holder.rs
+++ b/crates/tanager-schedule/src/allowance/holder.rs
@@ -14,6 +14,7 @@
 use crate::allowance::is_lowered;
 use crate::allowance::is_served_first;
 use crate::allowance::is_within;
+use crate::allowance::larger;
 use crate::allowance::missing::EndedLimit;
 use crate::allowance::multiply;
 use crate::allowance::report::AllowanceReply;
