Keep sums over the workers instead of adding them up for each decision

Three sums over all workers were made anew for each decision, so that the cost of a cell grew with the square of its workers: the cores of the cell for each ranked step (round_limits), the rate of bad observations on the other workers for each report and answer (HealthRates::baseline), and for each worker and round two lists of its runs (max_runs).

The cores are summed up once after a change of a worker's entry. The runs of a worker are looked at only if it is limited. Decisions are the same but for rounding.

The other tests of the crate were not run on this commit.

--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -1,5 +1,6 @@
 //! Caps of workspaces in a cell: counts what the workspaces use and limits the starts of tasks.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -41,6 +42,8 @@
 pub struct CapState {
     /// Limits that the cell holds.
     pub allowances: CellAllowances,
+    /// Cores of the cell's workers in thousandths, once they were summed up.
+    cell_cpu: Cell<Option<u64>>,
     /// Usage of the workspaces.
     pub(crate) usage: CapUsage,
     /// Jobs that had been failed or cancelled shortly before the takeover: their runs may go on
@@ -48,6 +51,13 @@
     ended_at_takeover: Vec<JobId>,
 }
 
+impl CapState {
+    /// Makes the sum of the cell's cores outdated.
+    pub(crate) fn expire_cores(&mut self) {
+        self.cell_cpu.take();
+    }
+}
+
 impl CellCore {
     fn has_caps(&self) -> bool {
         (self.workspaces.iter())
@@ -328,11 +338,15 @@
         let workspace = workspace?;
         let cap = (self.workspace_policy(workspace))
             .map_or_else(Amounts::default, |policy| amounts(&policy.cap));
-        self.work.add_workers(self.workers.len());
-        let cell_cpu = (self.workers.values())
-            .filter(|worker| !worker.entry.draining)
-            .map(|worker| worker.entry.capacity.cpu)
-            .sum();
+        let cell_cpu = (self.caps.cell_cpu.get()).unwrap_or_else(|| {
+            self.work.add_workers(self.workers.len());
+            let cpu = (self.workers.values())
+                .filter(|worker| !worker.entry.draining)
+                .map(|worker| worker.entry.capacity.cpu)
+                .sum();
+            self.caps.cell_cpu.set(Some(cpu));
+            cpu
+        });
         Some(RoundLimits { cap, cell_cpu })
     }
 
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -25,6 +25,7 @@
 use crate::delegation_table::DelegationTable;
 use crate::durations::DurationTable;
 use crate::durations::QueueDuration;
+use crate::health_rates::HealthRates;
 use crate::job::JobEntry;
 use crate::job::TaskPhase;
 use crate::order_token::IncarnationNumber;
@@ -37,7 +38,6 @@
 use crate::worker::RunStage;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerTable;
-use crate::worker_review::HealthRates;
 
 /// Time after which a start or stop without a response is sent again.
 pub(crate) const RESEND_DELAY: Duration = Duration::from_millis(400);
--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -90,6 +90,7 @@
                     self.placement_needed = true;
                 }
                 worker.entry = entry.clone();
+                self.caps.expire_cores();
                 // An entry without a start says nothing about restarts.
                 worker.entry.started_ms = entry.started_ms.max(known_start);
                 return;
@@ -113,6 +114,7 @@
         let mut slot = WorkerSlot::new(entry.clone(), assumed_lease);
         slot.incarnation = incarnation;
         let key = self.workers.insert(slot);
+        self.caps.expire_cores();
         self.workers_by_id.insert(entry.worker.clone(), key);
     }
 
@@ -165,6 +167,7 @@
         let key = self.workers.insert(slot);
         self.workers_by_id.insert(id, key);
         self.caps.usage.expire_bound();
+        self.caps.expire_cores();
         for (task, slot) in recent {
             self.carry_over(key, task, &slot, now);
         }
@@ -214,6 +217,8 @@
 
     /// Removes a worker that has no runs.
     fn remove_worker(&mut self, key: WorkerKey) {
+        self.health_rates.remove(key);
+        self.caps.expire_cores();
         if let Some(worker) = self.workers.remove(key)
             && self.workers_by_id.get(&worker.entry.worker) == Some(&key)
         {
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod durations;
 pub mod ejection;
 pub mod fair_share;
+pub mod health_rates;
 pub mod incarnations;
 pub mod job;
 pub mod merging;
--- a/crates/tanager-schedule/src/worker_review.rs
+++ b/crates/tanager-schedule/src/worker_review.rs
@@ -3,7 +3,6 @@
 //! Without `CellSettings::weighs_workers` only failures in a row are counted; see
 //! `ejection`.
 
-use std::collections::HashMap;
 use std::mem::discriminant;
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 
 use crate::action::CellEvent;
 use crate::core::CellCore;
+use crate::health_rates::ObservationKind;
 use crate::orders::OrderResult;
 use crate::worker::RunSlot;
 use crate::worker::RunStage;
@@ -19,7 +19,6 @@
 use crate::worker::WorkerSlot;
 use crate::worker_health::CallKind;
 use crate::worker_health::Observation;
-use crate::worker_health::ObservedRate;
 use crate::worker_health::SLOW_RATIO;
 use crate::worker_health::StartLimit;
 use crate::worker_health::WorkerEvidence;
@@ -30,86 +29,19 @@
 /// least every half second.
 const SLOW_MARGIN: Duration = Duration::from_millis(500);
 
-/// Kind of observations that are compared between workers.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum ObservationKind {
-    Failure,
-    Duration,
-    Response(CallKind),
-}
-
-/// Rates of bad observations by kind and queue, for each worker. Responses do not depend on the
-/// queue, which is empty for them.
-#[derive(Debug, Default)]
-pub(crate) struct HealthRates {
-    rates: HashMap<ObservationKind, HashMap<String, HashMap<WorkerKey, ObservedRate>>>,
-}
-
-impl ObservationKind {
-    fn of(observation: Observation) -> Self {
-        match observation {
-            Observation::Succeeded | Observation::Failed { .. } => Self::Failure,
-            Observation::Slow => Self::Duration,
-            Observation::Answered(kind) | Observation::Unanswered(kind) => Self::Response(kind),
-        }
-    }
-}
-
-impl HealthRates {
-    fn record(
-        &mut self,
-        kind: ObservationKind,
-        queue: &str,
-        key: WorkerKey,
-        is_bad: bool,
-        now: Duration,
-    ) {
-        let queues = self.rates.entry(kind).or_default();
-        if !queues.contains_key(queue) {
-            queues.insert(queue.to_owned(), HashMap::new());
-        }
-        if let Some(workers) = queues.get_mut(queue) {
-            workers.entry(key).or_default().record(is_bad, now);
-        }
-    }
-
-    /// Returns the rate on the workers that `is_included` accepts.
-    fn baseline(
-        &self,
-        kind: ObservationKind,
-        queue: &str,
-        is_included: impl Fn(WorkerKey) -> bool,
-    ) -> f64 {
-        let workers = (self.rates.get(&kind)).and_then(|queues| queues.get(queue));
-        let others = (workers.into_iter().flatten())
-            .filter(|(key, _)| is_included(**key))
-            .map(|(_, rate)| *rate);
-        ObservedRate::baseline(others)
-    }
-
-    fn retain(&mut self, is_known: impl Fn(WorkerKey) -> bool) {
-        let workers = (self.rates.values_mut()).flat_map(HashMap::values_mut);
-        for rates in workers {
-            rates.retain(|key, _| is_known(*key));
-        }
-    }
-}
-
 impl CellCore {
     /// Returns the number of runs that may be on a worker.
     pub(crate) fn max_runs(&self, worker: &WorkerSlot, now: Duration) -> usize {
-        match self.settings.weighs_workers {
-            false => usize::MAX,
-            true => {
-                self.work.add_runs(worker.runs.len());
-                let (lasting, others): (Vec<&RunSlot>, Vec<&RunSlot>) =
-                    worker.runs.values().partition(|run| run.has_lasted);
-                let ordered_at = others.iter().map(|run| run.ordered_at);
-                let limit = worker.health.evidence.max_runs(ordered_at, now);
-                // Runs that last would take the place of trials for as long as they do.
-                limit.saturating_add(lasting.len())
-            }
+        let evidence = &worker.health.evidence;
+        if !self.settings.weighs_workers || evidence.start_limit(now) == StartLimit::Unlimited {
+            return usize::MAX;
         }
+        self.work.add_runs(worker.runs.len());
+        let others = worker.runs.values().filter(|run| !run.has_lasted);
+        let limit = evidence.max_runs(others.map(|run| run.ordered_at), now);
+        // Runs that last would take the place of trials for as long as they do.
+        let lasting = worker.runs.values().filter(|run| run.has_lasted).count();
+        limit.saturating_add(lasting)
     }
 
     /// Records a run that succeeded.
@@ -127,7 +59,9 @@
         if slot.is_overdue {
             return;
         }
-        (self.health_rates).record(ObservationKind::Duration, queue, key, false, now);
+        if self.workers.contains_key(key) {
+            (self.health_rates).record(ObservationKind::Duration, queue, key, false, now);
+        }
         self.record_observation(key, queue, Observation::Succeeded, slot.ordered_at, now);
     }
 
@@ -171,6 +105,7 @@
             if let Some(worker) = self.workers.get_mut(other) {
                 worker.health.evidence.withdraw_failure(baseline, now);
             }
+            self.update_ejected(other);
         }
     }
 
@@ -290,23 +225,26 @@
     ) {
         let kind = ObservationKind::of(observation);
         let baseline = self.baseline(kind, queue, key);
-        (self.health_rates).record(kind, queue, key, observation.is_bad(), now);
         if let Some(worker) = self.workers.get_mut(key) {
+            (self.health_rates).record(kind, queue, key, observation.is_bad(), now);
             (worker.health.evidence).record(observation, baseline, started_at, now);
             if observation.is_bad() {
                 worker.health.last_bad = Some((observation, baseline));
             }
         }
+        self.update_ejected(key);
     }
 
     /// Returns the rate of bad observations on the other workers that are not ejected.
     fn baseline(&self, kind: ObservationKind, queue: &str, key: WorkerKey) -> f64 {
-        self.health_rates.baseline(kind, queue, |other| {
-            self.work.add_workers(1);
-            other != key
-                && (self.workers.get(other))
-                    .is_some_and(|worker| !worker.health.evidence.is_ejected())
-        })
+        self.work.add_workers(1 + self.health_rates.ejected_count());
+        self.health_rates.baseline(kind, queue, key)
+    }
+
+    fn update_ejected(&mut self, key: WorkerKey) {
+        let is_ejected =
+            (self.workers.get(key)).is_some_and(|worker| worker.health.evidence.is_ejected());
+        self.health_rates.set_ejected(key, is_ejected);
     }
 
     /// Observes runs that take too long, and ejects the workers with the clearest evidence.
@@ -322,8 +260,8 @@
             }
             self.record_observation(key, &queue, Observation::Slow, started_at, now);
         }
-        let workers = &self.workers;
-        self.health_rates.retain(|key| workers.contains_key(key));
+        self.work.add_workers(self.workers.len());
+        self.health_rates.sum_up();
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         let evidence: Vec<WorkerEvidence> = (self.workers.values())
             .map(|worker| worker.health.evidence)
@@ -341,6 +279,7 @@
                 (true, false) => evidence.release(now),
                 _ => {}
             }
+            self.update_ejected(key);
             self.log_limit(key, now);
         }
     }
