Count dependent steps once in the usage after a takeover

Cause: after a takeover each unaccounted task of a job counted towards its workspace, those of steps that depend on each other included, though a step begins only once all tasks of the steps before it are done. The usage of a workspace with few jobs was overstated by the sum of their later steps.

Evidence: steps_that_depend_on_each_other_do_not_add_up counted 13 cores for a chain of 4, 7 and 2 tasks of one core before, 7 now.

Change: steps of a job are divided into chains, in which each step depends on the one before; a chain counts with the largest amount of each resource that one of its steps reserves.

Why the cap holds: a task that is done never becomes another phase and has no run, so two steps of a chain never run at the same time. This is an upper bound: parallel branches count in full, also where they meet, and a speculative step ends its chain, since copies of its tasks may outlast it.

Not done: to leave out a step because a task of an earlier step is listed as running. A former owner that still runs could see that task end and start the next step on a worker that the new owner has not reached.

--- a/crates/tanager-schedule/src/caps.rs
+++ b/crates/tanager-schedule/src/caps.rs
@@ -33,6 +33,7 @@
 use crate::rounds::RoundLimits;
 use crate::settings::WorkspacePolicy;
 use crate::unconfirmed_usage::FormerCapacities;
+use crate::unconfirmed_usage::concurrent_amounts;
 use crate::unconfirmed_usage::sum_bounds;
 
 /// Maximum age of the counted usage. Starts are added to it at once; ends only by the next count.
@@ -105,15 +106,15 @@
     fn add_unconfirmed_usage<'a>(&'a self, usage: &mut HashMap<&'a str, Amounts>) {
         let capacity = self.unconfirmed_capacity();
         let mut possible: HashMap<&str, (Amounts, Amounts)> = HashMap::new();
-        let mut add_tasks = |workspace, spec: &StepSpec, count: u64| {
+        let mut add_tasks = |workspace, steps: &[StepSpec], counts: &[u64]| {
             let (reserving, best_effort) = possible.entry(workspace).or_default();
+            *reserving = add(reserving, &concurrent_amounts(steps, counts));
             // Best-effort tasks reserve no processor time, so capacity does not limit them.
-            let sum = match spec.fills {
-                true => best_effort,
-                false => reserving,
-            };
-            *sum = add(sum, &multiply(&amounts(&spec.request), count));
+            for (spec, &count) in steps.iter().zip(counts).filter(|(spec, _)| spec.fills) {
+                *best_effort = add(best_effort, &multiply(&amounts(&spec.request), count));
+            }
         };
+        let mut counts = Vec::new();
         for id in &self.open_jobs {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -122,13 +123,14 @@
                 continue;
             };
             for occurrence in job.occurrences.values() {
-                for (spec, step) in job.record.spec.steps.iter().zip(&occurrence.steps) {
+                counts.clear();
+                counts.extend(occurrence.steps.iter().map(|step| {
                     self.work.add_tasks(step.tasks.len());
-                    let count = (step.tasks.iter())
-                        .filter(|task| task.phase == TaskPhase::Unaccounted)
-                        .count();
-                    add_tasks(workspace, spec, count as u64);
-                }
+                    let unaccounted =
+                        (step.tasks.iter()).filter(|task| task.phase == TaskPhase::Unaccounted);
+                    unaccounted.count() as u64
+                }));
+                add_tasks(workspace, &job.record.spec.steps, &counts);
             }
         }
         for id in &self.caps.ended_at_takeover {
@@ -138,9 +140,10 @@
             let Some(workspace) = job.record.workspace.as_deref() else {
                 continue;
             };
-            for spec in &job.record.spec.steps {
-                add_tasks(workspace, spec, u64::from(spec.count));
-            }
+            let steps = &job.record.spec.steps;
+            counts.clear();
+            counts.extend(steps.iter().map(|spec| u64::from(spec.count)));
+            add_tasks(workspace, steps, &counts);
         }
         for (workspace, (reserving, best_effort)) in possible {
             let reserving = match capacity {
--- a/crates/tanager-schedule/src/unconfirmed_usage.rs
+++ b/crates/tanager-schedule/src/unconfirmed_usage.rs
@@ -7,12 +7,14 @@
 use std::collections::HashMap;
 
 use tanager_jobs::ResourceAmount;
+use tanager_jobs::StepSpec;
 use tanager_jobs::ids::WorkerId;
 
 use crate::allowance::Amounts;
 use crate::allowance::add;
 use crate::allowance::amounts;
 use crate::allowance::larger;
+use crate::allowance::multiply;
 
 /// Capacities of the workers of the former owner, from its ledger.
 #[derive(Clone, Debug, Default)]
@@ -46,3 +48,44 @@
         .into_iter()
         .try_fold(Amounts::default(), |sum, bound| Some(add(&sum, &bound?)))
 }
+
+/// Returns the largest amounts that tasks of a job can reserve at the same time, for the number of tasks
+/// of each step that may be running. Best-effort steps are left out.
+///
+/// A step begins once all tasks of the steps that it depends on are done, so of steps that depend on
+/// each other only one runs at a time. Copies of a speculative step's tasks may outlast it.
+pub fn concurrent_amounts(steps: &[StepSpec], counts: &[u64]) -> Amounts {
+    let mut chains: Vec<Chain> = Vec::new();
+    for (number, (step, &count)) in steps.iter().zip(counts).enumerate() {
+        if step.fills {
+            continue;
+        }
+        let amount = multiply(&amounts(&step.request), count);
+        let earlier = (chains.iter_mut())
+            .find(|chain| !chain.is_open_ended && step.after.contains(&chain.last));
+        let last = number as u16;
+        match earlier {
+            Some(chain) => {
+                chain.last = last;
+                chain.is_open_ended = step.speculative;
+                chain.amount = larger(&chain.amount, &amount);
+            }
+            None => chains.push(Chain {
+                last,
+                is_open_ended: step.speculative,
+                amount,
+            }),
+        }
+    }
+    (chains.iter()).fold(Amounts::default(), |sum, chain| add(&sum, &chain.amount))
+}
+
+/// Steps of which each depends on the one before.
+struct Chain {
+    /// Number of the last step.
+    last: u16,
+    /// Whether tasks of the last step may still run when the next one begins.
+    is_open_ended: bool,
+    /// Largest amount of each resource that one of the steps reserves.
+    amount: Amounts,
+}
--- a/crates/tanager-schedule/tests/unconfirmed_usage.rs
+++ b/crates/tanager-schedule/tests/unconfirmed_usage.rs
@@ -149,3 +149,43 @@
         );
     }
 }
+
+fn dependent(count: u32, after: &[u16]) -> StepSpec {
+    StepSpec {
+        after: after.to_vec(),
+        ..step(count)
+    }
+}
+
+fn possible_cores(steps: Vec<StepSpec>) -> u64 {
+    let core = acquired_cell(&[unlisted("a")], FormerCapacities::default(), steps);
+    usage(&core)[0] / 1_000
+}
+
+/// Guards against a job that counts with all of its steps, of which only some can run at the same time.
+#[test]
+fn steps_that_depend_on_each_other_do_not_add_up() {
+    assert_eq!(
+        possible_cores(vec![step(4), dependent(7, &[0]), dependent(2, &[1])]),
+        7
+    );
+    // Two branches and their end.
+    let fork = vec![
+        step(3),
+        dependent(4, &[0]),
+        dependent(5, &[0]),
+        dependent(6, &[1, 2]),
+    ];
+    assert_eq!(possible_cores(fork), 11);
+}
+
+/// Guards against starts above the cap beside steps that do run at the same time.
+#[test]
+fn independent_steps_add_up() {
+    assert_eq!(possible_cores(vec![step(4), step(7)]), 11);
+    let speculative = StepSpec {
+        speculative: true,
+        ..step(4)
+    };
+    assert_eq!(possible_cores(vec![speculative, dependent(7, &[0])]), 11);
+}
