Do not refuse jobs for a backlog that waits for the cap of another workspace

Cause: admission took all unplaced work over all cores as the wait of every job. Tasks that wait for the cap of their workspace cannot use more cores than the cap however many wait. So they made others wait for capacity that was free, and the flooding workspace itself was accepted up to a backlog that its cap cannot work off in time. It does not depend on the cost of decisions.

Change: the backlog is kept by workspace. A job waits until its workspace has worked off its own backlog at its cap, and until the backlogs, each at most at its cap, leave a core (backlog.rs). Without caps the result is the former one; it is never longer for a workspace without a cap.

Not changed: the loads for delegation and for moves of VMs still count a capped backlog in full.

--- a/crates/tanager-schedule/src/admission.rs
+++ b/crates/tanager-schedule/src/admission.rs
@@ -10,6 +10,8 @@
 use tanager_jobs::JobSpec;
 use tanager_jobs::StepSpec;
 
+use crate::backlog::WorkspaceBacklog;
+use crate::backlog::expected_wait;
 use crate::capacity::PoolLoad;
 use crate::core::CellCore;
 use crate::ranking::LONGEST_TASK_FACTOR;
@@ -68,7 +70,7 @@
             // Workers may return within a moment; the stored job waits until then.
             return AdmissionDecision::Accept;
         }
-        let wait = Duration::from_secs_f64(self.ranking.backlog / cores);
+        let wait = self.wait_behind_backlog(workspace, cores);
         let latest = objective(&policy, critical_path).mul_f64(MAX_LATENESS_FACTOR);
         match wait + critical_path > latest {
             true => AdmissionDecision::Overloaded(wait),
@@ -76,6 +78,34 @@
         }
     }
 
+    /// Returns for how long a job of a workspace waits behind the backlog of the cell.
+    fn wait_behind_backlog(&self, workspace: Option<&str>, cores: f64) -> Duration {
+        let ranking = &self.ranking;
+        // The limit of the workspace in this cell may be lower than its cap, but changes all the time.
+        let usable = |workspace: &str| match self.workspace_policy(workspace) {
+            Some(policy) if policy.cap.cpu > 0 => cores.min(policy.cap.cpu as f64 / 1e3),
+            _ => cores,
+        };
+        let mut all: Vec<_> = (ranking.backlog_by_workspace.iter())
+            .map(|(name, &work)| WorkspaceBacklog {
+                work,
+                cores: usable(name),
+            })
+            .collect();
+        let without_workspace = WorkspaceBacklog {
+            work: (ranking.backlog - all.iter().map(|backlog| backlog.work).sum::<f64>()).max(0.0),
+            cores,
+        };
+        all.push(without_workspace);
+        let own = workspace.map_or(without_workspace, |name| WorkspaceBacklog {
+            work: (ranking.backlog_by_workspace.get(name))
+                .copied()
+                .unwrap_or_default(),
+            cores: usable(name),
+        });
+        expected_wait(&own, &all, cores)
+    }
+
     /// Decides on a job for which the load of the cell does not matter; `None` for others.
     pub(crate) fn admit_without_load(
         &mut self,
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod advice;
 pub mod allowance;
+pub mod backlog;
 pub mod call_deadline;
 pub mod call_intake;
 pub mod call_limits;
--- a/crates/tanager-schedule/src/ranking.rs
+++ b/crates/tanager-schedule/src/ranking.rs
@@ -7,12 +7,14 @@
 //! the surge.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
 use tanager_jobs::JobId;
 use tanager_jobs::JobState;
 use tanager_jobs::StepSpec;
+use tanager_jobs::ids::WorkspaceName;
 
 use crate::core::CellCore;
 use crate::core::StepKey;
@@ -63,6 +65,8 @@
     pub added: Vec<StepKey>,
     /// Unplaced processor time of open jobs, in core-seconds.
     pub backlog: f64,
+    /// The part of each workspace, without jobs that have none.
+    pub(crate) backlog_by_workspace: BTreeMap<WorkspaceName, f64>,
     /// Occurrences whose unplaced processor time is included in `backlog`.
     counted: HashSet<(JobId, u32)>,
     /// Time at which all steps were ranked.
@@ -97,9 +101,19 @@
 
 impl StepRanking {
     /// Adds the unplaced processor time of a step's occurrence to the backlog, once.
-    fn count(&mut self, key: StepKey, unplaced: f64) {
-        if self.counted.insert((key.0, key.1)) {
-            self.backlog += unplaced;
+    fn count(&mut self, key: StepKey, workspace: Option<&WorkspaceName>, unplaced: f64) {
+        if !self.counted.insert((key.0, key.1)) {
+            return;
+        }
+        self.backlog += unplaced;
+        let Some(workspace) = workspace else {
+            return;
+        };
+        match self.backlog_by_workspace.get_mut(workspace) {
+            Some(backlog) => *backlog += unplaced,
+            None => {
+                (self.backlog_by_workspace).insert(workspace.clone(), unplaced);
+            }
         }
     }
 
@@ -146,26 +160,31 @@
             ranking.added.clear();
             ranking.counted.clear();
             ranking.backlog = 0.0;
+            ranking.backlog_by_workspace.clear();
             ranking.computed_at = now;
             self.work.add_steps(self.ready.len());
             for &key in &self.ready {
                 let Some((rank, unplaced)) = self.rank(key, now) else {
                     continue;
                 };
-                ranking.count(key, unplaced);
+                ranking.count(key, self.workspace_of(key.0), unplaced);
                 ranking.steps.push((rank, key));
             }
             ranking.steps.sort_by(compare_entries);
         }
         for key in std::mem::take(&mut ranking.added) {
             if let Some((rank, unplaced)) = self.rank(key, now) {
-                ranking.count(key, unplaced);
+                ranking.count(key, self.workspace_of(key.0), unplaced);
                 ranking.insert(rank, key);
             }
         }
         self.ranking = ranking;
     }
 
+    fn workspace_of(&self, id: JobId) -> Option<&WorkspaceName> {
+        self.jobs.get(&id)?.record.workspace.as_ref()
+    }
+
     /// Returns the rank of a step and the unplaced processor time of its occurrence in
     /// core-seconds.
     fn rank(&self, key: StepKey, now: Duration) -> Option<(StepRank, f64)> {
