--- a/crates/tanager-schedule/src/ranking.rs
+++ b/crates/tanager-schedule/src/ranking.rs
@@ -7,6 +7,7 @@
 //! the surge.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -79,6 +80,8 @@
     pub added: Vec<StepKey>,
     /// Unplaced processor time of open jobs, in core-seconds.
     pub backlog: f64,
+    /// The part of each workspace, without jobs that have none.
+    pub(crate) backlog_by_workspace: BTreeMap<WorkspaceName, f64>,
     /// Occurrences whose unplaced processor time is included in `backlog`.
     counted: HashSet<(JobId, u32)>,
     /// Time at which all steps were ranked.
@@ -113,9 +116,19 @@
 
 impl StepRanking {
     /// Adds the unplaced processor time of a step's occurrence to the backlog, once.
-    fn count(&mut self, key: StepKey, unplaced: f64) {
-        if self.counted.insert((key.0, key.1)) {
-            self.backlog += unplaced;
+    fn count(&mut self, key: StepKey, workspace: Option<&WorkspaceName>, unplaced: f64) {
+        if !self.counted.insert((key.0, key.1)) {
+            return;
+        }
+        self.backlog += unplaced;
+        let Some(workspace) = workspace else {
+            return;
+        };
+        match self.backlog_by_workspace.get_mut(workspace) {
+            Some(backlog) => *backlog += unplaced,
+            None => {
+                (self.backlog_by_workspace).insert(workspace.clone(), unplaced);
+            }
         }
     }
 
@@ -167,6 +180,7 @@
             ranking.added.clear();
             ranking.counted.clear();
             ranking.backlog = 0.0;
+            ranking.backlog_by_workspace.clear();
             ranking.computed_at = now;
             self.work.add_steps(self.ready.len());
             for &key in &self.ready {
@@ -176,7 +190,7 @@
                 let Some(need) = self.step_need(key, &mut ranking) else {
                     continue;
                 };
-                ranking.count(key, unplaced);
+                ranking.count(key, self.workspace_of(key.0), unplaced);
                 ranking.steps.push(RankedStep { rank, key, need });
             }
             ranking.steps.sort_by(compare_entries);
@@ -185,7 +199,7 @@
             if let Some((rank, unplaced)) = self.rank(key, now)
                 && let Some(need) = self.step_need(key, &mut ranking)
             {
-                ranking.count(key, unplaced);
+                ranking.count(key, self.workspace_of(key.0), unplaced);
                 ranking.insert(RankedStep { rank, key, need });
             }
         }
@@ -207,6 +221,10 @@
         })
     }
 
+    fn workspace_of(&self, id: JobId) -> Option<&WorkspaceName> {
+        self.jobs.get(&id)?.record.workspace.as_ref()
+    }
+
     /// Returns the rank of a step and the unplaced processor time of its occurrence in
     /// core-seconds.
     fn rank(&self, key: StepKey, now: Duration) -> Option<(StepRank, f64)> {
