--- a/crates/tanager-schedule/src/allowance/holder.rs
+++ b/crates/tanager-schedule/src/allowance/holder.rs
@@ -14,6 +14,7 @@
 use crate::allowance::is_lowered;
 use crate::allowance::is_served_first;
 use crate::allowance::is_within;
+use crate::allowance::larger;
 use crate::allowance::missing::EndedLimit;
 use crate::allowance::multiply;
 use crate::allowance::report::AllowanceReply;
@@ -21,7 +22,6 @@
 use crate::allowance::report::WorkspaceReport;
 use crate::allowance::request::StartRequest;
 use crate::allowance::request::largest_fitting;
-use crate::allowance::waiting::WaitingTasks;
 use crate::settings::WorkspacePolicy;
 
 /// Interval between reports while a task waits for its limit, or after a limit was lowered.
@@ -45,8 +45,6 @@
     pub(super) limits: BTreeMap<WorkspaceName, HeldLimit>,
     usage: BTreeMap<WorkspaceName, Amounts>,
     pub(super) waiting: BTreeMap<WorkspaceName, WaitingTasks>,
-    /// Numbers of replies that were too small for the reported smallest amount.
-    refusals: BTreeMap<WorkspaceName, usize>,
     /// Steps at which a limit blocked a workspace first, with the time since when.
     blocked: BTreeMap<WorkspaceName, BlockedStep>,
     unknown_since: BTreeMap<WorkspaceName, Duration>,
@@ -88,6 +86,19 @@
     }
 }
 
+/// Tasks that wait for the limit of their workspace.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WaitingTasks {
+    /// Sum of the tasks.
+    pub wanted: Amounts,
+    /// Smallest amount with which one of them, or a gang, starts.
+    pub smallest: Amounts,
+    /// Largest such amount.
+    pub largest: Amounts,
+    /// Smallest task that is not part of a gang.
+    pub single: Amounts,
+}
+
 /// A step that waits for the limit of its workspace.
 #[derive(Clone, Debug, PartialEq)]
 struct BlockedStep {
@@ -249,7 +260,8 @@
         let waiting = self.waiting.entry(workspace.to_owned()).or_default();
         let is_first = waiting.wanted == Amounts::default();
         let count = request.count.saturating_sub(allowed);
-        waiting.add_tasks(request, count);
+        waiting.wanted = add(&waiting.wanted, &multiply(&request.amount, count));
+        waiting.largest = larger(&waiting.largest, &unit);
         if is_first {
             let known = (self.blocked.get(workspace))
                 .filter(|blocked| blocked.step == request.step && allowed == 0);
@@ -265,7 +277,17 @@
         if is_kept_back {
             return;
         }
-        waiting.add_step(request);
+        let smallest = |known: &Amounts| {
+            let is_unknown = *known == Amounts::default();
+            match is_unknown || unit.iter().sum::<u64>() < known.iter().sum() {
+                true => unit,
+                false => *known,
+            }
+        };
+        waiting.smallest = smallest(&waiting.smallest);
+        if !request.is_gang {
+            waiting.single = smallest(&waiting.single);
+        }
     }
 
     /// Records the arrival of a job.
@@ -330,15 +352,13 @@
         for (name, held) in &self.limits {
             workspaces.entry(name).or_default().limit = held.limit;
         }
-        (self.refusals).retain(|name, _| self.waiting.contains_key(name));
         for (name, used) in &self.usage {
             workspaces.entry(name).or_default().used = *used;
         }
         for (name, waiting) in &self.waiting {
             let report = workspaces.entry(name).or_default();
             report.wanted = waiting.wanted;
-            let refusals = self.refusals.get(name).copied().unwrap_or_default();
-            report.smallest = waiting.representative(refusals);
+            report.smallest = waiting.smallest;
             report.largest = waiting.largest;
             report.single = waiting.single;
         }
@@ -406,11 +426,6 @@
             let waiting = self.waiting.get(name).cloned().unwrap_or_default();
             let least = add(&used, &waiting.smallest);
             let is_waiting = waiting.wanted != Amounts::default();
-            let refusals = self.refusals.get(name).copied().unwrap_or_default();
-            let reported = add(&used, &waiting.representative(refusals));
-            if is_waiting && !is_within(&reported, &allowance.limit, &allowance.cap) {
-                self.refusals.insert(name.clone(), refusals + 1);
-            }
             let is_excess = allowance.excess != Amounts::default();
             if is_waiting && !is_excess && !is_within(&least, &allowance.limit, &allowance.cap) {
                 effect.refusals.push(LimitChange {
--- a/crates/tanager-schedule/src/allowance/mod.rs
+++ b/crates/tanager-schedule/src/allowance/mod.rs
@@ -12,7 +12,6 @@
 pub mod request;
 pub mod reservation;
 pub mod table;
-pub mod waiting;
 
 use std::time::Duration;
 
