--- a/crates/tanager-schedule/src/allowance/division.rs
+++ b/crates/tanager-schedule/src/allowance/division.rs
@@ -17,8 +17,6 @@
     pub wanted: Amounts,
     /// Smallest amount with which a waiting task or gang starts; zero if none waits.
     pub smallest: Amounts,
-    /// Largest such amount of each resource.
-    pub largest: Amounts,
     /// Recent peak of `used`.
     pub peak: Amounts,
     /// Whether no waiting task fitted for long. At most one cell is served first for that.
@@ -67,15 +65,6 @@
     for resource in by_scarcity(cap, &sum(&parts)) {
         fill(&mut parts, cells, resource, left[resource], starved);
     }
-    if has_one_waiting(cap, cells)
-        && let Some(index) = cells.iter().position(CellDemand::is_waiting)
-    {
-        // Not whole tasks, as these may differ in size and nobody else would use a fraction.
-        parts[index] = Amounts::default();
-        let rest = subtract(cap, &sum(&parts));
-        parts[index] = smaller(&cells[index].total(), &rest);
-        return parts;
-    }
     for (index, cell) in cells.iter().enumerate() {
         if cell.is_waiting() && Some(index) != starved {
             parts[index] = whole_tasks(cap, cell, &parts[index]);
@@ -85,14 +74,6 @@
     parts
 }
 
-/// Returns whether one cell alone wants what is unused, and none of its tasks is larger than half of the
-/// cap. A larger task may start above the cap, and nothing must be started beside it meanwhile.
-pub fn has_one_waiting(cap: &Amounts, cells: &[CellDemand]) -> bool {
-    let mut waiting = cells.iter().filter(|cell| cell.is_waiting());
-    let is_small = |cell: &CellDemand| is_within(&multiply(&cell.largest, 2), cap, cap);
-    waiting.next().is_some_and(is_small) && waiting.next().is_none()
-}
-
 /// Returns the largest amount within `part` that is the usage plus whole tasks of the smallest size.
 /// A part below the usage is returned as it is.
 pub fn whole_tasks(cap: &Amounts, cell: &CellDemand, part: &Amounts) -> Amounts {
--- a/crates/tanager-schedule/src/allowance/table.rs
+++ b/crates/tanager-schedule/src/allowance/table.rs
@@ -18,7 +18,6 @@
 use crate::allowance::amounts;
 use crate::allowance::division::CellDemand;
 use crate::allowance::division::divide;
-use crate::allowance::division::has_one_waiting;
 use crate::allowance::division::whole_tasks;
 use crate::allowance::is_lowered;
 use crate::allowance::is_served_first;
@@ -274,7 +273,7 @@
             others().fold(none, |sum, other| add(&sum, &other.share.reserved()));
         let available = subtract(cap, &reserved_elsewhere);
         let part = smaller(&divide(cap, &demands)[position], &available);
-        let limit = match reported.wanted == none || has_one_waiting(cap, &demands) {
+        let limit = match reported.wanted == none {
             true => part,
             // A fraction of a task would stand idle here.
             false => whole_tasks(cap, &demands[position], &part),
@@ -387,7 +386,6 @@
             used: report.used,
             wanted: report.wanted,
             smallest: report.smallest,
-            largest: report.largest,
             peak: self.share.peak,
             is_starved,
         }
--- a/crates/tanager-schedule/tests/allowance.rs
+++ b/crates/tanager-schedule/tests/allowance.rs
@@ -118,15 +118,17 @@
         smallest: [100, 2_000, 0],
         ..CellDemand::default()
     };
+    assert_eq!(
+        divide(&cap, std::slice::from_ref(&cell)),
+        vec![[5_400, 9_000, 0]]
+    );
     let other = CellDemand {
-        used: [0, 2_000, 0],
-        wanted: [0, 9_000, 0],
-        smallest: [0, 1_000, 0],
+        used: [0, 4_000, 0],
         ..CellDemand::default()
     };
     assert_eq!(
         divide(&cap, &[cell, other]),
-        vec![[5_200, 5_000, 0], [0, 5_000, 0]]
+        vec![[5_200, 5_000, 0], [0, 4_000, 0]]
     );
 }
 
@@ -169,26 +171,6 @@
     }
 }
 
-/// Guards against tasks that wait for their share of a resource of which they need little, because
-/// others of their cell need much of it (fmra-atlas-grown, trouble-3: SHORT).
-#[test]
-fn only_waiting_cell_gets_the_rest_of_each_resource() {
-    let cap = [10_000, 10_200, 0];
-    let cell = CellDemand {
-        used: [50, 5_000, 0],
-        wanted: [9_030, 3_180, 0],
-        smallest: [10, 1_000, 0],
-        largest: [1_000, 1_000, 0],
-        ..CellDemand::default()
-    };
-    let other = CellDemand {
-        used: [50, 5_000, 0],
-        ..CellDemand::default()
-    };
-    let parts = divide(&cap, &[cell, other.clone()]);
-    assert_eq!(parts, vec![[9_080, 5_200, 0], other.used]);
-}
-
 /// Guards against a part that stands idle because it is too small for a waiting task.
 #[test]
 fn parts_consist_of_whole_tasks() {
