--- a/crates/tanager-schedule/tests/takeover.rs
+++ b/crates/tanager-schedule/tests/takeover.rs
@@ -15,6 +15,7 @@
 use tanager_jobs::WorkerReport;
 use tanager_jobs::record::decode_record;
 use tanager_jobs::record::encode_record;
+use tanager_schedule::AdmissionDecision;
 use tanager_schedule::CellAction;
 use tanager_schedule::CellCore;
 use tanager_schedule::CellEvent;
@@ -92,6 +93,23 @@
     core.take_actions()
 }
 
+/// Guards against jobs that are accepted on top of a backlog that stands still until the recovery ends.
+#[test]
+fn unlisted_tasks_count_as_backlog() {
+    // 200 core-seconds for the eight cores of the worker that reports.
+    let mut core = acquired_cell(&["a", "b"], vec![step(400)]);
+    let key = core.worker_keys()[0];
+    let empty = report(vec![], vec![]);
+    core.apply_report(key, &empty, Duration::ZERO, millis(5), WALL_MS);
+    run_tick(&mut core, millis(10));
+    assert!(core.is_recovering());
+    let decision = core.admit(QUEUE, &job(2, vec![step(1)]).spec, millis(200));
+    assert_eq!(
+        decision,
+        AdmissionDecision::Overloaded(Duration::from_secs(25))
+    );
+}
+
 /// Guards against a second run while a run of the former owner continues (TWICE).
 #[test]
 fn runs_of_the_old_owner_are_adopted() {
