Stand-in: reject chosen rows; tests of what they stop

The stand-in's store rejects each change that contains a chosen row, with a chosen status, also after attempts without an answer, and a worker lists at most 500 ends, as the platform documents it.

--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -18,6 +18,7 @@
 #[allow(dead_code, reason = "the soak test uses the rest")]
 #[path = "../soak/proxy.rs"]
 mod proxy;
+mod rejected_rows;
 mod run_lines;
 mod scheduling;
 
--- a/crates/tanager-standin/src/site/faults.rs
+++ b/crates/tanager-standin/src/site/faults.rs
@@ -36,6 +36,31 @@
     }
 }
 
+/// Rows that the store never writes: it rejects each change that contains one of them.
+#[derive(Clone, Debug)]
+pub struct RowRejection {
+    /// Table of the rows.
+    pub table: String,
+    /// Text that their keys contain; empty for all rows of the table.
+    pub key: String,
+    /// Status of the response.
+    pub status: u16,
+    /// Number of such changes that get no response, before the others are answered.
+    pub unanswered: u32,
+}
+
+impl RowRejection {
+    /// Rejects the rows of a table whose keys contain a text, with the status 400.
+    pub fn new(table: &str, key: &str) -> Self {
+        Self {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            status: 400,
+            unanswered: 0,
+        }
+    }
+}
+
 /// Decides at random whether a fault with this rate affects the current call.
 pub(crate) fn should_trigger(rate: f64) -> bool {
     rate > 0.0 && rand::rng().random_bool(rate.min(1.0))
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -29,6 +29,7 @@
 use tokio::task::JoinHandle;
 use tokio::time;
 
+pub use faults::RowRejection;
 pub use faults::SiteFaults;
 pub use settings::NodePorts;
 pub use table::SiteTable;
@@ -65,6 +66,9 @@
     pub(crate) workers: Vec<SiteWorker>,
     pub(crate) log: RunLog,
     pub(crate) faults: SiteFaults,
+    pub(crate) row_rejections: Vec<RowRejection>,
+    /// Number of changes that the store rejected as they were, for instance for their size.
+    pub(crate) rejected_changes: u64,
     pub(crate) start: Instant,
     pub(crate) orders: Vec<String>,
     pub(crate) received_orders: Vec<ObservedOrder>,
@@ -119,6 +123,8 @@
             workers: Vec::new(),
             log: RunLog::default(),
             faults: SiteFaults::default(),
+            row_rejections: Vec::new(),
+            rejected_changes: 0,
             start: Instant::now(),
             orders: Vec::new(),
             received_orders: Vec::new(),
@@ -208,6 +214,16 @@
         change(&mut lock(&self.state).faults);
     }
 
+    /// Sets which rows the store rejects.
+    pub fn reject_rows(&self, rejections: Vec<RowRejection>) {
+        lock(&self.state).row_rejections = rejections;
+    }
+
+    /// Returns the number of changes that the store rejected as they were.
+    pub fn rejected_changes(&self) -> u64 {
+        lock(&self.state).rejected_changes
+    }
+
     /// Writes a row without a part, as an operator or another client would.
     pub fn put_row(&self, table: &str, key: &str, value: &[u8]) {
         lock(&self.state).table.put(table, "", key, value);
@@ -238,6 +254,11 @@
         lock(&self.state).table.count(table, part)
     }
 
+    /// Returns the keys of the rows in a part of a table.
+    pub fn row_keys(&self, table: &str, part: &str) -> Vec<String> {
+        lock(&self.state).table.keys(table, part)
+    }
+
     /// Writes a configuration with a queue of short jobs at `/POOL/` for each pool that is not
     /// spare.
     pub fn put_config(&self, version: u64, pools: &[SitePool]) {
--- a/crates/tanager-standin/src/site/table.rs
+++ b/crates/tanager-standin/src/site/table.rs
@@ -10,7 +10,9 @@
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
 
+use super::RowRejection;
 use super::SharedSite;
+use super::SiteState;
 use super::faults::should_trigger;
 use super::json_response;
 use super::lock;
@@ -98,11 +100,17 @@
 
     /// Returns the number of rows in a part of a table.
     pub fn count(&self, table: &str, part: &str) -> usize {
+        self.keys(table, part).len()
+    }
+
+    /// Returns the keys of the rows in a part of a table.
+    pub fn keys(&self, table: &str, part: &str) -> Vec<String> {
         (self.rows.iter())
             .filter(|((of_table, of_part, _), row)| {
                 of_table == table && of_part == part && !row.deleted
             })
-            .count()
+            .map(|((_, _, key), _)| key.clone())
+            .collect()
     }
 
     fn current_version(&self, row_key: &RowKey) -> u64 {
@@ -210,6 +218,51 @@
     }
 }
 
+/// Applies a change; returns the status and the body of the response, `None` if there is none.
+fn apply_change(state: &mut SiteState, request: &HttpRequest) -> Option<(u16, Value)> {
+    *state.table.calls.entry("change").or_default() += 1;
+    let limit = match state.faults.max_change_bytes {
+        0 => MAX_CHANGE_BYTES,
+        limit => limit,
+    };
+    let change = parse_body(request);
+    let (status, body) = match rejected_row(&mut state.row_rejections, &change) {
+        _ if request.body.len() > limit => too_large(),
+        None => state.table.commit(&change),
+        Some(rejection) if rejection.unanswered > 0 => {
+            rejection.unanswered -= 1;
+            return None;
+        }
+        Some(rejection) => (rejection.status, json!({"error": "a row is not accepted"})),
+    };
+    match status {
+        200 => {}
+        412 => {
+            let rejected_at = state.start.elapsed();
+            let tables = change["puts"].as_array().into_iter().flatten();
+            let tables = tables.filter_map(|row| row["table"].as_str());
+            let conflicts = tables.map(|table| (table.to_owned(), rejected_at));
+            state.conflicts.extend(conflicts);
+        }
+        _ => state.rejected_changes += 1,
+    }
+    Some((status, body))
+}
+
+/// Returns the rejection that a row of a change meets.
+fn rejected_row<'a>(
+    rejections: &'a mut [RowRejection],
+    change: &Value,
+) -> Option<&'a mut RowRejection> {
+    let puts = change["puts"].as_array()?;
+    (rejections.iter_mut()).find(|rejection| {
+        puts.iter().any(|row| {
+            let (table, _, key) = row_key(row);
+            table == rejection.table && key.contains(&rejection.key)
+        })
+    })
+}
+
 fn too_large() -> (u16, Value) {
     (400, json!({"error": "over 100 entries or 1 MB"}))
 }
@@ -241,25 +294,9 @@
             HttpResponse::new(StatusCode::TOO_MANY_REQUESTS, "")
         }
         "/rows-tx" => {
-            let (status, body) = {
-                let mut state = lock(&state);
-                *state.table.calls.entry("change").or_default() += 1;
-                match faults.max_change_bytes {
-                    0 if request.body.len() > MAX_CHANGE_BYTES => too_large(),
-                    limit if limit > 0 && request.body.len() > limit => too_large(),
-                    _ => {
-                        let change = parse_body(&request);
-                        let (status, body) = state.table.commit(&change);
-                        if status == 412 {
-                            let rejected_at = state.start.elapsed();
-                            let tables = change["puts"].as_array().into_iter().flatten();
-                            let tables = tables.filter_map(|row| row["table"].as_str());
-                            let conflicts = tables.map(|table| (table.to_owned(), rejected_at));
-                            state.conflicts.extend(conflicts);
-                        }
-                        (status, body)
-                    }
-                }
+            let answer = apply_change(&mut lock(&state), &request);
+            let Some((status, body)) = answer else {
+                return std::future::pending().await;
             };
             if should_trigger(faults.change_response_loss_rate) {
                 return std::future::pending().await;
--- a/crates/tanager-standin/src/site/worker.rs
+++ b/crates/tanager-standin/src/site/worker.rs
@@ -28,6 +28,8 @@
 /// Capacity of a worker: thousandths of a core, and memory in MB.
 const CPU_MILLICORES: u64 = 16_000;
 const MEMORY_MB: u64 = 65_536;
+/// Maximum number of ends in a response.
+const MAX_LISTED_ENDS: usize = 500;
 /// Period of checks for ended runs while a lease renewal waits for one.
 const RENEWAL_POLL_PERIOD: Duration = Duration::from_millis(5);
 
@@ -347,7 +349,7 @@
                 json!([task, run.run, "", percent, run.cpu])
             })
             .collect();
-        let mut ended: Vec<Value> = (self.unacknowledged_ends.iter())
+        let mut ended: Vec<Value> = (self.unacknowledged_ends.iter().take(MAX_LISTED_ENDS))
             .map(|(number, task, run, cause)| json!([number, task, run, cause, ""]))
             .collect();
         if has_odd_entries {
