Write what an answer of the store says about a transaction as a table

The loop that sends a transaction decided by the order of its match arms which answer ends it. The table of answers and of earlier attempts is a pure function now, with a test for each cell; no cell changes yet. Beside it: a transaction without any answer for 6 s, while the store answers a read of the ledger row, counts as rejected; a rejection is logged with its largest row and counted (tanager_transactions_rejected), because 'rows=' alone did not tell a large row from a large transaction.

--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -17,7 +17,7 @@
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
 use tanager_jobs::record::decode_record;
-use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowVersion;
 use tanager_site::store::TableRow;
@@ -29,6 +29,11 @@
 use crate::authentication::JobOwnership;
 use crate::batch_limits::BatchLimits;
 use crate::cell::CellHandle;
+use crate::commit_outcome::AttemptAnswer;
+use crate::commit_outcome::AttemptOutcome;
+use crate::commit_outcome::EarlierAttempts;
+use crate::commit_outcome::attempt_outcome;
+use crate::commit_outcome::is_silence_suspicious;
 use crate::cpu_time;
 use crate::cpu_time::Duty;
 use crate::ledger_batch::LedgerBatch;
@@ -108,7 +113,7 @@
     /// Not applied.
     NotApplied,
     /// Not applied, and never will be as it is: the store rejects it, for instance for its size.
-    Rejected,
+    Rejected(EarlierAttempts),
     /// Another node owns the cell.
     OwnershipLost,
     /// The cell was closed while the outcome was uncertain.
@@ -297,9 +302,9 @@
                     }
                     time::sleep(RETRY_PAUSE).await;
                 }
-                BatchOutcome::Rejected => {
+                BatchOutcome::Rejected(earlier) => {
                     limits.shrink();
-                    cut_batch(&cell, batch);
+                    cut_batch(&cell, batch, earlier);
                     time::sleep(RETRY_PAUSE).await;
                 }
                 BatchOutcome::OwnershipLost => {
@@ -331,47 +336,48 @@
 
 /// Sends a transaction until its outcome is known.
 async fn commit(cell: &CellHandle, batch: &LedgerBatch, versions: LedgerVersions) -> BatchOutcome {
-    let mut is_uncertain = false;
+    let mut earlier = EarlierAttempts::NotApplied;
+    let first_sent_at = cell.context.clock.now();
     let mut attempts = 0u32;
     let mut timeout = cell.ledger.timeout();
     loop {
         if *cell.closed().borrow() {
-            return match is_uncertain {
-                true => BatchOutcome::Closed,
-                false => BatchOutcome::NotApplied,
+            return match earlier {
+                EarlierAttempts::Uncertain => BatchOutcome::Closed,
+                EarlierAttempts::NotApplied => BatchOutcome::NotApplied,
             };
         }
         let result = cell.context.store.change(&batch.change, timeout).await;
         timeout = (timeout * 2).min(MAX_TIMEOUT);
         attempts += 1;
-        match result {
-            Ok(ChangeResult::Committed(version)) => return BatchOutcome::Committed(version),
-            Ok(ChangeResult::Conflict(rows)) => {
-                return resolve_conflict(cell, batch, versions, &rows);
+        let answer = match &result {
+            Ok(ChangeResult::Committed(_)) => AttemptAnswer::Applied,
+            Ok(ChangeResult::Conflict(_)) => AttemptAnswer::Conflict,
+            Err(error) => AttemptAnswer::from_failure(error.kind),
+        };
+        match (attempt_outcome(earlier, answer), result) {
+            (AttemptOutcome::Applied, Ok(ChangeResult::Committed(version))) => {
+                return BatchOutcome::Committed(version);
             }
-            Err(error) if !is_uncertain && error.kind == ErrorKind::Invalid => {
-                log::error!(
-                    "event=commit_rejected cell={} sequence={} rows={} error={error:?}",
-                    cell.name,
-                    batch.sequence,
-                    batch.change.puts.len()
-                );
-                return BatchOutcome::Rejected;
+            (AttemptOutcome::ReadConflict, Ok(ChangeResult::Conflict(rows))) => {
+                return resolve_conflict(cell, batch, versions, &rows);
             }
-            Err(error) if !is_uncertain && is_not_applied(error.kind) => {
-                return BatchOutcome::NotApplied;
+            (AttemptOutcome::NotApplied, _) => return BatchOutcome::NotApplied,
+            (AttemptOutcome::Rejected, result) => {
+                log_rejection(cell, batch, earlier, attempts, result.err().as_ref());
+                return BatchOutcome::Rejected(earlier);
             }
-            Err(error) if is_not_applied(error.kind) => {}
-            Err(error) => {
-                if !is_uncertain {
+            (_, result) if answer == AttemptAnswer::Missing => {
+                if earlier == EarlierAttempts::NotApplied {
                     log::warn!(
-                        "event=commit_uncertain cell={} sequence={} jobs={} error={error:?}",
+                        "event=commit_uncertain cell={} sequence={} jobs={} error={:?}",
                         cell.name,
                         batch.sequence,
-                        batch.inserts.len()
+                        batch.inserts.len(),
+                        result.err()
                     );
                 }
-                is_uncertain = true;
+                earlier = EarlierAttempts::Uncertain;
                 // If only the response was lost, the second attempt reveals the outcome. After
                 // that, jobs that were not sent to the store yet are refused at once, because their
                 // clients are waiting.
@@ -379,16 +385,72 @@
                     cell.ledger.refuse_queued();
                 }
             }
+            _ => {}
+        }
+        let silent_for = cell.context.clock.now().saturating_sub(first_sent_at);
+        if is_silence_suspicious(silent_for)
+            && let Some(outcome) = read_outcome(cell, batch, versions, attempts).await
+        {
+            return outcome;
         }
         time::sleep(RETRY_PAUSE).await;
     }
 }
 
-fn is_not_applied(kind: ErrorKind) -> bool {
-    matches!(
-        kind,
-        ErrorKind::NotSent | ErrorKind::Refused | ErrorKind::Invalid | ErrorKind::Forbidden
-    )
+/// Reads whether a transaction without an answer was applied; `None` if that is still unknown.
+async fn read_outcome(
+    cell: &CellHandle,
+    batch: &LedgerBatch,
+    versions: LedgerVersions,
+    attempts: u32,
+) -> Option<BatchOutcome> {
+    let store = &cell.context.store;
+    let read = store.rows(LEDGER_TABLE, &cell.name, Some(LEDGER_KEY), MAX_TIMEOUT);
+    let page = (read.await)
+        .inspect_err(|error| log::debug!("event=read_failed table={LEDGER_TABLE} error={error:?}"))
+        .ok()?;
+    let rows: Vec<TableRow> = (page.rows.into_iter())
+        .filter(|row| row.name.key == LEDGER_KEY)
+        .collect();
+    let writer = cell.context.incarnation;
+    if let Some(version) = applied_version(&rows, versions, writer, batch.sequence) {
+        return Some(BatchOutcome::Committed(version));
+    }
+    let current = rows.first().map_or(0, |row| row.version);
+    if current != versions.ledger {
+        // The next attempt conflicts.
+        return None;
+    }
+    let earlier = EarlierAttempts::Uncertain;
+    log_rejection(cell, batch, earlier, attempts, None);
+    Some(BatchOutcome::Rejected(earlier))
+}
+
+/// Logs a transaction that the store does not apply as it is, with its largest row: a row that exceeds
+/// the store's limit is the most likely cause.
+fn log_rejection(
+    cell: &CellHandle,
+    batch: &LedgerBatch,
+    earlier: EarlierAttempts,
+    attempts: u32,
+    error: Option<&TanagerError>,
+) {
+    let puts = &batch.change.puts;
+    let bytes: usize = puts.iter().map(|(_, value)| value.len()).sum();
+    let largest = (puts.iter()).max_by_key(|(_, value)| value.len());
+    let (largest_row, largest_bytes) = largest.map_or_else(
+        || (String::new(), 0),
+        |(name, value)| (format!("{}/{}", name.table, name.key), value.len()),
+    );
+    cell.context.metrics.transactions_rejected.increment();
+    log::error!(
+        "event=commit_rejected cell={} token={} sequence={} earlier={earlier:?} attempts={attempts} rows={} \
+         bytes={bytes} largest={largest_row} largest_bytes={largest_bytes} error={error:?}",
+        cell.name,
+        cell.token,
+        batch.sequence,
+        puts.len()
+    );
 }
 
 /// Determines from the rows of a conflict whether the transaction was applied before.
@@ -478,10 +540,16 @@
 }
 
 /// Restores a transaction that the store rejects, so that the next ones store its rows in smaller
-/// numbers. New jobs keep waiting; one that is rejected alone is refused.
-fn cut_batch(cell: &CellHandle, batch: LedgerBatch) {
+/// numbers. New jobs keep waiting; one that is rejected alone is refused, unless an earlier attempt
+/// had no answer: only the next transaction makes certain that it is not stored.
+fn cut_batch(cell: &CellHandle, batch: LedgerBatch, earlier: EarlierAttempts) {
     let rows = batch.inserts.len() + batch.dirty.len() + batch.delegations.len();
     if rows + batch.copies.len() <= 1 {
+        if earlier == EarlierAttempts::Uncertain {
+            for record in &batch.inserts {
+                cell.ledger.resolve(record.id, StoreResult::Uncertain);
+            }
+        }
         restore_batch(cell, &batch);
         return;
     }
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cell;
 pub mod cell_load;
 pub mod clock;
+pub mod commit_outcome;
 pub mod config_report;
 pub mod coordinator;
 mod coordinator_cells;
