Acknowledge ends by worker, beside jobs whose progress is not stored

Callers saw accepted jobs stand still: a worker lists its first 500 ends until they are acknowledged, and one job whose progress the store did not take stopped the acknowledgements of the whole cell, because take_dirty returned watermarks only once no progress was left over.

Each worker keeps the ends that it listed above its watermark with their jobs (unstored_ends.rs). Its watermark is the last end before the first one whose job has unsaved progress, computed when a transaction takes progress. It works because an end changes only its own job.

A job whose progress is rejected may be withheld (withheld_progress.rs): its ends are acknowledged once a mark that names it is stored elsewhere. Nothing withholds jobs yet.

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -35,6 +35,7 @@
 use crate::settings::QueuePolicy;
 use crate::settings::WorkspacePolicy;
 use crate::unheld_steps::UnheldSteps;
+use crate::withheld_progress::WithheldProgress;
 use crate::worker::RunStage;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerTable;
@@ -74,6 +75,8 @@
     pub(crate) events: Vec<CellEvent>,
     /// Jobs with unsaved progress.
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Jobs among them whose progress the store rejects.
+    pub(crate) withheld: WithheldProgress,
     /// Jobs of this cell that a sibling runs.
     pub delegations: DelegationTable,
     /// Cancellations of jobs that this cell does not have.
@@ -150,6 +153,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             dirty: BTreeSet::new(),
+            withheld: WithheldProgress::default(),
             early_cancellations: BTreeMap::new(),
             unconfirmed_workers: HashMap::new(),
             unreached_workers: Vec::new(),
--- a/crates/tanager-schedule/src/persistence.rs
+++ b/crates/tanager-schedule/src/persistence.rs
@@ -39,54 +39,83 @@
         self.dirty.extend(jobs.iter().map(|job| job.id));
     }
 
-    /// Returns whether any job has unsaved progress.
+    /// Returns whether any job has unsaved progress that is not withheld.
     pub fn has_dirty(&self) -> bool {
-        !self.dirty.is_empty() || self.delegations.has_changes()
+        self.delegations.has_changes() || (self.dirty.iter()).any(|id| !self.withheld.contains(*id))
     }
 
-    /// Takes the unsaved progress of at most `limit` jobs, with the highest ends that are stored
-    /// along with it. The watermarks are empty if unsaved progress remains.
+    /// Takes the unsaved progress of at most `limit` jobs, with the highest end of each worker that is
+    /// stored along with it.
     pub fn take_dirty(&mut self, limit: usize) -> (Vec<DirtyJob>, EndWatermarks) {
-        let ids: Vec<JobId> = self.dirty.iter().take(limit).copied().collect();
+        self.take_dirty_of(limit, |_| true, |_| true)
+    }
+
+    /// Like [`Self::take_dirty`], but only of the jobs that `is_selected`. What `is_added` returns false
+    /// for remains unsaved, because the transaction does not store all of it.
+    pub fn take_dirty_of(
+        &mut self,
+        limit: usize,
+        is_selected: impl Fn(JobId) -> bool,
+        mut is_added: impl FnMut(&DirtyJob) -> bool,
+    ) -> (Vec<DirtyJob>, EndWatermarks) {
+        let ids: Vec<JobId> = (self.dirty.iter().copied())
+            .filter(|id| is_selected(*id))
+            .take(limit)
+            .collect();
         let mut jobs = Vec::with_capacity(ids.len());
         for id in ids {
-            self.dirty.remove(&id);
-            if let Some(progress) = self.progress(id) {
-                jobs.push(DirtyJob { id, progress });
+            let Some(progress) = self.progress(id) else {
+                self.dirty.remove(&id);
+                continue;
+            };
+            let job = DirtyJob { id, progress };
+            if is_added(&job) {
+                self.dirty.remove(&id);
+                jobs.push(job);
             }
         }
-        let watermarks = match self.dirty.is_empty() {
-            true => (self.workers.iter())
-                .filter(|(_, worker)| worker.processed_end > worker.stored_end)
-                .map(|(key, worker)| (key, worker.processed_end))
-                .collect(),
-            false => EndWatermarks::new(),
-        };
+        let watermarks = self.end_watermarks();
         (jobs, watermarks)
     }
 
-    /// Returns whether ends are not stored yet. This can be the case without unsaved progress, for
-    /// instance for runs of unknown jobs.
+    /// Returns the highest end of each worker that is stored once all progress is stored that was taken.
+    fn end_watermarks(&self) -> EndWatermarks {
+        let is_unstored = |id| self.dirty.contains(&id) && !self.withheld.is_marked(id);
+        (self.workers.iter())
+            .filter_map(|(key, worker)| Some((key, worker.unstored_ends.watermark(is_unstored)?)))
+            .collect()
+    }
+
+    /// Returns whether ends could be acknowledged after a transaction. This can be the case without
+    /// unsaved progress, for instance for runs of unknown jobs.
     pub fn has_unstored_ends(&self) -> bool {
-        (self.workers.values()).any(|worker| worker.processed_end > worker.stored_end)
+        (self.workers.values())
+            .filter_map(|worker| worker.unstored_ends.first_job())
+            .any(|id| !self.withheld.contains(id) || self.withheld.is_marked(id))
     }
 
     /// Marks the progress and ends returned by `take_dirty` as stored.
     pub fn mark_stored(&mut self, jobs: &[DirtyJob], watermarks: &EndWatermarks) {
         for dirty in jobs {
-            if let Some(job) = self.jobs.get_mut(&dirty.id) {
-                job.stored_state = dirty.progress.state;
-            } else if let Some(cancellation) = self.early_cancellations.get_mut(&dirty.id) {
-                cancellation.is_stored = true;
-            }
+            self.apply_stored_state(dirty.id, dirty.progress.state);
         }
+        self.readmit_stored(jobs);
         for &(key, number) in watermarks {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.stored_end = worker.stored_end.max(number);
+                worker.unstored_ends.remove_through(number);
             }
         }
     }
 
+    pub(crate) fn apply_stored_state(&mut self, id: JobId, state: JobState) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stored_state = state;
+        } else if let Some(cancellation) = self.early_cancellations.get_mut(&id) {
+            cancellation.is_stored = true;
+        }
+    }
+
     /// Removes ended jobs whose retention time has passed; returns their ids.
     pub fn remove_expired(&mut self, wall_ms: u64, limit: usize) -> Vec<JobId> {
         let retention = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
@@ -98,7 +127,8 @@
             .collect();
         let mut ids = Vec::with_capacity(expired.len());
         for key in expired {
-            if self.is_stored(key.1) {
+            // The stored progress of a withheld job is older than its end.
+            if self.is_stored(key.1) && !self.withheld.contains(key.1) {
                 self.ended.remove(&key);
                 self.jobs.remove(&key.1);
                 self.early_cancellations.remove(&key.1);
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -113,6 +113,7 @@
             return;
         }
         worker.processed_end = ended.number;
+        worker.unstored_ends.push(ended.number, ended.task.job);
         let task = ended.task;
         let matching_slot = worker.runs.get(&task).filter(|slot| slot.run == ended.run);
         let matching_slot = matching_slot.cloned();
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -20,6 +20,7 @@
 use crate::order_token::IncarnationNumber;
 use crate::orders::OrderResult;
 use crate::settings::MIN_CLOCK_RATE;
+use crate::unstored_ends::UnstoredEnds;
 use crate::worker_health::Observation;
 use crate::worker_health::StartLimit;
 use crate::worker_health::WorkerEvidence;
@@ -153,6 +154,8 @@
     pub processed_end: u64,
     /// Highest end that is stored.
     pub stored_end: u64,
+    /// Ends above `stored_end` that were applied.
+    pub(crate) unstored_ends: UnstoredEnds,
     /// Health.
     pub health: WorkerHealth,
     /// The worker gets no starts before this time because it is being drained.
@@ -199,6 +202,7 @@
             reserved: ResourceAmount::default(),
             processed_end: 0,
             stored_end: 0,
+            unstored_ends: UnstoredEnds::default(),
             health: WorkerHealth {
                 slowness: 1.0,
                 ..WorkerHealth::default()
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -151,29 +151,22 @@
             .push((cell_row(JOB_TABLE, name, key), value.clone()));
     }
     let delegations = add_delegations(name, &mut core, &mut change, &mut room);
-    let (dirty, mut watermarks) = core.take_dirty(room.entries());
-    let (mut stored, mut deferred) = (Vec::new(), Vec::new());
-    for job in dirty {
+    let (limit, mut rows) = (room.entries(), Vec::new());
+    let add = |job: &DirtyJob| {
         let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
-        let Some(value) = value else {
-            deferred.push(job);
-            continue;
-        };
         let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
-        change.puts.push((row, value));
-        stored.push(job);
-    }
-    if !deferred.is_empty() {
-        core.restore_dirty(&deferred);
-        // Ends may be acknowledged only once all progress that they caused is stored.
-        watermarks.clear();
-    }
+        let is_added = value.is_some();
+        rows.extend(value.map(|value| (row, value)));
+        is_added
+    };
+    let (dirty, watermarks) = core.take_dirty_of(limit, |_| true, add);
+    change.puts.append(&mut rows);
     Some(LedgerBatch {
         change,
         sequence,
         inserts,
         copies,
-        dirty: stored,
+        dirty,
         delegations,
         watermarks,
         registered,
