Store the statistics of queues apart from jobs, in rows of bounded size

Each transaction of the cell wrote the row ledger/CELL/workers, which had the learned statistics of every queue that ever completed a task there.

Statistics are hints, so they leave the ledger: 16 rows a cell, divided by a hash of the queue, written every 5 s if changed, by themselves and under the condition of the owner row. A row takes the queues that were used last, up to 36,000 bytes or the row_bytes of the settings if lower. A cell remembers 4,096 queues. A row that is rejected is logged and paused, and delays no other (independent_rows.rs). Rows of earlier versions are still read.

statistics_of_many_queues_stop_no_jobs (400 queues with long keys) fails on (no job accepted within 40 s) and passes with this; row_bounds and durations: sizes for 0 to 20,000 queues at limits of 65,536 and 8,192 bytes.

--- a/crates/tanager-schedule/src/admission.rs
+++ b/crates/tanager-schedule/src/admission.rs
@@ -14,6 +14,7 @@
 use crate::backlog::expected_wait;
 use crate::capacity::PoolLoad;
 use crate::core::CellCore;
+use crate::durations::MAX_QUEUES;
 use crate::ranking::LONGEST_TASK_FACTOR;
 use crate::ranking::MAX_LATENESS_FACTOR;
 use crate::ranking::objective;
@@ -137,6 +138,11 @@
         now: Duration,
     ) -> (Duration, f64) {
         let (critical_path, work) = self.expected_demand(workspace, queue, spec);
+        let is_new = !self.mean_work_by_queue.contains_key(queue);
+        if is_new && self.mean_work_by_queue.len() >= MAX_QUEUES {
+            let durations = &self.durations;
+            (self.mean_work_by_queue).retain(|known, _| durations.contains(known));
+        }
         let mean = self
             .mean_work_by_queue
             .entry(queue.to_owned())
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -373,10 +373,10 @@
     }
 
     /// Returns the statistics of each queue: learned durations of tasks, and the mean processor
-    /// time of a job in core-seconds.
+    /// time of a job in core-seconds. Begins with the queue that was used last.
     pub fn queue_statistics(&self) -> Vec<(String, QueueDuration, f64)> {
-        (self.durations.learned().iter())
-            .map(|(queue, duration)| (queue.clone(), *duration, self.mean_work(queue)))
+        (self.durations.learned().into_iter())
+            .map(|(queue, duration)| (queue.clone(), duration, self.mean_work(queue)))
             .collect()
     }
 
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -41,11 +41,15 @@
 use crate::ledger::LedgerVersions;
 use crate::node::NodeContext;
 use crate::order_gate::OrderGate;
+use crate::queue_statistics::statistics_rows;
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
+use crate::records::QueueStatistics;
 use crate::records::pool_of;
 use crate::run_log;
 use crate::sibling_loads::SiblingLoads;
+use crate::statistics_loop;
+use crate::statistics_loop::StatisticsTarget;
 
 /// Maximum number of concurrent orders to one worker. Each needs a connection, and a worker accepts
 /// 64 connections in total.
@@ -158,6 +162,7 @@
             return cell;
         }
         cell.spawn_task("ledger", ledger::run(Arc::clone(&cell), versions));
+        cell.spawn_statistics();
         cell.spawn_task("load", cell_load::run(Arc::clone(&cell)));
         cell.spawn_task("tick", decision_loop::run(Arc::clone(&cell)));
         cell.connect_workers();
@@ -168,6 +173,31 @@
         cell
     }
 
+    /// Starts to store the statistics of the cell's queues.
+    fn spawn_statistics(self: &Arc<Self>) {
+        let target = StatisticsTarget {
+            store: self.context.store.clone(),
+            cell: self.name.clone(),
+            owner_version: self.token,
+        };
+        let cell = Arc::clone(self);
+        let read_rows = move || {
+            let row_bytes = cell.context.settings.store.row_bytes;
+            let learned = cell.core().queue_statistics();
+            let learned = (learned.into_iter()).map(|(queue, duration, work)| {
+                let statistics = QueueStatistics {
+                    mean: duration.mean,
+                    ratio: duration.ratio,
+                    work,
+                };
+                (queue, statistics)
+            });
+            statistics_rows(&cell.name, learned, row_bytes)
+        };
+        let statistics = statistics_loop::run(target, self.closed(), read_rows);
+        self.spawn_task("statistics", statistics);
+    }
+
     /// Locks the state of the cell. The guard must not be held across an await.
     ///
     /// After a panic that held the lock, whichever task it was in, the state may be inconsistent.
--- /dev/null
+++ b/crates/tanager-service/src/independent_rows.rs
@@ -0,0 +1,115 @@
+//! Writes rows that need not be stored together, so that one that the store rejects does not keep the
+//! others from being stored.
+
+use std::time::Duration;
+
+use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_protocol::error::TanagerResult;
+use tanager_site::store::ChangeResult;
+use tanager_site::store::MAX_BYTES;
+use tanager_site::store::RowName;
+use tanager_site::store::RowVersion;
+use tanager_site::store::TableChange;
+use tanager_site::store::TableStore;
+
+use crate::commit_outcome::AttemptAnswer;
+
+/// Maximum number of rows written in one transaction, which leaves room for conditions.
+const MAX_ROWS: usize = 90;
+
+/// A row to write.
+pub type WrittenRow = (RowName, Vec<u8>);
+
+/// What became of rows.
+#[derive(Debug, Default)]
+pub struct WriteReport {
+    /// Rows that are stored.
+    pub stored: Vec<RowName>,
+    /// Rows that the store rejects, with their sizes in bytes and its answers.
+    pub rejected: Vec<(RowName, usize, TanagerError)>,
+    /// Why the rows in neither list are not known to be stored: another answer of the store.
+    pub failure: Option<TanagerResult<ChangeResult>>,
+}
+
+/// Writes rows under conditions that each transaction repeats. An attempt without an answer is repeated
+/// with the next of `timeouts`. Stops at the first transaction that is neither applied nor rejected.
+pub async fn write_rows(
+    store: &TableStore,
+    expect: &[(RowName, RowVersion)],
+    rows: Vec<WrittenRow>,
+    timeouts: &[Duration],
+) -> WriteReport {
+    let mut report = WriteReport::default();
+    let mut groups = divide(rows);
+    groups.reverse();
+    while let Some(mut group) = groups.pop() {
+        let change = TableChange {
+            expect: expect.to_vec(),
+            puts: group.clone(),
+            removals: Vec::new(),
+        };
+        match send(store, &change, timeouts).await {
+            Ok(ChangeResult::Committed(_)) => {
+                report
+                    .stored
+                    .extend(group.into_iter().map(|(name, _)| name));
+            }
+            Err(error) if AttemptAnswer::from_failure(error.kind) == AttemptAnswer::Rejected => {
+                let upper = group.split_off(group.len() / 2);
+                if group.is_empty() {
+                    let rejected = upper.into_iter().map(|(name, value)| {
+                        let size = value.len();
+                        (name, size, error.clone())
+                    });
+                    report.rejected.extend(rejected);
+                } else {
+                    groups.push(upper);
+                    groups.push(group);
+                }
+            }
+            other => {
+                report.failure = Some(other);
+                return report;
+            }
+        }
+    }
+    report
+}
+
+/// Divides rows among transactions that the store accepts.
+fn divide(rows: Vec<WrittenRow>) -> Vec<Vec<WrittenRow>> {
+    let mut groups: Vec<Vec<WrittenRow>> = Vec::new();
+    let mut bytes = 0;
+    for row in rows {
+        let size = row.1.len();
+        match groups.last_mut() {
+            Some(group) if group.len() < MAX_ROWS && bytes + size <= MAX_BYTES => {
+                bytes += size;
+                group.push(row);
+            }
+            _ => {
+                bytes = size;
+                groups.push(vec![row]);
+            }
+        }
+    }
+    groups
+}
+
+async fn send(
+    store: &TableStore,
+    change: &TableChange,
+    timeouts: &[Duration],
+) -> TanagerResult<ChangeResult> {
+    let mut result = Ok(ChangeResult::Conflict(Vec::new()));
+    for timeout in timeouts {
+        result = store.change(change, *timeout).await;
+        let is_uncertain = (result.as_ref())
+            .is_err_and(|error| matches!(error.kind, ErrorKind::Unknown | ErrorKind::Timeout));
+        if !is_uncertain {
+            break;
+        }
+    }
+    result
+}
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -290,7 +290,7 @@
                     versions.ledger = version;
                     limits.grow();
                     if let Some(workers) = batch.workers.clone() {
-                        stored_workers.record(workers, started);
+                        stored_workers.record(workers);
                     }
                     apply_committed(&cell, &batch, started);
                 }
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -8,7 +8,6 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::delegation_table::DelegationChange;
-use tanager_schedule::durations::QueueDuration;
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
 use tanager_site::store::TableChange;
@@ -27,15 +26,11 @@
 use crate::records::LedgerWorker;
 use crate::records::OWNER_KEY;
 use crate::records::PROGRESS_TABLE;
-use crate::records::QueueStatistics;
 use crate::records::WORKERS_KEY;
 use crate::records::cell_row;
 
 /// Maximum number of expired jobs removed in one transaction; each has two rows.
 const MAX_EXPIRED_JOBS: usize = 20;
-/// Maximum age of the stored statistics of queues, of which some change with each task.
-const STATISTICS_PERIOD: Duration = Duration::from_secs(3);
-
 /// One transaction, with the state changes that it stores.
 pub(crate) struct LedgerBatch {
     pub(crate) change: TableChange,
@@ -55,22 +50,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoredWorkers {
     record: Option<CellWorkersRecord>,
-    stored_at: Duration,
 }
 
 impl StoredWorkers {
-    /// Returns whether the row must be written: it names other workers, or its statistics are old.
-    fn must_write(&self, record: &CellWorkersRecord, now: Duration) -> bool {
-        let Some(stored) = &self.record else {
-            return true;
-        };
-        let is_old = now.saturating_sub(self.stored_at) >= STATISTICS_PERIOD;
-        stored.workers != record.workers || (is_old && stored.learned != record.learned)
+    /// Returns whether the row must be written.
+    fn must_write(&self, record: &CellWorkersRecord) -> bool {
+        self.record.as_ref() != Some(record)
     }
 
-    pub(crate) fn record(&mut self, record: CellWorkersRecord, now: Duration) {
+    pub(crate) fn record(&mut self, record: CellWorkersRecord) {
         self.record = Some(record);
-        self.stored_at = now;
     }
 }
 
@@ -121,7 +110,7 @@
     };
     let mut rows = vec![(LEDGER_KEY, encode_or_log(&record)?)];
     let workers = workers_record(&mut core, now);
-    let writes_workers = stored_workers.must_write(&workers, now);
+    let writes_workers = stored_workers.must_write(&workers);
     if writes_workers {
         rows.push((WORKERS_KEY, encode_or_log(&workers)?));
     }
@@ -212,23 +201,13 @@
 
 /// Builds the row with the workers of a cell.
 fn workers_record(core: &mut CellCore, now: Duration) -> CellWorkersRecord {
-    let statistics = |(queue, duration, work): (String, QueueDuration, f64)| {
-        let record = QueueStatistics {
-            mean: duration.mean,
-            ratio: duration.ratio,
-            work,
-        };
-        (queue, record)
-    };
     let mut workers: Vec<LedgerWorker> = (core.ledger_workers(now).iter())
         .map(|entry| LedgerWorker::from_entry(entry, core.ledger_capacity(entry)))
         .collect();
     workers.sort_by(|left, right| left.worker.cmp(&right.worker));
     CellWorkersRecord {
         workers,
-        learned: (core.queue_statistics().into_iter())
-            .map(statistics)
-            .collect(),
+        ..CellWorkersRecord::default()
     }
 }
 
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -108,7 +108,8 @@
 pub struct CellWorkersRecord {
     /// Workers on which the owner may have runs.
     pub workers: Vec<LedgerWorker>,
-    /// Statistics by queue, so that the next owner does not start from the clients' estimates.
+    /// Written by earlier versions; see [`crate::queue_statistics`].
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub learned: BTreeMap<String, QueueStatistics>,
 }
 
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -39,6 +39,8 @@
 use crate::ledger::LedgerVersions;
 use crate::node::NodeContext;
 use crate::order_gate::OrderGate;
+use crate::queue_statistics::STATISTICS_TABLE;
+use crate::queue_statistics::read_statistics;
 use crate::records::CELL_TABLE;
 use crate::records::COORDINATOR_CELL;
 use crate::records::CellWorkersRecord;
@@ -289,7 +291,7 @@
 struct CellRows {
     workers: CellWorkersRecord,
     ledger_version: RowVersion,
-    /// Names of the ledger rows of absorbed cells.
+    /// Names of the rows of absorbed cells beside those of jobs.
     obsolete_ledger: Vec<RowName>,
     jobs: AbsorbedRows,
     progress: AbsorbedRows,
@@ -298,6 +300,7 @@
 /// Stored rows in the part of one cell.
 struct PartRows {
     ledger: Vec<TableRow>,
+    statistics: Vec<TableRow>,
     jobs: Vec<TableRow>,
     progress: Vec<TableRow>,
 }
@@ -327,13 +330,15 @@
 
 async fn read_part(context: &NodeContext, name: &str) -> TanagerResult<PartRows> {
     let store = &context.store;
-    let (ledger, jobs, progress) = tokio::join!(
+    let (ledger, statistics, jobs, progress) = tokio::join!(
         store.all_rows(LEDGER_TABLE, name, CALL_TIMEOUT),
+        store.all_rows(STATISTICS_TABLE, name, CALL_TIMEOUT),
         store.all_rows(JOB_TABLE, name, CALL_TIMEOUT),
         store.all_rows(PROGRESS_TABLE, name, CALL_TIMEOUT),
     );
     Ok(PartRows {
         ledger: ledger?.0,
+        statistics: statistics?.0,
         jobs: jobs?.0,
         progress: progress?.0,
     })
@@ -351,13 +356,14 @@
             None => (LedgerRecord::default(), 0),
             Some(row) => (decode_record(name, &row.value)?, row.version),
         };
-        let of_part = match find(WORKERS_KEY) {
+        let mut of_part = match find(WORKERS_KEY) {
             Some(row) => decode_record(name, &row.value)?,
             None => CellWorkersRecord {
                 workers: record.workers,
                 learned: record.learned,
             },
         };
+        (of_part.learned).extend(read_statistics(&part.statistics));
         match &mut workers {
             None => {
                 ledger_version = version;
@@ -365,7 +371,8 @@
             }
             Some(workers) => {
                 workers.add_absorbed(of_part);
-                obsolete_ledger.extend(part.ledger.into_iter().map(|row| row.name));
+                let rows = part.ledger.into_iter().chain(part.statistics);
+                obsolete_ledger.extend(rows.map(|row| row.name));
             }
         }
         jobs.push(part.jobs);
