--- a/crates/tanager-node/tests/jobs/rejected_rows.rs
+++ b/crates/tanager-node/tests/jobs/rejected_rows.rs
@@ -223,7 +223,7 @@
 async fn rejected_worker_is_not_used() {
     let site = small_site(1).await;
     site.standin
-        .reject_rows(vec![RowRejection::new("ledger", "i-1-")]);
+        .reject_rows(vec![RowRejection::new("worker", "i-1-")]);
     site.standin.crash_worker(1, Duration::from_millis(100));
     time::sleep(Duration::from_secs(3)).await;
     assert_others_are_served(&site).await;
--- a/crates/tanager-schedule/src/delegated_jobs.rs
+++ b/crates/tanager-schedule/src/delegated_jobs.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Drops a delegation whose first row the store rejects, because its client is refused.
+    pub fn drop_new_delegation(&mut self, id: JobId) {
+        if let Some(cancelled_ms) = self.delegations.drop_new(id) {
+            self.cancel_early(id, cancelled_ms);
+        }
+    }
+
     /// Ends the delegation of a job that this cell stored as its own. Its cancellation holds.
     pub(crate) fn end_delegation(&mut self, id: JobId, job: &mut JobEntry) {
         let Some((cancelled_ms, is_stored)) = self.delegations.remove(id) else {
--- a/crates/tanager-schedule/src/delegation_table.rs
+++ b/crates/tanager-schedule/src/delegation_table.rs
@@ -263,9 +263,16 @@
         !self.dirty.is_empty()
     }
 
-    /// Takes the changes to store of at most `limit` delegations.
-    pub fn take_changes(&mut self, limit: usize) -> Vec<DelegationChange> {
-        let ids: Vec<JobId> = self.dirty.iter().take(limit).copied().collect();
+    /// Takes the changes to store of at most `limit` delegations among those that `is_selected`.
+    pub fn take_changes(
+        &mut self,
+        limit: usize,
+        is_selected: impl Fn(JobId) -> bool,
+    ) -> Vec<DelegationChange> {
+        let ids: Vec<JobId> = (self.dirty.iter().copied())
+            .filter(|id| is_selected(*id))
+            .take(limit)
+            .collect();
         let mut changes = Vec::with_capacity(ids.len());
         for id in ids {
             self.dirty.remove(&id);
@@ -298,6 +305,17 @@
         cancelled
     }
 
+    /// Drops a delegation whose first row will not be stored; returns the time of its cancellation.
+    pub(crate) fn drop_new(&mut self, id: JobId) -> Option<u64> {
+        let is_new = |entry: &DelegationEntry| entry.phase == DelegationPhase::Storing;
+        if !self.entries.get(&id).is_some_and(is_new) {
+            return None;
+        }
+        self.dirty.remove(&id);
+        let cancellation = self.entries.remove(&id)?.cancellation;
+        cancellation.map(|cancellation| cancellation.cancelled_ms)
+    }
+
     /// Marks a change as stored. If the delegation leaves the table because its job was refused,
     /// returns its cancellation, which holds for a later submission.
     pub(crate) fn mark_stored(&mut self, change: &DelegationChange) -> LeftCancellation {
--- a/crates/tanager-schedule/tests/delegation_records/owner.rs
+++ b/crates/tanager-schedule/tests/delegation_records/owner.rs
@@ -146,7 +146,7 @@
             return;
         }
         let inserts = owner.inserts.drain(..).collect();
-        let delegations = owner.core.delegations.take_changes(40);
+        let delegations = owner.core.delegations.take_changes(40, |_| true);
         let (dirty, _) = owner.core.take_dirty(40);
         let is_refused = self.fault(0.05);
         let is_response_lost = self.fault(0.05);
--- a/crates/tanager-schedule/tests/delegation_runs/ledger.rs
+++ b/crates/tanager-schedule/tests/delegation_runs/ledger.rs
@@ -80,7 +80,7 @@
         if !has_work {
             return;
         }
-        let delegations = core.delegations.take_changes(40);
+        let delegations = core.delegations.take_changes(40, |_| true);
         let (dirty, watermarks) = core.take_dirty(40);
         let batch = Batch {
             inserts: owner.inserts.drain(..).collect(),
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -26,7 +26,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
-use crate::absorption::Absorption;
+use crate::absorbed_rows::Absorption;
 use crate::access::RefusalCounts;
 use crate::allowance_exchange;
 use crate::allowance_exchange::Allocator;
@@ -36,9 +36,10 @@
 use crate::cpu_time::Duty;
 use crate::decision_loop;
 use crate::lease_renewal;
-use crate::ledger;
 use crate::ledger::Ledger;
 use crate::ledger::LedgerVersions;
+use crate::ledger_batch::StoredRows;
+use crate::ledger_loop;
 use crate::node::NodeContext;
 use crate::order_gate::OrderGate;
 use crate::queue_statistics::statistics_rows;
@@ -105,6 +106,8 @@
     pub(crate) absorbed: Vec<CellName>,
     /// Rows of these cells.
     pub(crate) absorption: Absorption,
+    /// What the rows of the cell have.
+    pub(crate) stored: StoredRows,
     /// Permission to send orders to VMs, if this is the coordinator's cell.
     pub(crate) order_gate: Option<Arc<OrderGate>>,
 }
@@ -133,6 +136,7 @@
             versions,
             absorbed,
             absorption,
+            stored,
             order_gate,
         } = loaded;
         let allocator = (name == ALLOCATOR_CELL).then(|| Allocator::new(&context, token));
@@ -161,7 +165,8 @@
         if cell.close_if_replaced() {
             return cell;
         }
-        cell.spawn_task("ledger", ledger::run(Arc::clone(&cell), versions));
+        let ledger = ledger_loop::run(Arc::clone(&cell), versions, stored);
+        cell.spawn_task("ledger", ledger);
         cell.spawn_statistics();
         cell.spawn_task("load", cell_load::run(Arc::clone(&cell)));
         cell.spawn_task("tick", decision_loop::run(Arc::clone(&cell)));
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -1,8 +1,13 @@
 //! The content of a ledger transaction: which rows it writes, within the limits of the store.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::time::Duration;
 
+use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
+use tanager_jobs::JobState;
 use tanager_jobs::record::encode_record;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::CellCore;
@@ -12,167 +17,357 @@
 use tanager_schedule::persistence::EndWatermarks;
 use tanager_site::store::TableChange;
 
-use crate::absorption::CopiedRow;
+use crate::absorbed_rows::Absorption;
+use crate::absorbed_rows::CopiedRow;
 use crate::batch_limits::BatchLimits;
 use crate::batch_limits::BatchRoom;
-use crate::cell::CellHandle;
 use crate::ledger::LedgerVersions;
 use crate::records::CELL_TABLE;
-use crate::records::CellWorkersRecord;
+use crate::records::Incarnation;
 use crate::records::JOB_TABLE;
 use crate::records::LEDGER_KEY;
 use crate::records::LEDGER_TABLE;
+use crate::records::LEDGER_WORKER_TABLE;
 use crate::records::LedgerRecord;
 use crate::records::LedgerWorker;
 use crate::records::OWNER_KEY;
 use crate::records::PROGRESS_TABLE;
 use crate::records::WORKERS_KEY;
 use crate::records::cell_row;
+use crate::stored_workers::StoredWorkers;
+use crate::stored_workers::WorkerChanges;
+use crate::unstorable_rows::RejectedRows;
+use crate::unstorable_rows::RowSelection;
+use crate::unstorable_rows::RowUnit;
+use crate::unstorable_rows::UnstorableRows;
 
 /// Maximum number of expired jobs removed in one transaction; each has two rows.
 const MAX_EXPIRED_JOBS: usize = 20;
+/// Maximum number of jobs that the ledger row marks. The ends of further ones are not acknowledged.
+const MAX_MARKS: usize = 64;
+/// Size of a mark in the ledger row, which every transaction writes.
+const MARK_BYTES: usize = 40;
+/// Number of rejections after which a job is marked. One alone may be a passing fault of the store.
+const REJECTIONS_BEFORE_MARK: u32 = 2;
+
+/// What identifies the transactions of an owner.
+#[derive(Clone, Debug)]
+pub(crate) struct LedgerWriter {
+    /// Name of the cell.
+    pub(crate) cell: String,
+    /// Process of the owner.
+    pub(crate) incarnation: Incarnation,
+    pub(crate) versions: LedgerVersions,
+    /// Number of the last transaction.
+    pub(crate) sequence: u64,
+}
+
+/// What the rows of a cell have, as far as it decides what is to be written.
+#[derive(Debug, Default)]
+pub(crate) struct StoredRows {
+    pub(crate) workers: StoredWorkers,
+    /// Marks in the ledger row.
+    pub(crate) marks: BTreeMap<JobId, JobState>,
+    /// Rows that the store rejects.
+    pub(crate) unstorable: UnstorableRows,
+}
+
+/// What waits to be stored.
+pub(crate) struct PendingRows<'a> {
+    pub(crate) core: &'a mut CellCore,
+    /// New jobs.
+    pub(crate) inserts: &'a mut VecDeque<JobRecord>,
+    pub(crate) absorption: &'a mut Absorption,
+}
+
 /// One transaction, with the state changes that it stores.
+#[derive(Debug)]
 pub(crate) struct LedgerBatch {
     pub(crate) change: TableChange,
     pub(crate) sequence: u64,
+    pub(crate) selection: RowSelection,
     pub(crate) inserts: Vec<JobRecord>,
     /// Rows of jobs copied from cells that were merged into this one.
     pub(crate) copies: Vec<CopiedRow>,
     pub(crate) dirty: Vec<DirtyJob>,
+    /// Number of rows of `dirty`.
+    progress_rows: usize,
     pub(crate) delegations: Vec<DelegationChange>,
     pub(crate) watermarks: EndWatermarks,
     pub(crate) registered: Vec<WorkerKey>,
-    /// Row with the workers, if the transaction writes it.
-    pub(crate) workers: Option<CellWorkersRecord>,
-}
-
-/// Row with the workers as this owner last stored it.
-#[derive(Debug, Default)]
-pub(crate) struct StoredWorkers {
-    record: Option<CellWorkersRecord>,
+    pub(crate) workers: WorkerChanges,
+    /// Whether no other changes of workers wait.
+    pub(crate) stores_all_workers: bool,
+    pub(crate) marks: BTreeMap<JobId, JobState>,
+    /// Whether it removes rows that belong to none of its units.
+    has_other_removals: bool,
 }
 
-impl StoredWorkers {
-    /// Returns whether the row must be written.
-    fn must_write(&self, record: &CellWorkersRecord) -> bool {
-        self.record.as_ref() != Some(record)
+impl LedgerBatch {
+    /// Returns the units that the transaction stores.
+    pub(crate) fn units(&self) -> BTreeSet<RowUnit> {
+        let written = self.workers.written.iter().map(|worker| &worker.worker);
+        let copies = self.copies.iter();
+        (written.chain(&self.workers.removed))
+            .map(|id| RowUnit::Worker(id.clone()))
+            .chain(self.inserts.iter().map(|record| RowUnit::Job(record.id)))
+            .chain(copies.map(|(key, _)| RowUnit::Copy(key.clone())))
+            .chain((self.delegations.iter()).map(|change| RowUnit::Delegation(change.id)))
+            .chain(self.dirty.iter().map(|job| RowUnit::Progress(job.id)))
+            .collect()
     }
 
-    pub(crate) fn record(&mut self, record: CellWorkersRecord) {
-        self.record = Some(record);
+    /// Describes the transaction after its rejection.
+    pub(crate) fn rejected(&self) -> RejectedRows {
+        let units = self.units();
+        let other_units = units.len() - self.dirty.len();
+        RejectedRows {
+            selection: self.selection.clone(),
+            rows: other_units + self.progress_rows,
+            units,
+            has_others: self.has_other_removals,
+        }
     }
 }
 
-/// Builds the next transaction; `None` if there is nothing to store.
+/// Builds the next transaction of a cell; `None` if there is nothing to store.
 pub(crate) fn build_batch(
-    cell: &CellHandle,
-    versions: LedgerVersions,
+    writer: &LedgerWriter,
     limits: BatchLimits,
-    stored_workers: &StoredWorkers,
-    sequence: u64,
+    stored: &StoredRows,
+    selection: RowSelection,
+    pending: PendingRows<'_>,
+    (now, wall_ms): (Duration, u64),
 ) -> Option<LedgerBatch> {
-    let name = &cell.name;
-    let mut core = cell.core();
-    let mut state = cell.ledger.lock();
-    let now = cell.context.clock.now();
-    let registered = core.unregistered_workers(now);
-    let wall_ms = cell.context.clock.wall_ms();
-    let expired = match cell.absorption().is_complete() {
-        true => core.remove_expired(wall_ms, MAX_EXPIRED_JOBS),
-        false => Vec::new(),
-    };
-    let mut absorption = cell.absorption();
-    let has_work = !state.inserts.is_empty()
-        || absorption.has_copies()
-        || core.has_dirty()
-        || core.has_unstored_ends()
-        || !registered.is_empty()
-        || !expired.is_empty();
-    if !has_work {
-        return None;
-    }
+    let name = &writer.cell;
+    let PendingRows {
+        core,
+        inserts: queue,
+        absorption,
+    } = pending;
+    let unstorable = &stored.unstorable;
+    let is_selected = |unit: RowUnit| unstorable.is_selected(&selection, &unit);
+    let is_unrestricted = selection == RowSelection::Unsuspected;
     let mut change = TableChange {
         expect: vec![
-            (cell_row(CELL_TABLE, name, OWNER_KEY), versions.owner),
-            (cell_row(LEDGER_TABLE, name, LEDGER_KEY), versions.ledger),
+            (cell_row(CELL_TABLE, name, OWNER_KEY), writer.versions.owner),
+            (
+                cell_row(LEDGER_TABLE, name, LEDGER_KEY),
+                writer.versions.ledger,
+            ),
         ],
         ..TableChange::default()
     };
-    for id in &expired {
-        let key = id.to_string();
-        change.removals.push(cell_row(JOB_TABLE, name, &key));
-        change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
-    }
-    let record = LedgerRecord {
-        sequence,
-        writer: cell.context.incarnation,
-        ..LedgerRecord::default()
-    };
-    let mut rows = vec![(LEDGER_KEY, encode_or_log(&record)?)];
-    let workers = workers_record(&mut core, now);
-    let writes_workers = stored_workers.must_write(&workers);
-    if writes_workers {
-        rows.push((WORKERS_KEY, encode_or_log(&workers)?));
-    }
-    let fixed_entries = change.expect.len() + change.removals.len() + rows.len();
-    let fixed_bytes = rows.iter().map(|(_, value)| value.len()).sum();
-    let mut room = limits.room(fixed_entries, fixed_bytes);
-    for (key, value) in rows {
-        change.puts.push((cell_row(LEDGER_TABLE, name, key), value));
-    }
-    let mut inserts = Vec::new();
-    while let Some(record) = state.inserts.pop_front() {
-        let Some(value) = encode_or_log(&record) else {
-            continue;
-        };
-        if !room.add(value.len()) {
-            state.inserts.push_front(record);
-            break;
+    let mut has_other_removals = false;
+    if is_unrestricted && absorption.is_complete() {
+        for id in core.remove_expired(wall_ms, MAX_EXPIRED_JOBS) {
+            let key = id.to_string();
+            change.removals.push(cell_row(JOB_TABLE, name, &key));
+            change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
+            has_other_removals = true;
         }
-        let row = cell_row(JOB_TABLE, name, &record.id.to_string());
-        change.puts.push((row, value));
-        inserts.push(record);
     }
-    let copies = absorption.take_copies(|size| room.add(size));
+    // One more for the ledger row, whose marks take a part of the bytes.
+    let fixed_entries = change.expect.len() + change.removals.len() + 1;
+    let mut room = limits.room(fixed_entries, MAX_MARKS * MARK_BYTES);
+    let is_worker_selected = |id: &str| is_selected(RowUnit::Worker(id.to_owned()));
+    let current = current_workers(core, now);
+    let wanted = stored.workers.changes(&current);
+    let workers = add_workers(name, &wanted, is_worker_selected, &mut change, &mut room);
+    let stores_all_workers = workers == wanted;
+    if is_unrestricted && stores_all_workers && stored.workers.has_legacy_row() {
+        let row = cell_row(LEDGER_TABLE, name, WORKERS_KEY);
+        change.removals.push(row);
+        has_other_removals = true;
+    }
+    let inserts = add_inserts(
+        name,
+        queue,
+        |id| is_selected(RowUnit::Job(id)),
+        &mut change,
+        &mut room,
+    );
+    let is_copy_selected = |key: &str| is_selected(RowUnit::Copy(key.to_owned()));
+    let copies = absorption.take_copies(is_copy_selected, |size| room.add(size));
     for (key, value) in &copies {
-        change
-            .puts
-            .push((cell_row(JOB_TABLE, name, key), value.clone()));
+        let row = cell_row(JOB_TABLE, name, key);
+        change.puts.push((row, value.clone()));
     }
-    let delegations = add_delegations(name, &mut core, &mut change, &mut room);
-    let (limit, mut rows) = (room.entries(), Vec::new());
-    let add = |job: &DirtyJob| {
-        let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
-        let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
-        let is_added = value.is_some();
-        rows.extend(value.map(|value| (row, value)));
-        is_added
+    let is_delegation_selected = |id| is_selected(RowUnit::Delegation(id));
+    let delegations = add_delegations(name, core, is_delegation_selected, &mut change, &mut room);
+    let rows_before = change.puts.len();
+    let (limit, puts) = (room.entries().min(selection.max_rows()), &mut change.puts);
+    let (dirty, watermarks) = core.take_dirty_of(
+        limit,
+        |id| is_selected(RowUnit::Progress(id)),
+        |job| {
+            let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
+            let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
+            let is_added = value.is_some();
+            puts.extend(value.map(|value| (row, value)));
+            is_added
+        },
+    );
+    let progress_rows = change.puts.len() - rows_before;
+    let marks = marks(core, stored, &dirty);
+    let registered = registered_workers(core, stored, &workers, now);
+    let is_empty = change.puts.is_empty()
+        && change.removals.is_empty()
+        && watermarks.is_empty()
+        && registered.is_empty()
+        && marks == stored.marks;
+    if is_empty {
+        return None;
+    }
+    let record = LedgerRecord {
+        sequence: writer.sequence + 1,
+        writer: writer.incarnation,
+        withheld: marks.clone(),
+        workers: match stores_all_workers {
+            true => Vec::new(),
+            false => stored.workers.legacy().to_vec(),
+        },
+        ..LedgerRecord::default()
     };
-    let (dirty, watermarks) = core.take_dirty_of(limit, |_| true, add);
-    change.puts.append(&mut rows);
+    let row = cell_row(LEDGER_TABLE, name, LEDGER_KEY);
+    change.puts.insert(0, (row, encode_or_log(&record)?));
     Some(LedgerBatch {
         change,
-        sequence,
+        sequence: record.sequence,
+        selection,
         inserts,
         copies,
         dirty,
+        progress_rows,
         delegations,
         watermarks,
         registered,
-        workers: writes_workers.then_some(workers),
+        workers,
+        stores_all_workers,
+        marks,
+        has_other_removals,
     })
 }
 
+/// Describes the workers of a cell on which it may have runs.
+fn current_workers(core: &mut CellCore, now: Duration) -> Vec<LedgerWorker> {
+    let entries = core.ledger_workers(now);
+    (entries.iter())
+        .map(|entry| LedgerWorker::from_entry(entry, core.ledger_capacity(entry)))
+        .collect()
+}
+
+/// Returns the workers that may be used once the transaction is applied.
+fn registered_workers(
+    core: &CellCore,
+    stored: &StoredRows,
+    changes: &WorkerChanges,
+    now: Duration,
+) -> Vec<WorkerKey> {
+    let is_stored = |key: &WorkerKey| {
+        core.worker(*key).is_some_and(|worker| {
+            let entry = &worker.entry;
+            let row = LedgerWorker::from_entry(entry, core.ledger_capacity(entry));
+            stored.workers.contains(&row) || changes.written.contains(&row)
+        })
+    };
+    let mut registered = core.unregistered_workers(now);
+    registered.retain(is_stored);
+    registered
+}
+
+/// Returns the marks for the ledger row: of the jobs that keep theirs, and of those whose progress was
+/// rejected repeatedly.
+fn marks(core: &CellCore, stored: &StoredRows, dirty: &[DirtyJob]) -> BTreeMap<JobId, JobState> {
+    let mut states = core.withheld_states();
+    states.retain(|id, _| !dirty.iter().any(|job| job.id == *id));
+    let (mut marks, others): (BTreeMap<_, _>, BTreeMap<_, _>) =
+        (states.into_iter()).partition(|(id, _)| stored.marks.contains_key(id));
+    let is_due = |id: JobId| {
+        let rejections = stored.unstorable.rejections(&RowUnit::Progress(id));
+        rejections >= REJECTIONS_BEFORE_MARK
+    };
+    let room = MAX_MARKS.saturating_sub(marks.len());
+    marks.extend(
+        (others.into_iter())
+            .filter(|(id, _)| is_due(*id))
+            .take(room),
+    );
+    marks
+}
+
+/// Adds the changes of workers, up to half of the entries.
+fn add_workers(
+    name: &str,
+    wanted: &WorkerChanges,
+    is_selected: impl Fn(&str) -> bool,
+    change: &mut TableChange,
+    room: &mut BatchRoom,
+) -> WorkerChanges {
+    let mut added = WorkerChanges::default();
+    let limit = room.entries().div_ceil(2);
+    for worker in &wanted.written {
+        if added.written.len() >= limit || !is_selected(&worker.worker) {
+            continue;
+        }
+        let value = encode_or_log(worker).filter(|value| room.add(value.len()));
+        if let Some(value) = value {
+            let row = cell_row(LEDGER_WORKER_TABLE, name, &worker.worker);
+            change.puts.push((row, value));
+            added.written.push(worker.clone());
+        }
+    }
+    for id in &wanted.removed {
+        if added.written.len() + added.removed.len() < limit && is_selected(id) && room.add(0) {
+            let row = cell_row(LEDGER_WORKER_TABLE, name, id);
+            change.removals.push(row);
+            added.removed.push(id.clone());
+        }
+    }
+    added
+}
+
+/// Adds new jobs, in their order, as far as there is room.
+fn add_inserts(
+    name: &str,
+    queue: &mut VecDeque<JobRecord>,
+    is_selected: impl Fn(JobId) -> bool,
+    change: &mut TableChange,
+    room: &mut BatchRoom,
+) -> Vec<JobRecord> {
+    let mut inserts = Vec::new();
+    let mut left = VecDeque::new();
+    while let Some(record) = queue.pop_front() {
+        if !is_selected(record.id) {
+            left.push_back(record);
+            continue;
+        }
+        let value = encode_or_log(&record).filter(|value| room.add(value.len()));
+        let Some(value) = value else {
+            left.push_back(record);
+            break;
+        };
+        let row = cell_row(JOB_TABLE, name, &record.id.to_string());
+        change.puts.push((row, value));
+        inserts.push(record);
+    }
+    left.append(queue);
+    *queue = left;
+    inserts
+}
+
 /// Adds the changes of delegations to a transaction, as far as there is room.
 fn add_delegations(
     name: &str,
     core: &mut CellCore,
+    is_selected: impl Fn(JobId) -> bool,
     change: &mut TableChange,
     room: &mut BatchRoom,
 ) -> Vec<DelegationChange> {
     let mut added = Vec::new();
     let mut deferred = Vec::new();
-    for delegation in core.delegations.take_changes(room.entries() / 2) {
+    let limit = room.entries().div_ceil(2);
+    for delegation in core.delegations.take_changes(limit, is_selected) {
         let key = delegation.id.to_string();
         let job_row = cell_row(JOB_TABLE, name, &key);
         let progress_row = cell_row(PROGRESS_TABLE, name, &key);
@@ -199,18 +394,6 @@
     added
 }
 
-/// Builds the row with the workers of a cell.
-fn workers_record(core: &mut CellCore, now: Duration) -> CellWorkersRecord {
-    let mut workers: Vec<LedgerWorker> = (core.ledger_workers(now).iter())
-        .map(|entry| LedgerWorker::from_entry(entry, core.ledger_capacity(entry)))
-        .collect();
-    workers.sort_by(|left, right| left.worker.cmp(&right.worker));
-    CellWorkersRecord {
-        workers,
-        ..CellWorkersRecord::default()
-    }
-}
-
 fn encode_or_log<T: serde::Serialize>(record: &T) -> Option<Vec<u8>> {
     let result: TanagerResult<Vec<u8>> = encode_record(record);
     result
--- /dev/null
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -0,0 +1,513 @@
+//! Runs the transactions of a cell's ledger.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanager_jobs::JobId;
+use tanager_protocol::error::TanagerError;
+use tanager_site::store::ChangeResult;
+use tanager_site::store::RowVersion;
+use tanager_site::store::TableRow;
+use tokio::time;
+
+use crate::batch_limits::BatchLimits;
+use crate::cell::CellHandle;
+use crate::commit_outcome::AttemptAnswer;
+use crate::commit_outcome::AttemptOutcome;
+use crate::commit_outcome::EarlierAttempts;
+use crate::commit_outcome::attempt_outcome;
+use crate::commit_outcome::is_silence_suspicious;
+use crate::cpu_time;
+use crate::cpu_time::Duty;
+use crate::ledger::LedgerVersions;
+use crate::ledger::MAX_TIMEOUT;
+use crate::ledger::StoreResult;
+use crate::ledger::applied_version;
+use crate::ledger_batch::LedgerBatch;
+use crate::ledger_batch::LedgerWriter;
+use crate::ledger_batch::PendingRows;
+use crate::ledger_batch::StoredRows;
+use crate::ledger_batch::build_batch;
+use crate::queue_pools::QueuePoolRecord;
+use crate::records::CELL_TABLE;
+use crate::records::LEDGER_KEY;
+use crate::records::LEDGER_TABLE;
+use crate::unstorable_rows::RejectionResult;
+use crate::unstorable_rows::RowSelection;
+use crate::unstorable_rows::RowUnit;
+
+/// Pause before a failed transaction is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Maximum pause after transactions that were rejected without a row that could be left out. It doubles
+/// with each, from [`RETRY_PAUSE`].
+const MAX_REJECTION_PAUSE: Duration = Duration::from_secs(2);
+/// Minimum interval between two transactions, so that changes are batched.
+const TRANSACTION_PERIOD: Duration = Duration::from_millis(20);
+
+/// State of the transactions of a cell.
+struct LedgerState {
+    writer: LedgerWriter,
+    limits: BatchLimits,
+    stored: StoredRows,
+    /// Number of transactions in a row that were rejected without a row that could be left out.
+    rejections: u32,
+}
+
+/// Outcome of a transaction.
+#[derive(Debug)]
+enum BatchOutcome {
+    /// Applied; the new version of the ledger row.
+    Committed(RowVersion),
+    /// Not applied.
+    NotApplied,
+    /// Not applied, and never will be as it is: the store rejects it, for instance for its size.
+    Rejected(EarlierAttempts),
+    /// Another node owns the cell.
+    OwnershipLost,
+    /// The cell was closed while the outcome was uncertain.
+    Closed,
+}
+
+/// Runs the transactions of a cell until it is closed.
+pub(crate) async fn run(cell: Arc<CellHandle>, versions: LedgerVersions, stored: StoredRows) {
+    let mut state = LedgerState {
+        writer: LedgerWriter {
+            cell: cell.name.clone(),
+            incarnation: cell.context.incarnation,
+            versions,
+            sequence: 0,
+        },
+        limits: BatchLimits::DOCUMENTED,
+        stored,
+        rejections: 0,
+    };
+    let mut closed = cell.closed();
+    loop {
+        tokio::select! {
+            () = cell.ledger.wake.notified() => {}
+            () = until_retry(&cell, &state.stored) => {}
+            _ = closed.wait_for(|closed| *closed) => break,
+        }
+        while let Some(batch) = next_batch(&cell, &mut state) {
+            if !store_batch(&cell, &mut state, batch).await {
+                return;
+            }
+        }
+        cell.ledger.end_failures();
+    }
+    cell.ledger.refuse_queued();
+}
+
+/// Completes when a row that was set aside is due to be tried again.
+async fn until_retry(cell: &CellHandle, stored: &StoredRows) {
+    match stored.unstorable.next_retry() {
+        Some(at) => time::sleep(at.saturating_sub(cell.context.clock.now())).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Builds the next transaction; `None` if there is nothing to store.
+fn next_batch(cell: &CellHandle, state: &mut LedgerState) -> Option<LedgerBatch> {
+    let clock = &cell.context.clock;
+    let now = clock.now();
+    refuse_set_aside_jobs(cell, &state.stored, now);
+    // Groups whose rows need not be stored any more are left out.
+    loop {
+        let selection = state.stored.unstorable.select(now);
+        let is_last =
+            selection == RowSelection::Unsuspected && !state.stored.unstorable.has_suspects();
+        let batch = cpu_time::measured(Duty::Ledger, || {
+            let mut core = cell.core();
+            let mut queue = cell.ledger.lock();
+            let mut absorption = cell.absorption();
+            let pending = PendingRows {
+                core: &mut core,
+                inserts: &mut queue.inserts,
+                absorption: &mut absorption,
+            };
+            let times = (now, clock.wall_ms());
+            let LedgerState {
+                writer,
+                limits,
+                stored,
+                ..
+            } = state;
+            build_batch(writer, *limits, stored, selection, pending, times)
+        });
+        if batch.is_some() || is_last {
+            return batch;
+        }
+    }
+}
+
+/// Refuses waiting jobs that the store rejected a short time ago.
+fn refuse_set_aside_jobs(cell: &CellHandle, stored: &StoredRows, now: Duration) {
+    let is_set_aside = |id: &JobId| stored.unstorable.is_set_aside(&RowUnit::Job(*id), now);
+    let refused: Vec<JobId> = {
+        let mut queue = cell.ledger.lock();
+        let ids: Vec<JobId> = (queue.inserts.iter())
+            .map(|record| record.id)
+            .filter(is_set_aside)
+            .collect();
+        queue.inserts.retain(|record| !ids.contains(&record.id));
+        ids
+    };
+    for id in refused {
+        cell.ledger.refuse(id);
+    }
+}
+
+/// Sends a transaction and applies its outcome; returns false if no others follow.
+async fn store_batch(cell: &Arc<CellHandle>, state: &mut LedgerState, batch: LedgerBatch) -> bool {
+    state.writer.sequence = batch.sequence;
+    let started = cell.context.clock.now();
+    cell.ledger.begin_transaction(started);
+    let outcome = match store_queue_pools(cell, &batch).await {
+        true => commit(cell, &batch, state.writer.versions).await,
+        false => BatchOutcome::NotApplied,
+    };
+    record_end(cell, &outcome);
+    match outcome {
+        BatchOutcome::Committed(version) => {
+            state.writer.versions.ledger = version;
+            state.limits.grow();
+            state.rejections = 0;
+            record_stored(cell, &mut state.stored, &batch);
+            apply_committed(cell, &batch, started);
+        }
+        BatchOutcome::NotApplied => {
+            restore_batch(cell, &batch);
+            state.stored.unstorable.restore(batch.selection);
+            cell.ledger.refuse_queued();
+            if cell.is_closed() {
+                return false;
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+        BatchOutcome::Rejected(earlier) => {
+            let pause = apply_rejection(cell, state, batch, earlier);
+            time::sleep(pause).await;
+        }
+        BatchOutcome::OwnershipLost => {
+            resolve_uncertain(cell, &batch);
+            cell.close("ledger conflict");
+            return false;
+        }
+        BatchOutcome::Closed => {
+            resolve_uncertain(cell, &batch);
+            cell.ledger.refuse_queued();
+            return false;
+        }
+    }
+    let elapsed = cell.context.clock.now().saturating_sub(started);
+    time::sleep(TRANSACTION_PERIOD.saturating_sub(elapsed)).await;
+    true
+}
+
+/// Records the end of a transaction, and logs when the cell begins and ends to refuse jobs because it
+/// stores nothing.
+fn record_end(cell: &CellHandle, outcome: &BatchOutcome) {
+    let now = cell.context.clock.now();
+    let was_blocked = cell.ledger.is_blocked(now);
+    let is_applied = matches!(outcome, BatchOutcome::Committed(_));
+    let failing_for = cell.ledger.end_transaction(now, is_applied);
+    match (was_blocked, cell.ledger.is_blocked(now)) {
+        (true, false) => log::info!(
+            "event=cell_unblocked cell={} token={} after={failing_for:.3?}",
+            cell.name,
+            cell.token
+        ),
+        (_, true) if cell.ledger.note_blocked() => {
+            cell.context.metrics.cells_blocked.increment();
+            log::error!(
+                "event=cell_blocked cell={} token={} failing_for={failing_for:.3?} outcome={outcome:?}",
+                cell.name,
+                cell.token
+            );
+        }
+        _ => {}
+    }
+}
+
+/// Stores which queues the new jobs of a transaction belong to, before the jobs themselves.
+async fn store_queue_pools(cell: &CellHandle, batch: &LedgerBatch) -> bool {
+    let records = (batch.inserts.iter()).map(|job| QueuePoolRecord {
+        queue: job.queue.clone(),
+        pool: job.pool.clone(),
+    });
+    cell.context.record_queue_pools(records).await
+}
+
+/// Sends a transaction until its outcome is known.
+async fn commit(cell: &CellHandle, batch: &LedgerBatch, versions: LedgerVersions) -> BatchOutcome {
+    let mut earlier = EarlierAttempts::NotApplied;
+    let first_sent_at = cell.context.clock.now();
+    let mut attempts = 0u32;
+    let mut timeout = cell.ledger.timeout();
+    loop {
+        if *cell.closed().borrow() {
+            return match earlier {
+                EarlierAttempts::Uncertain => BatchOutcome::Closed,
+                EarlierAttempts::NotApplied => BatchOutcome::NotApplied,
+            };
+        }
+        let result = cell.context.store.change(&batch.change, timeout).await;
+        timeout = (timeout * 2).min(MAX_TIMEOUT);
+        attempts += 1;
+        let answer = match &result {
+            Ok(ChangeResult::Committed(_)) => AttemptAnswer::Applied,
+            Ok(ChangeResult::Conflict(_)) => AttemptAnswer::Conflict,
+            Err(error) => AttemptAnswer::from_failure(error.kind),
+        };
+        match (attempt_outcome(earlier, answer), result) {
+            (AttemptOutcome::Applied, Ok(ChangeResult::Committed(version))) => {
+                return BatchOutcome::Committed(version);
+            }
+            (AttemptOutcome::ReadConflict, Ok(ChangeResult::Conflict(rows))) => {
+                return resolve_conflict(cell, batch, versions, &rows);
+            }
+            (AttemptOutcome::NotApplied, _) => return BatchOutcome::NotApplied,
+            (AttemptOutcome::Rejected, result) => {
+                log_rejection(cell, batch, earlier, attempts, result.err().as_ref());
+                return BatchOutcome::Rejected(earlier);
+            }
+            (_, result) if answer == AttemptAnswer::Missing => {
+                if earlier == EarlierAttempts::NotApplied {
+                    log::warn!(
+                        "event=commit_uncertain cell={} sequence={} jobs={} error={:?}",
+                        cell.name,
+                        batch.sequence,
+                        batch.inserts.len(),
+                        result.err()
+                    );
+                }
+                earlier = EarlierAttempts::Uncertain;
+                // If only the response was lost, the second attempt reveals the outcome. After
+                // that, jobs that were not sent to the store yet are refused at once, because their
+                // clients are waiting.
+                if attempts > 1 {
+                    cell.ledger.refuse_queued();
+                }
+            }
+            _ => {}
+        }
+        let silent_for = cell.context.clock.now().saturating_sub(first_sent_at);
+        if is_silence_suspicious(silent_for)
+            && let Some(outcome) = read_outcome(cell, batch, versions, attempts).await
+        {
+            return outcome;
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads whether a transaction without an answer was applied; `None` if that is still unknown.
+async fn read_outcome(
+    cell: &CellHandle,
+    batch: &LedgerBatch,
+    versions: LedgerVersions,
+    attempts: u32,
+) -> Option<BatchOutcome> {
+    let store = &cell.context.store;
+    let read = store.rows(LEDGER_TABLE, &cell.name, Some(LEDGER_KEY), MAX_TIMEOUT);
+    let page = (read.await)
+        .inspect_err(|error| log::debug!("event=read_failed table={LEDGER_TABLE} error={error:?}"))
+        .ok()?;
+    let rows: Vec<TableRow> = (page.rows.into_iter())
+        .filter(|row| row.name.key == LEDGER_KEY)
+        .collect();
+    let writer = cell.context.incarnation;
+    if let Some(version) = applied_version(&rows, versions, writer, batch.sequence) {
+        return Some(BatchOutcome::Committed(version));
+    }
+    let current = rows.first().map_or(0, |row| row.version);
+    if current != versions.ledger {
+        // The next attempt conflicts.
+        return None;
+    }
+    let earlier = EarlierAttempts::Uncertain;
+    log_rejection(cell, batch, earlier, attempts, None);
+    Some(BatchOutcome::Rejected(earlier))
+}
+
+/// Logs a transaction that the store does not apply as it is, with its largest row: a row that exceeds
+/// the store's limit is the most likely cause.
+fn log_rejection(
+    cell: &CellHandle,
+    batch: &LedgerBatch,
+    earlier: EarlierAttempts,
+    attempts: u32,
+    error: Option<&TanagerError>,
+) {
+    let puts = &batch.change.puts;
+    let bytes: usize = puts.iter().map(|(_, value)| value.len()).sum();
+    let largest = (puts.iter()).max_by_key(|(_, value)| value.len());
+    let (largest_row, largest_bytes) = largest.map_or_else(
+        || (String::new(), 0),
+        |(name, value)| (format!("{}/{}", name.table, name.key), value.len()),
+    );
+    cell.context.metrics.transactions_rejected.increment();
+    log::error!(
+        "event=commit_rejected cell={} token={} sequence={} earlier={earlier:?} attempts={attempts} rows={} \
+         bytes={bytes} largest={largest_row} largest_bytes={largest_bytes} error={error:?}",
+        cell.name,
+        cell.token,
+        batch.sequence,
+        puts.len()
+    );
+}
+
+/// Determines from the rows of a conflict whether the transaction was applied before.
+fn resolve_conflict(
+    cell: &CellHandle,
+    batch: &LedgerBatch,
+    versions: LedgerVersions,
+    rows: &[TableRow],
+) -> BatchOutcome {
+    let writer = cell.context.incarnation;
+    if let Some(version) = applied_version(rows, versions, writer, batch.sequence) {
+        return BatchOutcome::Committed(version);
+    }
+    let version_in =
+        |table: &str| (rows.iter().find(|row| row.name.table == table)).map(|row| row.version);
+    log::warn!(
+        "event=ledger_conflict cell={} expected={versions:?} owner={:?} ledger={:?}",
+        cell.name,
+        version_in(CELL_TABLE),
+        version_in(LEDGER_TABLE)
+    );
+    BatchOutcome::OwnershipLost
+}
+
+/// Applies the effects of a committed transaction and completes the requests that wait for it.
+fn apply_committed(cell: &Arc<CellHandle>, batch: &LedgerBatch, started: Duration) {
+    let clock = &cell.context.clock;
+    let now = clock.now();
+    cell.context
+        .metrics
+        .store_seconds
+        .observe(now.saturating_sub(started));
+    cpu_time::measured(Duty::Ledger, || {
+        let mut core = cell.core();
+        let wall_ms = clock.wall_ms();
+        core.mark_delegations_stored(&batch.delegations);
+        for record in &batch.inserts {
+            core.add_job(record.clone(), now, wall_ms);
+        }
+        core.mark_withheld_stored(&batch.marks);
+        core.mark_stored(&batch.dirty, &batch.watermarks);
+        core.mark_registered(&batch.registered);
+    });
+    for record in &batch.inserts {
+        cell.ledger.resolve(record.id, StoreResult::Stored);
+    }
+    (cell.absorption()).record_stored(batch.dirty.iter().map(|job| job.id));
+    cell.remove_absorbed_rows();
+    for job in &batch.dirty {
+        if job.progress.state != tanager_jobs::JobState::Open {
+            cell.context.metrics.jobs_ended.increment();
+        }
+    }
+    cell.ledger.notify();
+    cell.run_decisions();
+}
+
+/// Records what the rows have after a transaction.
+fn record_stored(cell: &CellHandle, stored: &mut StoredRows, batch: &LedgerBatch) {
+    stored
+        .workers
+        .record(&batch.workers, batch.stores_all_workers);
+    stored.marks.clone_from(&batch.marks);
+    stored.unstorable.record_stored(&batch.units());
+    if batch.stores_all_workers {
+        cell.absorption().record_workers_stored();
+    }
+}
+
+/// Applies a rejection: rows that may be stored without others are tried again; the one that is rejected
+/// alone is set aside. Returns the time to wait before the next transaction.
+fn apply_rejection(
+    cell: &CellHandle,
+    state: &mut LedgerState,
+    batch: LedgerBatch,
+    earlier: EarlierAttempts,
+) -> Duration {
+    let now = cell.context.clock.now();
+    let bytes: usize = (batch.change.puts.iter().skip(1))
+        .map(|(_, value)| value.len())
+        .sum();
+    let is_unrestricted = batch.selection == RowSelection::Unsuspected;
+    let result = state
+        .stored
+        .unstorable
+        .record_rejected(batch.rejected(), now);
+    return_batch(cell, batch, earlier);
+    match result {
+        RejectionResult::SetAside { unit, rejections } => {
+            state.limits = BatchLimits::DOCUMENTED;
+            cell.context.metrics.rows_set_aside.increment();
+            log::error!(
+                "event=row_set_aside cell={} token={} unit={unit:?} bytes={bytes} rejections={rejections}",
+                cell.name,
+                cell.token
+            );
+            match unit {
+                RowUnit::Job(id) => cell.ledger.refuse_waiting(id),
+                RowUnit::Progress(id) => cell.core().withhold_progress(id),
+                RowUnit::Delegation(id) if earlier == EarlierAttempts::NotApplied => {
+                    cell.core().drop_new_delegation(id);
+                    cell.ledger.notify();
+                }
+                RowUnit::Delegation(_) | RowUnit::Copy(_) | RowUnit::Worker(_) => {}
+            }
+            Duration::ZERO
+        }
+        RejectionResult::Divided => {
+            if is_unrestricted {
+                state.limits.shrink();
+            }
+            Duration::ZERO
+        }
+        RejectionResult::Indivisible => {
+            state.rejections = state.rejections.saturating_add(1);
+            RETRY_PAUSE
+                .saturating_mul(2u32.saturating_pow(state.rejections))
+                .min(MAX_REJECTION_PAUSE)
+        }
+    }
+}
+
+/// Restores the pending changes of a transaction that was not applied and refuses its new jobs.
+fn restore_batch(cell: &CellHandle, batch: &LedgerBatch) {
+    {
+        let mut core = cell.core();
+        core.restore_dirty(&batch.dirty);
+        core.restore_delegations(&batch.delegations, true);
+    }
+    cell.absorption().restore_copies(&batch.copies);
+    for record in &batch.inserts {
+        cell.ledger.refuse(record.id);
+    }
+    cell.ledger.notify();
+    cell.ledger.wake();
+}
+
+/// Returns the rows of a transaction to where they wait for the next one, also its new jobs.
+fn return_batch(cell: &CellHandle, batch: LedgerBatch, earlier: EarlierAttempts) {
+    {
+        let mut core = cell.core();
+        core.restore_dirty(&batch.dirty);
+        core.restore_delegations(&batch.delegations, false);
+    }
+    cell.absorption().restore_copies(&batch.copies);
+    cell.ledger.return_inserts(batch.inserts, earlier);
+    cell.ledger.wake();
+}
+
+/// Completes the requests of a transaction whose outcome remains uncertain.
+fn resolve_uncertain(cell: &CellHandle, batch: &LedgerBatch) {
+    for record in &batch.inserts {
+        cell.ledger.resolve(record.id, StoreResult::Uncertain);
+    }
+    cell.ledger.refuse_queued();
+}
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nodes share cells, each a part of a pool's jobs and workers. The owner of a cell accepts jobs,
 //! stores them in the cell's ledger and runs their tasks on the cell's workers.
 
+mod absorbed_rows;
 mod absorption;
 pub mod access;
 pub mod admin;
@@ -32,6 +33,7 @@
 pub mod lease_renewal;
 pub mod ledger;
 mod ledger_batch;
+mod ledger_loop;
 pub mod logging;
 pub mod loop_lag;
 pub mod membership;
@@ -50,10 +52,12 @@
 pub mod skipped_rows;
 mod statistics_loop;
 pub mod store_access;
+pub mod stored_workers;
 mod submission_intake;
 pub mod supervision;
 pub mod table_watch;
 pub mod takeover;
+pub mod unstorable_rows;
 pub mod view;
 mod vm_orders;
 mod worker_orders;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -116,6 +116,8 @@
     CountMetric store_failures "Calls to the store that failed";
     CountMetric store_relayed "Calls to the store made through a peer";
     CountMetric transactions_rejected "Transactions of ledgers that the store rejected as they were";
+    CountMetric rows_set_aside "Rows of ledgers that the store rejected alone and that are not written for a while";
+    CountMetric cells_blocked "Times that a cell began to refuse jobs because its transactions failed";
     CountMetric cells_taken "Cells taken";
     CountMetric cells_merged "Cells of this node that were merged into another one of their pool";
     CountMetric cells_lost "Cells lost to another node or given up";
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -7,6 +7,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use tanager_jobs::JobId;
+use tanager_jobs::JobState;
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::WorkerEntry;
 use tanager_jobs::ids::CellName;
@@ -35,7 +37,10 @@
 pub const OWNER_KEY: &str = "owner";
 /// Key of a cell's ledger row.
 pub const LEDGER_KEY: &str = "ledger";
-/// Key of the row with the workers of a cell, in the same table.
+/// Table of the workers of cells; the part is the cell, the key is the worker's id. A row for each worker
+/// has a bounded size, whatever the size of the cell.
+pub const LEDGER_WORKER_TABLE: &str = "worker";
+/// Key of the row in which earlier versions kept the workers of a cell, in the table of ledgers.
 pub const WORKERS_KEY: &str = "workers";
 /// Cell without jobs whose owner is the coordinator, the node that sends orders to VMs.
 pub const COORDINATOR_CELL: &str = "duty";
@@ -93,23 +98,25 @@
     pub sequence: u64,
     /// Process that wrote this row; together with `sequence` it identifies the transaction.
     pub writer: Incarnation,
-    /// Written by earlier versions; see [`CellWorkersRecord`].
+    /// Marks of jobs whose progress the store rejects: no later owner starts their tasks. Each has the
+    /// state of the job, which this row stores in place of its progress.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub withheld: BTreeMap<JobId, JobState>,
+    /// Written by earlier versions; see [`LEDGER_WORKER_TABLE`].
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub workers: Vec<LedgerWorker>,
-    /// Written by earlier versions; see [`CellWorkersRecord`].
+    /// Written by earlier versions; see [`crate::queue_statistics`].
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub learned: BTreeMap<String, QueueStatistics>,
 }
 
-/// Row with the workers of a cell. It is written only when it changes, unlike the ledger row, which
-/// each transaction writes, up to 50 times a second.
+/// Row with the workers of a cell and the statistics of its queues, as earlier versions wrote it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CellWorkersRecord {
     /// Workers on which the owner may have runs.
     pub workers: Vec<LedgerWorker>,
-    /// Written by earlier versions; see [`crate::queue_statistics`].
-    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    /// Statistics by queue, so that the next owner does not start from the clients' estimates.
     pub learned: BTreeMap<String, QueueStatistics>,
 }
 
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -1,5 +1,6 @@
 //! Acquires a cell and loads its state; releases a cell.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -10,6 +11,7 @@
 use tanager_jobs::DelegationRecord;
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
+use tanager_jobs::JobState;
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::ids::CellName;
 use tanager_jobs::record::decode_record;
@@ -30,13 +32,14 @@
 use tanager_site::store::TableRow;
 use tokio::time;
 
-use crate::absorption::AbsorbedRows;
-use crate::absorption::Absorption;
-use crate::absorption::combine_rows;
+use crate::absorbed_rows::AbsorbedRows;
+use crate::absorbed_rows::Absorption;
+use crate::absorbed_rows::combine_rows;
 use crate::cell::CellHandle;
 use crate::cell::LoadedCell;
 use crate::coordinator;
 use crate::ledger::LedgerVersions;
+use crate::ledger_batch::StoredRows;
 use crate::node::NodeContext;
 use crate::order_gate::OrderGate;
 use crate::queue_statistics::STATISTICS_TABLE;
@@ -47,15 +50,20 @@
 use crate::records::JOB_TABLE;
 use crate::records::LEDGER_KEY;
 use crate::records::LEDGER_TABLE;
+use crate::records::LEDGER_WORKER_TABLE;
 use crate::records::LedgerRecord;
+use crate::records::LedgerWorker;
 use crate::records::OWNER_KEY;
 use crate::records::OwnerRecord;
 use crate::records::PROGRESS_TABLE;
+use crate::records::QueueStatistics;
 use crate::records::WORKERS_KEY;
 use crate::records::cell_row;
 use crate::records::former_capacities;
 use crate::records::pool_of;
+use crate::stored_workers::StoredWorkers;
 use crate::table_watch;
+use crate::unstorable_rows::RowUnit;
 
 /// Time limit of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -111,13 +119,13 @@
         read_cell(context, name, &absorbed),
         table_watch::refresh_workers(context)
     );
-    let rows = rows?;
+    let mut rows = rows?;
     let now = context.clock.now();
     let wall_ms = context.clock.wall_ms();
     let mut core = CellCore::new(cell_settings(context));
     let (jobs, skipped) = load_jobs(&mut core, &rows, &absorbed, now, wall_ms);
     let absorption = plan_absorption(&mut core, &rows);
-    for (queue, statistics) in &rows.workers.learned {
+    for (queue, statistics) in &rows.learned {
         let duration = QueueDuration {
             mean: statistics.mean,
             ratio: statistics.ratio,
@@ -125,7 +133,7 @@
         core.restore_queue_statistics(queue, duration, statistics.work);
     }
     let pool = pool_of(name).to_owned();
-    let ledger_workers: Vec<_> = (rows.workers.workers.iter())
+    let ledger_workers: Vec<_> = (rows.workers.iter())
         .map(|worker| worker.placeholder_entry(&pool))
         .collect();
     core.await_former_workers(&ledger_workers, former_owner, now);
@@ -134,7 +142,7 @@
     let (listed, capacities) = {
         let view = context.view();
         let fleet = view.workers.values().map(|entry| entry.capacity);
-        let capacities = former_capacities(&rows.workers.workers, fleet);
+        let capacities = former_capacities(&rows.workers, fleet);
         (view.workers_in(&homes), capacities)
     };
     core.set_former_capacities(capacities);
@@ -162,6 +170,7 @@
         versions,
         absorbed,
         absorption,
+        stored: take_stored(&mut rows, now),
         order_gate,
     };
     let cell = CellHandle::spawn(Arc::clone(context), name.clone(), version, loaded);
@@ -289,10 +298,18 @@
 
 /// Stored rows of a cell and of those that were merged into it.
 struct CellRows {
-    workers: CellWorkersRecord,
+    /// Workers on which former owners may have runs.
+    workers: Vec<LedgerWorker>,
+    /// Rows of workers in the part of the cell itself.
+    stored_workers: StoredWorkers,
+    /// Marks of jobs whose progress the store rejected.
+    marks: BTreeMap<JobId, JobState>,
+    /// Marks in the ledger row of the cell itself.
+    own_marks: BTreeMap<JobId, JobState>,
+    learned: BTreeMap<String, QueueStatistics>,
     ledger_version: RowVersion,
     /// Names of the rows of absorbed cells beside those of jobs.
-    obsolete_ledger: Vec<RowName>,
+    obsolete: Vec<RowName>,
     jobs: AbsorbedRows,
     progress: AbsorbedRows,
 }
@@ -300,11 +317,26 @@
 /// Stored rows in the part of one cell.
 struct PartRows {
     ledger: Vec<TableRow>,
+    workers: Vec<TableRow>,
     statistics: Vec<TableRow>,
     jobs: Vec<TableRow>,
     progress: Vec<TableRow>,
 }
 
+/// Returns what the rows of a cell have, for its ledger.
+fn take_stored(rows: &mut CellRows, now: Duration) -> StoredRows {
+    let mut stored = StoredRows {
+        workers: std::mem::take(&mut rows.stored_workers),
+        marks: std::mem::take(&mut rows.own_marks),
+        ..StoredRows::default()
+    };
+    for id in rows.marks.keys() {
+        let unit = RowUnit::Progress(*id);
+        stored.unstorable.add_set_aside(unit, now);
+    }
+    stored
+}
+
 /// Reads the rows of a cell and of those that were merged into it, which the previous owners can no
 /// longer change.
 async fn read_cell(
@@ -330,61 +362,82 @@
 
 async fn read_part(context: &NodeContext, name: &str) -> TanagerResult<PartRows> {
     let store = &context.store;
-    let (ledger, statistics, jobs, progress) = tokio::join!(
+    let (ledger, workers, statistics, jobs, progress) = tokio::join!(
         store.all_rows(LEDGER_TABLE, name, CALL_TIMEOUT),
+        store.all_rows(LEDGER_WORKER_TABLE, name, CALL_TIMEOUT),
         store.all_rows(STATISTICS_TABLE, name, CALL_TIMEOUT),
         store.all_rows(JOB_TABLE, name, CALL_TIMEOUT),
         store.all_rows(PROGRESS_TABLE, name, CALL_TIMEOUT),
     );
     Ok(PartRows {
         ledger: ledger?.0,
+        workers: workers?.0,
         statistics: statistics?.0,
         jobs: jobs?.0,
         progress: progress?.0,
     })
 }
 
-/// Combines the rows of a cell, which come first, with those of the cells that it absorbed.
+/// Combines the rows of a cell, which come first, with those of the cells that it absorbed. What a cell
+/// before knows of a worker, a queue or a job is newer.
 fn combine_parts(name: &str, parts: Vec<PartRows>) -> TanagerResult<CellRows> {
-    let mut workers: Option<CellWorkersRecord> = None;
-    let mut ledger_version = 0;
-    let mut obsolete_ledger = Vec::new();
+    let mut combined = CellRows {
+        workers: Vec::new(),
+        stored_workers: StoredWorkers::default(),
+        marks: BTreeMap::new(),
+        own_marks: BTreeMap::new(),
+        learned: BTreeMap::new(),
+        ledger_version: 0,
+        obsolete: Vec::new(),
+        jobs: combine_rows(Vec::new()),
+        progress: combine_rows(Vec::new()),
+    };
     let (mut jobs, mut progress) = (Vec::new(), Vec::new());
-    for part in parts {
+    for (position, part) in parts.into_iter().enumerate() {
         let find = |key: &str| part.ledger.iter().find(|row| row.name.key == key);
         let (record, version) = match find(LEDGER_KEY) {
             None => (LedgerRecord::default(), 0),
             Some(row) => (decode_record(name, &row.value)?, row.version),
         };
-        let mut of_part = match find(WORKERS_KEY) {
-            Some(row) => decode_record(name, &row.value)?,
-            None => CellWorkersRecord {
-                workers: record.workers,
-                learned: record.learned,
-            },
+        let legacy_row: Option<CellWorkersRecord> = (find(WORKERS_KEY))
+            .map(|row| decode_record(name, &row.value))
+            .transpose()?;
+        let rows: Vec<LedgerWorker> = (part.workers.iter())
+            .map(|row| decode_record(&row.name.key, &row.value))
+            .collect::<TanagerResult<_>>()?;
+        let mut of_part = CellWorkersRecord {
+            workers: rows.clone(),
+            learned: read_statistics(&part.statistics),
         };
-        (of_part.learned).extend(read_statistics(&part.statistics));
-        match &mut workers {
-            None => {
-                ledger_version = version;
-                workers = Some(of_part);
-            }
-            Some(workers) => {
-                workers.add_absorbed(of_part);
-                let rows = part.ledger.into_iter().chain(part.statistics);
-                obsolete_ledger.extend(rows.map(|row| row.name));
-            }
+        let has_legacy_row = legacy_row.is_some();
+        of_part.add_absorbed(legacy_row.unwrap_or_default());
+        of_part.add_absorbed(CellWorkersRecord {
+            workers: record.workers.clone(),
+            learned: record.learned,
+        });
+        if position == 0 {
+            combined.ledger_version = version;
+            combined.own_marks.clone_from(&record.withheld);
+            combined.stored_workers = StoredWorkers::new(rows, record.workers, has_legacy_row);
+        } else {
+            let tables = [part.ledger, part.workers, part.statistics];
+            (combined.obsolete).extend(tables.into_iter().flatten().map(|row| row.name));
+        }
+        let mut workers = CellWorkersRecord {
+            workers: std::mem::take(&mut combined.workers),
+            learned: std::mem::take(&mut combined.learned),
+        };
+        workers.add_absorbed(of_part);
+        (combined.workers, combined.learned) = (workers.workers, workers.learned);
+        for (id, state) in record.withheld {
+            combined.marks.entry(id).or_insert(state);
         }
         jobs.push(part.jobs);
         progress.push(part.progress);
     }
-    Ok(CellRows {
-        workers: workers.unwrap_or_default(),
-        ledger_version,
-        obsolete_ledger,
-        jobs: combine_rows(jobs),
-        progress: combine_rows(progress),
-    })
+    combined.jobs = combine_rows(jobs);
+    combined.progress = combine_rows(progress);
+    Ok(combined)
 }
 
 /// Plans to copy the rows of absorbed cells into the part of this one. A row that cannot be decoded is
@@ -413,7 +466,7 @@
     }
     let obsolete = (jobs.obsolete.iter().chain(&progress.obsolete))
         .filter(|row| !kept.contains(*row))
-        .chain(&rows.obsolete_ledger)
+        .chain(&rows.obsolete)
         .cloned()
         .collect();
     Absorption::new(copies, unsaved, obsolete)
@@ -428,11 +481,11 @@
     wall_ms: u64,
 ) -> (usize, usize) {
     let mut skipped = 0;
-    let mut progress: HashMap<&str, ProgressRecord> = HashMap::new();
+    let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
     for row in &rows.progress.current {
         match decode_record(&row.name.key, &row.value) {
             Ok(record) => {
-                progress.insert(&row.name.key, record);
+                progress.insert(row.name.key.clone(), record);
             }
             Err(error) => {
                 skipped += 1;
@@ -440,6 +493,19 @@
             }
         }
     }
+    for (id, mark) in &rows.marks {
+        // What is stored of its progress is older than ends that were acknowledged.
+        let ended = ProgressRecord {
+            state: CellCore::state_of_mark(*mark),
+            ended_ms: wall_ms,
+            ..ProgressRecord::default()
+        };
+        log::warn!(
+            "event=marked_job_loaded job={id} mark={mark:?} state={:?}",
+            ended.state
+        );
+        progress.insert(id.to_string(), ended);
+    }
     let mut loaded = 0;
     for row in &rows.jobs.current {
         match decode_record::<JobRecord>(&row.name.key, &row.value) {
@@ -471,6 +537,9 @@
             core.load_early_cancellation(id, &record);
         }
     }
+    for (id, mark) in &rows.marks {
+        core.load_mark(*id, *mark);
+    }
     (loaded, skipped)
 }
 
--- a/crates/tanager-service/tests/row_bounds.rs
+++ b/crates/tanager-service/tests/row_bounds.rs
@@ -1,8 +1,14 @@
 //! Sizes of the rows of a cell at the size to design for, against the store's limit.
 
+use std::net::SocketAddr;
+
+use tanager_jobs::ResourceAmount;
+use tanager_jobs::record::encode_record;
 use tanager_service::queue_statistics::read_statistics;
 use tanager_service::queue_statistics::statistics_rows;
+use tanager_service::records::LedgerWorker;
 use tanager_service::records::QueueStatistics;
+use tanager_service::stored_workers::StoredWorkers;
 use tanager_site::store::MAX_BYTES;
 use tanager_site::store::TableRow;
 
@@ -81,3 +87,56 @@
     rows[0].value = b"{".to_vec();
     assert!(read_statistics(&rows).len() > 150);
 }
+
+fn worker(number: usize) -> LedgerWorker {
+    LedgerWorker {
+        worker: format!("{number:0200}"),
+        address: SocketAddr::from(([255, 255, 255, 255], 65_535)),
+        started_ms: 1_800_000_000_000,
+        capacity: Some(ResourceAmount {
+            cpu: 1_000_000,
+            memory_mb: 10_000_000,
+            gpu: 64,
+        }),
+    }
+}
+
+/// Guards against a row of workers that grows with the cell.
+#[test]
+fn each_worker_has_a_small_row() {
+    let size = encode_record(&worker(0)).expect("a row").len();
+    assert!(size < 400, "{size}");
+}
+
+/// Guards against workers that the next owner does not wait for, and against rows that are written again
+/// without a change.
+#[test]
+fn only_changed_workers_are_written() {
+    let workers: Vec<LedgerWorker> = (0..1_100).map(worker).collect();
+    let mut stored = StoredWorkers::default();
+    let changes = stored.changes(&workers);
+    assert_eq!(changes.written.len(), 1_100);
+    stored.record(&changes, true);
+    assert_eq!(stored.changes(&workers), Default::default());
+    let mut restarted = workers[1..].to_vec();
+    restarted[7].started_ms += 1;
+    let changes = stored.changes(&restarted);
+    assert_eq!(changes.written, [restarted[7].clone()]);
+    assert_eq!(changes.removed, [workers[0].worker.clone()]);
+}
+
+/// Guards against losing the workers of an earlier version's row before all have rows of their own.
+#[test]
+fn rows_of_earlier_versions_are_kept_until_they_are_replaced() {
+    let workers = vec![worker(0), worker(1)];
+    let mut stored = StoredWorkers::new([], workers.clone(), true);
+    let mut changes = stored.changes(&workers);
+    changes.written.pop();
+    stored.record(&changes, false);
+    assert!(stored.has_legacy_row());
+    assert_eq!(stored.legacy(), workers);
+    let changes = stored.changes(&workers);
+    assert_eq!(changes.written, [worker(1)]);
+    stored.record(&changes, true);
+    assert!(!stored.has_legacy_row() && stored.legacy().is_empty());
+}
