Divide the progress of large jobs among rows of bounded size

Nothing bounded the row.

Occurrences that are done are a number and a bitmap after the first one that is not (occurrence_set.rs). If the row still exceeds 16 KiB, or the row_bytes of the settings, the progress of tasks moves to parts by ranges of chunks of eight tasks, each divided when it becomes too large (progress_rows.rs, pure). Only changed parts are written. Rows of one job may need several transactions: parts that take over tasks come before those that had them, the header of done occurrences before the parts without them, and the first header that refers to parts after all of them, so what is stored is never behind what was acknowledged. Ends wait until all rows of their job are stored.

--- a/crates/tanager-jobs/src/record.rs
+++ b/crates/tanager-jobs/src/record.rs
@@ -13,6 +13,7 @@
 use crate::ids::PoolName;
 use crate::ids::RunNumber;
 use crate::ids::WorkspaceName;
+use crate::occurrence_set::OccurrenceSet;
 use crate::spec::JobSpec;
 
 /// State of a job.
@@ -103,6 +104,12 @@
     pub state: JobState,
     /// Time at which the job ended, in milliseconds since 1970; 0 while it is open.
     pub ended_ms: u64,
+    /// Occurrences whose tasks are all done. In rows of earlier versions they are among `occurrences`.
+    #[serde(skip_serializing_if = "is_default")]
+    pub done_occurrences: OccurrenceSet,
+    /// Whether the progress of tasks is in further rows.
+    #[serde(skip_serializing_if = "is_default")]
+    pub is_divided: bool,
     /// Progress by occurrence.
     pub occurrences: BTreeMap<u32, OccurrenceProgress>,
 }
--- a/crates/tanager-schedule/src/job.rs
+++ b/crates/tanager-schedule/src/job.rs
@@ -7,6 +7,7 @@
 use tanager_jobs::JobRecord;
 use tanager_jobs::JobState;
 use tanager_jobs::OccurrenceProgress;
+use tanager_jobs::OccurrenceSet;
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::StepSpec;
 use tanager_jobs::TaskProgress;
@@ -162,18 +163,23 @@
 
     /// Returns the progress to store.
     pub fn progress(&self) -> ProgressRecord {
-        let occurrences = match self.state {
-            JobState::Open => (self.occurrences.iter())
+        let ended = ProgressRecord {
+            state: self.state,
+            ended_ms: self.ended_ms,
+            ..ProgressRecord::default()
+        };
+        // An ended job needs no progress of its tasks.
+        if self.is_ended() {
+            return ended;
+        }
+        let done = self.occurrences.iter().filter(|(_, entry)| entry.done);
+        ProgressRecord {
+            done_occurrences: OccurrenceSet::from_ascending(done.map(|(number, _)| *number)),
+            occurrences: (self.occurrences.iter().filter(|(_, entry)| !entry.done))
                 .map(|(number, entry)| (*number, entry.progress()))
                 .filter(|(_, progress)| *progress != OccurrenceProgress::default())
                 .collect(),
-            // An ended job needs no progress of its tasks.
-            _ => BTreeMap::new(),
-        };
-        ProgressRecord {
-            state: self.state,
-            ended_ms: self.ended_ms,
-            occurrences,
+            ..ended
         }
     }
 
@@ -195,6 +201,16 @@
                 occurrence.restore(stored, &self.record.spec.steps);
             }
         }
+        for number in progress
+            .done_occurrences
+            .numbers(self.record.spec.occurrences())
+        {
+            self.started = true;
+            self.open_occurrence(number, due(number));
+            if let Some(occurrence) = self.occurrences.get_mut(&number) {
+                occurrence.set_done();
+            }
+        }
         // Occurrences below the highest one were open as well, without progress to store.
         for number in 0..self.opened_count {
             if !self.occurrences.contains_key(&number) {
@@ -206,10 +222,7 @@
 
 impl OccurrenceEntry {
     fn progress(&self) -> OccurrenceProgress {
-        let mut progress = OccurrenceProgress {
-            done: self.done,
-            ..OccurrenceProgress::default()
-        };
+        let mut progress = OccurrenceProgress::default();
         for (number, step) in self.steps.iter().enumerate() {
             let done: Vec<bool> = (step.tasks.iter())
                 .map(|task| task.phase == TaskPhase::Done)
@@ -235,10 +248,14 @@
         progress
     }
 
+    fn set_done(&mut self) {
+        self.done = true;
+        self.steps.clear();
+    }
+
     fn restore(&mut self, stored: &OccurrenceProgress, specs: &[StepSpec]) {
         if stored.done {
-            self.done = true;
-            self.steps.clear();
+            self.set_done();
             return;
         }
         for (name, progress) in &stored.tasks {
--- a/crates/tanager-schedule/src/persistence.rs
+++ b/crates/tanager-schedule/src/persistence.rs
@@ -1,5 +1,7 @@
 //! Progress that must be stored, acknowledgement of stored ends, and removal of expired jobs.
 
+use std::collections::BTreeMap;
+
 use tanager_jobs::JobId;
 use tanager_jobs::JobState;
 use tanager_jobs::ProgressRecord;
@@ -99,7 +101,9 @@
         for dirty in jobs {
             self.apply_stored_state(dirty.id, dirty.progress.state);
         }
-        self.readmit_stored(jobs);
+        for dirty in jobs {
+            self.withheld.remove(dirty.id);
+        }
         for &(key, number) in watermarks {
             if let Some(worker) = self.workers.get_mut(key) {
                 worker.stored_end = worker.stored_end.max(number);
@@ -108,7 +112,7 @@
         }
     }
 
-    pub(crate) fn apply_stored_state(&mut self, id: JobId, state: JobState) {
+    fn apply_stored_state(&mut self, id: JobId, state: JobState) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.stored_state = state;
         } else if let Some(cancellation) = self.early_cancellations.get_mut(&id) {
@@ -116,6 +120,36 @@
         }
     }
 
+    /// Records that the store rejects the progress of a job.
+    pub fn withhold_progress(&mut self, id: JobId) {
+        self.withheld.insert(id);
+    }
+
+    /// Loads a job that a former owner marked. `load_job` must have loaded it as ended.
+    pub fn load_mark(&mut self, id: JobId, state: JobState) {
+        self.withheld.insert(id);
+        self.withheld.record_mark(id, state);
+        // A later attempt to store its end removes the need of the mark.
+        self.mark_dirty(id);
+    }
+
+    /// Returns the jobs whose progress is withheld, with their states.
+    pub fn withheld_states(&self) -> BTreeMap<JobId, JobState> {
+        (self.withheld.ids())
+            .filter_map(|id| Some((id, self.progress(id)?.state)))
+            .collect()
+    }
+
+    /// Records that marks are stored: the ends of these jobs may be acknowledged, and their states
+    /// count as stored.
+    pub fn mark_withheld_stored(&mut self, marks: &BTreeMap<JobId, JobState>) {
+        for (&id, &state) in marks {
+            if self.withheld.record_mark(id, state) {
+                self.apply_stored_state(id, state);
+            }
+        }
+    }
+
     /// Removes ended jobs whose retention time has passed; returns their ids.
     pub fn remove_expired(&mut self, wall_ms: u64, limit: usize) -> Vec<JobId> {
         let retention = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
--- a/crates/tanager-schedule/src/withheld_progress.rs
+++ b/crates/tanager-schedule/src/withheld_progress.rs
@@ -10,74 +10,50 @@
 use tanager_jobs::JobId;
 use tanager_jobs::JobState;
 
-use crate::core::CellCore;
-use crate::persistence::DirtyJob;
-
 /// Jobs whose progress is withheld from transactions, with the state in their stored mark if there is
 /// one.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct WithheldProgress {
+pub struct WithheldProgress {
     marks: BTreeMap<JobId, Option<JobState>>,
 }
 
 impl WithheldProgress {
-    pub(crate) fn contains(&self, id: JobId) -> bool {
-        self.marks.contains_key(&id)
-    }
-
-    /// Returns whether a mark of the job is stored.
-    pub(crate) fn is_marked(&self, id: JobId) -> bool {
-        self.marks.get(&id).is_some_and(Option::is_some)
+    /// Withholds the progress of a job.
+    pub fn insert(&mut self, id: JobId) {
+        self.marks.entry(id).or_default();
     }
 
-    pub(crate) fn remove(&mut self, id: JobId) {
-        self.marks.remove(&id);
+    /// Records the state in the stored mark of a job; returns false if its progress is not withheld.
+    pub fn record_mark(&mut self, id: JobId, state: JobState) -> bool {
+        let mark = self.marks.get_mut(&id);
+        mark.map(|mark| *mark = Some(state)).is_some()
     }
-}
 
-impl CellCore {
-    /// Records that the store rejects the progress of a job.
-    pub fn withhold_progress(&mut self, id: JobId) {
-        self.withheld.marks.entry(id).or_default();
-    }
-
-    /// Loads a job that a former owner marked. `load_job` must have loaded it as ended.
-    pub fn load_mark(&mut self, id: JobId, state: JobState) {
-        self.withheld.marks.insert(id, Some(state));
-        // A later attempt to store its end removes the need of the mark.
-        self.mark_dirty(id);
+    /// Returns whether the progress of a job is withheld.
+    pub fn contains(&self, id: JobId) -> bool {
+        self.marks.contains_key(&id)
     }
 
-    /// Returns the jobs whose progress is withheld, with their states.
-    pub fn withheld_states(&self) -> BTreeMap<JobId, JobState> {
-        (self.withheld.marks.keys())
-            .filter_map(|id| Some((*id, self.progress(*id)?.state)))
-            .collect()
+    /// Returns whether a mark of the job is stored.
+    pub fn is_marked(&self, id: JobId) -> bool {
+        self.marks.get(&id).is_some_and(Option::is_some)
     }
 
-    /// Records that marks are stored: the ends of these jobs may be acknowledged, and their states
-    /// count as stored.
-    pub fn mark_withheld_stored(&mut self, marks: &BTreeMap<JobId, JobState>) {
-        for (&id, &state) in marks {
-            let Some(mark) = self.withheld.marks.get_mut(&id) else {
-                continue;
-            };
-            *mark = Some(state);
-            self.apply_stored_state(id, state);
-        }
+    /// Returns the jobs.
+    pub fn ids(&self) -> impl Iterator<Item = JobId> {
+        self.marks.keys().copied()
     }
 
-    /// Returns the state that the stored progress of a job has after a takeover, if a mark names it.
-    pub fn state_of_mark(mark: JobState) -> JobState {
-        match mark {
-            JobState::Open => JobState::Failed,
-            state => state,
-        }
+    /// Ends the withholding of a job, because its progress is stored.
+    pub fn remove(&mut self, id: JobId) {
+        self.marks.remove(&id);
     }
+}
 
-    pub(crate) fn readmit_stored(&mut self, jobs: &[DirtyJob]) {
-        for job in jobs {
-            self.withheld.remove(job.id);
-        }
+/// Returns the state of a job after a takeover whose mark has the state `mark`.
+pub fn state_of_mark(mark: JobState) -> JobState {
+    match mark {
+        JobState::Open => JobState::Failed,
+        state => state,
     }
 }
--- a/crates/tanager-schedule/tests/unstored_ends.rs
+++ b/crates/tanager-schedule/tests/unstored_ends.rs
@@ -10,10 +10,10 @@
 use tanager_jobs::JobState;
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::StepSpec;
-use tanager_schedule::CellCore;
 use tanager_schedule::WorkerKey;
 use tanager_schedule::core::JobPhase;
 use tanager_schedule::unstored_ends::UnstoredEnds;
+use tanager_schedule::withheld_progress::state_of_mark;
 
 use support::TestCell;
 use support::WALL_MS;
@@ -124,7 +124,7 @@
 fn marked_job_is_not_started_by_the_next_owner() {
     let mut cell = TestCell::new(vec![entry("a")]);
     let progress = ProgressRecord {
-        state: CellCore::state_of_mark(JobState::Open),
+        state: state_of_mark(JobState::Open),
         ended_ms: WALL_MS,
         ..ProgressRecord::default()
     };
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -22,6 +22,9 @@
 use crate::batch_limits::BatchLimits;
 use crate::batch_limits::BatchRoom;
 use crate::ledger::LedgerVersions;
+use crate::progress_rows::ProgressRow;
+use crate::progress_rows::ProgressTable;
+use crate::progress_rows::ProgressWrite;
 use crate::records::CELL_TABLE;
 use crate::records::Incarnation;
 use crate::records::JOB_TABLE;
@@ -43,6 +46,8 @@
 
 /// Maximum number of expired jobs removed in one transaction; each has two rows.
 const MAX_EXPIRED_JOBS: usize = 20;
+/// Maximum number of rows removed in one transaction that are not needed any more.
+const MAX_OBSOLETE_ROWS: usize = 20;
 /// Maximum number of jobs that the ledger row marks. The ends of further ones are not acknowledged.
 const MAX_MARKS: usize = 64;
 /// Size of a mark in the ledger row, which every transaction writes.
@@ -68,6 +73,10 @@
     pub(crate) workers: StoredWorkers,
     /// Marks in the ledger row.
     pub(crate) marks: BTreeMap<JobId, JobState>,
+    /// Rows of jobs whose progress is divided.
+    pub(crate) progress: ProgressTable,
+    /// Keys of rows of progress that are not needed any more.
+    pub(crate) obsolete: VecDeque<String>,
     /// Rows that the store rejects.
     pub(crate) unstorable: UnstorableRows,
 }
@@ -89,9 +98,12 @@
     pub(crate) inserts: Vec<JobRecord>,
     /// Rows of jobs copied from cells that were merged into this one.
     pub(crate) copies: Vec<CopiedRow>,
+    /// Jobs whose progress is stored completely.
     pub(crate) dirty: Vec<DirtyJob>,
-    /// Number of rows of `dirty`.
-    progress_rows: usize,
+    /// Rows of progress, also of jobs of which other rows are still to be stored.
+    pub(crate) progress: Vec<ProgressWrite>,
+    /// Number of rows that it removes of those not needed any more.
+    pub(crate) obsolete: usize,
     pub(crate) delegations: Vec<DelegationChange>,
     pub(crate) watermarks: EndWatermarks,
     pub(crate) registered: Vec<WorkerKey>,
@@ -113,28 +125,37 @@
             .chain(self.inserts.iter().map(|record| RowUnit::Job(record.id)))
             .chain(copies.map(|(key, _)| RowUnit::Copy(key.clone())))
             .chain((self.delegations.iter()).map(|change| RowUnit::Delegation(change.id)))
-            .chain(self.dirty.iter().map(|job| RowUnit::Progress(job.id)))
+            .chain((self.progress.iter()).map(|write| RowUnit::Progress(write.id)))
             .collect()
     }
 
     /// Describes the transaction after its rejection.
     pub(crate) fn rejected(&self) -> RejectedRows {
         let units = self.units();
-        let other_units = units.len() - self.dirty.len();
+        let other_units = units.len() - self.progress.len();
+        let progress_rows: usize = self.progress.iter().map(ProgressWrite::len).sum();
         RejectedRows {
             selection: self.selection.clone(),
-            rows: other_units + self.progress_rows,
+            rows: other_units + progress_rows,
             units,
             has_others: self.has_other_removals,
         }
     }
 }
 
+/// Limits of the next transaction.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WriteLimits {
+    pub(crate) batch: BatchLimits,
+    /// Maximum size of a row in bytes.
+    pub(crate) row_bytes: usize,
+}
+
 /// Builds the next transaction of a cell; `None` if there is nothing to store.
 pub(crate) fn build_batch(
     writer: &LedgerWriter,
-    limits: BatchLimits,
-    stored: &StoredRows,
+    limits: WriteLimits,
+    stored: &mut StoredRows,
     selection: RowSelection,
     pending: PendingRows<'_>,
     (now, wall_ms): (Duration, u64),
@@ -145,8 +166,6 @@
         inserts: queue,
         absorption,
     } = pending;
-    let unstorable = &stored.unstorable;
-    let is_selected = |unit: RowUnit| unstorable.is_selected(&selection, &unit);
     let is_unrestricted = selection == RowSelection::Unsuspected;
     let mut change = TableChange {
         expect: vec![
@@ -162,14 +181,25 @@
     if is_unrestricted && absorption.is_complete() {
         for id in core.remove_expired(wall_ms, MAX_EXPIRED_JOBS) {
             let key = id.to_string();
+            stored.obsolete.extend(stored.progress.remove(id));
             change.removals.push(cell_row(JOB_TABLE, name, &key));
             change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
             has_other_removals = true;
         }
     }
+    let mut obsolete = 0;
+    if is_unrestricted {
+        for key in stored.obsolete.iter().take(MAX_OBSOLETE_ROWS) {
+            change.removals.push(cell_row(PROGRESS_TABLE, name, key));
+            obsolete += 1;
+            has_other_removals = true;
+        }
+    }
+    let stored: &StoredRows = stored;
+    let is_selected = |unit: RowUnit| stored.unstorable.is_selected(&selection, &unit);
     // One more for the ledger row, whose marks take a part of the bytes.
     let fixed_entries = change.expect.len() + change.removals.len() + 1;
-    let mut room = limits.room(fixed_entries, MAX_MARKS * MARK_BYTES);
+    let mut room = limits.batch.room(fixed_entries, MAX_MARKS * MARK_BYTES);
     let is_worker_selected = |id: &str| is_selected(RowUnit::Worker(id.to_owned()));
     let current = current_workers(core, now);
     let wanted = stored.workers.changes(&current);
@@ -195,20 +225,31 @@
     }
     let is_delegation_selected = |id| is_selected(RowUnit::Delegation(id));
     let delegations = add_delegations(name, core, is_delegation_selected, &mut change, &mut room);
-    let rows_before = change.puts.len();
-    let (limit, puts) = (room.entries().min(selection.max_rows()), &mut change.puts);
+    let mut progress = Vec::new();
+    let mut rows_left = selection.max_rows();
+    let (limit, puts) = (room.entries(), &mut change.puts);
     let (dirty, watermarks) = core.take_dirty_of(
         limit,
         |id| is_selected(RowUnit::Progress(id)),
         |job| {
-            let value = encode_or_log(&job.progress).filter(|value| room.add(value.len()));
-            let row = cell_row(PROGRESS_TABLE, name, &job.id.to_string());
-            let is_added = value.is_some();
-            puts.extend(value.map(|value| (row, value)));
-            is_added
+            let Some(rows) = plan_or_log(&stored.progress, job, limits.row_bytes) else {
+                return false;
+            };
+            let mut count = 0;
+            for row in &rows {
+                if rows_left == 0 || !room.add(row.value.len()) {
+                    break;
+                }
+                rows_left -= 1;
+                count += 1;
+                puts.push((cell_row(PROGRESS_TABLE, name, &row.key), row.value.clone()));
+            }
+            if count > 0 {
+                progress.push(ProgressWrite::new(job.id, &job.progress, &rows, count));
+            }
+            count == rows.len()
         },
     );
-    let progress_rows = change.puts.len() - rows_before;
     let marks = marks(core, stored, &dirty);
     let registered = registered_workers(core, stored, &workers, now);
     let is_empty = change.puts.is_empty()
@@ -238,7 +279,8 @@
         inserts,
         copies,
         dirty,
-        progress_rows,
+        progress,
+        obsolete,
         delegations,
         watermarks,
         registered,
@@ -394,6 +436,16 @@
     added
 }
 
+fn plan_or_log(
+    table: &ProgressTable,
+    job: &DirtyJob,
+    row_bytes: usize,
+) -> Option<Vec<ProgressRow>> {
+    (table.plan(job.id, &job.progress, row_bytes))
+        .inspect_err(|error| log::error!("event=record_not_encoded job={} error={error:?}", job.id))
+        .ok()
+}
+
 fn encode_or_log<T: serde::Serialize>(record: &T) -> Option<Vec<u8>> {
     let result: TanagerResult<Vec<u8>> = encode_record(record);
     result
--- a/crates/tanager-service/src/ledger_loop.rs
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -1,5 +1,6 @@
 //! Runs the transactions of a cell's ledger.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use crate::ledger_batch::LedgerWriter;
 use crate::ledger_batch::PendingRows;
 use crate::ledger_batch::StoredRows;
+use crate::ledger_batch::WriteLimits;
 use crate::ledger_batch::build_batch;
 use crate::queue_pools::QueuePoolRecord;
 use crate::records::CELL_TABLE;
@@ -132,7 +134,11 @@
                 stored,
                 ..
             } = state;
-            build_batch(writer, *limits, stored, selection, pending, times)
+            let limits = WriteLimits {
+                batch: *limits,
+                row_bytes: cell.context.settings.store.row_bytes,
+            };
+            build_batch(writer, limits, stored, selection, pending, times)
         });
         if batch.is_some() || is_last {
             return batch;
@@ -418,7 +424,13 @@
         .workers
         .record(&batch.workers, batch.stores_all_workers);
     stored.marks.clone_from(&batch.marks);
-    stored.unstorable.record_stored(&batch.units());
+    stored.obsolete.drain(..batch.obsolete);
+    (stored.obsolete).extend(stored.progress.record_stored(&batch.progress));
+    let incomplete = (batch.progress.iter().map(|write| write.id))
+        .filter(|id| !batch.dirty.iter().any(|job| job.id == *id));
+    let incomplete: BTreeSet<RowUnit> = incomplete.map(RowUnit::Progress).collect();
+    let units = batch.units();
+    (stored.unstorable).record_stored(units.difference(&incomplete));
     if batch.stores_all_workers {
         cell.absorption().record_workers_stored();
     }
@@ -437,6 +449,8 @@
         .map(|(_, value)| value.len())
         .sum();
     let is_unrestricted = batch.selection == RowSelection::Unsuspected;
+    // Rows that are not needed any more are removed once only: one may be the cause.
+    state.stored.obsolete.drain(..batch.obsolete);
     let result = state
         .stored
         .unstorable
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod operator_watch;
 mod order_gate;
 pub mod peers;
+pub mod progress_rows;
 pub mod queue_pools;
 pub mod queue_statistics;
 pub mod records;
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +24,7 @@
 use tanager_schedule::order_lease;
 use tanager_schedule::ownership;
 use tanager_schedule::recovery::FormerOwner;
+use tanager_schedule::withheld_progress::state_of_mark;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowName;
 use tanager_site::store::RowVersion;
@@ -42,6 +42,8 @@
 use crate::ledger_batch::StoredRows;
 use crate::node::NodeContext;
 use crate::order_gate::OrderGate;
+use crate::progress_rows::LoadedProgress;
+use crate::progress_rows::load_progress;
 use crate::queue_statistics::STATISTICS_TABLE;
 use crate::queue_statistics::read_statistics;
 use crate::records::CELL_TABLE;
@@ -311,7 +313,7 @@
     /// Names of the rows of absorbed cells beside those of jobs.
     obsolete: Vec<RowName>,
     jobs: AbsorbedRows,
-    progress: AbsorbedRows,
+    progress: LoadedProgress,
 }
 
 /// Stored rows in the part of one cell.
@@ -328,6 +330,8 @@
     let mut stored = StoredRows {
         workers: std::mem::take(&mut rows.stored_workers),
         marks: std::mem::take(&mut rows.own_marks),
+        progress: std::mem::take(&mut rows.progress.table),
+        obsolete: std::mem::take(&mut rows.progress.obsolete).into(),
         ..StoredRows::default()
     };
     for id in rows.marks.keys() {
@@ -390,7 +394,7 @@
         ledger_version: 0,
         obsolete: Vec::new(),
         jobs: combine_rows(Vec::new()),
-        progress: combine_rows(Vec::new()),
+        progress: LoadedProgress::default(),
     };
     let (mut jobs, mut progress) = (Vec::new(), Vec::new());
     for (position, part) in parts.into_iter().enumerate() {
@@ -436,7 +440,7 @@
         progress.push(part.progress);
     }
     combined.jobs = combine_rows(jobs);
-    combined.progress = combine_rows(progress);
+    combined.progress = load_progress(progress);
     Ok(combined)
 }
 
@@ -458,13 +462,14 @@
         }
     }
     let mut unsaved = BTreeSet::new();
-    for row in &progress.current[progress.own..] {
-        match row.name.key.parse() {
-            Ok(id) if core.mark_unsaved(id) => _ = unsaved.insert(id),
-            _ => _ = kept.insert(row.name.clone()),
+    for (job, names) in &progress.absorbed {
+        let is_readable = progress.jobs.contains_key(job);
+        match job.parse() {
+            Ok(id) if is_readable && core.mark_unsaved(id) => _ = unsaved.insert(id),
+            _ => kept.extend(names.iter().cloned()),
         }
     }
-    let obsolete = (jobs.obsolete.iter().chain(&progress.obsolete))
+    let obsolete = (jobs.obsolete.iter().chain(&progress.absorbed_rows))
         .filter(|row| !kept.contains(*row))
         .chain(&rows.obsolete)
         .cloned()
@@ -481,22 +486,22 @@
     wall_ms: u64,
 ) -> (usize, usize) {
     let mut skipped = 0;
-    let mut progress: HashMap<String, ProgressRecord> = HashMap::new();
-    for row in &rows.progress.current {
-        match decode_record(&row.name.key, &row.value) {
-            Ok(record) => {
-                progress.insert(row.name.key.clone(), record);
-            }
-            Err(error) => {
-                skipped += 1;
-                log::error!("event=row_skipped table={PROGRESS_TABLE} error={error:?}");
-            }
-        }
+    let mut progress = rows.progress.jobs.clone();
+    for (job, problem) in &rows.progress.unreadable {
+        skipped += 1;
+        log::error!("event=row_skipped table={PROGRESS_TABLE} key={job:?} error={problem:?}");
+        // Tasks that are done must not run again, and nothing tells which they are.
+        let failed = ProgressRecord {
+            state: JobState::Failed,
+            ended_ms: wall_ms,
+            ..ProgressRecord::default()
+        };
+        progress.insert(job.clone(), failed);
     }
     for (id, mark) in &rows.marks {
         // What is stored of its progress is older than ends that were acknowledged.
         let ended = ProgressRecord {
-            state: CellCore::state_of_mark(*mark),
+            state: state_of_mark(*mark),
             ended_ms: wall_ms,
             ..ProgressRecord::default()
         };
