Take a final rejection as final after a lost answer

The cell of the table of answers changes: the store rejects the same bytes each time, so a rejection also shows that no earlier attempt was applied. If one is applied later all the same, the next transaction conflicts on the ledger row, the cell is closed and loaded again, and new jobs whose transaction was uncertain are answered as uncertain, never as refused, until a later transaction is applied.

--- a/crates/tanager-service/src/commit_outcome.rs
+++ b/crates/tanager-service/src/commit_outcome.rs
@@ -66,12 +66,14 @@
 }
 
 /// Determines what follows from an answer.
+///
+/// The store rejects the same bytes each time, so a rejection also tells that no earlier attempt was
+/// applied. Should it have applied one all the same, the conditions of the next transaction fail.
 pub fn attempt_outcome(earlier: EarlierAttempts, answer: AttemptAnswer) -> AttemptOutcome {
     match (answer, earlier) {
         (AttemptAnswer::Applied, _) => AttemptOutcome::Applied,
         (AttemptAnswer::Conflict, _) => AttemptOutcome::ReadConflict,
-        (AttemptAnswer::Rejected, EarlierAttempts::NotApplied) => AttemptOutcome::Rejected,
-        (AttemptAnswer::Rejected, EarlierAttempts::Uncertain) => AttemptOutcome::Repeat,
+        (AttemptAnswer::Rejected, _) => AttemptOutcome::Rejected,
         (AttemptAnswer::NotNow, EarlierAttempts::NotApplied) => AttemptOutcome::NotApplied,
         (AttemptAnswer::NotNow, EarlierAttempts::Uncertain) => AttemptOutcome::Repeat,
         (AttemptAnswer::Missing, _) => AttemptOutcome::Repeat,
