Store the pools of other new queues beside one that is rejected

Callers of all queues that had their first job at the same time were refused as long as the store rejected the row of one of them: up to 90 rows of the table queue were one transaction, and none of the jobs was stored before it was applied.

--- a/crates/tanager-service/src/independent_rows.rs
+++ b/crates/tanager-service/src/independent_rows.rs
@@ -1,6 +1,7 @@
 //! Writes rows that need not be stored together, so that one that the store rejects does not keep the
 //! others from being stored.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tanager_protocol::error::ErrorKind;
@@ -14,6 +15,7 @@
 use tanager_site::store::TableStore;
 
 use crate::commit_outcome::AttemptAnswer;
+use crate::unstorable_rows::retry_pause;
 
 /// Maximum number of rows written in one transaction, which leaves room for conditions.
 const MAX_ROWS: usize = 90;
@@ -21,6 +23,48 @@
 /// A row to write.
 pub type WrittenRow = (RowName, Vec<u8>);
 
+/// Rows that the store rejected, each with the time from which it is tried again.
+#[derive(Debug)]
+pub struct RejectedRowPauses<K> {
+    rows: BTreeMap<K, RejectedRow>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RejectedRow {
+    rejections: u32,
+    retry_at: Duration,
+}
+
+impl<K> Default for RejectedRowPauses<K> {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K: Ord> RejectedRowPauses<K> {
+    /// Records a rejection; the pause doubles with each.
+    pub fn record(&mut self, key: K, now: Duration) {
+        let row = self.rows.entry(key).or_insert(RejectedRow {
+            rejections: 0,
+            retry_at: now,
+        });
+        row.rejections += 1;
+        row.retry_at = now + retry_pause(row.rejections);
+    }
+
+    /// Returns whether a row was rejected and is not to be tried again yet.
+    pub fn is_paused(&self, key: &K, now: Duration) -> bool {
+        self.rows.get(key).is_some_and(|row| now < row.retry_at)
+    }
+
+    /// Forgets a row, because it is stored.
+    pub fn remove(&mut self, key: &K) {
+        self.rows.remove(key);
+    }
+}
+
 /// What became of rows.
 #[derive(Debug, Default)]
 pub struct WriteReport {
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -15,6 +15,7 @@
 use tanager_schedule::delegation_table::DelegationChange;
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
+use tanager_site::store::RowName;
 use tanager_site::store::TableChange;
 
 use crate::absorbed_rows::Absorption;
@@ -129,6 +130,15 @@
             .collect()
     }
 
+    /// Takes new jobs out of the transaction.
+    pub(crate) fn take_inserts(&mut self, is_taken: impl Fn(&JobRecord) -> bool) -> Vec<JobRecord> {
+        let taken: Vec<JobRecord> = self.inserts.extract_if(.., |job| is_taken(job)).collect();
+        let keys: BTreeSet<String> = taken.iter().map(|record| record.id.to_string()).collect();
+        let is_kept = |name: &RowName| name.table != JOB_TABLE || !keys.contains(&name.key);
+        self.change.puts.retain(|(name, _)| is_kept(name));
+        taken
+    }
+
     /// Describes the transaction after its rejection.
     pub(crate) fn rejected(&self) -> RejectedRows {
         let units = self.units();
--- a/crates/tanager-service/src/ledger_loop.rs
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tanager_jobs::JobId;
+use tanager_jobs::JobRecord;
 use tanager_protocol::error::TanagerError;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowVersion;
@@ -164,14 +165,16 @@
 }
 
 /// Sends a transaction and applies its outcome; returns false if no others follow.
-async fn store_batch(cell: &Arc<CellHandle>, state: &mut LedgerState, batch: LedgerBatch) -> bool {
+async fn store_batch(
+    cell: &Arc<CellHandle>,
+    state: &mut LedgerState,
+    mut batch: LedgerBatch,
+) -> bool {
     state.writer.sequence = batch.sequence;
     let started = cell.context.clock.now();
     cell.ledger.begin_transaction(started);
-    let outcome = match store_queue_pools(cell, &batch).await {
-        true => commit(cell, &batch, state.writer.versions).await,
-        false => BatchOutcome::NotApplied,
-    };
+    store_queue_pools(cell, &mut batch).await;
+    let outcome = commit(cell, &batch, state.writer.versions).await;
     record_end(cell, &outcome);
     match outcome {
         BatchOutcome::Committed(version) => {
@@ -235,13 +238,21 @@
     }
 }
 
-/// Stores which queues the new jobs of a transaction belong to, before the jobs themselves.
-async fn store_queue_pools(cell: &CellHandle, batch: &LedgerBatch) -> bool {
-    let records = (batch.inserts.iter()).map(|job| QueuePoolRecord {
+/// Stores which queues the new jobs of a transaction belong to, before the jobs themselves. Refuses the
+/// jobs for whose queues that fails.
+async fn store_queue_pools(cell: &CellHandle, batch: &mut LedgerBatch) {
+    let record_of = |job: &JobRecord| QueuePoolRecord {
         queue: job.queue.clone(),
         pool: job.pool.clone(),
-    });
-    cell.context.record_queue_pools(records).await
+    };
+    let records = batch.inserts.iter().map(record_of);
+    let unstored = cell.context.record_queue_pools(records).await;
+    if unstored.is_empty() {
+        return;
+    }
+    for job in batch.take_inserts(|job| unstored.contains(&record_of(job))) {
+        cell.ledger.refuse(job.id);
+    }
 }
 
 /// Sends a transaction until its outcome is known.
--- a/crates/tanager-service/src/queue_pools.rs
+++ b/crates/tanager-service/src/queue_pools.rs
@@ -5,8 +5,8 @@
 //! same. Therefore a row names each pool before a cell of it stores anything about a job of the
 //! queue, and a process that learns of a queue's pool reads these rows before it accepts a job there.
 //!
-//! Cost: one row of some 150 bytes for each queue and pool with jobs, written once, up to
-//! [`MAX_ROWS`] a transaction; a read of the table at the start of a process and for
+//! Cost: one row of some 150 bytes for each queue and pool with jobs, written once, many in one
+//! transaction; a read of the table at the start of a process and for
 //! [`SETTLE_TIME`] after a configuration that changes a queue's pool; a call to one cell of each former
 //! pool for a submission, which are none for a queue that was never moved.
 
@@ -23,17 +23,17 @@
 use tanager_jobs::ids::PoolName;
 use tanager_jobs::record::decode_record;
 use tanager_jobs::record::encode_record;
-use tanager_protocol::error::ErrorKind;
-use tanager_protocol::error::TanagerResult;
-use tanager_site::store::ChangeResult;
+use tanager_protocol::error::TanagerError;
 use tanager_site::store::RowName;
-use tanager_site::store::TableChange;
 use tanager_site::store::TableRow;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::independent_rows::RejectedRowPauses;
+use crate::independent_rows::WrittenRow;
+use crate::independent_rows::write_rows;
 use crate::node::NodeContext;
 use crate::records::POOL_TABLE;
 use crate::records::unpartitioned_row;
@@ -44,8 +44,6 @@
 
 /// Table of the pools of queues; the part is empty.
 const QUEUE_TABLE: &str = "queue";
-/// Maximum number of rows written in one transaction.
-const MAX_ROWS: usize = 90;
 /// Time limits of the attempts to write rows. A transaction takes about 15 ms, and 60 times as long
 /// if the store is slow; the second attempt follows after a lost response.
 const WRITE_TIMEOUTS: [Duration; 3] = [
@@ -82,6 +80,8 @@
 #[derive(Debug)]
 pub struct QueuePools {
     stored: Mutex<BTreeSet<QueuePoolRecord>>,
+    /// Records that the store rejected.
+    rejected: Mutex<RejectedRowPauses<QueuePoolRecord>>,
     /// Held while rows are written.
     writer: tokio::sync::Mutex<()>,
     /// Version of the configuration in force when the last successful read began.
@@ -93,6 +93,7 @@
     fn default() -> Self {
         Self {
             stored: Mutex::default(),
+            rejected: Mutex::default(),
             writer: tokio::sync::Mutex::new(()),
             read_version: watch::Sender::new(None),
             read_requested: Notify::new(),
@@ -139,53 +140,61 @@
         read.is_ok()
     }
 
-    /// Stores that pools may have jobs of queues, before they have any; returns whether that is stored.
+    /// Stores that pools may have jobs of queues, before they have any. Returns the records that are not
+    /// stored: those that the store rejects, or all that it does not store now.
     pub(crate) async fn record_queue_pools(
         &self,
         records: impl IntoIterator<Item = QueuePoolRecord>,
-    ) -> bool {
+    ) -> BTreeSet<QueuePoolRecord> {
         let pools = &self.queue_pools;
         let mut missing: BTreeSet<QueuePoolRecord> = records.into_iter().collect();
         pools.drop_stored(&mut missing);
         if missing.is_empty() {
-            return true;
+            return missing;
         }
         // What another cell of this node stores meanwhile need not be written again.
         let _writer = pools.writer.lock().await;
         pools.drop_stored(&mut missing);
-        let missing: Vec<QueuePoolRecord> = missing.into_iter().collect();
-        for batch in missing.chunks(MAX_ROWS) {
-            match self.write_queue_pools(batch).await {
-                Ok(ChangeResult::Committed(_)) => {
-                    lock(&pools.stored).extend(batch.iter().cloned());
-                }
-                result => {
-                    log::info!(
-                        "event=queue_pools_not_stored rows={} result={result:?}",
-                        batch.len()
-                    );
-                    return false;
-                }
+        let now = self.clock.now();
+        let rows: Result<Vec<WrittenRow>, TanagerError> = (missing.iter())
+            .filter(|record| !lock(&pools.rejected).is_paused(*record, now))
+            .map(|record| Ok((record.row(), encode_record(record)?)))
+            .collect();
+        let report = match rows {
+            Ok(rows) => write_rows(&self.store, &[], rows, &WRITE_TIMEOUTS).await,
+            Err(error) => {
+                log::error!("event=record_not_encoded error={error:?}");
+                return missing;
             }
+        };
+        for (name, bytes, error) in &report.rejected {
+            self.metrics.rows_set_aside.increment();
+            log::error!(
+                "event=row_rejected row={}/{} bytes={bytes} error={error:?}",
+                name.table,
+                name.key
+            );
         }
-        true
-    }
-
-    async fn write_queue_pools(&self, batch: &[QueuePoolRecord]) -> TanagerResult<ChangeResult> {
-        let mut change = TableChange::default();
-        for record in batch {
-            change.puts.push((record.row(), encode_record(record)?));
+        if let Some(result) = &report.failure {
+            log::info!(
+                "event=queue_pools_not_stored rows={} result={result:?}",
+                missing.len() - report.stored.len()
+            );
         }
-        let mut result = Ok(ChangeResult::Conflict(Vec::new()));
-        for timeout in WRITE_TIMEOUTS {
-            result = self.store.change(&change, timeout).await;
-            let is_uncertain = (result.as_ref())
-                .is_err_and(|error| matches!(error.kind, ErrorKind::Unknown | ErrorKind::Timeout));
-            if !is_uncertain {
-                break;
+        let mut unstored = BTreeSet::new();
+        for record in missing {
+            let row = record.row();
+            if report.stored.contains(&row) {
+                lock(&pools.rejected).remove(&record);
+                lock(&pools.stored).insert(record);
+                continue;
+            }
+            if report.rejected.iter().any(|(name, _, _)| *name == row) {
+                lock(&pools.rejected).record(record.clone(), now);
             }
+            unstored.insert(record);
         }
-        result
+        unstored
     }
 
     /// Returns whether the partition of a pool that the table names is not known.
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -331,7 +331,8 @@
                 queue: queue.to_owned(),
                 pool: pool_of(&self.name).to_owned(),
             };
-            if !self.context.record_queue_pools([record]).await {
+            let unstored = self.context.record_queue_pools([record]).await;
+            if !unstored.is_empty() {
                 return store_refusal();
             }
         }
--- a/crates/tanager-service/src/unstorable_rows.rs
+++ b/crates/tanager-service/src/unstorable_rows.rs
@@ -244,7 +244,8 @@
     }
 }
 
-fn retry_pause(rejections: u32) -> Duration {
+/// Returns the pause before a row that was rejected so many times is tried again.
+pub fn retry_pause(rejections: u32) -> Duration {
     let doubled = 2u32.saturating_pow(rejections.saturating_sub(1));
     MIN_RETRY_PAUSE.saturating_mul(doubled).min(MAX_RETRY_PAUSE)
 }
