Carry waves out beside rows of the coordinator that cannot be read, and bound the row of a wave

read_homes and read_wave failed as a whole: one row of the table home that cannot be decoded kept the coordinator from all waves and moves, and one of the table wave kept its wave. Such rows are skipped, counted and logged once; a wave without readable progress begins anew, which the platform permits (orders for VMs that are done or in maintenance are answered as done).

Records of earlier versions are read as before.

--- a/crates/tanager-node/tests/jobs/odd_rows.rs
+++ b/crates/tanager-node/tests/jobs/odd_rows.rs
@@ -187,6 +187,30 @@
     assert_eq!(log.matches("event=row_skipped table=report").count(), 3);
 }
 
+/// Guards against a coordinator that carries out no wave because it cannot read what is stored of another VM
+/// or of the wave.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_rows_of_the_coordinator_hold_up_no_wave() {
+    let pools = [pool(POOL, 3)];
+    let standin = SiteStandin::spawn(&pools).await.expect("stand-in");
+    standin.put_config(1, &pools);
+    standin.put_part_row("home", "duty", "m-000", b"{");
+    standin.put_part_row("wave", "duty", "2", b"[]");
+    let nodes = vec![NodeProcess::spawn(&standin, "node-0", "")];
+    let site = JobSite { standin, nodes };
+    site.wait_until_owned(&pools).await;
+    let vms = site.standin.vms(POOL);
+    let wave = json!({"wave": 2, "machines": vms, "duration_s": 60, "cap": 1});
+    site.standin
+        .put_row("op", "wave/2", wave.to_string().as_bytes());
+    eventually("the wave is completed", async || {
+        let status = site.standin.row("status", "wave/2").unwrap_or_default();
+        String::from_utf8_lossy(&status).contains("completed")
+    })
+    .await;
+    assert_eq!(site.standin.machine_orders().len(), vms.len());
+}
+
 /// Guards against a coordinator that carries out no wave because of odd waves, or odd VMs in the
 /// platform's list, and against an odd row that replaces a wave.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/tanager-schedule/src/wave_record.rs
+++ b/crates/tanager-schedule/src/wave_record.rs
@@ -1,8 +1,10 @@
 //! Conversion between the progress of a maintenance wave and its stored record.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tanager_jobs::WaveRecord;
+use tanager_jobs::ids::VmName;
 
 use crate::wave::MaintenanceStep;
 use crate::wave::WaveTracker;
@@ -48,7 +50,10 @@
             now,
         );
         tracker.set_end(now + Duration::from_millis(end_ms.saturating_sub(wall_ms)));
-        for vm in &record.begun {
+        let begun: BTreeSet<&VmName> = (record.begun.iter())
+            .chain(record.accepted_ms.keys())
+            .collect();
+        for vm in begun {
             let step = match record.accepted_ms.get(vm) {
                 Some(since_ms) => {
                     let age = Duration::from_millis(wall_ms.saturating_sub(*since_ms));
@@ -64,8 +69,10 @@
                 entry.ordered_at = None;
             }
         }
-        for vm in record.ordered.difference(&record.begun) {
-            tracker.restore_possible_order(vm, now);
+        for vm in &record.ordered {
+            if !record.begun.contains(vm) && !record.accepted_ms.contains_key(vm) {
+                tracker.restore_possible_order(vm, now);
+            }
         }
         tracker
     }
@@ -83,7 +90,6 @@
                     record.begun.insert(vm.clone());
                 }
                 MaintenanceStep::Accepted(since) => {
-                    record.begun.insert(vm.clone());
                     // Keeps the stored time: the clocks' rates differ, which would change the row
                     // in each step.
                     let since_ms = previous.accepted_ms.get(vm).copied().unwrap_or_else(|| {
--- a/crates/tanager-service/src/coordinator_records.rs
+++ b/crates/tanager-service/src/coordinator_records.rs
@@ -45,8 +45,15 @@
         .await?;
     let mut homes = BTreeMap::new();
     for row in rows {
-        let record: HomeRecord = decode_record(&row.name.key, &row.value)?;
-        homes.insert(row.name.key, record.pool);
+        let key = row.name.key;
+        match decode_record::<HomeRecord>(&key, &row.value) {
+            Ok(record) => _ = homes.insert(key, record.pool),
+            Err(error) => {
+                let problem = error.to_string();
+                cell.context
+                    .skip_row(HOME_TABLE, &key, row.version, &problem);
+            }
+        }
     }
     Ok(homes)
 }
@@ -57,10 +64,17 @@
     let page = store
         .rows(WAVE_TABLE, COORDINATOR_CELL, Some(&key), MACHINE_TIMEOUT)
         .await?;
-    match page.rows.iter().find(|row| row.name.key == key) {
-        Some(row) => decode_record(&key, &row.value),
-        None => Ok(WaveRecord::default()),
-    }
+    let Some(row) = page.rows.iter().find(|row| row.name.key == key) else {
+        return Ok(WaveRecord::default());
+    };
+    // Without its progress the wave begins anew: the platform accepts repeated orders, and counts VMs that
+    // it lists in maintenance.
+    Ok(decode_record(&key, &row.value).unwrap_or_else(|error| {
+        let problem = error.to_string();
+        cell.context
+            .skip_row(WAVE_TABLE, &key, row.version, &problem);
+        WaveRecord::default()
+    }))
 }
 
 /// Stores the progress of a wave; returns whether it is stored.
--- a/crates/tanager-service/src/coordinator_waves.rs
+++ b/crates/tanager-service/src/coordinator_waves.rs
@@ -81,11 +81,12 @@
         let mut record = stored.clone();
         let tracker = WaveTracker::resume(terms, names, &mut record, clock.now(), wall_ms);
         log::info!(
-            "event=wave_started wave={} vms={} begun={} ordered={} cap={} duration_s={} \
+            "event=wave_started wave={} vms={} begun={} accepted={} ordered={} cap={} duration_s={} \
              end_ms={:?} time_left={:.3?}",
             order.wave,
             order.machines.len(),
             record.begun.len(),
+            record.accepted_ms.len(),
             record.ordered.len(),
             order.cap,
             order.duration_s,
@@ -128,7 +129,7 @@
         log::info!(
             "event=wave_completed wave={wave} vms={} time_left={:.3?} late={} drain={:.3?} \
              outage={:.3?} interrupted_drains={}",
-            self.record.begun.len(),
+            self.record.begun.len() + self.record.accepted_ms.len(),
             self.tracker.time_left(now),
             self.tracker.time_left(now).is_zero(),
             self.tracker.times().drain(),
--- a/crates/tanager-service/tests/row_bounds.rs
+++ b/crates/tanager-service/tests/row_bounds.rs
@@ -2,11 +2,16 @@
 
 use std::net::SocketAddr;
 
+use tanager_jobs::JobId;
+use tanager_jobs::JobState;
 use tanager_jobs::ResourceAmount;
+use tanager_jobs::WaveRecord;
 use tanager_jobs::record::encode_record;
 use tanager_service::queue_statistics::read_statistics;
 use tanager_service::queue_statistics::statistics_rows;
+use tanager_service::records::LedgerRecord;
 use tanager_service::records::LedgerWorker;
+use tanager_service::records::PoolRecord;
 use tanager_service::records::QueueStatistics;
 use tanager_service::stored_workers::StoredWorkers;
 use tanager_site::store::MAX_BYTES;
@@ -140,3 +145,52 @@
     stored.record(&changes, true);
     assert!(!stored.has_legacy_row() && stored.legacy().is_empty());
 }
+
+/// Number of VMs of the largest fleet to design for.
+const FLEET: usize = 1_100;
+
+fn vm(number: usize) -> String {
+    format!("vm-{number:017}")
+}
+
+/// Guards against the row of a wave over the whole fleet that the store rejects, at the worst moment: all
+/// VMs are in maintenance.
+#[test]
+fn wave_over_the_fleet_fits_into_a_row() {
+    let record = WaveRecord {
+        accepted_ms: (0..FLEET)
+            .map(|number| (vm(number), 1_800_000_000_000))
+            .collect(),
+        end_ms: Some(1_800_000_000_000),
+        ..WaveRecord::default()
+    };
+    let size = encode_record(&record).expect("a row").len();
+    assert!(size <= ROW_LIMITS[0], "{size}");
+}
+
+/// Guards against the row of a pool that the store rejects, if it has a rack for each VM of the fleet.
+#[test]
+fn racks_of_a_pool_fit_into_a_row() {
+    let record = PoolRecord {
+        cells: 50,
+        racks: (0..FLEET)
+            .map(|number| (vm(number), number as u32 % 50))
+            .collect(),
+        later_racks: (0..FLEET).map(vm).collect(),
+    };
+    let size = encode_record(&record).expect("a row").len();
+    assert!(size <= ROW_LIMITS[0], "{size}");
+}
+
+/// Guards against marks that let the ledger row grow without a limit.
+#[test]
+fn marks_take_little_room() {
+    let record = LedgerRecord {
+        withheld: (0..64)
+            .map(|id| (JobId(u64::MAX - id), JobState::Completed))
+            .collect(),
+        ..LedgerRecord::default()
+    };
+    let size = encode_record(&record).expect("a row").len();
+    assert!(size < 2_800, "{size}");
+}
