Model of a store that rejects progress; lasting tasks go on after a takeover

The model's store rejects the progress of a share of the jobs until the faults end, beside lost answers, crashes, handovers and lists of three ends. No end of such a task is done, so the next owner continues them from the older progress (progress_of_marked_job).

--- a/crates/tanager-schedule/src/persistence.rs
+++ b/crates/tanager-schedule/src/persistence.rs
@@ -125,7 +125,7 @@
         self.withheld.insert(id);
     }
 
-    /// Loads a job that a former owner marked. `load_job` must have loaded it as ended.
+    /// Loads the mark of a job, which was loaded with the progress that follows from it.
     pub fn load_mark(&mut self, id: JobId, state: JobState) {
         self.withheld.insert(id);
         self.withheld.record_mark(id, state);
--- a/crates/tanager-schedule/src/withheld_progress.rs
+++ b/crates/tanager-schedule/src/withheld_progress.rs
@@ -2,13 +2,15 @@
 //!
 //! Such a job goes on: its tasks start and end. Its ends are acknowledged once a mark that names the job
 //! is stored elsewhere, because from then on no later owner starts its tasks: a job whose mark says
-//! that it is open ends as failed after a takeover, since its progress is lost with its owner. The mark
-//! also stores the end of the job.
+//! that it is open ends as failed after a takeover, since its progress is lost with its owner, unless all
+//! its tasks last. The mark also stores the end of the job.
 
 use std::collections::BTreeMap;
 
 use tanager_jobs::JobId;
+use tanager_jobs::JobSpec;
 use tanager_jobs::JobState;
+use tanager_jobs::ProgressRecord;
 
 /// Jobs whose progress is withheld from transactions, with the state in their stored mark if there is
 /// one.
@@ -50,10 +52,24 @@
     }
 }
 
-/// Returns the state of a job after a takeover whose mark has the state `mark`.
-pub fn state_of_mark(mark: JobState) -> JobState {
-    match mark {
+/// Returns the progress with which the next owner loads a job that a mark names. What is `stored` may be
+/// older than ends that were acknowledged, so tasks of an open job that may be done must not start again;
+/// tasks that last never are, and go on.
+pub fn progress_of_marked_job(
+    spec: Option<&JobSpec>,
+    stored: ProgressRecord,
+    mark: JobState,
+    wall_ms: u64,
+) -> ProgressRecord {
+    let lasts = spec.is_some_and(|spec| spec.steps.iter().all(|step| step.long_running));
+    let state = match mark {
+        JobState::Open if lasts => return stored,
         JobState::Open => JobState::Failed,
         state => state,
+    };
+    ProgressRecord {
+        state,
+        ended_ms: wall_ms,
+        ..ProgressRecord::default()
     }
 }
--- a/crates/tanager-schedule/tests/model.rs
+++ b/crates/tanager-schedule/tests/model.rs
@@ -18,6 +18,7 @@
     pub(crate) mod merging;
     pub(crate) mod moves;
     pub(crate) mod owner;
+    pub(crate) mod rejections;
     pub(crate) mod worker;
     pub(crate) mod world;
 }
@@ -67,6 +68,7 @@
     power_losses: false,
     late_commits: 0.0,
     failing_workers: false,
+    rejected: 0.0,
     labelled: 0.0,
     lasting_jobs: false,
     cells: 1,
@@ -101,6 +103,7 @@
     power_losses: false,
     late_commits: 0.0,
     failing_workers: false,
+    rejected: 0.0,
     labelled: 0.0,
     lasting_jobs: false,
     cells: 1,
@@ -414,6 +417,22 @@
         freezes: true,
         ..NO_FAULTS
     };
+    rejected_progress: FaultPlan { rejected: 0.2, ..NO_FAULTS };
+    rejected_progress_and_short_lists: FaultPlan { rejected: 0.2, listed_ends: 3, ..NO_FAULTS };
+    rejected_progress_and_crashes: FaultPlan {
+        rejected: 0.2,
+        listed_ends: 20,
+        response_lost: 0.03,
+        call_lost: 0.03,
+        crash_every: Duration::from_secs(5),
+        handovers: true,
+        ..NO_FAULTS
+    };
+    rejected_progress_beside_everything: FaultPlan {
+        rejected: 0.1,
+        late_commits: 0.05,
+        ..EVERYTHING
+    };
     usage_of_workspaces: FaultPlan { workspaces: true, ..NO_FAULTS };
     usage_of_workspaces_beside_faults: FaultPlan {
         workspaces: true,
--- a/crates/tanager-schedule/tests/model/merging.rs
+++ b/crates/tanager-schedule/tests/model/merging.rs
@@ -8,6 +8,7 @@
 use tanager_jobs::WorkerEntry;
 use tanager_schedule::merging::MERGE_DELAY;
 
+use super::rejections::Marks;
 use super::world::World;
 
 /// Interval between an owner's checks for steps without room.
@@ -22,6 +23,7 @@
 pub(crate) struct ModelCell {
     pub(crate) owner_token: u64,
     pub(crate) ledger_workers: Vec<WorkerEntry>,
+    pub(crate) marks: Marks,
     /// Whether the owner row says that the owner may not have outlasted an unresponsive predecessor.
     pub(crate) awaits_predecessor: bool,
     /// Whether the owner row says that the cell was merged into the first one.
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -10,6 +10,7 @@
 use tanager_jobs::DelegationRecord;
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
+use tanager_jobs::JobSpec;
 use tanager_jobs::JobState;
 use tanager_jobs::ProgressRecord;
 use tanager_jobs::ids::CellName;
@@ -24,7 +25,7 @@
 use tanager_schedule::order_lease;
 use tanager_schedule::ownership;
 use tanager_schedule::recovery::FormerOwner;
-use tanager_schedule::withheld_progress::state_of_mark;
+use tanager_schedule::withheld_progress::progress_of_marked_job;
 use tanager_site::store::ChangeResult;
 use tanager_site::store::RowName;
 use tanager_site::store::RowVersion;
@@ -498,30 +499,30 @@
         };
         progress.insert(job.clone(), failed);
     }
-    for (id, mark) in &rows.marks {
-        // What is stored of its progress is older than ends that were acknowledged.
-        let ended = ProgressRecord {
-            state: state_of_mark(*mark),
-            ended_ms: wall_ms,
-            ..ProgressRecord::default()
+    let marked = rows.marks.keys().map(JobId::to_string);
+    let keys: BTreeSet<String> = progress.keys().cloned().chain(marked).collect();
+    let mut take_progress = |key: &str, spec: Option<&JobSpec>| {
+        let stored = progress.remove(key).unwrap_or_default();
+        let mark = (key.parse().ok()).and_then(|id: JobId| rows.marks.get(&id).copied());
+        let Some(mark) = mark else {
+            return stored;
         };
-        log::warn!(
-            "event=marked_job_loaded job={id} mark={mark:?} state={:?}",
-            ended.state
-        );
-        progress.insert(id.to_string(), ended);
-    }
+        let progress = progress_of_marked_job(spec, stored, mark, wall_ms);
+        let state = progress.state;
+        log::warn!("event=marked_job_loaded job={key} mark={mark:?} state={state:?}");
+        progress
+    };
     let mut loaded = 0;
     for row in &rows.jobs.current {
         match decode_record::<JobRecord>(&row.name.key, &row.value) {
             Ok(record) => {
-                let progress = progress.remove(row.name.key.as_str()).unwrap_or_default();
+                let progress = take_progress(&row.name.key, Some(&record.spec));
                 core.load_job(record, &progress, now, wall_ms);
                 loaded += 1;
             }
             Err(error) => match decode_record::<DelegationRecord>(&row.name.key, &row.value) {
                 Ok(record) => {
-                    let progress = progress.remove(row.name.key.as_str()).unwrap_or_default();
+                    let progress = take_progress(&row.name.key, Some(&record.job.spec));
                     match absorbed.contains(&record.delegated_to) {
                         // The row of the job itself would be in the same part, or in one that no
                         // owner changes any more.
@@ -537,9 +538,12 @@
             },
         }
     }
-    for (key, record) in progress {
-        if let Ok(id) = key.parse::<JobId>() {
-            core.load_early_cancellation(id, &record);
+    // What remains is of jobs that were never accepted.
+    for key in keys {
+        if let Ok(id) = key.parse::<JobId>()
+            && core.record(id).is_none()
+        {
+            core.load_early_cancellation(id, &take_progress(&key, None));
         }
     }
     for (id, mark) in &rows.marks {
