Look first whether a cell has anything to store

Each wake of the ledger described all workers of the cell to find that nothing changed, as building a transaction does; the cheap checks come first again, as before unstorable rows.

--- a/crates/tanager-service/src/absorbed_rows.rs
+++ b/crates/tanager-service/src/absorbed_rows.rs
@@ -52,6 +52,11 @@
         self.copies.is_empty() && self.progress.is_empty() && self.obsolete.is_empty()
     }
 
+    /// Returns whether rows wait to be copied.
+    pub(crate) fn has_copies(&self) -> bool {
+        !self.copies.is_empty()
+    }
+
     /// Takes the next rows to copy among those that `is_selected`, as long as `fits` accepts their sizes
     /// in bytes.
     pub(crate) fn take_copies(
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -177,6 +177,17 @@
         absorption,
     } = pending;
     let is_unrestricted = selection == RowSelection::Unsuspected;
+    let expired = match is_unrestricted && absorption.is_complete() {
+        true => core.remove_expired(wall_ms, MAX_EXPIRED_JOBS),
+        false => Vec::new(),
+    };
+    let has_work = !queue.is_empty()
+        || !expired.is_empty()
+        || absorption.has_copies()
+        || has_unstored_state(core, stored, now);
+    if is_unrestricted && !has_work {
+        return None;
+    }
     let mut change = TableChange {
         expect: vec![
             (cell_row(CELL_TABLE, name, OWNER_KEY), writer.versions.owner),
@@ -187,24 +198,8 @@
         ],
         ..TableChange::default()
     };
-    let mut has_other_removals = false;
-    if is_unrestricted && absorption.is_complete() {
-        for id in core.remove_expired(wall_ms, MAX_EXPIRED_JOBS) {
-            let key = id.to_string();
-            stored.obsolete.extend(stored.progress.remove(id));
-            change.removals.push(cell_row(JOB_TABLE, name, &key));
-            change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
-            has_other_removals = true;
-        }
-    }
-    let mut obsolete = 0;
-    if is_unrestricted {
-        for key in stored.obsolete.iter().take(MAX_OBSOLETE_ROWS) {
-            change.removals.push(cell_row(PROGRESS_TABLE, name, key));
-            obsolete += 1;
-            has_other_removals = true;
-        }
-    }
+    let obsolete = add_removals(name, expired, is_unrestricted, stored, &mut change);
+    let mut has_other_removals = !change.removals.is_empty();
     let stored: &StoredRows = stored;
     let is_selected = |unit: RowUnit| stored.unstorable.is_selected(&selection, &unit);
     // One more for the ledger row, whose marks take a part of the bytes.
@@ -301,6 +296,44 @@
     })
 }
 
+/// Returns whether a transaction may be needed for what the cell has learned. Cheaper than to build one.
+fn has_unstored_state(core: &CellCore, stored: &StoredRows, now: Duration) -> bool {
+    core.has_dirty()
+        || core.has_unstored_ends()
+        || !core.unregistered_workers(now).is_empty()
+        || !stored.obsolete.is_empty()
+        || marks(core, stored, &[]) != stored.marks
+}
+
+/// Removes the rows of expired jobs, and rows that are not needed any more; returns the number of the
+/// latter.
+fn add_removals(
+    name: &str,
+    expired: Vec<JobId>,
+    is_unrestricted: bool,
+    stored: &mut StoredRows,
+    change: &mut TableChange,
+) -> usize {
+    for id in expired {
+        let key = id.to_string();
+        stored.obsolete.extend(stored.progress.remove(id));
+        change.removals.push(cell_row(JOB_TABLE, name, &key));
+        change.removals.push(cell_row(PROGRESS_TABLE, name, &key));
+    }
+    let limit = if is_unrestricted {
+        MAX_OBSOLETE_ROWS
+    } else {
+        0
+    };
+    let obsolete = stored.obsolete.iter().take(limit);
+    let rows: Vec<RowName> = obsolete
+        .map(|key| cell_row(PROGRESS_TABLE, name, key))
+        .collect();
+    let count = rows.len();
+    change.removals.extend(rows);
+    count
+}
+
 /// Describes the workers of a cell on which it may have runs.
 fn current_workers(core: &mut CellCore, now: Duration) -> Vec<LedgerWorker> {
     let entries = core.ledger_workers(now);
