--- a/crates/tanager-service/src/ledger_loop.rs
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -472,7 +472,7 @@
             state.limits = BatchLimits::DOCUMENTED;
             cell.context.metrics.rows_set_aside.increment();
             log::error!(
-                "event=row_set_aside cell={} token={} unit={unit:?} bytes={bytes} rejections={rejections}",
+                "event=row_set_aside cell={} token={} unit={unit} bytes={bytes} rejections={rejections}",
                 cell.name,
                 cell.token
             );
--- a/crates/tanager-service/src/unstorable_rows.rs
+++ b/crates/tanager-service/src/unstorable_rows.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use tanager_jobs::JobId;
@@ -36,6 +37,18 @@
     Progress(JobId),
 }
 
+impl fmt::Display for RowUnit {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Worker(id) => write!(formatter, "worker/{id}"),
+            Self::Job(id) => write!(formatter, "job/{id}"),
+            Self::Copy(key) => write!(formatter, "copy/{key}"),
+            Self::Delegation(id) => write!(formatter, "delegation/{id}"),
+            Self::Progress(id) => write!(formatter, "progress/{id}"),
+        }
+    }
+}
+
 /// Units of a rejected transaction, to be stored together and apart from others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SuspectGroup {
