Count undocumented statuses in a row as a rejection

A transaction that the store answers with a status that the platform does not document, for instance 500, was repeated for ever, as after a lost answer: one such row stopped its cell. Five in a row count as a rejection now, and what the transaction contained remains uncertain until the next one is applied.

--- a/crates/tanager-service/src/commit_outcome.rs
+++ b/crates/tanager-service/src/commit_outcome.rs
@@ -4,14 +4,13 @@
 //! transaction reveals which, unless the store never applies it: then the cell would repeat it for
 //! good and store nothing else.
 
-use std::time::Duration;
-
 use tanager_protocol::error::ErrorKind;
+use tanager_protocol::error::TanagerError;
+use tanager_site::store::is_status_error;
 
-/// Time after the first attempt from which a transaction without an answer is given up, provided
-/// that the store answers a read. A late attempt is applied up to some seconds later; after that time
-/// the store has more likely a problem with this transaction than with all.
-const SILENCE_LIMIT: Duration = Duration::from_secs(6);
+/// Number of unclear answers in a row after which a transaction counts as rejected: a passing fault of the
+/// store rarely takes as many.
+const MAX_UNCLEAR_ANSWERS: u32 = 5;
 
 /// Answer of the store to one attempt of a transaction.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,7 +23,9 @@
     NotNow,
     /// Not applied, and never will be as it is.
     Rejected,
-    /// None, or one that does not tell whether the attempt was applied.
+    /// A status that the platform does not document, which does not tell whether the attempt was applied.
+    Unclear,
+    /// None.
     Missing,
 }
 
@@ -54,8 +55,9 @@
 
 impl AttemptAnswer {
     /// Classifies a failed attempt.
-    pub fn from_failure(kind: ErrorKind) -> Self {
-        match kind {
+    pub fn from_failure(error: &TanagerError) -> Self {
+        match error.kind {
+            ErrorKind::Unknown if is_status_error(error) => Self::Unclear,
             ErrorKind::NotSent | ErrorKind::Refused | ErrorKind::NotReady => Self::NotNow,
             // `Internal` is a transaction that cannot be encoded.
             ErrorKind::Invalid | ErrorKind::Forbidden | ErrorKind::Internal => Self::Rejected,
@@ -69,19 +71,23 @@
 ///
 /// The store rejects the same bytes each time, so a rejection also tells that no earlier attempt was
 /// applied. Should it have applied one all the same, the conditions of the next transaction fail.
-pub fn attempt_outcome(earlier: EarlierAttempts, answer: AttemptAnswer) -> AttemptOutcome {
+///
+/// `unclear_answers` is the number of unclear answers in a row, this one included. After several, the
+/// transaction counts as rejected: with other rows, the next one is applied or conflicts.
+pub fn attempt_outcome(
+    earlier: EarlierAttempts,
+    answer: AttemptAnswer,
+    unclear_answers: u32,
+) -> AttemptOutcome {
     match (answer, earlier) {
+        (AttemptAnswer::Unclear, _) if unclear_answers >= MAX_UNCLEAR_ANSWERS => {
+            AttemptOutcome::Rejected
+        }
         (AttemptAnswer::Applied, _) => AttemptOutcome::Applied,
         (AttemptAnswer::Conflict, _) => AttemptOutcome::ReadConflict,
         (AttemptAnswer::Rejected, _) => AttemptOutcome::Rejected,
         (AttemptAnswer::NotNow, EarlierAttempts::NotApplied) => AttemptOutcome::NotApplied,
         (AttemptAnswer::NotNow, EarlierAttempts::Uncertain) => AttemptOutcome::Repeat,
-        (AttemptAnswer::Missing, _) => AttemptOutcome::Repeat,
+        (AttemptAnswer::Unclear | AttemptAnswer::Missing, _) => AttemptOutcome::Repeat,
     }
 }
-
-/// Returns whether a read should show whether the store answers at all, because it has not answered
-/// a transaction for `silent_for`.
-pub fn is_silence_suspicious(silent_for: Duration) -> bool {
-    silent_for >= SILENCE_LIMIT
-}
