Write the ledger row alone before a row is set aside

If the store rejects all transactions of a cell, halving blamed one row after the other, and each was tried again only after up to 32 s: workers got no tasks and ends were not stored for so long after the store was well again. If no transaction was applied for a second, the ledger row is written alone first. If that is rejected too, nothing is set aside and the cell refuses jobs at once (cell_blocked).

--- a/crates/tanager-node/tests/jobs/rejected_rows.rs
+++ b/crates/tanager-node/tests/jobs/rejected_rows.rs
@@ -132,6 +132,23 @@
     assert_single_runs(&site.standin.runs());
 }
 
+/// Guards against a transaction that is repeated for ever, because the store answers it with a status that
+/// the platform does not document (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn rejection_with_an_undocumented_status_stops_no_other_jobs() {
+    let site = small_site(1).await;
+    let id = new_job_id();
+    site.standin.reject_rows(vec![RowRejection {
+        status: 500,
+        ..RowRejection::new("progress", &id)
+    }]);
+    let job = job_of_steps(&[1, 1], "ms=300");
+    assert!(site.submit(0, POOL, &id, &job).await);
+    time::sleep(Duration::from_secs(4)).await;
+    assert_others_are_served(&site).await;
+    assert_single_runs(&site.standin.runs());
+}
+
 /// Guards against ends of other jobs that are not acknowledged, and therefore no longer listed,
 /// beside a job whose progress cannot be stored (LOST).
 #[tokio::test(flavor = "multi_thread")]
@@ -285,5 +302,11 @@
         submit_each(&site, 1, "ms=10").await.len() == 1
     })
     .await;
+    // No row was taken for the cause and set aside.
+    let status = site
+        .request(0, Method::DELETE, &format!("/{POOL}/{}", running[0]), "")
+        .await
+        .map(|response| response.status.as_u16());
+    assert_eq!(status, Some(200));
     assert!(site.owner(CELL).await.is_some());
 }
--- a/crates/tanager-service/src/independent_rows.rs
+++ b/crates/tanager-service/src/independent_rows.rs
@@ -99,7 +99,7 @@
                     .stored
                     .extend(group.into_iter().map(|(name, _)| name));
             }
-            Err(error) if AttemptAnswer::from_failure(error.kind) == AttemptAnswer::Rejected => {
+            Err(error) if AttemptAnswer::from_failure(&error) == AttemptAnswer::Rejected => {
                 let upper = group.split_off(group.len() / 2);
                 if group.is_empty() {
                     let rejected = upper.into_iter().map(|(name, value)| {
--- a/crates/tanager-service/src/ledger.rs
+++ b/crates/tanager-service/src/ledger.rs
@@ -52,6 +52,17 @@
     Uncertain,
 }
 
+/// How a transaction ended, as far as it tells whether the cell can store anything.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TransactionEnd {
+    /// Applied.
+    Applied,
+    /// Not applied; the store may take others.
+    Rejected,
+    /// Not applied, and neither would others be.
+    Failed,
+}
+
 /// Versions of the two rows that every transaction of a cell expects.
 #[derive(Clone, Copy, Debug)]
 pub struct LedgerVersions {
@@ -139,19 +150,21 @@
         self.lock().started = Some(now);
     }
 
-    /// Records that the transaction in progress ended, and whether it was applied; returns the time since
-    /// the first of those that were not.
-    pub fn end_transaction(&self, now: Duration, is_applied: bool) -> Duration {
+    /// Records that the transaction in progress ended; returns the time since the first of those that
+    /// failed.
+    pub fn end_transaction(&self, now: Duration, end: TransactionEnd) -> Duration {
         let mut state = self.lock();
         let started = state.started.take().unwrap_or(now);
         state.last_duration = now.saturating_sub(started);
         let failing_since = state.failing_since.unwrap_or(started);
-        if is_applied {
-            state.uncertain.clear();
-            state.failing_since = None;
-            state.is_block_noted = false;
-        } else {
-            state.failing_since = Some(failing_since);
+        match end {
+            TransactionEnd::Applied => {
+                state.uncertain.clear();
+                state.failing_since = None;
+                state.is_block_noted = false;
+            }
+            TransactionEnd::Failed => state.failing_since = Some(failing_since),
+            TransactionEnd::Rejected => {}
         }
         now.saturating_sub(failing_since)
     }
--- a/crates/tanager-service/src/ledger_batch.rs
+++ b/crates/tanager-service/src/ledger_batch.rs
@@ -16,6 +16,7 @@
 use tanager_schedule::persistence::DirtyJob;
 use tanager_schedule::persistence::EndWatermarks;
 use tanager_site::store::RowName;
+use tanager_site::store::RowVersion;
 use tanager_site::store::TableChange;
 
 use crate::absorbed_rows::Absorption;
@@ -117,6 +118,46 @@
 }
 
 impl LedgerBatch {
+    /// Builds a transaction that writes only the ledger row, to find out whether the store takes any.
+    pub(crate) fn probe(writer: &LedgerWriter, stored: &StoredRows) -> Option<Self> {
+        let record = LedgerRecord {
+            sequence: writer.sequence + 1,
+            writer: writer.incarnation,
+            withheld: stored.marks.clone(),
+            workers: stored.workers.legacy().to_vec(),
+            ..LedgerRecord::default()
+        };
+        let row = cell_row(LEDGER_TABLE, &writer.cell, LEDGER_KEY);
+        let change = TableChange {
+            expect: expectations(writer),
+            puts: vec![(row, encode_or_log(&record)?)],
+            removals: Vec::new(),
+        };
+        Some(Self {
+            change,
+            sequence: record.sequence,
+            selection: RowSelection::Unsuspected,
+            inserts: Vec::new(),
+            copies: Vec::new(),
+            dirty: Vec::new(),
+            progress: Vec::new(),
+            obsolete: 0,
+            delegations: Vec::new(),
+            watermarks: EndWatermarks::new(),
+            registered: Vec::new(),
+            workers: WorkerChanges::default(),
+            stores_all_workers: false,
+            marks: record.withheld,
+            has_other_removals: false,
+        })
+    }
+
+    /// Returns whether the transaction has nothing that could be left out but one row.
+    pub(crate) fn is_single(&self) -> bool {
+        let rejected = self.rejected();
+        rejected.units.len() <= 1 && rejected.rows <= 1 && !rejected.has_others
+    }
+
     /// Returns the units that the transaction stores.
     pub(crate) fn units(&self) -> BTreeSet<RowUnit> {
         let written = self.workers.written.iter().map(|worker| &worker.worker);
@@ -189,13 +230,7 @@
         return None;
     }
     let mut change = TableChange {
-        expect: vec![
-            (cell_row(CELL_TABLE, name, OWNER_KEY), writer.versions.owner),
-            (
-                cell_row(LEDGER_TABLE, name, LEDGER_KEY),
-                writer.versions.ledger,
-            ),
-        ],
+        expect: expectations(writer),
         ..TableChange::default()
     };
     let obsolete = add_removals(name, expired, is_unrestricted, stored, &mut change);
@@ -296,6 +331,16 @@
     })
 }
 
+/// Returns the conditions of each transaction.
+fn expectations(writer: &LedgerWriter) -> Vec<(RowName, RowVersion)> {
+    let owner = cell_row(CELL_TABLE, &writer.cell, OWNER_KEY);
+    let ledger = cell_row(LEDGER_TABLE, &writer.cell, LEDGER_KEY);
+    vec![
+        (owner, writer.versions.owner),
+        (ledger, writer.versions.ledger),
+    ]
+}
+
 /// Returns whether a transaction may be needed for what the cell has learned. Cheaper than to build one.
 fn has_unstored_state(core: &CellCore, stored: &StoredRows, now: Duration) -> bool {
     core.has_dirty()
--- a/crates/tanager-service/src/ledger_loop.rs
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -18,12 +18,12 @@
 use crate::commit_outcome::AttemptOutcome;
 use crate::commit_outcome::EarlierAttempts;
 use crate::commit_outcome::attempt_outcome;
-use crate::commit_outcome::is_silence_suspicious;
 use crate::cpu_time;
 use crate::cpu_time::Duty;
 use crate::ledger::LedgerVersions;
 use crate::ledger::MAX_TIMEOUT;
 use crate::ledger::StoreResult;
+use crate::ledger::TransactionEnd;
 use crate::ledger::applied_version;
 use crate::ledger_batch::LedgerBatch;
 use crate::ledger_batch::LedgerWriter;
@@ -33,7 +33,6 @@
 use crate::ledger_batch::build_batch;
 use crate::queue_pools::QueuePoolRecord;
 use crate::records::CELL_TABLE;
-use crate::records::LEDGER_KEY;
 use crate::records::LEDGER_TABLE;
 use crate::unstorable_rows::RejectionResult;
 use crate::unstorable_rows::RowSelection;
@@ -41,9 +40,10 @@
 
 /// Pause before a failed transaction is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// Maximum pause after transactions that were rejected without a row that could be left out. It doubles
-/// with each, from [`RETRY_PAUSE`].
-const MAX_REJECTION_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum pause after a probe that was not applied. It doubles with each, from [`RETRY_PAUSE`].
+const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
+/// A row is set aside only if another transaction was applied in this time, or one without it is.
+const PROBE_AGE: Duration = Duration::from_secs(1);
 /// Minimum interval between two transactions, so that changes are batched.
 const TRANSACTION_PERIOD: Duration = Duration::from_millis(20);
 
@@ -52,8 +52,10 @@
     writer: LedgerWriter,
     limits: BatchLimits,
     stored: StoredRows,
-    /// Number of transactions in a row that were rejected without a row that could be left out.
-    rejections: u32,
+    /// Time at which the last transaction was applied.
+    applied_at: Option<Duration>,
+    /// Number of probes in a row that were not applied.
+    failed_probes: u32,
 }
 
 /// Outcome of a transaction.
@@ -82,7 +84,8 @@
         },
         limits: BatchLimits::DOCUMENTED,
         stored,
-        rejections: 0,
+        applied_at: None,
+        failed_probes: 0,
     };
     let mut closed = cell.closed();
     loop {
@@ -175,12 +178,13 @@
     cell.ledger.begin_transaction(started);
     store_queue_pools(cell, &mut batch).await;
     let outcome = commit(cell, &batch, state.writer.versions).await;
-    record_end(cell, &outcome);
+    record_end(cell, &outcome, &batch);
     match outcome {
         BatchOutcome::Committed(version) => {
             state.writer.versions.ledger = version;
             state.limits.grow();
-            state.rejections = 0;
+            state.applied_at = Some(cell.context.clock.now());
+            state.failed_probes = 0;
             record_stored(cell, &mut state.stored, &batch);
             apply_committed(cell, &batch, started);
         }
@@ -193,9 +197,18 @@
             }
             time::sleep(RETRY_PAUSE).await;
         }
+        BatchOutcome::Rejected(earlier) if stores_others(cell, state, &batch).await => {
+            apply_rejection(cell, state, batch, earlier);
+        }
         BatchOutcome::Rejected(earlier) => {
-            let pause = apply_rejection(cell, state, batch, earlier);
-            time::sleep(pause).await;
+            let selection = batch.selection.clone();
+            return_batch(cell, batch, earlier);
+            state.stored.unstorable.restore(selection);
+            if cell.is_closed() {
+                cell.ledger.refuse_queued();
+                return false;
+            }
+            time::sleep(state.probe_pause()).await;
         }
         BatchOutcome::OwnershipLost => {
             resolve_uncertain(cell, &batch);
@@ -213,13 +226,55 @@
     true
 }
 
+/// Returns whether the store takes transactions of the cell at all, after it rejected one of which only one
+/// row could be left out: if it takes none, the row is not the cause.
+async fn stores_others(cell: &CellHandle, state: &mut LedgerState, rejected: &LedgerBatch) -> bool {
+    let started = cell.context.clock.now();
+    let is_recent = |at: Duration| started.saturating_sub(at) < PROBE_AGE;
+    if !rejected.is_single() || state.applied_at.is_some_and(is_recent) {
+        return true;
+    }
+    let Some(probe) = LedgerBatch::probe(&state.writer, &state.stored) else {
+        return false;
+    };
+    state.writer.sequence = probe.sequence;
+    cell.ledger.begin_transaction(started);
+    let outcome = commit(cell, &probe, state.writer.versions).await;
+    record_end(cell, &outcome, &probe);
+    match outcome {
+        BatchOutcome::Committed(version) => {
+            state.writer.versions.ledger = version;
+            state.applied_at = Some(cell.context.clock.now());
+            state.failed_probes = 0;
+            return true;
+        }
+        BatchOutcome::OwnershipLost => cell.close("ledger conflict"),
+        BatchOutcome::NotApplied | BatchOutcome::Rejected(_) | BatchOutcome::Closed => {}
+    }
+    state.failed_probes = state.failed_probes.saturating_add(1);
+    false
+}
+
+impl LedgerState {
+    /// Returns the pause after a probe that was not applied.
+    fn probe_pause(&self) -> Duration {
+        RETRY_PAUSE
+            .saturating_mul(2u32.saturating_pow(self.failed_probes))
+            .min(MAX_PROBE_PAUSE)
+    }
+}
+
 /// Records the end of a transaction, and logs when the cell begins and ends to refuse jobs because it
 /// stores nothing.
-fn record_end(cell: &CellHandle, outcome: &BatchOutcome) {
+fn record_end(cell: &CellHandle, outcome: &BatchOutcome, batch: &LedgerBatch) {
     let now = cell.context.clock.now();
     let was_blocked = cell.ledger.is_blocked(now);
-    let is_applied = matches!(outcome, BatchOutcome::Committed(_));
-    let failing_for = cell.ledger.end_transaction(now, is_applied);
+    let end = match outcome {
+        BatchOutcome::Committed(_) => TransactionEnd::Applied,
+        BatchOutcome::Rejected(_) if !batch.units().is_empty() => TransactionEnd::Rejected,
+        _ => TransactionEnd::Failed,
+    };
+    let failing_for = cell.ledger.end_transaction(now, end);
     match (was_blocked, cell.ledger.is_blocked(now)) {
         (true, false) => log::info!(
             "event=cell_unblocked cell={} token={} after={failing_for:.3?}",
@@ -258,8 +313,8 @@
 /// Sends a transaction until its outcome is known.
 async fn commit(cell: &CellHandle, batch: &LedgerBatch, versions: LedgerVersions) -> BatchOutcome {
     let mut earlier = EarlierAttempts::NotApplied;
-    let first_sent_at = cell.context.clock.now();
     let mut attempts = 0u32;
+    let mut unclear_answers = 0u32;
     let mut timeout = cell.ledger.timeout();
     loop {
         if *cell.closed().borrow() {
@@ -274,9 +329,13 @@
         let answer = match &result {
             Ok(ChangeResult::Committed(_)) => AttemptAnswer::Applied,
             Ok(ChangeResult::Conflict(_)) => AttemptAnswer::Conflict,
-            Err(error) => AttemptAnswer::from_failure(error.kind),
+            Err(error) => AttemptAnswer::from_failure(error),
+        };
+        unclear_answers = match answer {
+            AttemptAnswer::Unclear => unclear_answers + 1,
+            _ => 0,
         };
-        match (attempt_outcome(earlier, answer), result) {
+        match (attempt_outcome(earlier, answer, unclear_answers), result) {
             (AttemptOutcome::Applied, Ok(ChangeResult::Committed(version))) => {
                 return BatchOutcome::Committed(version);
             }
@@ -286,9 +345,12 @@
             (AttemptOutcome::NotApplied, _) => return BatchOutcome::NotApplied,
             (AttemptOutcome::Rejected, result) => {
                 log_rejection(cell, batch, earlier, attempts, result.err().as_ref());
-                return BatchOutcome::Rejected(earlier);
+                return BatchOutcome::Rejected(match answer {
+                    AttemptAnswer::Unclear => EarlierAttempts::Uncertain,
+                    _ => earlier,
+                });
             }
-            (_, result) if answer == AttemptAnswer::Missing => {
+            (_, result) if matches!(answer, AttemptAnswer::Missing | AttemptAnswer::Unclear) => {
                 if earlier == EarlierAttempts::NotApplied {
                     log::warn!(
                         "event=commit_uncertain cell={} sequence={} jobs={} error={:?}",
@@ -308,45 +370,10 @@
             }
             _ => {}
         }
-        let silent_for = cell.context.clock.now().saturating_sub(first_sent_at);
-        if is_silence_suspicious(silent_for)
-            && let Some(outcome) = read_outcome(cell, batch, versions, attempts).await
-        {
-            return outcome;
-        }
         time::sleep(RETRY_PAUSE).await;
     }
 }
 
-/// Reads whether a transaction without an answer was applied; `None` if that is still unknown.
-async fn read_outcome(
-    cell: &CellHandle,
-    batch: &LedgerBatch,
-    versions: LedgerVersions,
-    attempts: u32,
-) -> Option<BatchOutcome> {
-    let store = &cell.context.store;
-    let read = store.rows(LEDGER_TABLE, &cell.name, Some(LEDGER_KEY), MAX_TIMEOUT);
-    let page = (read.await)
-        .inspect_err(|error| log::debug!("event=read_failed table={LEDGER_TABLE} error={error:?}"))
-        .ok()?;
-    let rows: Vec<TableRow> = (page.rows.into_iter())
-        .filter(|row| row.name.key == LEDGER_KEY)
-        .collect();
-    let writer = cell.context.incarnation;
-    if let Some(version) = applied_version(&rows, versions, writer, batch.sequence) {
-        return Some(BatchOutcome::Committed(version));
-    }
-    let current = rows.first().map_or(0, |row| row.version);
-    if current != versions.ledger {
-        // The next attempt conflicts.
-        return None;
-    }
-    let earlier = EarlierAttempts::Uncertain;
-    log_rejection(cell, batch, earlier, attempts, None);
-    Some(BatchOutcome::Rejected(earlier))
-}
-
 /// Logs a transaction that the store does not apply as it is, with its largest row: a row that exceeds
 /// the store's limit is the most likely cause.
 fn log_rejection(
@@ -448,13 +475,13 @@
 }
 
 /// Applies a rejection: rows that may be stored without others are tried again; the one that is rejected
-/// alone is set aside. Returns the time to wait before the next transaction.
+/// alone is set aside.
 fn apply_rejection(
     cell: &CellHandle,
     state: &mut LedgerState,
     batch: LedgerBatch,
     earlier: EarlierAttempts,
-) -> Duration {
+) {
     let now = cell.context.clock.now();
     let bytes: usize = (batch.change.puts.iter().skip(1))
         .map(|(_, value)| value.len())
@@ -485,20 +512,9 @@
                 }
                 RowUnit::Delegation(_) | RowUnit::Copy(_) | RowUnit::Worker(_) => {}
             }
-            Duration::ZERO
-        }
-        RejectionResult::Divided => {
-            if is_unrestricted {
-                state.limits.shrink();
-            }
-            Duration::ZERO
-        }
-        RejectionResult::Indivisible => {
-            state.rejections = state.rejections.saturating_add(1);
-            RETRY_PAUSE
-                .saturating_mul(2u32.saturating_pow(state.rejections))
-                .min(MAX_REJECTION_PAUSE)
         }
+        RejectionResult::Divided if is_unrestricted => state.limits.shrink(),
+        RejectionResult::Divided | RejectionResult::Indivisible => {}
     }
 }
 
