--- a/crates/tanager-node/tests/jobs/rejected_rows.rs
+++ b/crates/tanager-node/tests/jobs/rejected_rows.rs
@@ -28,6 +28,19 @@
     JobSite::start(nodes, &[pool(POOL, 3)]).await
 }
 
+/// Starts a site whose store rejects the progress of a job, and submits that job; returns its id.
+async fn site_beside_rejected_job(
+    job: &Value,
+    rejection: impl FnOnce(RowRejection) -> RowRejection,
+) -> (JobSite, String) {
+    let site = small_site(1).await;
+    let id = new_job_id();
+    let rejected = rejection(RowRejection::new("progress", &id));
+    site.standin.reject_rows(vec![rejected]);
+    assert!(site.submit(0, POOL, &id, job).await);
+    (site, id)
+}
+
 /// Submits jobs once each; returns the ids of those that were accepted.
 async fn submit_each(site: &JobSite, count: usize, specification: &str) -> Vec<String> {
     let body = job_of_steps(&[2], specification).to_string();
@@ -119,14 +132,12 @@
 /// those to its first attempts were lost (LOST).
 #[tokio::test(flavor = "multi_thread")]
 async fn rejection_after_lost_answers_stops_no_other_jobs() {
-    let site = small_site(1).await;
-    let id = new_job_id();
-    site.standin.reject_rows(vec![RowRejection {
-        unanswered: 3,
-        ..RowRejection::new("progress", &id)
-    }]);
     let job = job_of_steps(&[1, 1], "ms=300");
-    assert!(site.submit(0, POOL, &id, &job).await);
+    let (site, _) = site_beside_rejected_job(&job, |rejection| RowRejection {
+        unanswered: 3,
+        ..rejection
+    })
+    .await;
     time::sleep(Duration::from_secs(4)).await;
     assert_others_are_served(&site).await;
     assert_single_runs(&site.standin.runs());
@@ -136,14 +147,12 @@
 /// the platform does not document (LOST).
 #[tokio::test(flavor = "multi_thread")]
 async fn rejection_with_an_undocumented_status_stops_no_other_jobs() {
-    let site = small_site(1).await;
-    let id = new_job_id();
-    site.standin.reject_rows(vec![RowRejection {
-        status: 500,
-        ..RowRejection::new("progress", &id)
-    }]);
     let job = job_of_steps(&[1, 1], "ms=300");
-    assert!(site.submit(0, POOL, &id, &job).await);
+    let (site, _) = site_beside_rejected_job(&job, |rejection| RowRejection {
+        status: 500,
+        ..rejection
+    })
+    .await;
     time::sleep(Duration::from_secs(4)).await;
     assert_others_are_served(&site).await;
     assert_single_runs(&site.standin.runs());
@@ -153,12 +162,8 @@
 /// beside a job whose progress cannot be stored (LOST).
 #[tokio::test(flavor = "multi_thread")]
 async fn ends_are_acknowledged_beside_a_job_that_cannot_be_stored() {
-    let site = small_site(1).await;
-    let id = new_job_id();
-    site.standin
-        .reject_rows(vec![RowRejection::new("progress", &id)]);
     let job = job_of_steps(&[3_600], "ms=20");
-    assert!(site.submit(0, POOL, &id, &job).await);
+    let (site, id) = site_beside_rejected_job(&job, |rejection| rejection).await;
     let done = async || {
         let runs = site.standin.runs();
         runs.iter()
@@ -174,12 +179,8 @@
 /// long as one row is rejected.
 #[tokio::test(flavor = "multi_thread")]
 async fn rejected_row_is_set_aside() {
-    let site = small_site(1).await;
-    let id = new_job_id();
-    site.standin
-        .reject_rows(vec![RowRejection::new("progress", &id)]);
     let job = job_of_steps(&[1, 1], "ms=100");
-    assert!(site.submit(0, POOL, &id, &job).await);
+    let (site, _) = site_beside_rejected_job(&job, |rejection| rejection).await;
     time::sleep(Duration::from_secs(3)).await;
     let rejected_before = site.standin.rejected_changes();
     assert_others_are_served(&site).await;
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cancellations;
 pub mod cell;
 pub mod cell_load;
+mod cell_rows;
 pub mod clock;
 pub mod commit_outcome;
 pub mod config_report;
--- a/crates/tanager-service/tests/progress_rows.rs
+++ b/crates/tanager-service/tests/progress_rows.rs
@@ -145,6 +145,19 @@
     }
 }
 
+/// Returns a job of 2,000 tasks with checkpoints, whose rows are all stored.
+fn stored_large_job() -> (TaskSet, ProgressTable, Rows) {
+    let tasks = (0..2_000).map(|index| ((0, 0, index), task(1, 100)));
+    let set = TaskSet {
+        tasks: tasks.collect(),
+        ..TaskSet::default()
+    };
+    let (mut table, mut rows) = (ProgressTable::default(), Rows::new());
+    let progress = set.record(&[2_000]);
+    assert!(store(&mut table, &mut rows, &progress, usize::MAX));
+    (set, table, rows)
+}
+
 fn assert_rows_are_bounded(rows: &Rows, limit: usize) {
     for (key, value) in rows {
         assert!(value.len() <= limit, "{key}: {} bytes", value.len());
@@ -214,18 +227,7 @@
 /// Guards against writing all rows of a job for each change.
 #[test]
 fn only_changed_rows_are_written() {
-    let tasks = (0..2_000).map(|index| ((0, 0, index), task(1, 100)));
-    let mut set = TaskSet {
-        tasks: tasks.collect(),
-        ..TaskSet::default()
-    };
-    let (mut table, mut rows) = (ProgressTable::default(), Rows::new());
-    assert!(store(
-        &mut table,
-        &mut rows,
-        &set.record(&[2_000]),
-        usize::MAX
-    ));
+    let (mut set, table, _) = stored_large_job();
     set.tasks.insert((0, 0, 777), task(2, 100));
     let plan = table
         .plan(ID, &set.record(&[2_000]), ROW_BYTES)
@@ -236,18 +238,7 @@
 /// Guards against rows that remain, or are used, after the end of their job.
 #[test]
 fn parts_of_an_ended_job_are_removed() {
-    let tasks = (0..2_000).map(|index| ((0, 0, index), task(1, 100)));
-    let set = TaskSet {
-        tasks: tasks.collect(),
-        ..TaskSet::default()
-    };
-    let (mut table, mut rows) = (ProgressTable::default(), Rows::new());
-    assert!(store(
-        &mut table,
-        &mut rows,
-        &set.record(&[2_000]),
-        usize::MAX
-    ));
+    let (_, mut table, mut rows) = stored_large_job();
     assert!(rows.len() > 10);
     let ended = ProgressRecord {
         state: JobState::Completed,
@@ -267,18 +258,7 @@
 /// Guards against a job that starts again what it has done, because some of its rows cannot be read.
 #[test]
 fn unreadable_part_is_reported() {
-    let tasks = (0..2_000).map(|index| ((0, 0, index), task(1, 100)));
-    let set = TaskSet {
-        tasks: tasks.collect(),
-        ..TaskSet::default()
-    };
-    let (mut table, mut rows) = (ProgressTable::default(), Rows::new());
-    assert!(store(
-        &mut table,
-        &mut rows,
-        &set.record(&[2_000]),
-        usize::MAX
-    ));
+    let (_, _, mut rows) = stored_large_job();
     let part = rows.keys().find(|key| key.contains('/')).cloned();
     rows.insert(part.expect("a part"), b"{".to_vec());
     let loaded = load(&rows);
@@ -361,18 +341,7 @@
 /// Guards against progress that is missing because a cell was merged while its rows were copied.
 #[test]
 fn rows_of_an_absorbed_cell_are_used_until_all_are_copied() {
-    let tasks = (0..2_000).map(|index| ((0, 0, index), task(1, 100)));
-    let mut set = TaskSet {
-        tasks: tasks.collect(),
-        ..TaskSet::default()
-    };
-    let (mut table, mut absorbed) = (ProgressTable::default(), Rows::new());
-    assert!(store(
-        &mut table,
-        &mut absorbed,
-        &set.record(&[2_000]),
-        usize::MAX
-    ));
+    let (mut set, _, absorbed) = stored_large_job();
     let load_both = |own: &Rows| {
         load_progress(vec![
             table_rows("pool/0", own),
