--- a/crates/tanager-service/src/cell_rows.rs
+++ b/crates/tanager-service/src/cell_rows.rs
@@ -50,6 +50,7 @@
 const MAX_READ_ATTEMPTS: u32 = 20;
 /// Pause between two attempts.
 const READ_RETRY_PAUSE: Duration = Duration::from_millis(150);
+
 /// Stored rows of a cell and of those that were merged into it.
 pub(crate) struct CellRows {
     /// Workers on which former owners may have runs.
