Log questions of clients that fail, and name the commit that runs

Each GET without a state or a number has a `question_failed` line now, at most 20 a second, with the job, the cell, the node that was asked, the reason, the attempts, the time since the GET arrived and the lag of the loop; `tanager_questions_failed` counts by reason. `event=started` and `--version` name the commit, which a build script reads from the files of the repository: `git` may be missing, or refuse a checkout of another user.

The calls to owners moved from job_api.rs to cell_calls.rs, where a failed call keeps its reason until it becomes a response, and the questions to questions.rs. What is answered, and when, is as before.

--- a/crates/tanager-node/src/job_node.rs
+++ b/crates/tanager-node/src/job_node.rs
@@ -57,7 +57,7 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut reload = signal(SignalKind::hangup())?;
-        let node = JobNode::spawn(settings.clone()).await?;
+        let node = JobNode::spawn(settings.clone(), crate::VERSION).await?;
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
--- a/crates/tanager-node/src/main.rs
+++ b/crates/tanager-node/src/main.rs
@@ -36,13 +36,16 @@
                  demand)
   --check        check the settings and exit
   --help         print this help
-  --version      print the version
+  --version      print the version and the commit that the program was built from
 
 Signals: SIGTERM and SIGINT stop the node gracefully.
 Environment: RUST_LOG sets the log level (default info), or levels by target.
 Exit codes: 0 stopped gracefully, 1 failed, 2 invalid arguments or settings.
 ";
 
+/// Version of the program and the commit that it was built from.
+pub(crate) const VERSION: &str = concat!(env!("CARGO_PKG_VERSION"), "+", env!("TANAGER_COMMIT"));
+
 /// Tokio worker threads. Entry VMs are small, and the dispatch thread is separate.
 const IO_THREADS: usize = 2;
 
@@ -106,7 +109,7 @@
                 return Ok(None);
             }
             Arg::Short('V') | Arg::Long("version") => {
-                let _ = writeln!(output, "tanagerladderd {}", env!("CARGO_PKG_VERSION"));
+                let _ = writeln!(output, "tanagerladderd {VERSION}");
                 return Ok(None);
             }
             Arg::Value(value) if value == "jobs" && !is_job_node => is_job_node = true,
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -21,6 +21,7 @@
 mod rejected_rows;
 mod run_lines;
 mod scheduling;
+mod version;
 
 use std::time::Duration;
 
--- a/crates/tanager-node/tests/jobs/panics.rs
+++ b/crates/tanager-node/tests/jobs/panics.rs
@@ -37,7 +37,7 @@
         let ports = NodePorts::find();
         let text = standin.settings_with_store("node-0", ports, standin.store_address());
         let settings = SiteSettings::parse(&text).expect("settings");
-        let node = JobNode::spawn(settings).await.expect("node");
+        let node = JobNode::spawn(settings, "test").await.expect("node");
         let local = Self {
             standin,
             ports,
--- a/crates/tanager-service/src/admin.rs
+++ b/crates/tanager-service/src/admin.rs
@@ -16,6 +16,7 @@
 
 use crate::access::JobDescription;
 use crate::authentication::Caller;
+use crate::cell_calls;
 use crate::config_report;
 use crate::delegations;
 use crate::job_api;
@@ -23,6 +24,7 @@
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
 use crate::peers::SubmittedJob;
+use crate::questions;
 use crate::workspace_list;
 
 /// Time limit of the request to each owner.
@@ -127,7 +129,7 @@
             queue: queue.key.clone(),
             pool: queue.pool.clone(),
             priority: queue.priority,
-            waiting: job_api::count_waiting(
+            waiting: questions::count_waiting(
                 context,
                 &Caller::Operator(None),
                 queue,
@@ -163,7 +165,7 @@
 
 async fn job_status(context: &Arc<NodeContext>, id: JobId) -> HttpResponse {
     let describe = CellOperation::Describe(id);
-    match job_api::request_from_all_pools(context, id, describe, OPERATOR_TIMEOUT).await {
+    match cell_calls::request_from_all_pools(context, id, describe, OPERATOR_TIMEOUT).await {
         (cell, CellResponse::Description(description)) => {
             let cell = delegations::locate(context, cell, id, OPERATOR_TIMEOUT).await;
             json_response(&JobRow {
@@ -182,14 +184,20 @@
 
 async fn cancel_job(context: &Arc<NodeContext>, id: JobId) -> HttpResponse {
     let known = CellOperation::Known(id);
-    let found = job_api::request_from_all_pools(context, id, known, OPERATOR_TIMEOUT).await;
+    let found = cell_calls::request_from_all_pools(context, id, known, OPERATOR_TIMEOUT).await;
     let result = match found {
         (cell, CellResponse::Done) => {
             let cancel = CellOperation::Cancel(id);
             let operator = Caller::Operator(None);
-            let response =
-                job_api::send_cell_request(context, &operator, &cell, "", cancel, OPERATOR_TIMEOUT)
-                    .await;
+            let response = cell_calls::send_cell_request(
+                context,
+                &operator,
+                &cell,
+                "",
+                cancel,
+                OPERATOR_TIMEOUT,
+            )
+            .await;
             (cell, response)
         }
         result => result,
--- a/crates/tanager-service/src/cancellation_batches.rs
+++ b/crates/tanager-service/src/cancellation_batches.rs
@@ -17,7 +17,7 @@
 use tokio::time;
 
 use crate::authentication::Caller;
-use crate::job_api::send_cell_request;
+use crate::cell_calls::send_cell_request;
 use crate::node::NodeContext;
 use crate::peers::CancelledJob;
 use crate::peers::CellOperation;
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -15,10 +15,10 @@
 
 use crate::authentication::Caller;
 use crate::cancellation_batches::cancel_in_batch;
+use crate::cell_calls::send_cell_request;
 use crate::job_api::JobCells;
 use crate::job_api::client_response;
 use crate::job_api::no_workers_yet;
-use crate::job_api::send_cell_request;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
--- /dev/null
+++ b/crates/tanager-service/src/cell_calls.rs
@@ -0,0 +1,191 @@
+//! Calls to the owners of cells, this node or a peer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tanager_jobs::JobId;
+use tanager_jobs::ids::CellName;
+use tanager_jobs::ids::NodeName;
+use tanager_protocol::error::ErrorKind;
+use tokio::time;
+
+use crate::authentication::Caller;
+use crate::call_guard::begin_call;
+use crate::node::NodeContext;
+use crate::peers::CellOperation;
+use crate::peers::CellRequest;
+use crate::peers::CellResponse;
+
+/// Minimum time limit for the owner's response, even if it exceeds the client's deadline.
+pub(crate) const MIN_OWNER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a request waits for the new owner of a cell. It is less than a quarter of the
+/// shortest latency objective, so that a refusal after this wait comes well within the objective.
+pub(crate) const OWNER_WAIT: Duration = Duration::from_millis(250);
+/// Interval between two attempts to reach the owner. After [`OWNER_WAIT`] the former owner is likely
+/// dead, and the next one takes seconds.
+pub(crate) const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
+const SLOW_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Why a call to the owner of a cell has no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum CallFailure {
+    /// No owner of the cell is known, or this node is the owner and has not loaded the cell.
+    NoOwner,
+    /// The call was not passed on, because the owner answers too slowly or refuses the sender.
+    Withheld(CellResponse),
+    /// The owner did not receive the call.
+    Unreachable(NodeName),
+    /// The owner may have received the call.
+    Silent(NodeName),
+}
+
+impl CallFailure {
+    /// Returns the response that a failed call stands for.
+    pub(crate) fn into_response(self, operation: &CellOperation) -> CellResponse {
+        match (self, operation) {
+            (Self::Withheld(refusal), _) => refusal,
+            (Self::Silent(_), CellOperation::Submit { .. } | CellOperation::Delegate(_)) => {
+                CellResponse::Uncertain
+            }
+            _ => CellResponse::NotOwner,
+        }
+    }
+}
+/// Sends an operation to the owner of a cell, this node or a peer. If the owner of the cell changes,
+/// waits for the new one: up to [`OWNER_WAIT`], and with a cancellation up to `timeout`, because
+/// clients take one that they do not repeat for done.
+pub(crate) async fn send_cell_request(
+    context: &Arc<NodeContext>,
+    caller: &Caller,
+    cell: &CellName,
+    queue: &str,
+    operation: CellOperation,
+    timeout: Duration,
+) -> CellResponse {
+    let request = cell_request(context, caller, cell, queue, operation);
+    let started = context.clock.now();
+    let wait = match request.operation {
+        CellOperation::Cancel(_) => timeout,
+        _ => OWNER_WAIT,
+    };
+    let mut call_timeout = timeout;
+    loop {
+        let response = send_cell_request_once(context, &request, call_timeout).await;
+        let elapsed = context.clock.now().saturating_sub(started);
+        if response != CellResponse::NotOwner || elapsed >= wait {
+            return response;
+        }
+        context.owner_read_requested.notify_one();
+        time::sleep(match elapsed < OWNER_WAIT {
+            true => OWNER_POLL_INTERVAL,
+            false => SLOW_OWNER_POLL_INTERVAL,
+        })
+        .await;
+        call_timeout = timeout.saturating_sub(elapsed).max(MIN_OWNER_TIMEOUT);
+    }
+}
+
+/// Builds a request to the owner of a cell.
+pub(crate) fn cell_request(
+    context: &NodeContext,
+    caller: &Caller,
+    cell: &CellName,
+    queue: &str,
+    operation: CellOperation,
+) -> CellRequest {
+    // Messages of deployments without workspaces stay as former versions expect them.
+    CellRequest {
+        cell: cell.clone(),
+        home: None,
+        queue: queue.to_owned(),
+        workspace: caller.workspace().cloned(),
+        is_operator: matches!(caller, Caller::Operator(_)) && context.has_workspaces(),
+        operation,
+    }
+}
+
+/// Sends an operation to the known owner of a cell, or of the one that it was merged into, without
+/// waiting for another owner.
+pub(crate) async fn send_cell_request_once(
+    context: &Arc<NodeContext>,
+    request: &CellRequest,
+    timeout: Duration,
+) -> CellResponse {
+    match call_owner(context, request, timeout).await {
+        Ok(response) => response,
+        Err(failure) => failure.into_response(&request.operation),
+    }
+}
+
+/// Sends an operation to the known owner of a cell, or of the one that it was merged into.
+///
+/// # Errors
+///
+/// Why there is no answer of the owner.
+pub(crate) async fn call_owner(
+    context: &Arc<NodeContext>,
+    request: &CellRequest,
+    timeout: Duration,
+) -> Result<CellResponse, CallFailure> {
+    let target = context.view().merged_cell(&request.cell);
+    let request = &CellRequest {
+        home: (target != request.cell).then(|| request.cell.clone()),
+        cell: target,
+        ..request.clone()
+    };
+    if let Some(local_cell) = context.cell(&request.cell) {
+        return Ok(local_cell.handle(request.clone()).await);
+    }
+    let owner = context.view().owner_of(&request.cell);
+    let Some((owner, address)) = owner.filter(|(node, _)| *node != context.settings.node) else {
+        return Err(CallFailure::NoOwner);
+    };
+    let call = begin_call(context, request, &owner).map_err(CallFailure::Withheld)?;
+    let result = context.peers.call_cell(address, request, timeout).await;
+    if let Some(call) = call {
+        call.end(&result);
+    }
+    result.map_err(|error| match error.kind {
+        ErrorKind::NotSent => {
+            log::info!(
+                "event=owner_unreachable cell={} owner={owner} error={error:?}",
+                request.cell
+            );
+            CallFailure::Unreachable(owner)
+        }
+        _ => {
+            log::info!(
+                "event=owner_silent cell={} owner={owner} error={error:?}",
+                request.cell
+            );
+            CallFailure::Silent(owner)
+        }
+    })
+}
+
+/// Sends an operator's request to each pool's cell that may have a job. Returns the first response other
+/// than "not found", with its cell.
+pub(crate) async fn request_from_all_pools(
+    context: &Arc<NodeContext>,
+    id: JobId,
+    operation: CellOperation,
+    timeout: Duration,
+) -> (CellName, CellResponse) {
+    let cells: Vec<CellName> = {
+        let view = context.view();
+        (view.pools.keys())
+            .filter_map(|pool| view.cell_of_job(pool, id))
+            .filter(|cell| view.owners.contains_key(cell))
+            .collect()
+    };
+    for cell in cells {
+        let operator = Caller::Operator(None);
+        let operation = operation.clone();
+        let response = send_cell_request(context, &operator, &cell, "", operation, timeout).await;
+        if response != CellResponse::NotFound {
+            let cell = context.view().merged_cell(&cell);
+            return (cell, response);
+        }
+    }
+    (CellName::new(), CellResponse::NotFound)
+}
--- a/crates/tanager-service/src/delegations.rs
+++ b/crates/tanager-service/src/delegations.rs
@@ -27,7 +27,7 @@
 
 use crate::authentication::Caller;
 use crate::cell::CellHandle;
-use crate::job_api::send_cell_request;
+use crate::cell_calls::send_cell_request;
 use crate::ledger::StoreResult;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -17,22 +17,22 @@
 use tanager_jobs::KeyDigest;
 use tanager_jobs::QueueConfig;
 use tanager_jobs::ids::CellName;
-use tanager_protocol::error::ErrorKind;
 use tanager_site::job_api::KEY_HEADER;
 use tanager_site::job_api::encode_job_status;
 use tanager_site::job_api::encode_waiting_count;
-use tokio::time;
 
 use crate::authentication::CallRejection;
 use crate::authentication::Caller;
 use crate::authentication::authenticate;
-use crate::call_guard::begin_call;
 use crate::cancellations;
+use crate::cell_calls::MIN_OWNER_TIMEOUT;
+use crate::cell_calls::send_cell_request;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
-use crate::peers::CellRequest;
 use crate::peers::CellResponse;
 use crate::peers::SubmittedJob;
+use crate::question_log::QuestionFailure;
+use crate::questions;
 
 /// Header with the time for which the client waits for a response, in milliseconds.
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-milliseconds");
@@ -40,18 +40,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
 /// Part of the client's deadline that is reserved for returning the response.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
-/// Minimum time limit for the owner's response, even if it exceeds the client's deadline.
-const MIN_OWNER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum time limit for the owner's response. A submission takes far less while the store
 /// responds.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_700);
-/// Time for which a request waits for the new owner of a cell. It is less than a quarter of the
-/// shortest latency objective, so that a refusal after this wait comes well within the objective.
-const OWNER_WAIT: Duration = Duration::from_millis(250);
-/// Interval between two attempts to reach the owner. After [`OWNER_WAIT`] the former owner is likely
-/// dead, and the next one takes seconds.
-const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
-const SLOW_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// `Retry-After` in seconds while a cell has no owner: a handover takes a fraction of a second, and
 /// a dead owner is replaced within three seconds.
 const TAKEOVER_RETRY_S: u64 = 1;
@@ -62,7 +53,7 @@
 pub async fn handle(context: Arc<NodeContext>, request: HttpRequest) -> HttpResponse {
     context.wait_for_config_read().await;
     let Some(config) = context.view().config.clone() else {
-        return refusal(StatusCode::SERVICE_UNAVAILABLE, 1, "no configuration yet");
+        return no_config(&context, &request);
     };
     let host = request.header("host").unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
@@ -82,7 +73,9 @@
     let timeout = owner_timeout(&request).min(OWNER_TIMEOUT);
     if id_text.is_empty() {
         return match request.method {
-            Method::GET => waiting_jobs(&context, &caller, queue, timeout).await,
+            Method::GET => {
+                client_response(questions::waiting_jobs(&context, &caller, queue, timeout).await)
+            }
             _ => HttpResponse::new(StatusCode::METHOD_NOT_ALLOWED, "only GET"),
         };
     }
@@ -94,12 +87,26 @@
             HttpResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
         Method::POST => submit(&context, &caller, queue, id, &request, timeout).await,
-        Method::GET => job_status(&context, &caller, queue, id, timeout).await,
+        Method::GET => {
+            client_response(questions::job_status(&context, &caller, queue, id, timeout).await)
+        }
         Method::DELETE => cancellations::cancel_job(&context, caller, queue, id, timeout).await,
         _ => HttpResponse::new(StatusCode::METHOD_NOT_ALLOWED, "GET, POST or DELETE"),
     }
 }
 
+fn no_config(context: &NodeContext, request: &HttpRequest) -> HttpResponse {
+    if request.method == Method::GET {
+        let failure = QuestionFailure::NoConfig;
+        let now = context.clock.now();
+        if let Some(omitted) = context.metrics.failed_questions.record(failure, now) {
+            let path = &request.path;
+            log::info!("event=question_failed path={path:?} reason={failure} omitted={omitted}");
+        }
+    }
+    refusal(StatusCode::SERVICE_UNAVAILABLE, 1, "no configuration yet")
+}
+
 /// Builds the response to a request that was not read, or whose handler panicked.
 pub fn rejection_response(reason: RejectReason) -> HttpResponse {
     match reason {
@@ -228,38 +235,6 @@
     response
 }
 
-/// Returns the status of a job from the cell that knows it.
-async fn job_status(
-    context: &Arc<NodeContext>,
-    caller: &Caller,
-    queue: &QueueConfig,
-    id: JobId,
-    timeout: Duration,
-) -> HttpResponse {
-    let deadline = context.clock.now() + timeout;
-    let cells = JobCells::find(context, queue, id);
-    let is_partitioned = cells.current.is_some();
-    for cell in cells
-        .current
-        .iter()
-        .chain(&cells.former)
-        .chain(&cells.others)
-    {
-        let operation = CellOperation::Show(id);
-        let timeout = remaining_timeout(context, deadline);
-        match send_cell_request(context, caller, cell, &queue.key, operation, timeout).await {
-            CellResponse::NotFound => {}
-            // The cell has the job, or it cannot be determined now whether it has.
-            response => return client_response(response),
-        }
-    }
-    if !is_partitioned {
-        return client_response(no_workers_yet());
-    }
-    log::info!("event=job_unknown job={id} queue={}{caller}", queue.key);
-    client_response(CellResponse::NotFound)
-}
-
 /// Cells that may have a job of a queue.
 pub(crate) struct JobCells {
     /// Cell under the current configuration; `None` if the pool of the queue is not partitioned yet.
@@ -308,161 +283,6 @@
     }
 }
 
-async fn waiting_jobs(
-    context: &Arc<NodeContext>,
-    caller: &Caller,
-    queue: &QueueConfig,
-    timeout: Duration,
-) -> HttpResponse {
-    match count_waiting(context, caller, queue, timeout).await {
-        Some(total) => client_response(CellResponse::Waiting(total)),
-        None => client_response(CellResponse::NotOwner),
-    }
-}
-
-/// Returns the number of waiting jobs of a queue; `None` if a cell of its pool does not respond.
-pub async fn count_waiting(
-    context: &Arc<NodeContext>,
-    caller: &Caller,
-    queue: &QueueConfig,
-    timeout: Duration,
-) -> Option<u64> {
-    let cells = context.view().cells_of(&queue.pool);
-    if cells.is_empty() {
-        return None;
-    }
-    let mut total = 0;
-    for cell in cells {
-        let operation = CellOperation::Waiting;
-        match send_cell_request(context, caller, &cell, &queue.key, operation, timeout).await {
-            CellResponse::Waiting(number) => total += number,
-            _ => return None,
-        }
-    }
-    Some(total)
-}
-
-/// Sends an operator's request to each pool's cell that may have a job. Returns the first response other
-/// than "not found", with its cell.
-pub async fn request_from_all_pools(
-    context: &Arc<NodeContext>,
-    id: JobId,
-    operation: CellOperation,
-    timeout: Duration,
-) -> (CellName, CellResponse) {
-    let cells: Vec<CellName> = {
-        let view = context.view();
-        (view.pools.keys())
-            .filter_map(|pool| view.cell_of_job(pool, id))
-            .filter(|cell| view.owners.contains_key(cell))
-            .collect()
-    };
-    for cell in cells {
-        let operator = Caller::Operator(None);
-        let operation = operation.clone();
-        let response = send_cell_request(context, &operator, &cell, "", operation, timeout).await;
-        if response != CellResponse::NotFound {
-            let cell = context.view().merged_cell(&cell);
-            return (cell, response);
-        }
-    }
-    (CellName::new(), CellResponse::NotFound)
-}
-
-/// Sends an operation to the owner of a cell, this node or a peer. If the owner of the cell changes,
-/// waits for the new one: up to [`OWNER_WAIT`], and with a cancellation up to `timeout`, because
-/// clients take one that they do not repeat for done.
-pub async fn send_cell_request(
-    context: &Arc<NodeContext>,
-    caller: &Caller,
-    cell: &CellName,
-    queue: &str,
-    operation: CellOperation,
-    timeout: Duration,
-) -> CellResponse {
-    // Messages of deployments without workspaces stay as former versions expect them.
-    let request = CellRequest {
-        cell: cell.clone(),
-        home: None,
-        queue: queue.to_owned(),
-        workspace: caller.workspace().cloned(),
-        is_operator: matches!(caller, Caller::Operator(_)) && context.has_workspaces(),
-        operation,
-    };
-    let started = context.clock.now();
-    let wait = match request.operation {
-        CellOperation::Cancel(_) => timeout,
-        _ => OWNER_WAIT,
-    };
-    let mut call_timeout = timeout;
-    loop {
-        let response = send_cell_request_once(context, &request, call_timeout).await;
-        let elapsed = context.clock.now().saturating_sub(started);
-        if response != CellResponse::NotOwner || elapsed >= wait {
-            return response;
-        }
-        context.owner_read_requested.notify_one();
-        time::sleep(match elapsed < OWNER_WAIT {
-            true => OWNER_POLL_INTERVAL,
-            false => SLOW_OWNER_POLL_INTERVAL,
-        })
-        .await;
-        call_timeout = timeout.saturating_sub(elapsed).max(MIN_OWNER_TIMEOUT);
-    }
-}
-
-/// Sends an operation to the known owner of a cell, or of the one that it was merged into, without
-/// waiting for another owner.
-pub(crate) async fn send_cell_request_once(
-    context: &Arc<NodeContext>,
-    request: &CellRequest,
-    timeout: Duration,
-) -> CellResponse {
-    let target = context.view().merged_cell(&request.cell);
-    let request = &CellRequest {
-        home: (target != request.cell).then(|| request.cell.clone()),
-        cell: target,
-        ..request.clone()
-    };
-    if let Some(local_cell) = context.cell(&request.cell) {
-        return local_cell.handle(request.clone()).await;
-    }
-    let owner = context.view().owner_of(&request.cell);
-    let Some((owner, address)) = owner.filter(|(node, _)| *node != context.settings.node) else {
-        return CellResponse::NotOwner;
-    };
-    let call = match begin_call(context, request, &owner) {
-        Ok(call) => call,
-        Err(refusal) => return refusal,
-    };
-    let result = context.peers.call_cell(address, request, timeout).await;
-    if let Some(call) = call {
-        call.end(&result);
-    }
-    match result {
-        Ok(response) => response,
-        Err(error) if error.kind == ErrorKind::NotSent => {
-            log::info!(
-                "event=owner_unreachable cell={} owner={owner} error={error:?}",
-                request.cell
-            );
-            CellResponse::NotOwner
-        }
-        Err(error) => {
-            log::info!(
-                "event=owner_silent cell={} owner={owner} error={error:?}",
-                request.cell
-            );
-            match request.operation {
-                CellOperation::Submit { .. } | CellOperation::Delegate(_) => {
-                    CellResponse::Uncertain
-                }
-                _ => CellResponse::NotOwner,
-            }
-        }
-    }
-}
-
 /// Converts the owner's response into the HTTP response for the client.
 pub(crate) fn client_response(response: CellResponse) -> HttpResponse {
     match response {
--- a/crates/tanager-service/src/merging.rs
+++ b/crates/tanager-service/src/merging.rs
@@ -19,7 +19,7 @@
 use tokio::time;
 
 use crate::cell::CellHandle;
-use crate::job_api;
+use crate::cell_calls;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
@@ -105,7 +105,8 @@
                 step: Box::new(unheld.step.clone()),
             },
         };
-        let answer = job_api::send_cell_request_once(&self.context, &request, MERGE_TIMEOUT).await;
+        let answer =
+            cell_calls::send_cell_request_once(&self.context, &request, MERGE_TIMEOUT).await;
         log::info!(
             "event=merge_answered cell={} with={sibling} missing={} waited={:?} answer={answer:?} token={}",
             self.name,
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -7,6 +7,7 @@
 use tanager_schedule::decision_work::DecisionWork;
 
 use crate::cpu_time::CpuCollector;
+use crate::question_log::FailedQuestions;
 use crate::workspace_metrics::WorkspaceMetrics;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -20,6 +21,8 @@
             registry: Registry,
             /// Counters by workspace.
             pub workspaces: WorkspaceMetrics,
+            /// Failed questions by reason.
+            pub failed_questions: FailedQuestions,
             $(#[doc = $text] pub $name: $kind,)*
         }
 
@@ -32,8 +35,9 @@
                     registry.register(stringify!($name), $text, $name.handle());
                 )*
                 let workspaces = WorkspaceMetrics::register(&mut registry);
+                let failed_questions = FailedQuestions::register(&mut registry);
                 registry.register_collector(Box::new(CpuCollector));
-                Self { registry, workspaces, $($name,)* }
+                Self { registry, workspaces, failed_questions, $($name,)* }
             }
         }
     };
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -319,12 +319,12 @@
 }
 
 impl JobNode {
-    /// Starts a node.
+    /// Starts a node. `version` names the program in the log.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::Invalid`] if an address cannot be bound.
-    pub async fn spawn(settings: SiteSettings) -> TanagerResult<Self> {
+    pub async fn spawn(settings: SiteSettings, version: &str) -> TanagerResult<Self> {
         let clock = NodeClock::start();
         let metrics = Arc::new(NodeMetrics::new());
         let peers = Arc::new(PeerClient::default());
@@ -367,11 +367,10 @@
         loop_lag::spawn(&node.context);
         call_guard::spawn(&node.context);
         log::info!(
-            "event=started incarnation={incarnation} client={} peer={} zone={} version={}",
+            "event=started incarnation={incarnation} client={} peer={} zone={} version={version}",
             node.context.settings.client_address,
             node.context.settings.peer_address,
-            node.context.settings.zone,
-            env!("CARGO_PKG_VERSION")
+            node.context.settings.zone
         );
         Ok(node)
     }
--- a/crates/tanager-service/src/sibling_loads.rs
+++ b/crates/tanager-service/src/sibling_loads.rs
@@ -13,7 +13,7 @@
 use tokio::time;
 
 use crate::cell::CellHandle;
-use crate::job_api;
+use crate::cell_calls;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
@@ -71,7 +71,8 @@
             operation: CellOperation::Load,
         };
         let requested_at = self.context.clock.now();
-        let response = job_api::send_cell_request_once(&self.context, &request, LOAD_TIMEOUT).await;
+        let response =
+            cell_calls::send_cell_request_once(&self.context, &request, LOAD_TIMEOUT).await;
         let mut table = self.siblings.table();
         match response {
             CellResponse::Load(report) => {
--- a/crates/tanager-service/src/workspace_list.rs
+++ b/crates/tanager-service/src/workspace_list.rs
@@ -17,7 +17,7 @@
 use crate::admin::error_response;
 use crate::admin::json_response;
 use crate::authentication::Caller;
-use crate::job_api;
+use crate::cell_calls;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
@@ -73,7 +73,7 @@
     let operator = Caller::Operator(None);
     let requests = cells.iter().map(|cell| {
         let operation = CellOperation::Workspaces;
-        job_api::send_cell_request(context, &operator, cell, "", operation, OPERATOR_TIMEOUT)
+        cell_calls::send_cell_request(context, &operator, cell, "", operation, OPERATOR_TIMEOUT)
     });
     let responses = join_all(requests).await;
     let mut missing_cells = Vec::new();
