Repeat questions and cancellations until their clients stop waiting

Cause: the entry node gave the owner OWNER_TIMEOUT (1.7 s), took a missing answer for NotOwner, and gave up because OWNER_WAIT (0.25 s) was over. A question changes nothing and a cancellation nothing more the second time, but both were treated like a submission, for which an early refusal helps: its client can go elsewhere.

Change: call_attempts.rs decides, without I/O, when a call is sent again: after 0.6 s without an answer a second one goes out beside the first, on a connection of its own; after a failure, with pauses of 40 to 250 ms; at most until the client's deadline. A question that is withheld because too many are in flight waits for one of them to end instead of being refused.

--- /dev/null
+++ b/crates/tanager-node/tests/jobs/frozen_owner.rs
@@ -0,0 +1,151 @@
+//! Requests about jobs while the owner of their cell stands still for a moment, and right after.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::future::join_all;
+use http::Method;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+use tanager_http::HttpResponse;
+use tokio::time;
+
+use crate::CELL;
+use crate::POOL;
+use crate::harness::JobSite;
+use crate::harness::job_of_steps;
+use crate::harness::new_job_id;
+use crate::small_site;
+
+/// A site with completed jobs.
+struct AskedSite {
+    site: JobSite,
+    /// Owner of the cell.
+    owner: usize,
+    /// Another node.
+    entry: usize,
+    jobs: Vec<String>,
+}
+
+impl AskedSite {
+    async fn start(jobs: usize) -> Self {
+        let site = small_site(2).await;
+        let owner = site.owner(CELL).await.expect("owner");
+        let entry = 1 - owner;
+        let mut ids = Vec::new();
+        for _ in 0..jobs {
+            let id = new_job_id();
+            assert!(
+                site.submit(entry, POOL, &id, &job_of_steps(&[1], "ms=20"))
+                    .await
+            );
+            ids.push(id);
+        }
+        for id in &ids {
+            site.wait_for_state(POOL, id, "completed").await;
+        }
+        Self {
+            site,
+            owner,
+            entry,
+            jobs: ids,
+        }
+    }
+
+    /// Stops the owner for some time.
+    async fn freeze_owner(&self, length: Duration) {
+        self.site.nodes[self.owner].signal(Signal::SIGSTOP);
+        time::sleep(length).await;
+        self.site.nodes[self.owner].signal(Signal::SIGCONT);
+    }
+
+    /// Asks the other node for a job, as a client that waits for 3 s.
+    async fn ask(&self, id: &str) -> Option<HttpResponse> {
+        let path = format!("/{POOL}/{id}");
+        self.site.request(self.entry, Method::GET, &path, "").await
+    }
+
+    async fn assert_completed(&self, id: &str) {
+        let response = self.ask(id).await;
+        let text = describe(response.as_ref());
+        assert!(text.contains("completed"), "job {id}: {text}");
+    }
+}
+
+fn describe(response: Option<&HttpResponse>) -> String {
+    response.map_or("no answer".to_owned(), |response| {
+        let body = String::from_utf8_lossy(&response.body);
+        format!("{} {body}", response.status)
+    })
+}
+
+/// Guards against a GET that is answered 503 because the owner of the cell does not answer for a part
+/// of the time for which the client waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_is_returned_when_the_owner_resumes() {
+    let asked = AskedSite::start(1).await;
+    for milliseconds in [1_900, 2_400] {
+        let freeze = asked.freeze_owner(Duration::from_millis(milliseconds));
+        tokio::join!(freeze, asked.assert_completed(&asked.jobs[0]));
+        // The next case begins in calm.
+        time::sleep(Duration::from_secs(1)).await;
+    }
+}
+
+/// Guards against concurrent GETs that are refused because each one that waits for a silent owner
+/// lowers the number of calls to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_questions_wait_for_the_owner_to_resume() {
+    let asked = AskedSite::start(40).await;
+    let questions = join_all(asked.jobs.iter().map(|id| asked.assert_completed(id)));
+    tokio::join!(asked.freeze_owner(Duration::from_millis(2_000)), questions);
+    join_all(asked.jobs.iter().map(|id| asked.assert_completed(id))).await;
+}
+
+/// Guards against GETs that an owner refuses as too late although they were sent after it resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn questions_are_answered_right_after_a_standstill() {
+    let asked = AskedSite::start(1).await;
+    for _ in 0..3 {
+        asked.freeze_owner(Duration::from_millis(2_000)).await;
+        let resumed = Instant::now();
+        while resumed.elapsed() < Duration::from_millis(300) {
+            asked.assert_completed(&asked.jobs[0]).await;
+        }
+    }
+}
+
+/// Guards against a count of waiting jobs that is answered 503 because the owner stands still for a part of
+/// the time for which the client waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_jobs_are_counted_when_the_owner_resumes() {
+    let asked = AskedSite::start(0).await;
+    let count = async {
+        let response = asked.ask("").await;
+        let text = describe(response.as_ref());
+        let body: Value = response
+            .and_then(|response| serde_json::from_slice(&response.body).ok())
+            .unwrap_or_default();
+        assert_eq!(body["waiting"], 0, "{text}");
+    };
+    tokio::join!(asked.freeze_owner(Duration::from_millis(2_000)), count);
+}
+
+/// Guards against a DELETE that is answered 503 although the owner confirms it within the time for
+/// which the client waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancellation_is_confirmed_when_the_owner_resumes() {
+    let asked = AskedSite::start(0).await;
+    let id = new_job_id();
+    let job = job_of_steps(&[1], "ms=60000");
+    assert!(asked.site.submit(asked.entry, POOL, &id, &job).await);
+    let cancel = async {
+        let path = format!("/{POOL}/{id}");
+        let response = (asked.site)
+            .request(asked.entry, Method::DELETE, &path, "")
+            .await;
+        let text = describe(response.as_ref());
+        assert!(text.starts_with("200"), "{text}");
+    };
+    tokio::join!(asked.freeze_owner(Duration::from_millis(2_000)), cancel);
+}
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod coordinator;
 mod faults;
+mod frozen_owner;
 mod harness;
 mod identity;
 mod late_calls;
--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -1,6 +1,7 @@
 //! Calls between nodes at both ends: the receiver drops those whose caller has given up, and the
 //! sender keeps to what the owner of a cell can answer.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +11,7 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
+use tanager_jobs::ids::CellName;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::call_deadline::has_expired;
@@ -17,6 +19,7 @@
 use tanager_schedule::call_limits::CallLimits;
 use tanager_schedule::call_limits::CallOutcome;
 use tanager_schedule::call_limits::CallRefusal;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::node::NodeContext;
@@ -37,6 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct CallGuard {
     limits: Mutex<CallLimits>,
+    /// Wakes a request that waits for a call of another one to the same cell to end.
+    ended: Mutex<HashMap<CellName, Arc<Notify>>>,
     refused: RefusedCalls,
 }
 
@@ -67,6 +72,12 @@
     pub(crate) fn record_not_admitted(&self) {
         self.refused.not_admitted.fetch_add(1, Relaxed);
     }
+
+    /// Waits until a call to the owner of a cell ends. Each end wakes one waiting request.
+    pub(crate) async fn call_ended(&self, cell: &str) {
+        let notify = Arc::clone(lock(&self.ended).entry(cell.to_owned()).or_default());
+        notify.notified().await;
+    }
 }
 
 /// A call that is passed on to the owner of a cell. If it is dropped, its outcome is unknown.
@@ -111,6 +122,9 @@
             outcome,
             now,
         );
+        if let Some(notify) = lock(&self.context.call_guard.ended).get(cell) {
+            notify.notify_one();
+        }
     }
 }
 
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -19,6 +19,7 @@
 use crate::job_api::JobCells;
 use crate::job_api::client_response;
 use crate::job_api::no_workers_yet;
+use crate::job_api::remaining_timeout;
 use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
@@ -75,8 +76,11 @@
     is_batched: bool,
 ) -> CellResponse {
     let cells = JobCells::find(context, queue, id);
-    let send =
-        |cell, operation| send_cell_request(context, caller, cell, &queue.key, operation, timeout);
+    let deadline = context.clock.now() + timeout;
+    let send = |cell, operation| {
+        let timeout = remaining_timeout(context, deadline);
+        send_cell_request(context, caller, cell, &queue.key, operation, timeout)
+    };
     let cancel = async |cell| match is_batched {
         true => cancel_in_batch(context, caller, cell, &queue.key, id).await,
         false => send(cell, CellOperation::Cancel(id)).await,
--- a/crates/tanager-service/src/cell_calls.rs
+++ b/crates/tanager-service/src/cell_calls.rs
@@ -1,12 +1,16 @@
 //! Calls to the owners of cells, this node or a peer.
 
+use std::future;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tanager_jobs::JobId;
 use tanager_jobs::ids::CellName;
-use tanager_jobs::ids::NodeName;
 use tanager_protocol::error::ErrorKind;
+use tanager_schedule::call_attempts::CallAttempts;
+use tanager_schedule::call_attempts::CallStep;
 use tokio::time;
 
 use crate::authentication::Caller;
@@ -20,11 +24,9 @@
 pub(crate) const MIN_OWNER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which a request waits for the new owner of a cell. It is less than a quarter of the
 /// shortest latency objective, so that a refusal after this wait comes well within the objective.
-pub(crate) const OWNER_WAIT: Duration = Duration::from_millis(250);
-/// Interval between two attempts to reach the owner. After [`OWNER_WAIT`] the former owner is likely
-/// dead, and the next one takes seconds.
-pub(crate) const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
-const SLOW_OWNER_POLL_INTERVAL: Duration = Duration::from_millis(250);
+const OWNER_WAIT: Duration = Duration::from_millis(250);
+/// Interval between two attempts to reach the owner.
+const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Why a call to the owner of a cell has no answer.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,17 +36,17 @@
     /// The call was not passed on, because the owner answers too slowly or refuses the sender.
     Withheld(CellResponse),
     /// The owner did not receive the call.
-    Unreachable(NodeName),
+    Unreachable,
     /// The owner may have received the call.
-    Silent(NodeName),
+    Silent,
 }
 
 impl CallFailure {
     /// Returns the response that a failed call stands for.
-    pub(crate) fn into_response(self, operation: &CellOperation) -> CellResponse {
+    fn into_response(self, operation: &CellOperation) -> CellResponse {
         match (self, operation) {
             (Self::Withheld(refusal), _) => refusal,
-            (Self::Silent(_), CellOperation::Submit { .. } | CellOperation::Delegate(_)) => {
+            (Self::Silent, CellOperation::Submit { .. } | CellOperation::Delegate(_)) => {
                 CellResponse::Uncertain
             }
             _ => CellResponse::NotOwner,
@@ -52,7 +54,7 @@
     }
 }
 /// Sends an operation to the owner of a cell, this node or a peer. If the owner of the cell changes,
-/// waits for the new one: up to [`OWNER_WAIT`], and with a cancellation up to `timeout`, because
+/// waits for the new one: up to [`OWNER_WAIT`]. A cancellation is repeated up to `timeout`, because
 /// clients take one that they do not repeat for done.
 pub(crate) async fn send_cell_request(
     context: &Arc<NodeContext>,
@@ -64,27 +66,115 @@
 ) -> CellResponse {
     let request = cell_request(context, caller, cell, queue, operation);
     let started = context.clock.now();
-    let wait = match request.operation {
-        CellOperation::Cancel(_) => timeout,
-        _ => OWNER_WAIT,
-    };
+    if matches!(request.operation, CellOperation::Cancel(_)) {
+        let call = call_until_answered(context, &request, started + timeout).await;
+        return call.into_response(&request.operation);
+    }
     let mut call_timeout = timeout;
     loop {
         let response = send_cell_request_once(context, &request, call_timeout).await;
         let elapsed = context.clock.now().saturating_sub(started);
-        if response != CellResponse::NotOwner || elapsed >= wait {
+        if response != CellResponse::NotOwner || elapsed >= OWNER_WAIT {
             return response;
         }
         context.owner_read_requested.notify_one();
-        time::sleep(match elapsed < OWNER_WAIT {
-            true => OWNER_POLL_INTERVAL,
-            false => SLOW_OWNER_POLL_INTERVAL,
-        })
-        .await;
+        time::sleep(OWNER_POLL_INTERVAL).await;
         call_timeout = timeout.saturating_sub(elapsed).max(MIN_OWNER_TIMEOUT);
     }
 }
 
+/// Result of a call that was repeated.
+#[derive(Debug)]
+pub(crate) struct RepeatedCall {
+    /// Response, or why the last call that ended has none.
+    pub(crate) result: Result<CellResponse, CallFailure>,
+    /// Number of calls.
+    pub(crate) calls: u32,
+}
+
+impl RepeatedCall {
+    /// Returns the response, or the one that the failure stands for.
+    pub(crate) fn into_response(self, operation: &CellOperation) -> CellResponse {
+        (self.result).unwrap_or_else(|failure| failure.into_response(operation))
+    }
+}
+
+/// Calls the owner of a cell until it answers, at most until `deadline`, for an operation that may be
+/// repeated.
+pub(crate) async fn call_until_answered(
+    context: &Arc<NodeContext>,
+    request: &CellRequest,
+    deadline: Duration,
+) -> RepeatedCall {
+    let mut attempts = CallAttempts::new(context.clock.now(), deadline);
+    let mut calls = FuturesUnordered::new();
+    let mut result = Err(CallFailure::NoOwner);
+    loop {
+        let now = context.clock.now();
+        let wait_until = match attempts.next_step(now) {
+            CallStep::Call { is_repeat } => {
+                if is_repeat {
+                    close_idle_connections(context, request);
+                }
+                let timeout = deadline.saturating_sub(now).max(MIN_OWNER_TIMEOUT);
+                calls.push(call_owner(context, request, timeout));
+                continue;
+            }
+            CallStep::Wait(until) => until,
+            CallStep::GiveUp => break,
+        };
+        let is_withheld = matches!(result, Err(CallFailure::Withheld(_)));
+        let cell = context.view().merged_cell(&request.cell);
+        tokio::select! {
+            Some(ended) = calls.next() => {
+                let is_answered = ended.as_ref().is_ok_and(|response| is_answer(request, response));
+                result = ended;
+                if is_answered {
+                    break;
+                }
+                attempts.record_failure(context.clock.now());
+                context.owner_read_requested.notify_one();
+            }
+            () = sleep_until(context, wait_until) => {}
+            () = context.call_guard.call_ended(&cell), if is_withheld => {
+                attempts.end_pause(context.clock.now());
+            }
+        }
+    }
+    RepeatedCall {
+        result,
+        calls: attempts.calls(),
+    }
+}
+
+/// Returns whether a response ends a repeated call.
+fn is_answer(request: &CellRequest, response: &CellResponse) -> bool {
+    match (&request.operation, response) {
+        (_, CellResponse::NotOwner) => false,
+        (CellOperation::Cancel(_), _) => true,
+        (_, CellResponse::Refused { .. }) => false,
+        _ => true,
+    }
+}
+
+/// Closes the idle connections to the owner of a cell: others may be silent as the one in use.
+fn close_idle_connections(context: &NodeContext, request: &CellRequest) {
+    let owner = {
+        let view = context.view();
+        view.owner_of(&view.merged_cell(&request.cell))
+    };
+    if let Some((_, address)) = owner {
+        context.peers.close_idle_connections(address);
+    }
+}
+
+async fn sleep_until(context: &NodeContext, until: Option<Duration>) {
+    match until {
+        Some(until) => time::sleep(until.saturating_sub(context.clock.now())).await,
+        None => future::pending().await,
+    }
+}
+
 /// Builds a request to the owner of a cell.
 pub(crate) fn cell_request(
     context: &NodeContext,
@@ -151,14 +241,14 @@
                 "event=owner_unreachable cell={} owner={owner} error={error:?}",
                 request.cell
             );
-            CallFailure::Unreachable(owner)
+            CallFailure::Unreachable
         }
         _ => {
             log::info!(
                 "event=owner_silent cell={} owner={owner} error={error:?}",
                 request.cell
             );
-            CallFailure::Silent(owner)
+            CallFailure::Silent
         }
     })
 }
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -40,9 +40,9 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
 /// Part of the client's deadline that is reserved for returning the response.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
-/// Maximum time limit for the owner's response. A submission takes far less while the store
+/// Maximum time limit for the owner's response to a submission, which takes far less while the store
 /// responds.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(1_700);
+const SUBMISSION_TIMEOUT: Duration = Duration::from_millis(1_700);
 /// `Retry-After` in seconds while a cell has no owner: a handover takes a fraction of a second, and
 /// a dead owner is replaced within three seconds.
 const TAKEOVER_RETRY_S: u64 = 1;
@@ -70,7 +70,7 @@
         Err(rejection) => return call_rejection_response(rejection),
     };
     let id_text = &path[queue.path_prefix.len()..];
-    let timeout = owner_timeout(&request).min(OWNER_TIMEOUT);
+    let timeout = client_timeout(&request);
     if id_text.is_empty() {
         return match request.method {
             Method::GET => {
@@ -86,7 +86,10 @@
         Method::POST if request.body.len() > config.max_body => {
             HttpResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
         }
-        Method::POST => submit(&context, &caller, queue, id, &request, timeout).await,
+        Method::POST => {
+            let timeout = timeout.min(SUBMISSION_TIMEOUT);
+            submit(&context, &caller, queue, id, &request, timeout).await
+        }
         Method::GET => {
             client_response(questions::job_status(&context, &caller, queue, id, timeout).await)
         }
@@ -155,7 +158,8 @@
     }
 }
 
-fn owner_timeout(request: &HttpRequest) -> Duration {
+/// Returns the time within which the client must get a response.
+fn client_timeout(request: &HttpRequest) -> Duration {
     let client_timeout = (request.header(DEADLINE_HEADER.as_str()))
         .and_then(|text| text.parse().ok())
         .map_or(DEFAULT_DEADLINE, Duration::from_millis);
@@ -165,7 +169,7 @@
 }
 
 /// Returns the time limit of the next call for a request that ends at `deadline`.
-fn remaining_timeout(context: &NodeContext, deadline: Duration) -> Duration {
+pub(crate) fn remaining_timeout(context: &NodeContext, deadline: Duration) -> Duration {
     let remaining = deadline.saturating_sub(context.clock.now());
     remaining.max(MIN_OWNER_TIMEOUT)
 }
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -366,6 +366,11 @@
         Arc::clone(pool)
     }
 
+    /// Closes the idle connections to a node, so that the next call opens a new one.
+    pub(crate) fn close_idle_connections(&self, address: SocketAddr) {
+        self.pool(address).clear();
+    }
+
     /// Sends a request to the owner of a cell.
     ///
     /// # Errors
--- a/crates/tanager-service/src/questions.rs
+++ b/crates/tanager-service/src/questions.rs
@@ -7,14 +7,11 @@
 use tanager_jobs::QueueConfig;
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::NodeName;
-use tokio::time;
 
 use crate::authentication::Caller;
 use crate::cell_calls::CallFailure;
-use crate::cell_calls::MIN_OWNER_TIMEOUT;
-use crate::cell_calls::OWNER_POLL_INTERVAL;
-use crate::cell_calls::OWNER_WAIT;
-use crate::cell_calls::call_owner;
+use crate::cell_calls::RepeatedCall;
+use crate::cell_calls::call_until_answered;
 use crate::cell_calls::cell_request;
 use crate::job_api::JobCells;
 use crate::job_api::no_workers_yet;
@@ -30,7 +27,7 @@
     response: CellResponse,
     failure: Option<QuestionFailure>,
     cell: Option<CellName>,
-    /// Node that was asked last.
+    /// Owner of the cell, if it is known.
     owner: Option<NodeName>,
     attempts: u32,
 }
@@ -143,49 +140,35 @@
     None
 }
 
-/// Asks the owner of a cell. If the owner changes, waits for the new one up to [`OWNER_WAIT`].
+/// Asks the owner of a cell for as long as the client waits.
 async fn ask_owner(
     context: &Arc<NodeContext>,
     request: &CellRequest,
     deadline: Duration,
 ) -> QuestionOutcome {
-    let started = context.clock.now();
-    let mut attempts = 0;
-    loop {
-        let remaining = deadline.saturating_sub(context.clock.now());
-        let timeout = remaining.max(MIN_OWNER_TIMEOUT);
-        attempts += 1;
-        let result = call_owner(context, request, timeout).await;
-        let outcome = question_outcome(request, result, attempts);
-        let elapsed = context.clock.now().saturating_sub(started);
-        if outcome.response != CellResponse::NotOwner || elapsed >= OWNER_WAIT {
-            return outcome;
-        }
-        context.owner_read_requested.notify_one();
-        time::sleep(OWNER_POLL_INTERVAL).await;
-    }
+    let call = call_until_answered(context, request, deadline).await;
+    let owner = context.view().owner_of(&request.cell).map(|(node, _)| node);
+    question_outcome(request, call, owner)
 }
 
 fn question_outcome(
     request: &CellRequest,
-    result: Result<CellResponse, CallFailure>,
-    attempts: u32,
+    call: RepeatedCall,
+    owner: Option<NodeName>,
 ) -> QuestionOutcome {
-    let (failure, owner) = match &result {
-        Ok(response) => (failed_response(response), None),
-        Err(CallFailure::NoOwner) => (Some(QuestionFailure::NoOwner), None),
-        Err(CallFailure::Withheld(_)) => (Some(QuestionFailure::Withheld), None),
-        Err(CallFailure::Unreachable(owner)) => {
-            (Some(QuestionFailure::Unreachable), Some(owner.clone()))
-        }
-        Err(CallFailure::Silent(owner)) => (Some(QuestionFailure::Silent), Some(owner.clone())),
+    let failure = match &call.result {
+        Ok(response) => failed_response(response),
+        Err(CallFailure::NoOwner) => Some(QuestionFailure::NoOwner),
+        Err(CallFailure::Withheld(_)) => Some(QuestionFailure::Withheld),
+        Err(CallFailure::Unreachable) => Some(QuestionFailure::Unreachable),
+        Err(CallFailure::Silent) => Some(QuestionFailure::Silent),
     };
     QuestionOutcome {
-        response: result.unwrap_or_else(|failure| failure.into_response(&request.operation)),
         failure,
         cell: Some(request.cell.clone()),
         owner,
-        attempts,
+        attempts: call.calls,
+        response: call.into_response(&request.operation),
     }
 }
 
