Take the age of a call, not the last lag of the owner, for how late it is

Callers saw 503 ("the call reached the owner of the cell too late") for requests that they sent right after the owner of a cell had stood still for some seconds. Each submission in the next 0.1 s was refused with Retry-After 1, and each question was.

Cause: drop_late_call compared the time that the caller still waits with recent_lag(), the largest lag of the loop within the last 0.1 s (STALL_MEMORY). It bounds how long a call may have waited in its socket, but applies to calls as well that were sent after the standstill. The places of submissions (call_intake) shrank by the same lag.

The two tests of frozen_owner.rs fail on the commit before: a submission 2 ms after the owner resumed gets 503, and six questions of three freezes count as dropped.

Change: each response of an owner carries the time on its clock, and the next submission to it returns the time that this clock must have reached when it was sent (call_age.rs: the elapsed time on the own clock, less the 4% by which two clocks may differ). The age of a call is at most the difference to now, and at most the lag. A clock of another process says nothing; nodes of former versions send no time, and the lag applies as before. Questions carry no time limit any more and are never dropped.

Why it works: the bound holds for any delay of the response and of the call and for clocks 2% off each, which a property test plays; a call that waited during the standstill is still dropped (submission_whose_caller_gave_up_is_dropped).

--- a/crates/tanager-node/tests/jobs/frozen_owner.rs
+++ b/crates/tanager-node/tests/jobs/frozen_owner.rs
@@ -4,17 +4,21 @@
 use std::time::Instant;
 
 use futures_util::future::join_all;
+use http::HeaderValue;
 use http::Method;
 use nix::sys::signal::Signal;
 use serde_json::Value;
+use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
 use tokio::time;
 
 use crate::CELL;
 use crate::POOL;
 use crate::harness::JobSite;
+use crate::harness::exchange;
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
+use crate::late_calls::counter;
 use crate::small_site;
 
 /// A site with completed jobs.
@@ -65,6 +69,10 @@
         self.site.request(self.entry, Method::GET, &path, "").await
     }
 
+    async fn dropped_calls(&self) -> u64 {
+        counter(&self.site, self.owner, "tanager_calls_dropped_total").await
+    }
+
     async fn assert_completed(&self, id: &str) {
         let response = self.ask(id).await;
         let text = describe(response.as_ref());
@@ -106,13 +114,44 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn questions_are_answered_right_after_a_standstill() {
     let asked = AskedSite::start(1).await;
+    let address = asked.site.nodes[asked.entry].ports.client_address();
+    let mut request = HttpRequest::new(Method::GET, format!("/{POOL}/{}", asked.jobs[0]), "");
+    let deadline = HeaderValue::from_static("1000");
+    request.headers.insert("x-deadline-milliseconds", deadline);
+    for _ in 0..3 {
+        asked.freeze_owner(Duration::from_millis(2_000)).await;
+        let resumed = Instant::now();
+        while resumed.elapsed() < Duration::from_millis(300) {
+            let response = exchange(address, request.clone()).await;
+            let text = describe(response.as_ref());
+            assert!(
+                text.contains("completed"),
+                "{:?}: {text}",
+                resumed.elapsed()
+            );
+        }
+    }
+    assert_eq!(asked.dropped_calls().await, 0);
+}
+
+/// Guards against submissions that an owner refuses as too late although they were sent after it resumed.
+#[tokio::test(flavor = "multi_thread")]
+async fn submissions_are_accepted_right_after_a_standstill() {
+    let asked = AskedSite::start(1).await;
+    let body = job_of_steps(&[1], "ms=20").to_string();
     for _ in 0..3 {
         asked.freeze_owner(Duration::from_millis(2_000)).await;
         let resumed = Instant::now();
         while resumed.elapsed() < Duration::from_millis(300) {
-            asked.assert_completed(&asked.jobs[0]).await;
+            let path = format!("/{POOL}/{}", new_job_id());
+            let response = (asked.site)
+                .request(asked.entry, Method::POST, &path, &body)
+                .await;
+            let text = describe(response.as_ref());
+            assert!(text.starts_with("200"), "{:?}: {text}", resumed.elapsed());
         }
     }
+    assert_eq!(asked.dropped_calls().await, 0);
 }
 
 /// Guards against a count of waiting jobs that is answered 503 because the owner stands still for a part of
--- a/crates/tanager-node/tests/jobs/late_calls.rs
+++ b/crates/tanager-node/tests/jobs/late_calls.rs
@@ -25,7 +25,7 @@
 const CANCELLATION_LIMIT: Duration = Duration::from_secs(4);
 
 /// Returns a counter of a node.
-async fn counter(site: &JobSite, node: usize, name: &str) -> u64 {
+pub(crate) async fn counter(site: &JobSite, node: usize, name: &str) -> u64 {
     let address = site.nodes[node].ports.admin_address();
     let request = HttpRequest::new(Method::GET, "/metrics", "");
     let response = exchange(address, request).await.expect("metrics");
--- a/crates/tanager-schedule/src/call_intake.rs
+++ b/crates/tanager-schedule/src/call_intake.rs
@@ -37,7 +37,7 @@
 
 impl CallIntake {
     /// Takes a place for a submission of `sender`, which is a workspace or, without workspaces, a
-    /// queue. `lag` is the time for which the submission may have waited before it was read.
+    /// queue. `age` is the time for which the submission may have waited before it was read.
     ///
     /// # Errors
     ///
@@ -45,12 +45,12 @@
     pub fn admit(
         &mut self,
         sender: &str,
-        lag: Duration,
+        age: Duration,
         now: Duration,
     ) -> Result<PlaceKey, Duration> {
         let oldest = (self.waiting.first_key_value())
             .map_or(Duration::ZERO, |(_, (_, since))| now.saturating_sub(*since));
-        let lateness = lag.max(oldest);
+        let lateness = age.max(oldest);
         let free = places(lateness).saturating_sub(self.waiting.len());
         let own = self.by_sender.get(sender).copied().unwrap_or_default();
         if own >= SHARE_FACTOR * free {
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod advice;
 pub mod allowance;
 pub mod backlog;
+pub mod call_age;
 pub mod call_attempts;
 pub mod call_backoff;
 pub mod call_deadline;
--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -194,13 +194,14 @@
 }
 
 /// Returns the response to a call that was just read if its caller, which waited for `remaining`
-/// when it sent the call, has given up.
+/// when it sent the call, has given up. The call was sent up to `age` ago.
 pub(crate) fn drop_late_call(
     context: &NodeContext,
     remaining: Option<Duration>,
+    age: Duration,
 ) -> Option<CellResponse> {
-    let lag = context.recent_lag();
-    if !has_expired(remaining?, Duration::ZERO, lag) {
+    let remaining = remaining?;
+    if !has_expired(remaining, Duration::ZERO, age) {
         return None;
     }
     context.metrics.calls_dropped.increment();
@@ -208,7 +209,9 @@
     Some(CellResponse::Refused {
         retry_after: LATE_RETRY_S,
         overload: false,
-        reason: "the call reached the owner of the cell too late".to_owned(),
+        reason: format!(
+            "the call reached the owner of the cell too late: {remaining:.3?} remained, up to {age:.3?} ago"
+        ),
         sender_wide: false,
     })
 }
--- a/crates/tanager-service/src/cell_calls.rs
+++ b/crates/tanager-service/src/cell_calls.rs
@@ -224,7 +224,9 @@
         ..request.clone()
     };
     if let Some(local_cell) = context.cell(&request.cell) {
-        return Ok(local_cell.handle(request.clone()).await);
+        // The client's request may have waited in the socket of this node.
+        let age = context.recent_lag();
+        return Ok(local_cell.handle(request.clone(), age).await);
     }
     let owner = context.view().owner_of(&request.cell);
     let Some((owner, address)) = owner.filter(|(node, _)| *node != context.settings.node) else {
--- a/crates/tanager-service/src/coordinator_cells.rs
+++ b/crates/tanager-service/src/coordinator_cells.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::PoolName;
@@ -142,7 +143,7 @@
         operation: CellOperation::Load,
     };
     let response = match cell.context.cell(&name) {
-        Some(local_cell) => local_cell.handle(request).await,
+        Some(local_cell) => local_cell.handle(request, Duration::ZERO).await,
         None => {
             let (_, address) = cell.context.view().owner_of(&name)?;
             let response = cell
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -18,6 +18,8 @@
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
+use tanager_schedule::call_age::NodeTime;
+use tanager_schedule::call_age::largest_age;
 use tanager_schedule::order_lease::ORDER_LEASE;
 use tanager_schedule::ownership;
 use tanager_schedule::ownership::OwnershipConfirmations;
@@ -144,6 +146,11 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the time on the clock of this process.
+    pub(crate) fn node_time(&self) -> NodeTime {
+        NodeTime::new(self.incarnation, self.clock.now())
+    }
+
     /// Returns the cells that this node owns.
     pub fn cells(&self) -> Vec<Arc<CellHandle>> {
         self.lock_cells().values().cloned().collect()
@@ -327,7 +334,7 @@
     pub async fn spawn(settings: SiteSettings, version: &str) -> TanagerResult<Self> {
         let clock = NodeClock::start();
         let metrics = Arc::new(NodeMetrics::new());
-        let peers = Arc::new(PeerClient::default());
+        let peers = Arc::new(PeerClient::new(clock));
         let (store_access, store) = StoreAccess::open(
             settings.store.address,
             clock,
@@ -461,16 +468,22 @@
         peers::CELL_PATH => {
             // Before the call is decoded, since a node that is late has no time to spare.
             let remaining = peers::remaining_time(&request);
-            if let Some(refusal) = call_guard::drop_late_call(&context, remaining) {
-                return peers::encode_response(&refusal);
-            }
-            match peers::decode_request::<CellRequest>(&request.body) {
-                Ok(call) => match context.cell(&call.cell) {
-                    Some(cell) => peers::encode_response(&cell.handle(call).await),
-                    None => peers::encode_response(&CellResponse::NotOwner),
+            let age = largest_age(
+                peers::sent_after(&request),
+                context.node_time(),
+                context.recent_lag(),
+            );
+            let response = match call_guard::drop_late_call(&context, remaining, age) {
+                Some(refusal) => refusal,
+                None => match peers::decode_request::<CellRequest>(&request.body) {
+                    Ok(call) => match context.cell(&call.cell) {
+                        Some(cell) => cell.handle(call, age).await,
+                        None => CellResponse::NotOwner,
+                    },
+                    Err(error) => return invalid(error),
                 },
-                Err(error) => invalid(error),
-            }
+            };
+            peers::encode_cell_response(&response, context.node_time())
         }
         peers::RELAY_PATH => match peers::decode_relay_request(&request.body) {
             Ok((call, timeout)) => relay(&context, &call, timeout).await,
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -8,12 +8,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
@@ -35,6 +37,8 @@
 use tanager_protocol::error::TanagerResult;
 use tanager_schedule::allowance::report::AllowanceReport;
 use tanager_schedule::allowance::report::AllowanceResponse;
+use tanager_schedule::call_age::NodeTime;
+use tanager_schedule::call_age::PeerTime;
 use tanager_schedule::call_limits::CallKind;
 use tanager_schedule::capacity::PoolLoad;
 use tanager_site::job_api::JobStatus;
@@ -42,6 +46,7 @@
 use crate::access::JobDescription;
 use crate::access::WorkspaceLoad;
 use crate::authentication::Caller;
+use crate::clock::NodeClock;
 use crate::cpu_time;
 use crate::cpu_time::Duty;
 
@@ -63,6 +68,9 @@
 /// Header with the time for which the caller still waits, in milliseconds. Nodes of former versions
 /// ignore it; they reject unknown fields of [`CellRequest`].
 const REMAINING_HEADER: HeaderName = HeaderName::from_static("x-remaining-milliseconds");
+/// Header of a call with the time that the clock of its receiver had reached when it was sent, and of a
+/// response with the time on the clock of its sender; see [`NodeTime`].
+const CLOCK_HEADER: HeaderName = HeaderName::from_static("x-node-time");
 /// Path of requests to drain a worker.
 pub const DRAIN_PATH: &str = "/empty";
 /// Path of reports to the allocator.
@@ -164,13 +172,10 @@
         }
     }
 
-    /// Returns whether the operation is pointless once its caller has given up. A cancellation is not:
-    /// it is wanted and will be repeated.
+    /// Returns whether the operation is pointless once its caller has given up, and costs more than a
+    /// refusal. A cancellation is wanted also when it is late, and a question is answered from memory.
     fn expires(&self) -> bool {
-        matches!(
-            self,
-            Self::Submit { .. } | Self::Known(_) | Self::Show(_) | Self::Waiting
-        )
+        matches!(self, Self::Submit { .. })
     }
 
     /// Returns whether the response depends on all jobs of the cell.
@@ -346,12 +351,24 @@
 }
 
 /// Client for calls to other nodes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerClient {
+    clock: NodeClock,
     pools: Mutex<HashMap<SocketAddr, Arc<ClientPool>>>,
+    /// Times that the last responses of nodes carried.
+    times: Mutex<HashMap<SocketAddr, PeerTime>>,
 }
 
 impl PeerClient {
+    /// Creates a client without connections.
+    pub fn new(clock: NodeClock) -> Self {
+        Self {
+            clock,
+            pools: Mutex::default(),
+            times: Mutex::default(),
+        }
+    }
+
     fn pool(&self, address: SocketAddr) -> Arc<ClientPool> {
         let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
         let pool = pools.entry(address).or_insert_with(|| {
@@ -386,11 +403,23 @@
         if request.operation.expires() {
             let remaining = HeaderValue::from(timeout.as_millis() as u64);
             call.headers.insert(REMAINING_HEADER, remaining);
+            let peer_time = self.times().get(&address).copied();
+            if let Some(peer_time) = peer_time {
+                insert_time(&mut call.headers, peer_time.reached(self.clock.now()));
+            }
         }
         let response = self.exchange(address, &call, timeout).await?;
+        if let Some(sent) = node_time(&response.headers) {
+            let read_at = self.clock.now();
+            self.times().insert(address, PeerTime { sent, read_at });
+        }
         decode_response(address, &response)
     }
 
+    fn times(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerTime>> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Asks the owner of a cell to drain a worker.
     ///
     /// # Errors
@@ -552,6 +581,30 @@
     text.parse().ok().map(Duration::from_millis)
 }
 
+/// Returns the time that the clock of this node had reached when a call was sent; `None` if the call does
+/// not say.
+pub fn sent_after(request: &HttpRequest) -> Option<NodeTime> {
+    node_time(&request.headers)
+}
+
+fn node_time(headers: &HeaderMap) -> Option<NodeTime> {
+    headers.get(CLOCK_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+fn insert_time(headers: &mut HeaderMap, time: NodeTime) {
+    // Digits and a dot are valid in a header.
+    if let Ok(value) = HeaderValue::try_from(time.to_string()) {
+        headers.insert(CLOCK_HEADER, value);
+    }
+}
+
+/// Encodes the response to a call to the owner of a cell, at a time on the clock of this node.
+pub fn encode_cell_response(response: &CellResponse, time: NodeTime) -> HttpResponse {
+    let mut response = encode_response(response);
+    insert_time(&mut response.headers, time);
+    response
+}
+
 /// Encodes the response to a call between nodes.
 pub fn encode_response<T: Serialize>(response: &T) -> HttpResponse {
     match cpu_time::measured(Duty::PeerCalls, || serde_json::to_vec(response)) {
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -51,15 +51,15 @@
 }
 
 impl CellHandle {
-    /// Handles a request to the owner of this cell.
-    pub async fn handle(self: &Arc<Self>, request: CellRequest) -> CellResponse {
+    /// Handles a request to the owner of this cell, which was sent up to `age` ago.
+    pub async fn handle(self: &Arc<Self>, request: CellRequest, age: Duration) -> CellResponse {
         let call = self.load.begin_call();
-        let response = self.answer(request).await;
+        let response = self.answer(request, age).await;
         call.end(&response);
         response
     }
 
-    async fn answer(self: &Arc<Self>, request: CellRequest) -> CellResponse {
+    async fn answer(self: &Arc<Self>, request: CellRequest, age: Duration) -> CellResponse {
         // This cell does not know yet what the other one has that was merged into it.
         let is_unloaded = match &request.home {
             Some(home) => !self.is_home(home),
@@ -71,7 +71,7 @@
         if let Some(rejection) = self.check_access(&request) {
             return rejection;
         }
-        let response = self.perform(request).await;
+        let response = self.perform(request, age).await;
         // A successor may have accepted jobs that this node does not know.
         match response {
             CellResponse::NotFound if self.may_have_successor(self.context.clock.now()) => {
@@ -86,13 +86,14 @@
         self.is_paused() || self.is_closed() || !self.context.owns_its_cells(now)
     }
 
-    async fn perform(self: &Arc<Self>, request: CellRequest) -> CellResponse {
+    async fn perform(self: &Arc<Self>, request: CellRequest, age: Duration) -> CellResponse {
         if let Some(response) = self.forward_read(&request) {
             return response.await;
         }
         match request.operation {
             CellOperation::Submit { id, job } => {
-                self.submit(request.queue, request.workspace, id, job).await
+                self.submit(request.queue, request.workspace, id, job, age)
+                    .await
             }
             CellOperation::Known(id) => match self.job_status(id) {
                 CellResponse::State(_) => CellResponse::Done,
@@ -161,6 +162,7 @@
         workspace: Option<WorkspaceName>,
         id: JobId,
         job: SubmittedJob,
+        age: Duration,
     ) -> CellResponse {
         let sender = workspace.clone().map_or(Caller::Open, Caller::Workspace);
         let started = self.context.clock.now();
@@ -175,7 +177,7 @@
             Some(receiver) => receiver,
             None if self.core().is_cancelled_early(id) => return CellResponse::Cancelled,
             None => {
-                _place = match self.take_place(&queue, workspace.as_ref(), started) {
+                _place = match self.take_place(&queue, workspace.as_ref(), age, started) {
                     Ok(place) => place,
                     Err(refusal) => return refusal,
                 };
@@ -313,14 +315,16 @@
         home: Option<&CellName>,
         job: &CancelledJob,
     ) -> Pin<Box<dyn Future<Output = CellResponse> + Send + 'a>> {
-        Box::pin(self.handle(CellRequest {
+        let request = CellRequest {
             cell: self.name.clone(),
             home: home.cloned(),
             queue: job.queue.clone(),
             workspace: job.workspace.clone(),
             is_operator: job.is_operator,
             operation: CellOperation::Cancel(job.id),
-        }))
+        };
+        // Only submissions depend on their age.
+        Box::pin(self.handle(request, Duration::ZERO))
     }
 
     async fn cancel(self: &Arc<Self>, queue: &str, id: JobId, caller: &Caller) -> CellResponse {
--- a/crates/tanager-service/src/submission_intake.rs
+++ b/crates/tanager-service/src/submission_intake.rs
@@ -26,17 +26,17 @@
 }
 
 impl CellHandle {
-    /// Takes a place for a submission of a workspace or, without workspaces, to a queue. Otherwise
-    /// returns the refusal; the job was not decoded then.
+    /// Takes a place for a submission of a workspace or, without workspaces, to a queue, that was sent up
+    /// to `age` ago. Otherwise returns the refusal; the job was not decoded then.
     pub(crate) fn take_place(
         self: &Arc<Self>,
         queue: &str,
         workspace: Option<&WorkspaceName>,
+        age: Duration,
         now: Duration,
     ) -> Result<SubmissionPlace, CellResponse> {
         let sender = workspace.map_or(queue, |workspace| workspace.as_str());
-        let lag = self.context.recent_lag();
-        let result = self.lock_intake().admit(sender, lag, now);
+        let result = self.lock_intake().admit(sender, age, now);
         match result {
             Ok(key) => Ok(SubmissionPlace {
                 cell: Arc::clone(self),
