Answer the status of a job from its stored rows while no owner answers

Callers got 503 for a GET of an accepted job after 2.85 s, all of the time for which they wait, while the owner of its cell was away: killed and not restarted, or frozen until another node had acquired the cell. The status of a job depended on one process, though the store has it.

Change: if the owner has not answered within 1 s, or half of the client's time, the node reads three rows of the job: the job, its progress and the ledger row with the marks. The store's answers are linearizable and an end is final, so a job is never shown as completed before it is; a job that has not ended may be shown as it was at the last transaction. The question to the owner goes on, and the first answer counts. What the rows do not tell (no job row, a delegated job, a row that cannot be decoded) stays unanswered, so that no job is called unknown. These reads take at most a tenth of the store's reads, divided among the nodes (read_budget.rs).

The stand-in of the store serves ranges of keys, as the platform documents them.

--- a/crates/tanager-node/tests/jobs/frozen_owner.rs
+++ b/crates/tanager-node/tests/jobs/frozen_owner.rs
@@ -65,8 +65,16 @@
 
     /// Asks the other node for a job, as a client that waits for 3 s.
     async fn ask(&self, id: &str) -> Option<HttpResponse> {
-        let path = format!("/{POOL}/{id}");
-        self.site.request(self.entry, Method::GET, &path, "").await
+        self.ask_within(id, "3000").await
+    }
+
+    /// Asks the other node for a job, as a client that waits for a time in milliseconds.
+    async fn ask_within(&self, id: &str, milliseconds: &'static str) -> Option<HttpResponse> {
+        let address = self.site.nodes[self.entry].ports.client_address();
+        let mut request = HttpRequest::new(Method::GET, format!("/{POOL}/{id}"), "");
+        let deadline = HeaderValue::from_static(milliseconds);
+        request.headers.insert("x-deadline-milliseconds", deadline);
+        exchange(address, request).await
     }
 
     async fn dropped_calls(&self) -> u64 {
@@ -114,15 +122,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn questions_are_answered_right_after_a_standstill() {
     let asked = AskedSite::start(1).await;
-    let address = asked.site.nodes[asked.entry].ports.client_address();
-    let mut request = HttpRequest::new(Method::GET, format!("/{POOL}/{}", asked.jobs[0]), "");
-    let deadline = HeaderValue::from_static("1000");
-    request.headers.insert("x-deadline-milliseconds", deadline);
     for _ in 0..3 {
         asked.freeze_owner(Duration::from_millis(2_000)).await;
         let resumed = Instant::now();
         while resumed.elapsed() < Duration::from_millis(300) {
-            let response = exchange(address, request.clone()).await;
+            let response = asked.ask_within(&asked.jobs[0], "1000").await;
             let text = describe(response.as_ref());
             assert!(
                 text.contains("completed"),
@@ -188,3 +192,31 @@
     };
     tokio::join!(asked.freeze_owner(Duration::from_millis(2_000)), cancel);
 }
+
+/// Guards against a GET that gets no answer for as long as its client waits because the owner is away until
+/// another node acquires the cell.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_is_returned_while_the_owner_is_away() {
+    let mut asked = AskedSite::start(1).await;
+    let running = new_job_id();
+    let job = job_of_steps(&[1], "ms=60000");
+    assert!(asked.site.submit(asked.entry, POOL, &running, &job).await);
+    let unknown = new_job_id();
+    asked.site.nodes[asked.owner].kill();
+    // Another node acquires the cell 2.6 s after the last heartbeat at the earliest.
+    let (completed, open, missing) = tokio::join!(
+        asked.ask_within(&asked.jobs[0], "1800"),
+        asked.ask_within(&running, "1800"),
+        asked.ask_within(&unknown, "1800")
+    );
+    let text = describe(completed.as_ref());
+    assert!(text.contains("completed"), "{text}");
+    let text = describe(open.as_ref());
+    assert!(
+        text.contains("running") || text.contains("queued"),
+        "{text}"
+    );
+    // The rows do not show that a job does not exist: it may be about to be stored.
+    let status = missing.map(|response| response.status.as_u16());
+    assert_eq!(status, Some(503));
+}
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod plan_admission;
 pub mod planning;
 pub mod ranking;
+pub mod read_budget;
 pub mod recovery;
 pub mod recovery_state;
 pub mod renewal_timing;
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod skipped_rows;
 mod statistics_loop;
 pub mod store_access;
+pub mod stored_status;
 pub mod stored_workers;
 mod submission_intake;
 pub mod supervision;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -103,6 +103,7 @@
     CountMetric jobs_received "Jobs that cells of this node accepted from another cell of their pool";
     CountMetric jobs_uncertain "Submissions answered without knowing whether the job is stored";
     CountMetric jobs_ended "Jobs that ended";
+    CountMetric stored_answers "Questions answered from the stored rows of a job because no owner of its cell answered";
     CountMetric calls_withheld "Calls to owners that were refused without passing them on";
     CountMetric calls_dropped "Calls of other nodes that were dropped because their callers had given up";
     CountMetric cancellations_batched "Repeated cancellations that were sent together with others";
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -57,6 +57,7 @@
 use crate::records::Incarnation;
 use crate::skipped_rows::SkippedRows;
 use crate::store_access::StoreAccess;
+use crate::stored_status::StoredReads;
 use crate::table_watch;
 use crate::takeover;
 use crate::takeover::Successor;
@@ -105,6 +106,8 @@
     pub(crate) cancellation_batches: CancellationBatches,
     /// State of the calls to and from other nodes.
     pub(crate) call_guard: CallGuard,
+    /// Reads of the status of jobs from the store.
+    pub(crate) stored_reads: StoredReads,
     /// Client of the machine API, if the site has one.
     pub machines: Option<MachineClient>,
     /// Wakes the task that reads the owners of cells.
@@ -349,6 +352,7 @@
             cancellation_permits: Semaphore::new(MAX_REPEATED),
             cancellation_batches: CancellationBatches::default(),
             call_guard: CallGuard::default(),
+            stored_reads: StoredReads::new(clock.now()),
             machines: (settings.machines_address)
                 .map(|address| MachineClient::new(address, ORDER_LEASE)),
             incarnation,
--- a/crates/tanager-service/src/questions.rs
+++ b/crates/tanager-service/src/questions.rs
@@ -7,8 +7,12 @@
 use tanager_jobs::QueueConfig;
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::NodeName;
+use tanager_site::job_api::JobStatus;
+use tokio::time;
 
 use crate::authentication::Caller;
+use crate::authentication::JobAccess;
+use crate::authentication::may_access;
 use crate::cell_calls::CallFailure;
 use crate::cell_calls::RepeatedCall;
 use crate::cell_calls::call_until_answered;
@@ -20,6 +24,15 @@
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
 use crate::question_log::QuestionFailure;
+use crate::stored_status;
+use crate::stored_status::status_of_rows;
+
+/// Time without an answer of the owner, or half of the time for which the client waits if that is shorter,
+/// after which the status of a job is read from the store.
+const STORED_READ_WAIT: Duration = Duration::from_secs(1);
+/// Interval between two such reads, and the time limit of a call of one.
+const STORED_READ_PERIOD: Duration = Duration::from_millis(400);
+const STORED_READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// What became of a question to the owner of a cell.
 #[derive(Clone, Debug)]
@@ -80,7 +93,7 @@
     let mut last = None;
     for cell in candidates {
         let request = cell_request(context, caller, cell, &queue.key, CellOperation::Show(id));
-        let outcome = ask_owner(context, &request, deadline).await;
+        let outcome = ask_owner(context, caller, &request, deadline).await;
         // Any other response: the cell has the job, or it cannot be determined now whether it has.
         if outcome.response != CellResponse::NotFound {
             return outcome;
@@ -124,7 +137,7 @@
     for cell in cells {
         let operation = CellOperation::Waiting;
         let request = cell_request(context, caller, &cell, &queue.key, operation);
-        let outcome = ask_owner(context, &request, started + timeout).await;
+        let outcome = ask_owner(context, caller, &request, started + timeout).await;
         match outcome.response {
             CellResponse::Waiting(number) => total += number,
             _ => {
@@ -140,15 +153,97 @@
     None
 }
 
-/// Asks the owner of a cell for as long as the client waits.
+/// Asks the owner of a cell for as long as the client waits. The status of a job is read from the store if
+/// the owner does not answer in a part of that time.
 async fn ask_owner(
     context: &Arc<NodeContext>,
+    caller: &Caller,
     request: &CellRequest,
     deadline: Duration,
 ) -> QuestionOutcome {
-    let call = call_until_answered(context, request, deadline).await;
-    let owner = context.view().owner_of(&request.cell).map(|(node, _)| node);
-    question_outcome(request, call, owner)
+    let started = context.clock.now();
+    let outcome = async {
+        let call = call_until_answered(context, request, deadline).await;
+        let owner = context.view().owner_of(&request.cell).map(|(node, _)| node);
+        question_outcome(request, call, owner)
+    };
+    let CellOperation::Show(id) = request.operation else {
+        return outcome.await;
+    };
+    let wait = STORED_READ_WAIT.min(deadline.saturating_sub(started) / 2);
+    tokio::select! {
+        biased;
+        outcome = outcome => outcome,
+        response = read_status(context, caller, request, id, wait) => {
+            log::info!(
+                "event=status_from_store job={id} cell={} answer={response:?} after={:?}{caller}",
+                request.cell,
+                context.clock.now().saturating_sub(started)
+            );
+            context.metrics.stored_answers.increment();
+            QuestionOutcome {
+                failure: failed_response(&response),
+                response,
+                cell: Some(request.cell.clone()),
+                owner: None,
+                attempts: 0,
+            }
+        }
+    }
+}
+
+/// Returns the response that the stored rows of a job give, after a wait. Does not end while they give none.
+async fn read_status(
+    context: &NodeContext,
+    caller: &Caller,
+    request: &CellRequest,
+    id: JobId,
+    wait: Duration,
+) -> CellResponse {
+    time::sleep(wait).await;
+    loop {
+        if let Some(response) = read_status_once(context, caller, request, id).await {
+            return response;
+        }
+        time::sleep(STORED_READ_PERIOD).await;
+    }
+}
+
+async fn read_status_once(
+    context: &NodeContext,
+    caller: &Caller,
+    request: &CellRequest,
+    id: JobId,
+) -> Option<CellResponse> {
+    let (target, nodes) = {
+        let view = context.view();
+        (view.merged_cell(&request.cell), view.nodes.len())
+    };
+    // The owner of the other cell copies the rows of a merged one, and then removes them.
+    let mut parts = vec![target];
+    if parts[0] != request.cell {
+        parts.push(request.cell.clone());
+    }
+    let mut found = None;
+    for part in parts {
+        let (rate, now) = (context.settings.store.reads_per_s, context.clock.now());
+        if !context.stored_reads.take(rate, nodes, now) {
+            break;
+        }
+        let rows = stored_status::read_job(&context.store, &part, id, STORED_READ_TIMEOUT).await;
+        match rows.map(|rows| status_of_rows(id, &rows)) {
+            Ok(Some((_, JobStatus::Queued | JobStatus::Running))) if found.is_some() => {}
+            Ok(Some(status)) => found = Some(status),
+            Ok(None) => {}
+            Err(error) => log::debug!("event=status_not_read job={id} cell={part} error={error:?}"),
+        }
+    }
+    let (job, status) = found?;
+    let is_open = *caller == Caller::Open && !context.has_workspaces();
+    match is_open || may_access(caller, JobAccess::Read, &request.queue, &job) {
+        true => Some(CellResponse::State(status)),
+        false => Some(CellResponse::Forbidden),
+    }
 }
 
 fn question_outcome(
--- a/crates/tanager-standin/src/site/table.rs
+++ b/crates/tanager-standin/src/site/table.rs
@@ -177,16 +177,23 @@
     fn read_part(&self, query: &BTreeMap<String, String>) -> Value {
         let field = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (table, part, from) = (field("table"), field("part"), field("from"));
+        let end = query.get("target");
+        let limit = (query.get("limit").and_then(|text| text.parse().ok()))
+            .map_or(MAX_PAGE_ROWS, |limit: usize| limit.min(MAX_PAGE_ROWS));
         let row_keys: Vec<RowKey> = (self.rows.iter())
             .filter(|((row_table, row_part, key), row)| {
-                *row_table == table && *row_part == part && *key >= from && !row.deleted
+                *row_table == table
+                    && *row_part == part
+                    && *key >= from
+                    && end.is_none_or(|end| key < end)
+                    && !row.deleted
             })
             .map(|(row_key, _)| row_key.clone())
             .collect();
-        let rows: Vec<Value> = (row_keys.iter().take(MAX_PAGE_ROWS))
+        let rows: Vec<Value> = (row_keys.iter().take(limit))
             .map(|row_key| self.row_json(row_key))
             .collect();
-        json!({"rows": rows, "has_more": row_keys.len() > MAX_PAGE_ROWS,
+        json!({"rows": rows, "has_more": row_keys.len() > limit,
                "row_version": self.version})
     }
 
