Let questions and cancellations wait for the first reads of their node

Callers saw 503 ("no configuration yet", or no owner) for a GET at a node that had just started: it serves requests from the moment on at which its address is bound, and reads the configuration, the pools and the owners after that. A submission is refused for good reason, since another node may accept it at once; a client that asks for a job gets the refusal as its answer.

--- a/crates/tanager-node/tests/jobs/frozen_owner.rs
+++ b/crates/tanager-node/tests/jobs/frozen_owner.rs
@@ -10,11 +10,13 @@
 use serde_json::Value;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
+use tokio::net::TcpStream;
 use tokio::time;
 
 use crate::CELL;
 use crate::POOL;
 use crate::harness::JobSite;
+use crate::harness::eventually;
 use crate::harness::exchange;
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
@@ -220,3 +222,23 @@
     let status = missing.map(|response| response.status.as_u16());
     assert_eq!(status, Some(503));
 }
+
+/// Guards against a GET that is refused because its node has just started and has not read the configuration,
+/// the pools or the owners yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn question_waits_for_the_first_reads_of_its_node() {
+    let mut asked = AskedSite::start(1).await;
+    asked.site.nodes[asked.entry].kill();
+    (asked.site.standin).set_faults(|faults| faults.store_refuses = true);
+    asked.site.nodes[asked.entry].restart();
+    let address = asked.site.nodes[asked.entry].ports.client_address();
+    eventually("the node accepts connections", async || {
+        TcpStream::connect(address).await.is_ok()
+    })
+    .await;
+    let end_outage = async {
+        time::sleep(Duration::from_millis(700)).await;
+        (asked.site.standin).set_faults(|faults| faults.store_refuses = false);
+    };
+    tokio::join!(end_outage, asked.assert_completed(&asked.jobs[0]));
+}
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -20,6 +20,7 @@
 use tanager_site::job_api::KEY_HEADER;
 use tanager_site::job_api::encode_job_status;
 use tanager_site::job_api::encode_waiting_count;
+use tokio::time;
 
 use crate::authentication::CallRejection;
 use crate::authentication::Caller;
@@ -43,6 +44,8 @@
 /// Maximum time limit for the owner's response to a submission, which takes far less while the store
 /// responds.
 const SUBMISSION_TIMEOUT: Duration = Duration::from_millis(1_700);
+/// Interval between two looks for the first reads of this node.
+const FIRST_READ_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// `Retry-After` in seconds while a cell has no owner: a handover takes a fraction of a second, and
 /// a dead owner is replaced within three seconds.
 const TAKEOVER_RETRY_S: u64 = 1;
@@ -51,7 +54,13 @@
 
 /// Handles a client's request.
 pub async fn handle(context: Arc<NodeContext>, request: HttpRequest) -> HttpResponse {
+    let deadline = context.clock.now() + client_timeout(&request);
     context.wait_for_config_read().await;
+    // Another node may accept a job that this one would let wait; nobody but the client asks again for
+    // the others.
+    if request.method != Method::POST {
+        wait_for_first_reads(&context, deadline).await;
+    }
     let Some(config) = context.view().config.clone() else {
         return no_config(&context, &request);
     };
@@ -70,7 +79,7 @@
         Err(rejection) => return call_rejection_response(rejection),
     };
     let id_text = &path[queue.path_prefix.len()..];
-    let timeout = client_timeout(&request);
+    let timeout = remaining_timeout(&context, deadline);
     if id_text.is_empty() {
         return match request.method {
             Method::GET => {
@@ -98,6 +107,14 @@
     }
 }
 
+/// Waits until this node has read what it needs to find the owner of a job's cell: it serves requests
+/// from its start on.
+async fn wait_for_first_reads(context: &NodeContext, deadline: Duration) {
+    while !context.view().has_first_reads() && context.clock.now() < deadline {
+        time::sleep(FIRST_READ_POLL_INTERVAL).await;
+    }
+}
+
 fn no_config(context: &NodeContext, request: &HttpRequest) -> HttpResponse {
     if request.method == Method::GET {
         let failure = QuestionFailure::NoConfig;
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -272,6 +272,7 @@
     for row in rows {
         apply_pool_row(context, &row);
     }
+    context.view().has_read_pools = true;
     Ok(())
 }
 
--- a/crates/tanager-service/src/view.rs
+++ b/crates/tanager-service/src/view.rs
@@ -82,6 +82,8 @@
     pub owners: BTreeMap<CellName, ObservedOwner>,
     /// Whether the owners have been read at least once.
     pub has_read_owners: bool,
+    /// Whether the pools have been read at least once.
+    pub has_read_pools: bool,
     /// Partition of each pool, with the version of its row.
     pub pools: BTreeMap<PoolName, (PoolRecord, RowVersion)>,
     /// Maintenance waves that the operator requested, by number.
@@ -91,6 +93,11 @@
 }
 
 impl FleetView {
+    /// Returns whether all has been read once that is needed to find the owner of a job's cell.
+    pub fn has_first_reads(&self) -> bool {
+        self.config.is_some() && self.has_read_owners && self.has_read_pools
+    }
+
     /// Applies a configuration if it is newer than the one in force; returns whether it did.
     pub fn apply_config(&mut self, config: FleetConfig) -> bool {
         let is_newer =
