Refuse no jobs while the store answers a rejected row with an unknown status

Callers saw 503 ("the store is away", Retry-After 2) for a job that came while a row was tried that the store answers with an undocumented status, such as 500: at first and again each time the row that was set aside is due, for some 0.2 s.

Cause: from the second attempt without a known outcome on, commit() refused all waiting jobs, for a store that does not answer.

--- a/crates/tanager-node/tests/jobs/rejected_rows.rs
+++ b/crates/tanager-node/tests/jobs/rejected_rows.rs
@@ -158,6 +158,28 @@
     assert_single_runs(&site.standin.runs());
 }
 
+/// Guards against jobs that are refused each time a rejected row is tried again, because the store answers that
+/// with a status that the platform does not document.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_rejections_with_an_undocumented_status_refuse_no_other_jobs() {
+    let job = job_of_steps(&[1, 1], "ms=300");
+    let (site, _) = site_beside_rejected_job(&job, |rejection| RowRejection {
+        status: 500,
+        ..rejection
+    })
+    .await;
+    let start = Instant::now();
+    let mut submitted = 0;
+    while start.elapsed() < Duration::from_secs(8) {
+        let accepted = submit_each(&site, 1, "ms=20").await;
+        submitted += 1;
+        assert_eq!(accepted.len(), 1, "refused after {:?}", start.elapsed());
+        time::sleep(Duration::from_millis(30)).await;
+    }
+    let rejected = site.standin.rejected_changes();
+    assert!(rejected >= 3 && submitted >= 50, "{rejected} {submitted}");
+}
+
 /// Guards against ends of other jobs that are not acknowledged, and therefore no longer listed,
 /// beside a job whose progress cannot be stored (LOST).
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/tanager-service/src/ledger_loop.rs
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -363,8 +363,10 @@
                 earlier = EarlierAttempts::Uncertain;
                 // If only the response was lost, the second attempt reveals the outcome. After
                 // that, jobs that were not sent to the store yet are refused at once, because their
-                // clients are waiting.
-                if attempts > 1 {
+                // clients are waiting. A store that answers is about to store them, unless it has
+                // stored nothing for a while.
+                let is_silent = answer == AttemptAnswer::Missing;
+                if attempts > 1 && (is_silent || cell.ledger.is_blocked(cell.context.clock.now())) {
                     cell.ledger.refuse_queued();
                 }
             }
