Separate the shared state of a node from what starts and serves it

It has a file of its own now (context.rs), and so have the state of queues' pools, of reads of the configuration and of waiting cancellations, without the code that reads and writes them.

--- a/crates/tanager-service/src/admin.rs
+++ b/crates/tanager-service/src/admin.rs
@@ -14,13 +14,13 @@
 use tanager_jobs::JobSpec;
 use tanager_jobs::ids::WorkspaceName;
 
-use crate::access::JobDescription;
 use crate::authentication::Caller;
 use crate::cell_calls;
 use crate::config_report;
+use crate::context::NodeContext;
 use crate::delegations;
+use crate::descriptions::JobDescription;
 use crate::job_api;
-use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
 use crate::peers::SubmittedJob;
--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -2,7 +2,6 @@
 //! sender keeps to what the owner of a cell can answer.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -20,19 +19,17 @@
 use tanager_schedule::call_limits::CallOutcome;
 use tanager_schedule::call_limits::CallRefusal;
 use tokio::sync::Notify;
-use tokio::time;
 
-use crate::node::NodeContext;
+use crate::clock::NodeClock;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
-use crate::requests::overload_refusal;
-use crate::supervision::spawn_loop;
+use crate::refusals::overload_refusal;
 
 /// A call that ends without an answer says nothing about the owner while this node itself is as late
 /// as this.
 const MAX_OWN_LAG: Duration = Duration::from_millis(200);
 /// Shortest time between two log lines about refused calls; a flood refuses hundreds a second.
-const LINE_PERIOD: Duration = Duration::from_secs(1);
+pub(crate) const LINE_PERIOD: Duration = Duration::from_secs(1);
 /// `Retry-After` in seconds of a call that reached the owner too late.
 const LATE_RETRY_S: u64 = 1;
 
@@ -73,6 +70,11 @@
         self.refused.not_admitted.fetch_add(1, Relaxed);
     }
 
+    /// Logs how many calls were refused since the last line, if there were any.
+    pub(crate) fn log_refused(&self, lag: Duration) {
+        self.refused.log(lag);
+    }
+
     /// Waits until a call to the owner of a cell ends. Each end wakes one waiting request.
     pub(crate) async fn call_ended(&self, cell: &str) {
         let notify = Arc::clone(lock(&self.ended).entry(cell.to_owned()).or_default());
@@ -82,7 +84,8 @@
 
 /// A call that is passed on to the owner of a cell. If it is dropped, its outcome is unknown.
 pub(crate) struct PassedCall<'a> {
-    context: &'a NodeContext,
+    guard: &'a CallGuard,
+    clock: NodeClock,
     cell: &'a str,
     owner: String,
     sender: &'a str,
@@ -92,9 +95,9 @@
 }
 
 impl PassedCall<'_> {
-    /// Records the result of the call.
-    pub(crate) fn end(mut self, result: &TanagerResult<CellResponse>) {
-        let now = self.context.clock.now();
+    /// Records the result of the call, which this node read `own_lag` late at most.
+    pub(crate) fn end(mut self, result: &TanagerResult<CellResponse>, own_lag: Duration) {
+        let now = self.clock.now();
         self.outcome = match result {
             Ok(CellResponse::Refused {
                 retry_after,
@@ -104,7 +107,7 @@
             Ok(_) => CallOutcome::Answered,
             Err(error) if error.kind == ErrorKind::NotSent => CallOutcome::Unknown,
             // The response may wait in this node's own socket.
-            Err(_) if self.context.recent_lag() >= MAX_OWN_LAG => CallOutcome::Unknown,
+            Err(_) if own_lag >= MAX_OWN_LAG => CallOutcome::Unknown,
             Err(_) => CallOutcome::Silent(now.saturating_sub(self.started)),
         };
     }
@@ -112,17 +115,10 @@
 
 impl Drop for PassedCall<'_> {
     fn drop(&mut self) {
-        let now = self.context.clock.now();
+        let now = self.clock.now();
         let (cell, outcome) = (self.cell, self.outcome);
-        lock(&self.context.call_guard.limits).end(
-            cell,
-            &self.owner,
-            self.sender,
-            self.kind,
-            outcome,
-            now,
-        );
-        if let Some(notify) = lock(&self.context.call_guard.ended).get(cell) {
+        lock(&self.guard.limits).end(cell, &self.owner, self.sender, self.kind, outcome, now);
+        if let Some(notify) = lock(&self.guard.ended).get(cell) {
             notify.notify_one();
         }
     }
@@ -131,7 +127,8 @@
 /// Decides whether a request is passed on to the owner of its cell, and returns the refusal
 /// otherwise. Calls that do not come from clients are not limited (`None`).
 pub(crate) fn begin_call<'a>(
-    context: &'a NodeContext,
+    guard: &'a CallGuard,
+    clock: NodeClock,
     request: &'a CellRequest,
     owner: &str,
 ) -> Result<Option<PassedCall<'a>>, CellResponse> {
@@ -140,11 +137,12 @@
     };
     let sender = request.workspace.as_ref();
     let sender = sender.map_or(request.queue.as_str(), |workspace| workspace.as_str());
-    let (cell, started) = (request.cell.as_str(), context.clock.now());
-    let result = lock(&context.call_guard.limits).begin(cell, owner, sender, kind, started);
+    let (cell, started) = (request.cell.as_str(), clock.now());
+    let result = lock(&guard.limits).begin(cell, owner, sender, kind, started);
     match result {
         Ok(()) => Ok(Some(PassedCall {
-            context,
+            guard,
+            clock,
             cell,
             owner: owner.to_owned(),
             sender,
@@ -153,8 +151,7 @@
             outcome: CallOutcome::Unknown,
         })),
         Err(refusal) => {
-            context.metrics.calls_withheld.increment();
-            context.call_guard.refused.withheld.fetch_add(1, Relaxed);
+            guard.refused.withheld.fetch_add(1, Relaxed);
             Err(withheld_response(refusal))
         }
     }
@@ -180,23 +177,10 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Starts to log the calls that are refused.
-pub(crate) fn spawn(context: &Arc<NodeContext>) {
-    let context = Arc::clone(context);
-    spawn_loop("refused_calls", move || log_refused(Arc::clone(&context)));
-}
-
-async fn log_refused(context: Arc<NodeContext>) -> Infallible {
-    loop {
-        time::sleep(LINE_PERIOD).await;
-        context.call_guard.refused.log(context.recent_lag());
-    }
-}
-
 /// Returns the response to a call that was just read if its caller, which waited for `remaining`
 /// when it sent the call, has given up. The call was sent up to `age` ago.
 pub(crate) fn drop_late_call(
-    context: &NodeContext,
+    guard: &CallGuard,
     remaining: Option<Duration>,
     age: Duration,
 ) -> Option<CellResponse> {
@@ -204,8 +188,7 @@
     if !has_expired(remaining, Duration::ZERO, age) {
         return None;
     }
-    context.metrics.calls_dropped.increment();
-    context.call_guard.refused.dropped.fetch_add(1, Relaxed);
+    guard.refused.dropped.fetch_add(1, Relaxed);
     Some(CellResponse::Refused {
         retry_after: LATE_RETRY_S,
         overload: false,
--- a/crates/tanager-service/src/cancellation_batches.rs
+++ b/crates/tanager-service/src/cancellation_batches.rs
@@ -3,12 +3,7 @@
 //! Answers the load of hundreds of unconfirmed cancellations: a call for each of them costs an
 //! overloaded owner more than the cancellations themselves.
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use tanager_jobs::JobId;
@@ -18,62 +13,18 @@
 
 use crate::authentication::Caller;
 use crate::cell_calls::send_cell_request;
-use crate::node::NodeContext;
+use crate::context::NodeContext;
 use crate::peers::CancelledJob;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
 use crate::supervision::spawn_task;
+use crate::waiting_cancellations::WaitingCancellation;
 
 /// Time for which the first cancellation of a batch waits for others.
 const COLLECT_PERIOD: Duration = Duration::from_millis(50);
-/// Maximum number of cancellations in a call; the ledger stores them in one transaction.
-const MAX_BATCH: usize = 64;
 /// Time limit of a call: longer than the owner waits for the store, so that its answer is not missed.
 const BATCH_TIMEOUT: Duration = Duration::from_millis(1_700);
 
-/// Cancellations that wait for a call, by cell. A cell has an entry while a task sends its calls.
-#[derive(Debug, Default)]
-pub(crate) struct CancellationBatches {
-    waiting: Mutex<BTreeMap<CellName, VecDeque<WaitingCancellation>>>,
-}
-
-#[derive(Debug)]
-struct WaitingCancellation {
-    job: CancelledJob,
-    response: oneshot::Sender<CellResponse>,
-}
-
-impl CancellationBatches {
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<CellName, VecDeque<WaitingCancellation>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Adds a cancellation; returns whether the cell has no task that sends it.
-    fn add(&self, cell: &CellName, cancellation: WaitingCancellation) -> bool {
-        let mut waiting = self.lock();
-        let is_first = !waiting.contains_key(cell);
-        waiting
-            .entry(cell.clone())
-            .or_default()
-            .push_back(cancellation);
-        is_first
-    }
-
-    /// Takes the next batch of a cell. If there is none, the cell's entry is removed.
-    fn take(&self, cell: &CellName) -> Vec<WaitingCancellation> {
-        let mut waiting = self.lock();
-        let Some(queue) = waiting.get_mut(cell) else {
-            return Vec::new();
-        };
-        let count = queue.len().min(MAX_BATCH);
-        let batch: Vec<WaitingCancellation> = queue.drain(..count).collect();
-        if batch.is_empty() {
-            waiting.remove(cell);
-        }
-        batch
-    }
-}
-
 /// Cancels a job in a cell with the next call for the cell; returns the owner's response to it.
 pub(crate) async fn cancel_in_batch(
     context: &Arc<NodeContext>,
--- a/crates/tanager-service/src/cancellations.rs
+++ b/crates/tanager-service/src/cancellations.rs
@@ -16,11 +16,11 @@
 use crate::authentication::Caller;
 use crate::cancellation_batches::cancel_in_batch;
 use crate::cell_calls::send_cell_request;
+use crate::context::NodeContext;
 use crate::job_api::JobCells;
 use crate::job_api::client_response;
 use crate::job_api::no_workers_yet;
 use crate::job_api::remaining_timeout;
-use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
 use crate::supervision::spawn_task;
@@ -32,8 +32,6 @@
 const REPEAT_TIMEOUT: Duration = Duration::from_millis(1_700);
 /// Each such attempt to confirm a cancellation is sent alone, the others in batches.
 const SINGLE_INTERVAL: u32 = 4;
-/// Maximum number of cancellations that a node repeats at the same time.
-pub(crate) const MAX_REPEATED: usize = 1_024;
 
 /// Cancels a job. If no owner confirms that in time, the client is told so, and the node goes on in
 /// the background. Unlike other requests, it also goes on if the client closes the connection.
--- a/crates/tanager-service/src/cell_calls.rs
+++ b/crates/tanager-service/src/cell_calls.rs
@@ -15,7 +15,7 @@
 
 use crate::authentication::Caller;
 use crate::call_guard::begin_call;
-use crate::node::NodeContext;
+use crate::context::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
@@ -232,10 +232,17 @@
     let Some((owner, address)) = owner.filter(|(node, _)| *node != context.settings.node) else {
         return Err(CallFailure::NoOwner);
     };
-    let call = begin_call(context, request, &owner).map_err(CallFailure::Withheld)?;
+    let call = match begin_call(&context.call_guard, context.clock, request, &owner) {
+        Ok(call) => call,
+        Err(refusal) => {
+            context.metrics.calls_withheld.increment();
+            return Err(CallFailure::Withheld(refusal));
+        }
+    };
     let result = context.peers.call_cell(address, request, timeout).await;
     if let Some(call) = call {
-        call.end(&result);
+        // The response may wait in this node's own socket.
+        call.end(&result, context.recent_lag());
     }
     result.map_err(|error| match error.kind {
         ErrorKind::NotSent => {
--- a/crates/tanager-service/src/config_report.rs
+++ b/crates/tanager-service/src/config_report.rs
@@ -14,7 +14,7 @@
 
 use crate::admin::error_response;
 use crate::admin::json_response;
-use crate::node::NodeContext;
+use crate::context::NodeContext;
 use crate::view::FleetView;
 
 /// Maximum number of findings that are logged for one version. A wrong version of 190 workspaces
--- a/crates/tanager-service/src/coordinator.rs
+++ b/crates/tanager-service/src/coordinator.rs
@@ -40,6 +40,7 @@
 use crate::coordinator_records::HomeRecord;
 use crate::coordinator_records::read_homes;
 use crate::coordinator_waves::WaveProgress;
+use crate::order_gate::MACHINE_TIMEOUT;
 use crate::order_gate::change_as_coordinator;
 use crate::records::COORDINATOR_CELL;
 use crate::records::cell_row;
@@ -54,8 +55,6 @@
 const DECISION_PERIOD_PER_VM: Duration = Duration::from_micros(330);
 /// Minimum interval per cell, because the owner of each cell is asked for its load.
 const DECISION_PERIOD_PER_CELL: Duration = Duration::from_millis(4);
-/// Time limit of calls to the machine API.
-pub(crate) const MACHINE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time limit of calls to owners of cells.
 pub(crate) const OWNER_TIMEOUT: Duration = Duration::from_millis(600);
 
--- a/crates/tanager-service/src/coordinator_records.rs
+++ b/crates/tanager-service/src/coordinator_records.rs
@@ -18,7 +18,7 @@
 use tanager_site::store::TableChange;
 
 use crate::cell::CellHandle;
-use crate::coordinator::MACHINE_TIMEOUT;
+use crate::order_gate::MACHINE_TIMEOUT;
 use crate::order_gate::change_as_coordinator;
 use crate::records::COORDINATOR_CELL;
 use crate::records::cell_row;
--- a/crates/tanager-service/src/delegated_jobs.rs
+++ b/crates/tanager-service/src/delegated_jobs.rs
@@ -14,8 +14,8 @@
 use crate::ledger::StoreResult;
 use crate::peers::CellResponse;
 use crate::records::pool_of;
+use crate::refusals::store_refusal;
 use crate::requests::STORE_TIMEOUT;
-use crate::requests::store_refusal;
 
 impl CellHandle {
     /// Accepts a job that a sibling delegates. It is not delegated again.
--- a/crates/tanager-service/src/delegations.rs
+++ b/crates/tanager-service/src/delegations.rs
@@ -28,13 +28,13 @@
 use crate::authentication::Caller;
 use crate::cell::CellHandle;
 use crate::cell_calls::send_cell_request;
+use crate::context::NodeContext;
 use crate::ledger::StoreResult;
-use crate::node::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
+use crate::refusals::store_refusal;
 use crate::requests::STORE_TIMEOUT;
-use crate::requests::store_refusal;
 use crate::sibling_loads;
 
 /// Time limit of a call to the owner of a sibling. It is below the time for which a client's request
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -28,7 +28,7 @@
 use crate::cancellations;
 use crate::cell_calls::MIN_OWNER_TIMEOUT;
 use crate::cell_calls::send_cell_request;
-use crate::node::NodeContext;
+use crate::context::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
 use crate::peers::SubmittedJob;
--- a/crates/tanager-service/src/loop_lag.rs
+++ b/crates/tanager-service/src/loop_lag.rs
@@ -6,15 +6,14 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use tokio::time;
 
-use crate::node::NodeContext;
-use crate::supervision;
+use crate::clock::NodeClock;
+use crate::metrics::LatencyMetric;
 
 /// Period of the samples at a node that owns cells: short enough that a lag of 100 ms is seen.
 pub const SAMPLE_PERIOD: Duration = Duration::from_millis(50);
@@ -84,42 +83,27 @@
 }
 
 impl LoopLag {
-    fn update<R>(&self, change: impl FnOnce(&mut LagHistory) -> R) -> R {
+    pub(crate) fn update<R>(&self, change: impl FnOnce(&mut LagHistory) -> R) -> R {
         change(&mut self.history.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
-impl NodeContext {
-    /// Returns for how long what is read now may have waited in its socket.
-    pub fn recent_lag(&self) -> Duration {
-        let now = self.clock.now();
-        self.loop_lag.update(|history| history.recent(now))
-    }
-
-    /// Returns the largest lag of the loop since `started`, up to five seconds ago.
-    pub fn lag_since(&self, started: Duration) -> Duration {
-        let now = self.clock.now();
-        (self.loop_lag).update(|history| history.largest_since(started, now))
-    }
-}
-
-/// Starts to sample the lag of the loop.
-pub(crate) fn spawn(context: &Arc<NodeContext>) {
-    let context = Arc::clone(context);
-    supervision::spawn_loop("loop_lag", move || run(Arc::clone(&context)));
-}
-
-async fn run(context: Arc<NodeContext>) -> Infallible {
+/// Samples the lag of the loop without end; `is_owner` says whether the node owns cells.
+pub(crate) async fn sample(
+    lag: &LoopLag,
+    clock: NodeClock,
+    observed: &LatencyMetric,
+    is_owner: impl Fn() -> bool,
+) -> Infallible {
     loop {
-        let period = match context.cells().is_empty() {
-            true => IDLE_SAMPLE_PERIOD,
-            false => SAMPLE_PERIOD,
+        let period = match is_owner() {
+            true => SAMPLE_PERIOD,
+            false => IDLE_SAMPLE_PERIOD,
         };
-        let due = context.clock.now() + period;
-        context.loop_lag.update(|history| history.begin(due));
+        let due = clock.now() + period;
+        lag.update(|history| history.begin(due));
         time::sleep(period).await;
-        let now = context.clock.now();
-        let lag = context.loop_lag.update(|history| history.end(now));
-        context.metrics.loop_lag_seconds.observe(lag);
+        let now = clock.now();
+        observed.observe(lag.update(|history| history.end(now)));
     }
 }
--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -21,6 +21,11 @@
 /// second and read every half second. Leases of five seconds or more outlast the detection and the
 /// takeover.
 pub const NODE_DEATH_TIMEOUT: Duration = ownership::NODE_DEATH_TIMEOUT;
+/// Interval between heartbeats.
+pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time for which an owner without a confirmed heartbeat still extends leases. Other nodes consider
+/// it dead after a shorter time.
+pub const UNCONFIRMED_LEASE_LIMIT: Duration = Duration::from_millis(4_000);
 /// Delay after which the next candidate may also acquire an orphaned cell.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(700);
 
--- a/crates/tanager-service/src/merging.rs
+++ b/crates/tanager-service/src/merging.rs
@@ -20,7 +20,7 @@
 
 use crate::cell::CellHandle;
 use crate::cell_calls;
-use crate::node::NodeContext;
+use crate::context::NodeContext;
 use crate::peers::CellOperation;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
--- a/crates/tanager-service/src/order_gate.rs
+++ b/crates/tanager-service/src/order_gate.rs
@@ -20,13 +20,14 @@
 
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
-use crate::coordinator::MACHINE_TIMEOUT;
+use crate::owner_rows::apply_owner_row;
 use crate::records::CELL_TABLE;
 use crate::records::COORDINATOR_CELL;
 use crate::records::OWNER_KEY;
 use crate::records::cell_row;
-use crate::takeover;
 
+/// Time limit of calls to the machine API.
+pub(crate) const MACHINE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time limit of a read of the owner row, over all attempts and relays.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between checks of whether the lease has expired under an order in progress.
@@ -199,7 +200,7 @@
 /// Closes the coordinator's cell, whose owner row the store holds as `row`.
 fn close_lost_cell(cell: &CellHandle, row: Option<&TableRow>) {
     if let Some(row) = row {
-        takeover::apply_owner_row(&cell.context, &cell.name, &row.value, row.version);
+        apply_owner_row(&cell.context, &cell.name, &row.value, row.version);
     }
     cell.close("the owner row has changed");
 }
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -43,12 +43,12 @@
 use tanager_schedule::capacity::PoolLoad;
 use tanager_site::job_api::JobStatus;
 
-use crate::access::JobDescription;
-use crate::access::WorkspaceLoad;
 use crate::authentication::Caller;
 use crate::clock::NodeClock;
 use crate::cpu_time;
 use crate::cpu_time::Duty;
+use crate::descriptions::JobDescription;
+use crate::descriptions::WorkspaceLoad;
 
 /// Path of calls to the owner of a cell.
 pub const CELL_PATH: &str = "/cell";
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -34,14 +34,15 @@
 use crate::peers::SubmittedJob;
 use crate::queue_pools::QueuePoolRecord;
 use crate::records::pool_of;
+use crate::refusals::STORE_RETRY_S;
+use crate::refusals::overload_refusal;
+use crate::refusals::store_refusal;
 
 /// Time for which a request waits for the store; after that, its outcome is reported as uncertain.
 pub(crate) const STORE_TIMEOUT: Duration = call_intake::MAX_WAIT;
 /// Time for which a worker gets no new tasks after a request to drain it. The coordinator repeats
 /// the request more often.
 const DRAIN_PERIOD: Duration = Duration::from_millis(2_500);
-/// `Retry-After` in seconds while the store is unavailable.
-const STORE_RETRY_S: u64 = 2;
 
 fn decode_job(job: SubmittedJob) -> Result<JobSpec, String> {
     match job {
@@ -381,21 +382,3 @@
         }
     }
 }
-
-pub(crate) fn overload_refusal(after: Duration, reason: &str) -> CellResponse {
-    CellResponse::Refused {
-        retry_after: after.as_secs_f64().ceil().max(1.0) as u64,
-        overload: true,
-        reason: reason.to_owned(),
-        sender_wide: false,
-    }
-}
-
-pub(crate) fn store_refusal() -> CellResponse {
-    CellResponse::Refused {
-        retry_after: STORE_RETRY_S,
-        overload: false,
-        reason: "the store is away".to_owned(),
-        sender_wide: false,
-    }
-}
--- a/crates/tanager-service/src/skipped_rows.rs
+++ b/crates/tanager-service/src/skipped_rows.rs
@@ -8,8 +8,6 @@
 
 use tanager_site::store::RowVersion;
 
-use crate::node::NodeContext;
-
 /// Maximum number of remembered rows, at some 500 bytes each. Further ones are only counted, so that
 /// many of them fill neither the memory nor the log.
 const MAX_REMEMBERED: usize = 1_000;
@@ -86,25 +84,3 @@
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl NodeContext {
-    /// Counts a row that cannot be used, and logs it unless it was logged before with this problem.
-    pub(crate) fn skip_row(
-        &self,
-        source: &'static str,
-        key: &str,
-        version: RowVersion,
-        problem: &str,
-    ) {
-        let report = self.skipped_rows.record(source, key, version, problem);
-        if report != SkipReport::None {
-            self.metrics.rows_skipped.increment();
-        }
-        if report == SkipReport::CountAndLog {
-            // The key is text of the other writer, so it is quoted and escaped.
-            log::warn!(
-                "event=row_skipped table={source} key={key:?} row={version} error={problem:?}"
-            );
-        }
-    }
-}
--- a/crates/tanager-service/src/submission_intake.rs
+++ b/crates/tanager-service/src/submission_intake.rs
@@ -11,7 +11,7 @@
 
 use crate::cell::CellHandle;
 use crate::peers::CellResponse;
-use crate::requests::overload_refusal;
+use crate::refusals::overload_refusal;
 
 /// Place of a submission, which is freed when it is dropped.
 pub(crate) struct SubmissionPlace {
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -19,11 +19,13 @@
 use tanager_site::store::TableRow;
 use tokio::time;
 
+use crate::context::NodeContext;
 use crate::membership;
+use crate::membership::HEARTBEAT_PERIOD;
 use crate::merging;
-use crate::node::NodeContext;
 use crate::operator_watch::watch_operator;
-use crate::queue_pools::watch_queues;
+use crate::owner_rows::apply_owner_row;
+use crate::queue_pool_rows::watch_queues;
 use crate::records::CELL_TABLE;
 use crate::records::NODE_TABLE;
 use crate::records::NodeRecord;
@@ -52,8 +54,6 @@
 const RELAYED_WORKER_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time limit of a call to the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
-/// Interval between heartbeats.
-pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1_000);
 /// Maximum interval between decisions which orphaned cells to acquire.
 const ACQUISITION_PERIOD: Duration = Duration::from_millis(150);
 /// Pools are partitioned only this long after the start: workers register within this time.
@@ -344,12 +344,7 @@
                 let has_changes = !rows.is_empty();
                 for row in rows {
                     if row.name.key == OWNER_KEY && !row.deleted {
-                        takeover::apply_owner_row(
-                            &context,
-                            &row.name.part,
-                            &row.value,
-                            row.version,
-                        );
+                        apply_owner_row(&context, &row.name.part, &row.value, row.version);
                     }
                 }
                 context.view().has_read_owners = true;
@@ -436,7 +431,7 @@
         while let Some(name) =
             (choose_cells(&context).into_iter()).find(|name| !tried.contains(name))
         {
-            context.acquire_cell(&name).await;
+            takeover::take_cell(&context, &name).await;
             tried.insert(name);
         }
     }
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -26,10 +26,12 @@
 use crate::cell_rows::plan_absorption;
 use crate::cell_rows::read_cell;
 use crate::cell_rows::take_stored;
+use crate::context::NodeContext;
 use crate::coordinator;
 use crate::ledger::LedgerVersions;
-use crate::node::NodeContext;
+use crate::membership::UNCONFIRMED_LEASE_LIMIT;
 use crate::order_gate::OrderGate;
+use crate::owner_rows::apply_owner_row;
 use crate::records::CELL_TABLE;
 use crate::records::COORDINATOR_CELL;
 use crate::records::OWNER_KEY;
@@ -45,14 +47,33 @@
 const MAX_LEASE: Duration = Duration::from_millis(6_000);
 /// Share of the platform's maximum lease that is used.
 const LEASE_SHARE: f64 = 0.95;
-/// Time for which an owner without a confirmed heartbeat still extends leases. Other nodes consider
-/// it dead after a shorter time.
-pub const UNCONFIRMED_LEASE_LIMIT: Duration = Duration::from_millis(4_000);
 /// Maximum time to wait, before a cell is released, for jobs that are being stored.
 const HANDOVER_LIMIT: Duration = Duration::from_millis(600);
 /// Interval between checks of whether they are stored.
 const HANDOVER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Acquires a cell, registers it and notifies the other nodes.
+pub(crate) async fn take_cell(context: &Arc<NodeContext>, name: &CellName) {
+    let is_owned = context.cell(name).is_some();
+    if is_owned || context.is_stopping() {
+        return;
+    }
+    match acquire_cell(context, name).await {
+        Ok(cell) => {
+            context.insert_cell(Arc::clone(&cell));
+            // Until now, reads of the owner rows did not close the cell, and closing did not
+            // remove it.
+            cell.close_if_replaced();
+            if cell.is_closed() {
+                context.remove_cell(name, cell.token);
+                return;
+            }
+            context.notify_peers().await;
+        }
+        Err(error) => log::info!("event=cell_not_taken cell={name} error={error:?}"),
+    }
+}
+
 /// Acquires a cell: writes the owner row, loads the jobs and starts the cell.
 ///
 /// # Errors
@@ -252,20 +273,6 @@
     }
 }
 
-/// Decodes an owner row and applies it to the view.
-pub fn apply_owner_row(context: &NodeContext, cell: &str, value: &[u8], version: RowVersion) {
-    match decode_record::<OwnerRecord>(cell, value) {
-        Ok(record) => {
-            context.skipped_rows.forget(CELL_TABLE, cell);
-            context.view().apply_owner(cell, record, version);
-        }
-        Err(error) => {
-            context.skip_row(CELL_TABLE, cell, version, &error.to_string());
-            context.view().apply_unreadable_owner(cell, version);
-        }
-    }
-}
-
 /// Who has a cell after its owner released it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Successor {
--- a/crates/tanager-service/src/vm_orders.rs
+++ b/crates/tanager-service/src/vm_orders.rs
@@ -17,7 +17,7 @@
 
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
-use crate::coordinator::MACHINE_TIMEOUT;
+use crate::order_gate::MACHINE_TIMEOUT;
 use crate::order_gate::OrderGate;
 use crate::order_gate::extend_lease;
 
--- a/crates/tanager-service/src/worker_rows.rs
+++ b/crates/tanager-service/src/worker_rows.rs
@@ -8,7 +8,7 @@
 use tanager_site::fleet::decode_worker;
 use tanager_site::store::RowVersion;
 
-use crate::node::NodeContext;
+use crate::context::NodeContext;
 use crate::table_watch::TableRead;
 use crate::view::FleetView;
 
--- a/crates/tanager-service/src/workspace_list.rs
+++ b/crates/tanager-service/src/workspace_list.rs
@@ -12,13 +12,13 @@
 use tanager_jobs::ids::PoolName;
 use tanager_jobs::ids::WorkspaceName;
 
-use crate::access::WorkspaceLoad;
 use crate::admin::OPERATOR_TIMEOUT;
 use crate::admin::error_response;
 use crate::admin::json_response;
 use crate::authentication::Caller;
 use crate::cell_calls;
-use crate::node::NodeContext;
+use crate::context::NodeContext;
+use crate::descriptions::WorkspaceLoad;
 use crate::peers::CellOperation;
 use crate::peers::CellResponse;
 use crate::records::pool_of;
--- a/crates/tanager-service/tests/identity.rs
+++ b/crates/tanager-service/tests/identity.rs
@@ -6,15 +6,15 @@
 
 use serde_json::json;
 use tanager_jobs::ids::WorkspaceName;
-use tanager_service::access::WorkspaceLoad;
 use tanager_service::authentication::CallRejection;
 use tanager_service::authentication::Caller;
 use tanager_service::authentication::JobAccess;
 use tanager_service::authentication::JobOwnership;
 use tanager_service::authentication::authenticate;
 use tanager_service::authentication::may_access;
+use tanager_service::config_reads::ConfigReads;
+use tanager_service::descriptions::WorkspaceLoad;
 use tanager_service::metrics::NodeMetrics;
-use tanager_service::operator_watch::ConfigReads;
 use tanager_service::peers::CellOperation;
 use tanager_service::peers::CellRequest;
 use tanager_service::view::FleetView;
