Bound what repeated calls to a lost owner cost: reads of owners and log lines

Calls that are repeated until the client's deadline fail some ten times each while the owner of their cell is dead, and each failure asked for a read of the owner rows at once and wrote a line: with a hundred waiting questions some 400 reads and lines a second at each node, of 2,000 reads a second for all.

A request asks for a read for its first three failures only; the next owner notifies all nodes, and they read twice a second. A withheld call asks for none. Lines about unreachable owners are limited to 20 a second, `omitted` counts the others, and `tanagerladder load` adds them up (its new test fails without that: 3 instead of 10).

--- a/crates/tanager-command/src/load_log.rs
+++ b/crates/tanager-command/src/load_log.rs
@@ -117,7 +117,10 @@
     let second = log.second(cell, time_ms);
     match event {
         "owner_silent" => second.silent += 1,
-        "owner_unreachable" => second.unreachable += 1,
+        // A line may stand for others that were left out.
+        "owner_unreachable" => {
+            second.unreachable += 1 + fields.number("omitted").unwrap_or_default();
+        }
         _ => second.notes.push(note),
     }
     Some(())
--- a/crates/tanager-command/tests/load.rs
+++ b/crates/tanager-command/tests/load.rs
@@ -85,6 +85,27 @@
     assert_eq!(found.faults, 1, "{}", found.text);
 }
 
+/// Guards against lines that a node left out and that do not count.
+#[test]
+fn omitted_lines_about_unreachable_owners_count() {
+    let lines = [
+        event(
+            "1001.100",
+            "event=owner_unreachable cell=leti/0 owner=b omitted=0 error=x",
+        ),
+        event(
+            "1001.900",
+            "event=owner_unreachable cell=leti/0 owner=b omitted=7 error=x",
+        ),
+        event(
+            "1001.950",
+            "event=owner_unreachable cell=leti/0 owner=b error=x",
+        ),
+    ];
+    let log = read_log(lines.iter().map(String::as_str));
+    assert_eq!(log.cells["leti/0"][&1_001].unreachable, 10);
+}
+
 /// Guards against a second with two owners of which one is lost, and with many events.
 #[test]
 fn second_with_a_takeover_shows_both_owners() {
--- a/crates/tanager-service/src/call_guard.rs
+++ b/crates/tanager-service/src/call_guard.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::NodeClock;
+use crate::line_budget::LineBudget;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
 use crate::refusals::overload_refusal;
@@ -40,6 +41,8 @@
     /// Wakes a request that waits for a call of another one to the same cell to end.
     ended: Mutex<HashMap<CellName, Arc<Notify>>>,
     refused: RefusedCalls,
+    /// Lines about owners that cannot be reached.
+    lines: Mutex<LineBudget>,
 }
 
 /// Calls that were refused since the last log line.
@@ -75,6 +78,11 @@
         self.refused.log(lag);
     }
 
+    /// Takes a line about an owner that cannot be reached from the budget; see [`LineBudget::take`].
+    pub(crate) fn take_line(&self, now: Duration) -> Option<u64> {
+        lock(&self.lines).take(now)
+    }
+
     /// Waits until a call to the owner of a cell ends. Each end wakes one waiting request.
     pub(crate) async fn call_ended(&self, cell: &str) {
         let notify = Arc::clone(lock(&self.ended).entry(cell.to_owned()).or_default());
--- a/crates/tanager-service/src/cell_calls.rs
+++ b/crates/tanager-service/src/cell_calls.rs
@@ -28,6 +28,10 @@
 /// Interval between two attempts to reach the owner.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Failed calls of a request, from the first one on, after which this node reads the owners at once. The
+/// owner is likely dead after that, and the node that replaces it says so.
+const OWNER_READ_REQUESTS: u32 = 3;
+
 /// Why a call to the owner of a cell has no answer.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum CallFailure {
@@ -53,6 +57,7 @@
         }
     }
 }
+
 /// Sends an operation to the owner of a cell, this node or a peer. If the owner of the cell changes,
 /// waits for the new one: up to [`OWNER_WAIT`]. A cancellation is repeated up to `timeout`, because
 /// clients take one that they do not repeat for done.
@@ -133,7 +138,11 @@
                     break;
                 }
                 attempts.record_failure(context.clock.now());
-                context.owner_read_requested.notify_one();
+                if !matches!(result, Err(CallFailure::Withheld(_)))
+                    && attempts.calls() <= OWNER_READ_REQUESTS
+                {
+                    context.owner_read_requested.notify_one();
+                }
             }
             () = sleep_until(context, wait_until) => {}
             () = context.call_guard.call_ended(&cell), if is_withheld => {
@@ -246,10 +255,14 @@
     }
     result.map_err(|error| match error.kind {
         ErrorKind::NotSent => {
-            log::info!(
-                "event=owner_unreachable cell={} owner={owner} error={error:?}",
-                request.cell
-            );
+            // Calls that may be repeated fail some ten times each while an owner is dead.
+            let line = context.call_guard.take_line(context.clock.now());
+            if let Some(omitted) = line {
+                log::info!(
+                    "event=owner_unreachable cell={} owner={owner} omitted={omitted} error={error:?}",
+                    request.cell
+                );
+            }
             CallFailure::Unreachable
         }
         _ => {
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod ledger;
 mod ledger_batch;
 mod ledger_loop;
+pub mod line_budget;
 pub mod logging;
 pub mod loop_lag;
 pub mod membership;
--- a/crates/tanager-service/src/question_log.rs
+++ b/crates/tanager-service/src/question_log.rs
@@ -9,10 +9,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
 
-/// Period of [`LineBudget`].
-const PERIOD: Duration = Duration::from_secs(1);
-/// Lines in a period; a silent owner can fail hundreds of questions a second.
-const LINES_PER_PERIOD: u32 = 20;
+use crate::line_budget::LineBudget;
 
 /// Why a question has no answer about the job or the queue.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -66,31 +63,6 @@
     }
 }
 
-/// Limits the lines about one kind of event: those beyond the budget of a second are counted.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LineBudget {
-    period_end: Duration,
-    used: u32,
-    omitted: u64,
-}
-
-impl LineBudget {
-    /// Takes a line from the budget. Returns the number of lines omitted since the last one, or
-    /// `None` if the budget of this second is used up.
-    pub fn take(&mut self, now: Duration) -> Option<u64> {
-        if now >= self.period_end {
-            self.period_end = now + PERIOD;
-            self.used = 0;
-        }
-        if self.used >= LINES_PER_PERIOD {
-            self.omitted += 1;
-            return None;
-        }
-        self.used += 1;
-        Some(std::mem::take(&mut self.omitted))
-    }
-}
-
 /// Counters and line budget of failed questions.
 #[derive(Debug, Default)]
 pub struct FailedQuestions {
--- a/crates/tanager-service/tests/question_log.rs
+++ b/crates/tanager-service/tests/line_budget.rs
@@ -1,8 +1,8 @@
-//! Tests of the limit on lines about failed questions.
+//! Tests of the limit on log lines.
 
 use std::time::Duration;
 
-use tanager_service::question_log::LineBudget;
+use tanager_service::line_budget::LineBudget;
 
 /// Guards against a log that a silent owner fills with a line for each question, and against lines
 /// that are left out without being counted.
