Store the attempts of a job as the node that takes it knows them

Callers saw `failed` for a job on a route that was added a moment ago, after three failed runs, though the route allows more; with a route that allows fewer, a task would have started too often (LOST, BUDGET).

Cause: the owner of the cell looked the number up in its own configuration, and took the default of three for a queue that it had not read yet. The number is stored with the job for good.

Change: the submission carries the number from the configuration by which the route was found. Former versions ignore the field, and calls without it are handled as before.

--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 
 mod balance;
 mod cancellation;
+mod changed_routes;
 mod config;
 mod coordinator;
 mod faults;
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -245,7 +245,12 @@
         return no_workers_yet();
     };
     let timeout = remaining_timeout(context, deadline);
-    let operation = CellOperation::Submit { id, job };
+    let operation = CellOperation::Submit {
+        id,
+        job,
+        // The owner may not have read this configuration yet.
+        max_attempts: Some(queue.max_attempts),
+    };
     let response = send_cell_request(context, caller, &cell, &queue.key, operation, timeout).await;
     if response != CellResponse::Done {
         log::info!(
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -123,6 +123,10 @@
         id: JobId,
         /// The job itself.
         job: SubmittedJob,
+        /// Failed runs of a task after which the job has failed, in the configuration of the node that
+        /// took the job. Nodes of former versions do not send it, and ignore it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        max_attempts: Option<u32>,
     },
     /// Return whether a job with this id is known.
     Known(JobId),
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -51,6 +51,18 @@
     }
 }
 
+/// A job that a node submits to the owner of its cell.
+struct Submission {
+    id: JobId,
+    queue: String,
+    workspace: Option<WorkspaceName>,
+    job: SubmittedJob,
+    /// Failed runs of a task after which the job has failed; `None` if the node does not say.
+    max_attempts: Option<u32>,
+    /// Time since the job was sent, at most.
+    age: Duration,
+}
+
 impl CellHandle {
     /// Handles a request to the owner of this cell, which was sent up to `age` ago.
     pub async fn handle(self: &Arc<Self>, request: CellRequest, age: Duration) -> CellResponse {
@@ -92,9 +104,20 @@
             return response.await;
         }
         match request.operation {
-            CellOperation::Submit { id, job } => {
-                self.submit(request.queue, request.workspace, id, job, age)
-                    .await
+            CellOperation::Submit {
+                id,
+                job,
+                max_attempts,
+            } => {
+                let submission = Submission {
+                    id,
+                    queue: request.queue,
+                    workspace: request.workspace,
+                    job,
+                    max_attempts,
+                    age,
+                };
+                self.submit(submission).await
             }
             CellOperation::Known(id) => match self.job_status(id) {
                 CellResponse::State(_) => CellResponse::Done,
@@ -157,14 +180,15 @@
         }
     }
 
-    async fn submit(
-        self: &Arc<Self>,
-        queue: String,
-        workspace: Option<WorkspaceName>,
-        id: JobId,
-        job: SubmittedJob,
-        age: Duration,
-    ) -> CellResponse {
+    async fn submit(self: &Arc<Self>, submission: Submission) -> CellResponse {
+        let Submission {
+            id,
+            queue,
+            workspace,
+            job,
+            max_attempts,
+            age,
+        } = submission;
         let sender = workspace.clone().map_or(Caller::Open, Caller::Workspace);
         let started = self.context.clock.now();
         if self.is_delegated(id) {
@@ -188,7 +212,9 @@
                 };
                 let mut record = JobRecord {
                     id,
-                    max_attempts: self.core().policy(&queue).max_attempts,
+                    max_attempts: max_attempts
+                        .unwrap_or_else(|| self.core().policy(&queue).max_attempts)
+                        .max(1),
                     queue,
                     pool: pool_of(&self.name).to_owned(),
                     accepted_ms: self.context.clock.wall_ms(),
