Count the waiting jobs of a queue in the pools that it had before as well

Cause: count_waiting asked the cells of the pool that the queue has now. Jobs stay in the pool in which they were accepted.

Change: the cells of the pools that the queue had before are asked too, as for the status of a job; for a queue that was never moved there are none. If one of them does not answer, the number is not known, and the answer is 503 as before.

waiting_jobs_of_a_moved_queue_are_counted fails on the commit before with {"waiting":0} for four waiting jobs at both nodes, and passes now.

--- a/crates/tanager-node/tests/jobs/changed_routes.rs
+++ b/crates/tanager-node/tests/jobs/changed_routes.rs
@@ -10,10 +10,12 @@
 
 use crate::CELL;
 use crate::POOL;
+use crate::cancellation::assign_queue;
 use crate::harness::JobSite;
 use crate::harness::eventually;
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
+use crate::harness::pool;
 use crate::harness::send_request;
 use crate::small_site;
 
@@ -68,3 +70,28 @@
         assert_eq!(count, max_attempts as usize, "configuration {version}");
     }
 }
+
+/// Guards against a count that leaves out the jobs which wait in the pool that their queue had before (MIXED).
+#[tokio::test(flavor = "multi_thread")]
+async fn waiting_jobs_of_a_moved_queue_are_counted() {
+    let site = JobSite::start(2, &[pool(POOL, 1), pool("other", 1)]).await;
+    let first = job_of_steps(&[16], "ms=8000");
+    assert!(site.submit(0, POOL, &new_job_id(), &first).await);
+    eventually("its tasks run", async || site.standin.runs().len() == 16).await;
+    for _ in 0..4 {
+        let job = job_of_steps(&[1], "ms=100");
+        assert!(site.submit(0, POOL, &new_job_id(), &job).await);
+    }
+    assign_queue(&site, 2, "other").await;
+    for node in 0..2 {
+        let response = site
+            .request(node, Method::GET, &format!("/{POOL}/"), "")
+            .await;
+        let body = response.expect("a response").body;
+        assert_eq!(
+            String::from_utf8_lossy(&body),
+            "{\"waiting\":4}",
+            "node {node}"
+        );
+    }
+}
--- a/crates/tanager-service/src/questions.rs
+++ b/crates/tanager-service/src/questions.rs
@@ -119,7 +119,22 @@
     }
 }
 
-/// Returns the number of waiting jobs of a queue; `None` if a cell of its pool does not respond.
+/// Returns the cells that may have jobs of a queue: those of its pool, and of the pools that it had before.
+/// Empty if the pool is not partitioned yet.
+fn cells_of_queue(context: &NodeContext, queue: &QueueConfig) -> Vec<CellName> {
+    let view = context.view();
+    let mut cells = view.cells_of(&queue.pool);
+    if !cells.is_empty() {
+        let former = view.previous_pools.get(&queue.key);
+        let former = former.into_iter().flatten();
+        for pool in former.filter(|pool| **pool != queue.pool) {
+            cells.extend(view.cells_of(pool));
+        }
+    }
+    cells
+}
+
+/// Returns the number of waiting jobs of a queue; `None` if a cell of its pools does not respond.
 pub(crate) async fn count_waiting(
     context: &Arc<NodeContext>,
     caller: &Caller,
@@ -127,7 +142,7 @@
     timeout: Duration,
 ) -> Option<u64> {
     let started = context.clock.now();
-    let cells = context.view().cells_of(&queue.pool);
+    let cells = cells_of_queue(context, queue);
     let mut total = 0;
     let mut failed = None;
     if cells.is_empty() {
