Move cells from weak nodes to much stronger ones

Cause: after an outage of the store, front-rabat-a-9 with 0.12 of a core was served first and acquired the cell of the pool, while the nodes with 0.5 of a core looked silent. Who acquires a cell is decided once, from the nodes that can be seen then; nothing ever moves it to a stronger one, and after a restart of all nodes the weak one takes it back.

The cells of the coordinator and the allocator stay. Why it cannot flap: a cell moves only to a node that has less than half of the load with it; a test plays all 1,296 assignments of four cells to six nodes, each settles within eight moves and none is left on a weak node.

--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -63,6 +63,16 @@
         Self::spawn_with_addresses(standin, name, store, standin.machines_address(), features)
     }
 
+    /// Starts a node on a VM with a share of a core.
+    pub(crate) fn spawn_with_share(standin: &SiteStandin, name: &str, share: f64) -> Self {
+        let ports = NodePorts::find();
+        let (store, machines) = (standin.store_address(), standin.machines_address());
+        let text = standin.settings_with_addresses(name, ports, store, machines);
+        let mut settings: Value = serde_json::from_str(&text).expect("settings");
+        settings["limits"] = json!({"cpu_share": share, "cores": 1});
+        Self::spawn_with_settings(ports, &settings.to_string(), "")
+    }
+
     /// Like [`Self::spawn_with_store`], but the node also accesses the machine API at an address.
     pub(crate) fn spawn_with_addresses(
         standin: &SiteStandin,
@@ -72,12 +82,16 @@
         features: &'static str,
     ) -> Self {
         let ports = NodePorts::find();
+        let text = standin.settings_with_addresses(name, ports, store, machines);
+        Self::spawn_with_settings(ports, &text, features)
+    }
+
+    fn spawn_with_settings(ports: NodePorts, text: &str, features: &'static str) -> Self {
         let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let file =
             |ending: &str| directory.join(format!("jobs-{}-{number}.{ending}", std::process::id()));
         let settings = file("json");
-        let text = standin.settings_with_addresses(name, ports, store, machines);
         fs::write(&settings, text).expect("settings file");
         let log = file("log");
         let child = Self::start(&settings, features, &log);
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -21,6 +21,7 @@
 #[path = "../soak/proxy.rs"]
 mod proxy;
 mod rejected_rows;
+mod relocation;
 mod run_lines;
 mod scheduling;
 mod version;
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod queue_statistics;
 pub mod records;
 mod refusals;
+mod relocation;
 pub mod requests;
 pub mod run_log;
 mod sibling_loads;
--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -14,6 +14,7 @@
 
 use crate::records::ALLOCATOR_CELL;
 use crate::records::COORDINATOR_CELL;
+use crate::records::cell_index;
 use crate::view::FleetView;
 use crate::view::MAX_READ_GAP;
 
@@ -29,6 +30,13 @@
 /// Delay after which the next candidate may also acquire an orphaned cell.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(700);
 
+/// Factor by which the load of an owner must exceed the one that its cell would make on another node, so that
+/// a cell does not move to and fro between nodes of about the same strength.
+const MIN_RELIEF: f64 = 2.0;
+/// Time without a new heartbeat beyond which a node does not get a cell of a live owner. Heartbeats are written
+/// every second and read every half second.
+const MAX_SUCCESSOR_SILENCE: Duration = Duration::from_millis(1_700);
+
 /// Returns the cells that this node should acquire now.
 ///
 /// A cell whose row names this node although it does not run the cell is acquired at once: an
@@ -129,6 +137,52 @@
     cells_to_acquire
 }
 
+/// Returns the cell of this node that another node can bear much better, with that node; `None` if there
+/// is none.
+///
+/// A cell may be on a weak node because the stronger ones were silent when it was acquired, for instance
+/// at the end of an outage of the store. Only nodes count whose heartbeat was read a moment ago. The
+/// cells of the coordinator and the allocator stay, because each change of their owner delays orders
+/// and allowances for seconds.
+pub fn choose_cell_to_release(
+    view: &FleetView,
+    own_node: &str,
+    owned_cells: &BTreeSet<CellName>,
+    now: Duration,
+) -> Option<(CellName, NodeName)> {
+    let nodes_read_at = view.nodes_read_at?;
+    if now.saturating_sub(nodes_read_at) > MAX_READ_GAP {
+        return None;
+    }
+    let mut loads: BTreeMap<&NodeName, NodeLoad> = (view.nodes.iter())
+        .filter(|(name, observed)| {
+            let is_own_node = name.as_str() == own_node;
+            let is_fresh = observed.unresponsive_time < MAX_SUCCESSOR_SILENCE;
+            is_own_node || (!observed.record.leaving && is_fresh)
+        })
+        .map(|(name, observed)| (name, NodeLoad::new(observed.record.cores)))
+        .collect();
+    for cell in view.configured_cells() {
+        // A cell without a live owner is about to be acquired by one of the nodes.
+        let owner = live_owner(view, &cell, own_node)?;
+        if let Some(load) = loads.get_mut(&owner) {
+            load.assigned_weight += weight(view, &cell);
+        }
+    }
+    let own_load = (loads.iter())
+        .find(|(name, _)| name.as_str() == own_node)
+        .map(|(_, load)| load.load_with(0))?;
+    let (cell, weight) = (owned_cells.iter())
+        .filter(|cell| cell_index(cell).is_some())
+        .map(|cell| (cell, weight(view, cell)))
+        .min_by_key(|(_, weight)| *weight)?;
+    let (load, successor) = (loads.iter())
+        .filter(|(name, _)| name.as_str() != own_node)
+        .map(|(name, load)| (load.load_with(weight), *name))
+        .min()?;
+    (load as f64 * MIN_RELIEF < own_load as f64).then(|| (cell.clone(), successor.clone()))
+}
+
 /// Returns the owner of a cell if it is live.
 fn live_owner(view: &FleetView, cell: &str, own_node: &str) -> Option<NodeName> {
     let observed = view.owners.get(cell)?;
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -34,6 +34,7 @@
 use crate::records::PoolRecord;
 use crate::records::node_row;
 use crate::records::unpartitioned_row;
+use crate::relocation;
 use crate::supervision::spawn_loop;
 use crate::takeover;
 use crate::view::assign_racks;
@@ -133,6 +134,7 @@
     spawn_context_loop(context, "watch_cells", watch_cells);
     spawn_context_loop(context, "heartbeat", heartbeat_loop);
     spawn_context_loop(context, "acquisition", acquisition_loop);
+    spawn_context_loop(context, "relocation", relocation::run);
 }
 
 fn spawn_context_loop<L: Future<Output = Infallible> + Send + 'static>(
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -10,6 +10,7 @@
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::record::decode_record;
 use tanager_service::membership::NODE_DEATH_TIMEOUT;
+use tanager_service::membership::choose_cell_to_release;
 use tanager_service::membership::choose_cells_to_acquire;
 use tanager_service::records::CellWorkersRecord;
 use tanager_service::records::LedgerWorker;
@@ -187,6 +188,113 @@
     assert!(chosen.contains(&true));
 }
 
+fn released_by(view: &FleetView, own_node: &str, owned_cells: &[&str]) -> Option<String> {
+    choose_cell_to_release(view, own_node, &names(owned_cells), Duration::ZERO)
+        .map(|(cell, _)| cell)
+}
+
+/// Guards against a cell that stays on a weak node, which acquired it while stronger ones were silent
+/// (fmra-atlas-grown: SHORT).
+#[test]
+fn weak_owner_releases_its_cell_to_a_strong_node() {
+    let mut view = view(&[("weak", 0.12), ("strong", 0.5), ("other", 0.5)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "strong", 10);
+    }
+    let row = OwnerRecord {
+        node: "weak".to_owned(),
+        incarnation: 10,
+        ..OwnerRecord::default()
+    };
+    view.apply_owner("beta/0", row, 900);
+    let chosen = choose_cell_to_release(&view, "weak", &names(&["beta/0"]), Duration::ZERO);
+    assert_eq!(chosen, Some(("beta/0".to_owned(), "other".to_owned())));
+}
+
+/// Guards against a cell that is released to a node that may be dead, while another cell has no owner, or on
+/// the grounds of rows that were read long ago.
+#[test]
+fn cell_is_released_only_to_a_node_that_lives() {
+    let mut view = view(&[("weak", 0.12), ("strong", 0.5)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "weak", 10);
+    }
+    assert!(released_by(&view, "weak", &ALL).is_some());
+    let later = Duration::from_secs(2);
+    assert!(choose_cell_to_release(&view, "weak", &names(&ALL), later).is_none());
+    for millis in [1_000, 2_000] {
+        let rows = vec![("weak".to_owned(), Some(node(10, 0.12)), 50 + millis)];
+        view.apply_node_rows(rows, false, true, Duration::from_millis(millis));
+    }
+    assert!(choose_cell_to_release(&view, "weak", &names(&ALL), later).is_none());
+    let rows = vec![("strong".to_owned(), Some(node(10, 0.5)), 9_000)];
+    view.apply_node_rows(rows, false, true, later);
+    assert!(choose_cell_to_release(&view, "weak", &names(&ALL), later).is_some());
+    view.apply_owner("delta/0", OwnerRecord::default(), 900);
+    assert!(choose_cell_to_release(&view, "weak", &names(&ALL), later).is_none());
+}
+
+/// Guards against orders to VMs that wait for seconds because the coordinator's cell changes its owner.
+#[test]
+fn coordinator_stays_on_a_weak_node() {
+    let mut view = view(&[("weak", 0.12), ("strong", 0.5)]);
+    for cell in ALL {
+        set_owner(&mut view, cell, "strong", 10);
+    }
+    let row = OwnerRecord {
+        node: "weak".to_owned(),
+        incarnation: 10,
+        ..OwnerRecord::default()
+    };
+    view.apply_owner("duty", row, 900);
+    assert_eq!(released_by(&view, "weak", &["duty"]), None);
+}
+
+/// Guards against cells that move to and fro, or that stay on weak nodes, from whichever nodes they start.
+#[test]
+fn cells_settle_on_strong_nodes() {
+    let strengths = [0.12, 0.12, 0.12, 0.25, 0.5, 0.5];
+    let labels = ["a", "b", "c", "d", "e", "f"];
+    let nodes: Vec<(&str, f64)> = labels.into_iter().zip(strengths).collect();
+    for start in 0..labels.len().pow(4) {
+        let mut view = view(&nodes);
+        let mut owners = BTreeMap::from([("duty", "e".to_owned())]);
+        for (position, cell) in ALL[1..].iter().enumerate() {
+            let node = start / labels.len().pow(position as u32) % labels.len();
+            owners.insert(*cell, labels[node].to_owned());
+        }
+        for (cell, node) in &owners {
+            set_owner(&mut view, cell, node, 10);
+        }
+        let mut moves = 0;
+        let mut version = 1_000;
+        while let Some((cell, successor)) = labels.iter().find_map(|node| {
+            let owned: Vec<&str> = (owners.iter())
+                .filter(|(_, owner)| owner.as_str() == *node)
+                .map(|(cell, _)| *cell)
+                .collect();
+            choose_cell_to_release(&view, node, &names(&owned), Duration::ZERO)
+        }) {
+            moves += 1;
+            version += 1;
+            assert!(moves <= 8, "start {start}: {owners:?}");
+            let cell = ALL.into_iter().find(|name| **name == cell).expect("a cell");
+            let row = OwnerRecord {
+                node: successor.clone(),
+                incarnation: 10,
+                ..OwnerRecord::default()
+            };
+            view.apply_owner(cell, row, version);
+            owners.insert(cell, successor);
+        }
+        let weak = ["a", "b", "c"];
+        assert!(
+            owners.values().all(|owner| !weak.contains(&owner.as_str())),
+            "start {start}: {owners:?}"
+        );
+    }
+}
+
 /// Guards against a node that reacquires a cell that it has just released.
 #[test]
 fn releasing_node_is_not_a_candidate() {
