Open an occurrence that a worker reports before it is due here

Callers would see a task of a scheduled job run twice: after a takeover by a node whose time of day is behind, the end of a task that the former owner had started was acknowledged without effect, and the task started again when it was due (TWICE); one that still ran was stopped as unknown.

Cause: an owner opens occurrences by its own clock, and apply_end and can_adopt_run gave up on a task whose occurrence is not open, after the end was counted as processed.

Evidence: end_before_the_due_time_counts and run_before_the_due_time_continues, with an owner half a second behind, fail on the commit before: a second start of run 1, and a stop.

Change: a report about such a task opens its occurrence and those before it, at most 10 s ahead of the clock. That it was started shows that it was due for its owner.

--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -20,6 +20,10 @@
 use crate::worker::UnreadCalls;
 use crate::worker::WorkerKey;
 
+/// Largest difference between the times of day of two owners, in milliseconds. A report about an occurrence that
+/// is due later is an error of the worker.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 10_000;
+
 impl CellCore {
     /// Applies a worker's response to a lease renewal that was sent at `sent_at`.
     ///
@@ -56,6 +60,10 @@
         self.placement_needed |= was_unusable;
         self.record_renewal_observation(key, true, now);
         self.withdraw_crashes(key);
+        let ended_tasks = report.ended.iter().map(|ended| ended.task);
+        for task in ended_tasks.chain(report.running.iter().map(|running| running.task)) {
+            self.open_reported_occurrence(task, now, wall_ms);
+        }
         for ended in &report.ended {
             self.apply_end(key, ended, now, wall_ms);
         }
@@ -104,6 +112,24 @@
         self.replace_incarnation(key, entry, ReplacementSource::Report, now);
     }
 
+    /// Opens the occurrence of a task that a worker reports, and those before it: a former owner started the
+    /// task, and the clock of this one is behind.
+    fn open_reported_occurrence(&mut self, task: TaskKey, now: Duration, wall_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = &job.record.spec;
+        let is_plausible = task.occurrence < spec.occurrences()
+            && (spec.due_ms(task.occurrence))
+                .is_none_or(|due_ms| due_ms <= wall_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS));
+        if job.is_ended() || !is_plausible {
+            return;
+        }
+        while job.opened_count <= task.occurrence {
+            job.open_occurrence(job.opened_count, now);
+        }
+    }
+
     /// Applies the end of a run to its job, once.
     fn apply_end(&mut self, key: WorkerKey, ended: &EndedRun, now: Duration, wall_ms: u64) {
         let Some(worker) = self.workers.get_mut(key) else {
--- a/crates/tanager-schedule/tests/takeover.rs
+++ b/crates/tanager-schedule/tests/takeover.rs
@@ -326,3 +326,47 @@
     assert!(restored.0.is_empty());
     assert_eq!(second.progress(JobId(1)), Some(jobs[0].progress.clone()));
 }
+
+/// Returns a cell that loads a scheduled job whose first time is still to come on the clock of this owner,
+/// half a second behind that of the former one.
+fn cell_with_an_early_occurrence() -> TestCell {
+    let mut cell = TestCell::new(vec![entry("a"), entry("b")]);
+    let mut record = job(1, vec![step(1)]);
+    record.spec.repetitions = 2;
+    record.spec.first_run_ms = cell.wall_ms() + 500;
+    record.spec.interval_ms = 60_000;
+    let wall_ms = cell.wall_ms();
+    (cell.core).load_job(record, &ProgressRecord::default(), cell.now, wall_ms);
+    cell
+}
+
+/// Guards against a task of a scheduled job that runs again because its end is acknowledged without effect: the
+/// clock of the owner that reads it is behind that of the one that started it (TWICE).
+#[test]
+fn end_before_the_due_time_counts() {
+    let mut cell = cell_with_an_early_occurrence();
+    let worker = cell.core.worker_keys()[0];
+    cell.end(worker, task(1, 0, 0), 1, EndCause::Done);
+    cell.report_all();
+    for _ in 0..20 {
+        cell.advance_time(millis(100));
+        cell.report_all();
+        assert_eq!(starts(&cell.tick()), []);
+    }
+}
+
+/// Guards against a run of a scheduled job that is stopped, or started a second time, because the clock of a new
+/// owner is behind that of the one that started it (TWICE).
+#[test]
+fn run_before_the_due_time_continues() {
+    let mut cell = cell_with_an_early_occurrence();
+    let worker = cell.core.worker_keys()[1];
+    cell.running.push((worker, task(1, 0, 0), 1));
+    for _ in 0..20 {
+        cell.report_all();
+        let actions = cell.tick();
+        assert_eq!((starts(&actions), stops(&actions)), (vec![], vec![]));
+        cell.advance_time(millis(100));
+    }
+    assert_eq!(cell.running.len(), 1);
+}
