Say in errors of the HTTP client how much of a response had arrived

The body is read frame by frame and its bytes counted; the errors 'no complete response' and 'incomplete response body' have both numbers.

--- a/crates/tanager-http/src/client.rs
+++ b/crates/tanager-http/src/client.rs
@@ -20,9 +20,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -42,6 +40,7 @@
 use crate::guarded_stream::WriteGuard;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
+use crate::response_body::BodyProgress;
 
 /// What happens to bytes of a request that the server has not acknowledged.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -222,6 +221,7 @@
         let address = self.address;
         let is_head_request = request.method == Method::HEAD;
         let socket = &self.socket;
+        let progress = BodyProgress::default();
         let exchange = async {
             let outgoing = build_request(address, request)?;
             self.sender.ready().await.map_err(|error| {
@@ -231,7 +231,7 @@
                 TanagerError::new(ErrorKind::NotSent, "send", address.to_string(), message)
             })?;
             let response = send_request(&mut self.sender, address, outgoing).await?;
-            read_response(address, response, is_head_request, max_body).await
+            read_response(address, response, is_head_request, max_body, &progress).await
         };
         let cancellable_exchange = async {
             let mut exchange = pin!(exchange);
@@ -250,7 +250,7 @@
                 ErrorKind::Timeout,
                 "exchange",
                 address.to_string(),
-                format!("no complete response within {timeout:?}"),
+                format!("no complete response within {timeout:?}, {progress}"),
             )),
         };
         let (response, keep_alive) = result?;
@@ -319,6 +319,7 @@
     response: Response<Incoming>,
     is_head_request: bool,
     max_body: usize,
+    progress: &BodyProgress,
 ) -> TanagerResult<(HttpResponse, bool)> {
     let unknown_error = |message: String| {
         TanagerError::new(ErrorKind::Unknown, "read", address.to_string(), message)
@@ -333,11 +334,8 @@
             "the response body is delimited by connection close".to_owned(),
         ));
     }
-    let body = Limited::new(body, max_body)
-        .collect()
-        .await
-        .map_err(|error| unknown_error(format!("incomplete response body: {error}")))?
-        .to_bytes();
+    let body = (progress.read(body, max_body).await)
+        .map_err(|error| unknown_error(format!("incomplete response body, {progress}: {error}")))?;
     let closes_connection = parts
         .headers
         .get_all(header::CONNECTION)
--- a/crates/tanager-http/src/lib.rs
+++ b/crates/tanager-http/src/lib.rs
@@ -8,6 +8,7 @@
 mod guarded_stream;
 pub mod message;
 pub mod pool;
+mod response_body;
 pub mod server;
 
 pub use client::ClientConnection;
