Log tables that are not read any more, and show the configuration's age

- tanager_config_version and tanager_config_age_seconds, computed when read.
- config_taken has the size of the row and the time since the read began; store_lost and store_regained name the call that failed first.

No limit or period is changed.

--- a/crates/tanager-service/src/config_reads.rs
+++ b/crates/tanager-service/src/config_reads.rs
@@ -22,13 +22,15 @@
     pub(crate) requested: Notify,
 }
 
-/// Starts of the last reads that have ended.
+/// Starts of the last reads that have ended, and what is in force.
 #[derive(Clone, Copy, Debug, Default)]
 struct ReadTimes {
     /// Last read.
     attempted_at: Option<Duration>,
     /// Last successful read.
     verified_at: Option<Duration>,
+    /// Version of the configuration in force.
+    version: Option<u64>,
 }
 
 impl Default for ConfigReads {
@@ -51,6 +53,17 @@
         });
     }
 
+    /// Records the version of a configuration that is in force now.
+    pub fn record_version(&self, version: u64) {
+        self.times
+            .send_modify(|times| times.version = Some(version));
+    }
+
+    /// Returns the version of the configuration in force; `None` if there is none yet.
+    pub fn version(&self) -> Option<u64> {
+        self.times.borrow().version
+    }
+
     /// Returns the time since the start of the last successful read; `None` before the first one. A
     /// configuration that the store acknowledged before that start is in force here.
     pub fn verified_age(&self, now: Duration) -> Option<Duration> {
--- a/crates/tanager-service/src/context.rs
+++ b/crates/tanager-service/src/context.rs
@@ -28,6 +28,7 @@
 use crate::call_guard::CallGuard;
 use crate::cell::CellHandle;
 use crate::clock::NodeClock;
+use crate::config_metrics::ConfigCollector;
 use crate::config_reads::ConfigReads;
 use crate::loop_lag::LoopLag;
 use crate::membership::HEARTBEAT_PERIOD;
@@ -91,7 +92,7 @@
     /// Wakes the task that reads the owners of cells.
     pub owner_read_requested: Notify,
     /// Reads of the operator's table.
-    pub(crate) config_reads: ConfigReads,
+    pub(crate) config_reads: Arc<ConfigReads>,
     /// Which pools may have jobs of each queue.
     pub(crate) queue_pools: QueuePools,
     /// Wakes the task that acquires cells.
@@ -116,7 +117,13 @@
     /// Creates the state of a new process.
     pub(crate) fn open(settings: SiteSettings) -> Self {
         let clock = NodeClock::start();
-        let metrics = Arc::new(NodeMetrics::new());
+        let config_reads = Arc::new(ConfigReads::default());
+        let mut metrics = NodeMetrics::new();
+        metrics.register_collector(Box::new(ConfigCollector {
+            reads: Arc::clone(&config_reads),
+            clock,
+        }));
+        let metrics = Arc::new(metrics);
         let peers = Arc::new(PeerClient::new(clock));
         let (store_access, store) = StoreAccess::open(
             settings.store.address,
@@ -143,7 +150,7 @@
             store_access,
             peers,
             owner_read_requested: Notify::new(),
-            config_reads: ConfigReads::default(),
+            config_reads,
             queue_pools: QueuePools::default(),
             owners_changed: Notify::new(),
             skipped_rows: SkippedRows::default(),
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of a node, in the OpenMetrics text format.
 
+use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::histogram::Histogram;
@@ -119,6 +120,7 @@
     CountMetric incarnations_replaced "Incarnations of workers that ended under cells of this node";
     CountMetric store_calls "Calls to the store";
     CountMetric store_failures "Calls to the store that failed";
+    CountMetric reads_failed "Regular reads of tables of the store that failed";
     CountMetric store_relayed "Calls to the store made through a peer";
     CountMetric transactions_rejected "Transactions of ledgers that the store rejected as they were";
     CountMetric rows_set_aside "Rows of ledgers that the store rejected alone and that are not written for a while";
@@ -163,6 +165,11 @@
         self.decision_tasks.add(after.tasks - before.tasks);
     }
 
+    /// Adds metrics that are computed when they are read.
+    pub(crate) fn register_collector(&mut self, collector: Box<dyn Collector>) {
+        self.registry.register_collector(collector);
+    }
+
     /// Encodes all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/tanager-service/src/operator_watch.rs
+++ b/crates/tanager-service/src/operator_watch.rs
@@ -52,15 +52,12 @@
     let mut had_refused_keys = false;
     loop {
         let started = context.clock.now();
-        let result = table.read(&context).await;
-        let is_successful = result.is_ok();
-        match result {
-            Ok(TableRead::Full(rows) | TableRead::Changed(rows)) => {
-                for row in rows {
-                    apply_operator_row(&context, &row);
-                }
+        let read = table.read(&context).await;
+        let is_successful = read.is_some();
+        if let Some(TableRead::Full(rows) | TableRead::Changed(rows)) = read {
+            for row in rows {
+                apply_operator_row(&context, &row, started);
             }
-            Err(error) => log::debug!("event=read_failed table={OPERATOR_TABLE} error={error:?}"),
         }
         context.config_reads.record(started, is_successful);
         let refuses_keys = context.refuses_keys();
@@ -77,7 +74,8 @@
     }
 }
 
-fn apply_operator_row(context: &Arc<NodeContext>, row: &TableRow) {
+/// Applies a row of a read that began at `started`.
+fn apply_operator_row(context: &Arc<NodeContext>, row: &TableRow, started: Duration) {
     let key = &row.name.key;
     if row.deleted {
         context.skipped_rows.forget(OPERATOR_TABLE, key);
@@ -89,7 +87,13 @@
             let is_applied = context.view().apply_config(config);
             if is_applied {
                 context.queue_pools.request_read();
-                log::info!("event=config_taken version={version} row={}", row.version);
+                context.config_reads.record_version(version);
+                log::info!(
+                    "event=config_taken version={version} row={} bytes={} after={:?}",
+                    row.version,
+                    row.value.len(),
+                    context.clock.now().saturating_sub(started)
+                );
                 config_report::log_findings(context, &adjustments);
                 for cell in context.cells() {
                     cell.sync_queues();
--- a/crates/tanager-service/src/queue_pool_rows.rs
+++ b/crates/tanager-service/src/queue_pool_rows.rs
@@ -153,19 +153,17 @@
         }
         let is_read = *context.queue_pools.read_version.borrow() >= last_change;
         if version.is_some() && (!is_read || context.clock.now() < settled_at) {
-            match table.read(&context).await {
-                Ok(TableRead::Full(rows) | TableRead::Changed(rows)) => {
-                    for row in &rows {
-                        context.apply_queue_row(row);
-                    }
-                    context.queue_pools.read_version.send_replace(version);
-                    if context.misses_recorded_pools()
-                        && let Err(error) = read_pools(&context).await
-                    {
-                        log::debug!("event=read_failed table={POOL_TABLE} error={error:?}");
-                    }
+            let read = table.read(&context).await;
+            if let Some(TableRead::Full(rows) | TableRead::Changed(rows)) = read {
+                for row in &rows {
+                    context.apply_queue_row(row);
+                }
+                context.queue_pools.read_version.send_replace(version);
+                if context.misses_recorded_pools()
+                    && let Err(error) = read_pools(&context).await
+                {
+                    log::debug!("event=read_failed table={POOL_TABLE} error={error:?}");
                 }
-                Err(error) => log::debug!("event=read_failed table={QUEUE_TABLE} error={error:?}"),
             }
         }
         let _ = time::timeout(READ_PERIOD, context.queue_pools.read_requested.notified()).await;
--- a/crates/tanager-service/src/store_access.rs
+++ b/crates/tanager-service/src/store_access.rs
@@ -55,7 +55,7 @@
     relay_until: Duration,
     /// Time since which direct calls have failed.
     failing_since: Option<Duration>,
-    /// Cause of the first failure since then.
+    /// First call that failed since then, and the cause.
     reason: String,
     /// Whether the outage since then was logged.
     is_outage_logged: bool,
@@ -236,7 +236,10 @@
                 let outage = now.saturating_sub(since);
                 // A single failed call is not logged as an outage; the metrics count it.
                 if outage >= OUTAGE_THRESHOLD {
-                    log::info!("event=store_regained away={outage:?}");
+                    log::info!(
+                        "event=store_regained away={outage:?} reason={:?}",
+                        state.reason
+                    );
                 }
             }
             state.relay_until = Duration::ZERO;
@@ -248,7 +251,7 @@
                     Ok(response) => response.status.to_string(),
                     Err(error) => error.to_string(),
                 };
-                state.reason = reason;
+                state.reason = format!("{}: {reason}", call_name(request));
                 state.failing_since = Some(now);
                 state.is_outage_logged = false;
             }
@@ -291,6 +294,12 @@
     }
 }
 
+/// Returns the method, the path and the table of a call.
+fn call_name(request: &HttpRequest) -> String {
+    let name = request.path.split('&').next().unwrap_or_default();
+    format!("{} {name}", request.method)
+}
+
 /// Tests in the background whether direct calls work again.
 async fn probe(access: Arc<StoreAccess>) {
     let path = "/rows-get?table=node&part=&limit=1";
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -26,6 +26,8 @@
 use crate::operator_watch::watch_operator;
 use crate::owner_rows::apply_owner_row;
 use crate::queue_pool_rows::watch_queues;
+use crate::read_health::HealthReport;
+use crate::read_health::ReadHealth;
 use crate::records::CELL_TABLE;
 use crate::records::NODE_TABLE;
 use crate::records::NodeRecord;
@@ -70,6 +72,7 @@
     is_unpartitioned: bool,
     /// Version to continue from; `None` requires a full read.
     after: Option<RowVersion>,
+    health: ReadHealth,
 }
 
 /// Result of reading a table.
@@ -86,6 +89,7 @@
             name,
             is_unpartitioned,
             after: None,
+            health: ReadHealth::default(),
         }
     }
 
@@ -94,7 +98,45 @@
         self.after.unwrap_or(0)
     }
 
-    pub(crate) async fn read(&mut self, context: &NodeContext) -> TanagerResult<TableRead> {
+    /// Reads the changes since the last read, or all rows. Returns `None` if that fails, which is
+    /// logged.
+    pub(crate) async fn read(&mut self, context: &NodeContext) -> Option<TableRead> {
+        let started = context.clock.now();
+        let result = self.try_read(context).await;
+        let now = context.clock.now();
+        let report = self.health.record(started, now, result.is_ok());
+        if let Some(HealthReport::Current(outage)) = report {
+            log::info!(
+                "event=table_current table={} after={:?} failures={} row={}",
+                self.name,
+                outage.age,
+                outage.failures,
+                self.version()
+            );
+        }
+        let error = match result {
+            Ok(read) => return Some(read),
+            Err(error) => error,
+        };
+        context.metrics.reads_failed.increment();
+        let (table, after) = (self.name, self.version());
+        match report {
+            Some(HealthReport::Stale(outage)) => log::warn!(
+                "event=table_stale table={table} age={:?} failures={} row={after} error={error:?}",
+                outage.age,
+                outage.failures
+            ),
+            _ => {
+                let took = now.saturating_sub(started);
+                log::debug!(
+                    "event=read_failed table={table} after={after} took={took:?} error={error:?}"
+                );
+            }
+        }
+        None
+    }
+
+    async fn try_read(&mut self, context: &NodeContext) -> TanagerResult<TableRead> {
         if let Some(after) = self.after {
             match context.store.feed(self.name, after, READ_TIMEOUT).await? {
                 FeedPage::Changes(rows, version) => {
@@ -149,9 +191,8 @@
 async fn watch_workers(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(WORKER_TABLE, true);
     loop {
-        match table.read(&context).await {
-            Ok(read) => apply_worker_rows(&context, read, table.version()),
-            Err(error) => log::debug!("event=read_failed table={WORKER_TABLE} error={error:?}"),
+        if let Some(read) = table.read(&context).await {
+            apply_worker_rows(&context, read, table.version());
         }
         for cell in context.cells() {
             cell.sync_workers();
@@ -304,60 +345,58 @@
 async fn watch_nodes(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(NODE_TABLE, false);
     loop {
-        match table.read(&context).await {
-            Ok(read) => {
-                let (rows, is_full) = match read {
-                    TableRead::Full(rows) => (rows, true),
-                    TableRead::Changed(rows) => (rows, false),
-                };
-                let records = rows.into_iter().map(|row| {
-                    let record = match row.deleted {
-                        true => None,
-                        false => decode_record::<NodeRecord>(&row.name.key, &row.value)
-                            .inspect_err(|error| {
-                                let problem = error.to_string();
-                                context.skip_row(NODE_TABLE, &row.name.key, row.version, &problem);
-                            })
-                            .ok(),
-                    };
-                    if row.deleted || record.is_some() {
-                        context.skipped_rows.forget(NODE_TABLE, &row.name.key);
-                    }
-                    (row.name.key, record, row.version)
-                });
-                let records = records.collect();
-                let now = context.clock.now();
-                let can_write = context.can_write_heartbeats(now);
-                (context.view()).apply_node_rows(records, is_full, can_write, now);
-                context.update_relays();
-            }
-            Err(error) => log::debug!("event=read_failed table={NODE_TABLE} error={error:?}"),
+        if let Some(read) = table.read(&context).await {
+            apply_node_rows(&context, read);
         }
         time::sleep(READ_PERIOD).await;
     }
 }
 
+fn apply_node_rows(context: &NodeContext, read: TableRead) {
+    let (rows, is_full) = match read {
+        TableRead::Full(rows) => (rows, true),
+        TableRead::Changed(rows) => (rows, false),
+    };
+    let records = rows.into_iter().map(|row| {
+        let record = match row.deleted {
+            true => None,
+            false => decode_record::<NodeRecord>(&row.name.key, &row.value)
+                .inspect_err(|error| {
+                    let problem = error.to_string();
+                    context.skip_row(NODE_TABLE, &row.name.key, row.version, &problem);
+                })
+                .ok(),
+        };
+        if row.deleted || record.is_some() {
+            context.skipped_rows.forget(NODE_TABLE, &row.name.key);
+        }
+        (row.name.key, record, row.version)
+    });
+    let records = records.collect();
+    let now = context.clock.now();
+    let can_write = context.can_write_heartbeats(now);
+    (context.view()).apply_node_rows(records, is_full, can_write, now);
+    context.update_relays();
+}
+
 async fn watch_cells(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(CELL_TABLE, false);
     loop {
         let sent_at = context.clock.now();
-        match table.read(&context).await {
-            Ok(TableRead::Full(rows) | TableRead::Changed(rows)) => {
-                let has_changes = !rows.is_empty();
-                for row in rows {
-                    if row.name.key == OWNER_KEY && !row.deleted {
-                        apply_owner_row(&context, &row.name.part, &row.value, row.version);
-                    }
-                }
-                context.view().has_read_owners = true;
-                close_lost_cells(&context);
-                merging::reload_cells(&context);
-                context.record_owner_read(sent_at);
-                if has_changes {
-                    context.owners_changed.notify_one();
+        if let Some(TableRead::Full(rows) | TableRead::Changed(rows)) = table.read(&context).await {
+            let has_changes = !rows.is_empty();
+            for row in rows {
+                if row.name.key == OWNER_KEY && !row.deleted {
+                    apply_owner_row(&context, &row.name.part, &row.value, row.version);
                 }
             }
-            Err(error) => log::debug!("event=read_failed table={CELL_TABLE} error={error:?}"),
+            context.view().has_read_owners = true;
+            close_lost_cells(&context);
+            merging::reload_cells(&context);
+            context.record_owner_read(sent_at);
+            if has_changes {
+                context.owners_changed.notify_one();
+            }
         }
         // Read at once when a peer notifies this node that an owner changed.
         let _ = time::timeout(READ_PERIOD, context.owner_read_requested.notified()).await;
