--- a/crates/tanager-node/tests/jobs/link.rs
+++ b/crates/tanager-node/tests/jobs/link.rs
@@ -1,10 +1,13 @@
 //! A network link from a node to a server of the platform, which can hold bytes back and deliver them
-//! later.
+//! later, and whose rate can be limited.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -13,6 +16,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
+use tokio::time;
 
 /// Which bytes the link holds back until the mode changes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -42,6 +46,26 @@
     }
 }
 
+/// Rate of a link that all its connections share.
+struct LinkRate {
+    bytes_per_second: f64,
+    /// Time at which the bytes sent so far have passed the link.
+    free_at: Mutex<Instant>,
+}
+
+impl LinkRate {
+    /// Waits until bytes that are sent now have passed the link.
+    async fn pass(&self, bytes: usize) {
+        let passed_at = {
+            let mut free_at = self.free_at.lock().expect("no panic");
+            let duration = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second);
+            *free_at = (*free_at).max(Instant::now()) + duration;
+            *free_at
+        };
+        time::sleep_until(passed_at.into()).await;
+    }
+}
+
 /// A running link. A connection that the client closes delivers the bytes that it holds, and one that
 /// the client resets loses them.
 pub(crate) struct NetworkLink {
@@ -53,7 +77,13 @@
 }
 
 impl NetworkLink {
+    /// Binds a link without a limit of its rate.
     pub(crate) async fn bind(target: SocketAddr) -> Self {
+        Self::bind_with_rate(target, f64::INFINITY).await
+    }
+
+    /// Binds a link that carries responses at a rate in bits per second.
+    pub(crate) async fn bind_with_rate(target: SocketAddr, bits_per_second: f64) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
         let address = listener.local_addr().expect("address");
         let mode = watch::Sender::new(LinkMode::default());
@@ -61,12 +91,17 @@
         let (subscriber, counter) = (mode.clone(), Arc::clone(&waiting_writes));
         let connections = watch::Sender::new(0);
         let opened = connections.clone();
+        let rate = Arc::new(LinkRate {
+            bytes_per_second: bits_per_second / 8.0,
+            free_at: Mutex::new(Instant::now()),
+        });
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 opened.send_modify(|count| *count += 1);
                 let connection = LinkConnection {
                     mode: subscriber.subscribe(),
                     waiting_writes: Arc::clone(&counter),
+                    rate: Arc::clone(&rate),
                 };
                 tokio::spawn(connection.serve(client, target));
             }
@@ -106,6 +141,7 @@
 struct LinkConnection {
     mode: watch::Receiver<LinkMode>,
     waiting_writes: Arc<AtomicUsize>,
+    rate: Arc<LinkRate>,
 }
 
 impl LinkConnection {
@@ -181,6 +217,7 @@
             if length == 0 || self.mode.wait_for(is_forwarded).await.is_err() {
                 return;
             }
+            self.rate.pass(length).await;
             if to.write_all(&buffer[..length]).await.is_err() {
                 return;
             }
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -24,6 +24,7 @@
 mod relocation;
 mod run_lines;
 mod scheduling;
+mod slow_link;
 mod version;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/tanager-node/tests/jobs/slow_link.rs
@@ -0,0 +1,109 @@
+//! Nodes whose link to the store is slow, with rows that take long to read.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use tanager_standin::site::SiteStandin;
+use tokio::time;
+
+use crate::POOL;
+use crate::harness::JobSite;
+use crate::harness::NodeProcess;
+use crate::harness::pool;
+use crate::link::NetworkLink;
+
+/// Slowest link of an entry VM, in bits per second.
+const SLOW_LINK: f64 = 10e6;
+/// Slowest link of an entry VM in a small deployment, in bits per second.
+const SLOWEST_LINK: f64 = 2e6;
+/// Time within which a new configuration must be in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// Time after its start from which a node must be ready.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// Starts a node whose link to the store has a rate in bits per second.
+async fn slow_site(rate: f64) -> (JobSite, NetworkLink) {
+    let pools = [pool(POOL, 2)];
+    let standin = SiteStandin::spawn(&pools).await.expect("stand-in");
+    standin.put_config(1, &pools);
+    let link = NetworkLink::bind_with_rate(standin.store_address(), rate).await;
+    let node = NodeProcess::spawn_with_store(&standin, "node-0", link.address, "");
+    let nodes = vec![node];
+    let site = JobSite { standin, nodes };
+    site.wait_until_owned(&pools).await;
+    (site, link)
+}
+
+async fn config_version(site: &JobSite) -> Option<u64> {
+    site.nodes[0].dump().await?["config_version"].as_u64()
+}
+
+/// Waits until a version is in force, and returns the time that it took, at most `limit`.
+async fn time_to_force(site: &JobSite, version: u64, limit: Duration) -> Option<Duration> {
+    let start = Instant::now();
+    while start.elapsed() <= limit {
+        if config_version(site).await == Some(version) {
+            return Some(start.elapsed());
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    None
+}
+
+macro_rules! growing_configurations {
+    ($($case:ident: $rate:expr, $counts:expr;)*) => {
+        $(
+            /// Guards against a configuration that never comes into force because its transfer is
+            /// broken off and begun anew (CONFIG).
+            #[tokio::test(flavor = "multi_thread")]
+            async fn $case() {
+                let pools = [pool(POOL, 2)];
+                let (site, _link) = slow_site($rate).await;
+                for (number, count) in $counts.into_iter().enumerate() {
+                    let version = 2 + number as u64;
+                    site.standin.put_config_with_routes(version, &pools, count);
+                    let time = time_to_force(&site, version, APPLY_LIMIT).await;
+                    assert!(time.is_some(), "{count} routes are not in force after {APPLY_LIMIT:?}");
+                }
+            }
+        )*
+    };
+}
+
+growing_configurations! {
+    growing_configurations_come_into_force_at_10_mbit: SLOW_LINK, [1_400, 2_800, 4_200, 5_600];
+    growing_configurations_come_into_force_at_2_mbit: SLOWEST_LINK, [400, 800, 1_400];
+}
+
+/// Guards against a node that has no configuration for good after its start, because it reads the whole
+/// table under the limit of a small call.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_node_reads_a_large_configuration() {
+    let pools = [pool(POOL, 2)];
+    let (mut site, _link) = slow_site(SLOW_LINK).await;
+    site.standin.put_config_with_routes(2, &pools, 5_600);
+    site.nodes[0].kill();
+    site.nodes[0].restart();
+    let time = time_to_force(&site, 2, START_LIMIT).await;
+    assert!(time.is_some(), "no configuration after {START_LIMIT:?}");
+}
+
+/// Guards against a wave that is not seen because the table's other rows are never read completely.
+#[tokio::test(flavor = "multi_thread")]
+async fn wave_beside_a_large_configuration_is_seen() {
+    let pools = [pool(POOL, 2)];
+    let (site, _link) = slow_site(SLOW_LINK).await;
+    site.standin.put_config_with_routes(2, &pools, 5_600);
+    let vms = site.standin.vms(POOL);
+    let wave = json!({"wave": 1, "machines": vms, "duration_s": 60.0, "cap": 1});
+    (site.standin).put_row("op", "wave/1", wave.to_string().as_bytes());
+    let start = Instant::now();
+    while site.standin.machine_orders().is_empty() {
+        assert!(
+            start.elapsed() < START_LIMIT,
+            "no VM of the wave after {START_LIMIT:?}"
+        );
+        time::sleep(Duration::from_millis(100)).await;
+    }
+}
--- a/crates/tanager-standin/src/site/mod.rs
+++ b/crates/tanager-standin/src/site/mod.rs
@@ -266,6 +266,23 @@
         self.put_row("op", "config", config.to_string().as_bytes());
     }
 
+    /// Like [`Self::put_config`], with this number of further routes to the first pool. Each takes about
+    /// 190 bytes.
+    pub fn put_config_with_routes(&self, version: u64, pools: &[SitePool], count: usize) {
+        let mut config = Self::config_document(version, pools);
+        if let Some(routes) = config["routes"].as_array_mut()
+            && let Some(first) = routes.first().cloned()
+        {
+            routes.extend((0..count).map(|number| {
+                let mut route = first.clone();
+                route["name"] = json!(format!("route-{number:06}"));
+                route["path_prefix"] = json!(format!("/route-{number:06}/"));
+                route
+            }));
+        }
+        self.put_row("op", "config", config.to_string().as_bytes());
+    }
+
     fn config_document(version: u64, pools: &[SitePool]) -> serde_json::Value {
         let routes: Vec<_> = (pools.iter())
             .filter(|pool| !pool.spare)
