Limit transfers from the store by their progress, not by a total time

Cause: the time limit of a call to the store (0.8 s for reads of tables) held for the whole exchange. The row with the configuration grows with its routes; with 4,200 of them its response takes 0.88 s at 10 Mbit/s. The read was broken off though bytes arrived, the rest thrown away, and the next read began at zero, for ever. The same read carries waves, and a node that starts has no configuration at all. Responses above 4 MiB were refused in the same way.

Ruled out: rows that are not applied or passed over by the feed.

Change: TransferLimits. The limit of a call now holds until the head of the response and for each pause within its body; the body as a whole may take as long as its size at a minimum rate (32 KB/s, an eighth of a link of 2 Mbit/s). So a dead or silent server is noticed as early as before, a trickling one within a bound, and no size is too large for a link that carries it. Callers that ask for no rate keep the limit of the whole exchange. The store's responses may have 16 MiB.

Why it works: whether a transfer is alive shows in its bytes, not in its age.

--- a/crates/tanager-http/src/client.rs
+++ b/crates/tanager-http/src/client.rs
@@ -41,6 +41,7 @@
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 use crate::response_body::BodyProgress;
+use crate::transfer_limits::TransferLimits;
 
 /// What happens to bytes of a request that the server has not acknowledged.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -170,22 +171,37 @@
             .await
     }
 
-    /// Like [`Self::exchange`], but asks `guard` for permission right before each write.
+    /// Like [`Self::exchange`], but the response may take longer the larger it is.
     ///
     /// # Errors
     ///
-    /// As for [`Self::exchange`]; [`ErrorKind::NotSent`] if the guard refused the first write. A
+    /// As for [`Self::exchange`].
+    pub async fn exchange_within(
+        &mut self,
+        request: HttpRequest,
+        limits: &TransferLimits,
+        max_body: usize,
+    ) -> TanagerResult<HttpResponse> {
+        self.run_exchange(request, limits, max_body, future::pending())
+            .await
+    }
+
+    /// Like [`Self::exchange_within`], but asks `guard` for permission right before each write.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::exchange_within`]; [`ErrorKind::NotSent`] if the guard refused the first write. A
     /// request of which only a part was written is incomplete, so the server does not execute it,
     /// but the error does not say so.
     pub async fn exchange_guarded(
         &mut self,
         request: HttpRequest,
-        timeout: Duration,
+        limits: &TransferLimits,
         max_body: usize,
         guard: &WriteGuard,
     ) -> TanagerResult<HttpResponse> {
         self.guard.set(Some(Arc::clone(guard)));
-        let result = self.exchange(request, timeout, max_body).await;
+        let result = self.exchange_within(request, limits, max_body).await;
         match result {
             Ok(response) => {
                 self.guard.set(None);
@@ -216,12 +232,24 @@
         timeout: Duration,
         max_body: usize,
         cancelled: impl Future<Output = ()>,
+    ) -> TanagerResult<HttpResponse> {
+        let limits = TransferLimits::whole(timeout);
+        self.run_exchange(request, &limits, max_body, cancelled)
+            .await
+    }
+
+    async fn run_exchange(
+        &mut self,
+        request: HttpRequest,
+        limits: &TransferLimits,
+        max_body: usize,
+        cancelled: impl Future<Output = ()>,
     ) -> TanagerResult<HttpResponse> {
         self.keep_alive = false;
         let address = self.address;
         let is_head_request = request.method == Method::HEAD;
         let socket = &self.socket;
-        let progress = BodyProgress::default();
+        let progress = BodyProgress::start();
         let exchange = async {
             let outgoing = build_request(address, request)?;
             self.sender.ready().await.map_err(|error| {
@@ -244,13 +272,14 @@
             let _ = socket.shutdown(Shutdown::Write);
             exchange.await
         };
-        let result = match time::timeout(timeout, cancellable_exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(TanagerError::new(
+        let result = tokio::select! {
+            biased;
+            result = cancellable_exchange => result,
+            () = progress.overdue(limits) => Err(TanagerError::new(
                 ErrorKind::Timeout,
                 "exchange",
                 address.to_string(),
-                format!("no complete response within {timeout:?}, {progress}"),
+                format!("no complete response within {:?}, {progress}", limits.timeout),
             )),
         };
         let (response, keep_alive) = result?;
--- a/crates/tanager-http/src/lib.rs
+++ b/crates/tanager-http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod pool;
 mod response_body;
 pub mod server;
+mod transfer_limits;
 
 pub use client::ClientConnection;
 pub use client::UnsentBytes;
@@ -19,3 +20,4 @@
 pub use pool::ClientPool;
 pub use server::HttpServer;
 pub use server::ServerLimits;
+pub use transfer_limits::TransferLimits;
--- a/crates/tanager-http/src/pool.rs
+++ b/crates/tanager-http/src/pool.rs
@@ -19,6 +19,7 @@
 use crate::guarded_stream::WriteGuard;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
+use crate::transfer_limits::TransferLimits;
 
 /// Limits of a [`ClientPool`].
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +34,9 @@
     pub max_connections: usize,
     /// Largest accepted response body, in bytes.
     pub max_body: usize,
+    /// Rate in bytes per second at which the body of a response must arrive after the time limit of its
+    /// exchange; see [`TransferLimits::min_rate`].
+    pub min_rate: Option<u32>,
     /// What happens to bytes that the server has not acknowledged.
     pub unsent_bytes: UnsentBytes,
 }
@@ -44,6 +48,7 @@
             max_idle: Duration::from_secs(5),
             max_connections: 64,
             max_body: 4 << 20,
+            min_rate: None,
             unsent_bytes: UnsentBytes::Deliver,
         }
     }
@@ -84,7 +89,8 @@
         lock(&self.idle).connections.clear();
     }
 
-    /// Sends a request on an idle or a new connection, within a total of `timeout`.
+    /// Sends a request on an idle or a new connection, within a total of `timeout`, or longer if
+    /// [`PoolLimits::min_rate`] permits it for a large response.
     ///
     /// If the request was not sent on an idle connection, it is sent on a new one.
     ///
@@ -147,12 +153,20 @@
         guard: Option<&WriteGuard>,
     ) -> TanagerResult<HttpResponse> {
         let max_body = self.limits.max_body;
+        let limits = TransferLimits {
+            timeout,
+            min_rate: self.limits.min_rate,
+        };
         let response = match guard {
             Some(guard) => {
-                let exchange = connection.exchange_guarded(request, timeout, max_body, guard);
+                let exchange = connection.exchange_guarded(request, &limits, max_body, guard);
                 exchange.await?
             }
-            None => connection.exchange(request, timeout, max_body).await?,
+            None => {
+                connection
+                    .exchange_within(request, &limits, max_body)
+                    .await?
+            }
         };
         self.return_connection(connection);
         Ok(response)
--- a/crates/tanager-service/src/store_access.rs
+++ b/crates/tanager-service/src/store_access.rs
@@ -33,6 +33,12 @@
 /// Maximum number of relays tried for one call.
 const MAX_RELAY_ATTEMPTS: usize = 3;
 
+/// Rate in bytes per second at which the body of a response must arrive, beyond the time limit of the
+/// call: an eighth of the slowest link of an entry VM, since several transfers may share it.
+const MIN_TRANSFER_RATE: u32 = 32_000;
+/// Largest response of the store, in bytes. A row of the operator is not limited; this one takes a third
+/// of the memory of the smallest entry VM while it is decoded.
+const MAX_RESPONSE: usize = 16 << 20;
 /// Direct calls that fail for this long are logged as an outage.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(250);
 /// Time for which the response of a peer that the store does not serve it counts. It is longer than
@@ -97,6 +103,8 @@
             connect_timeout: Duration::from_millis(500),
             max_idle: Duration::from_secs(8),
             max_connections: 16,
+            max_body: MAX_RESPONSE,
+            min_rate: Some(MIN_TRANSFER_RATE),
             ..PoolLimits::default()
         };
         let access = Arc::new(Self {
