Stop relaying calls once the store serves this node again

Cause: one failed call makes the node send all calls through a peer. Each relayed call that succeeds prolongs that by 2 s, also one that ends after a direct call has succeeded and ended it. A node that calls the store often always has such a call on its way, so it goes on through a peer though the store serves it; each probe ends it for some milliseconds. For small calls that costs little. The configuration, through a peer with a slow link, never arrives within the limit: 7 reads in a row with '0 bytes received'.

Change: a relayed call prolongs the time only while direct calls still fail.

--- a/crates/tanager-service/src/relay_state.rs
+++ b/crates/tanager-service/src/relay_state.rs
@@ -6,7 +6,7 @@
 
 use tanager_schedule::ownership::StoreEvidence;
 
-/// Time for which calls are relayed after a direct call failed or a relayed call succeeded.
+/// Time for which calls are relayed after a direct call failed, or a relayed call succeeded meanwhile.
 const RELAY_PERIOD: Duration = Duration::from_millis(2_000);
 /// Minimum interval between probes that test whether direct calls work again.
 const PROBE_PERIOD: Duration = Duration::from_millis(700);
@@ -162,7 +162,10 @@
         }
         self.unserved_relays.clear();
         self.working_relay = Some(relay);
-        self.relay_until = now + RELAY_PERIOD;
+        // A call that was relayed before the store served this node again may end after that.
+        if self.is_failing() {
+            self.relay_until = now + RELAY_PERIOD;
+        }
         let is_probe_due = now >= self.next_probe;
         if is_probe_due {
             self.next_probe = now + PROBE_PERIOD;
