Limit relayed transfers by their progress, and relay the store's bytes

The reply of a peer had a limit of 0.8 s as a whole, and was a third larger than the store's response, since JSON holds it in Base64: 2.44 MB for a row of 1.37 MB, of which 491,439 bytes had arrived.

Change: calls between nodes are limited by their progress as well. A relay sends the store's body as it is, with its status in a header, to callers that ask for that. Nodes of former versions neither ask for it nor send it; both ways are understood, so nodes may be replaced one by one.

Tests: relay_calls; without the rate, large_reply_over_a_slow_link_is_completed fails with '119997 of 400000 bytes received'.

Not mended by this: a relay whose own link is slow has no byte to pass on before it has the whole row, which takes longer than the caller waits.

--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod read_health;
 pub mod records;
 mod refusals;
+pub mod relay_calls;
 pub mod relay_state;
 mod relocation;
 pub mod requests;
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -26,6 +26,8 @@
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
 use crate::peers::DrainRequest;
+use crate::relay_calls::RELAY_PATH;
+use crate::relay_calls::RelayedCall;
 use crate::supervision::spawn_loop;
 use crate::table_watch;
 use crate::takeover;
@@ -191,8 +193,8 @@
             };
             peers::encode_cell_response(&response, context.node_time())
         }
-        peers::RELAY_PATH => match peers::decode_relay_request(&request.body) {
-            Ok((call, timeout)) => relay(&context, &call, timeout).await,
+        RELAY_PATH => match RelayedCall::decode(&request.body) {
+            Ok(call) => relay(&context, &call).await,
             Err(error) => invalid(error),
         },
         peers::DRAIN_PATH => match peers::decode_request::<DrainRequest>(&request.body) {
@@ -217,7 +219,7 @@
 }
 
 /// Relays a call of another node to the store.
-async fn relay(context: &NodeContext, call: &HttpRequest, timeout: Duration) -> HttpResponse {
+async fn relay(context: &NodeContext, call: &RelayedCall) -> HttpResponse {
     // The body gives the time, in milliseconds, for which the store has not served this node.
     let unserved = || {
         let unserved_time = context
@@ -229,8 +231,9 @@
     if context.store_access.is_failing() {
         return unserved();
     }
-    match context.store_access.send_direct(call, timeout).await {
-        Ok(response) => peers::encode_relay_response(&response),
+    let result = (context.store_access).send_direct(&call.request, call.timeout);
+    match result.await {
+        Ok(response) => call.encode_reply(response),
         Err(error) if error.kind == ErrorKind::NotSent => unserved(),
         Err(error) => HttpResponse::new(StatusCode::GATEWAY_TIMEOUT, error.to_string()),
     }
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -12,9 +12,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -50,19 +47,15 @@
 use crate::descriptions::JobDescription;
 use crate::descriptions::WorkspaceLoad;
 
+/// Rate in bytes per second at which the body of a response of the store or of another node must arrive,
+/// beyond the time limit of the call: an eighth of the slowest link of an entry VM, since several
+/// transfers may share it.
+pub(crate) const MIN_TRANSFER_RATE: u32 = 32_000;
+/// Largest response of the store or of another node, in bytes. Rows of the operator are not limited; this
+/// is a tenth of the memory of the smallest entry VM, and decoding takes several times as much.
+pub(crate) const MAX_RESPONSE: usize = 16 << 20;
 /// Path of calls to the owner of a cell.
 pub const CELL_PATH: &str = "/cell";
-/// Response to a call to the store that a peer was asked to relay.
-#[derive(Clone, Debug)]
-pub enum RelayReply {
-    /// The store's response.
-    Response(HttpResponse),
-    /// The call was not relayed, since the store has not served the peer for this time.
-    Unserved(Duration),
-}
-
-/// Path of calls to the store that a peer relays.
-pub const RELAY_PATH: &str = "/relay";
 /// Path of notifications that owners of cells changed.
 pub const NOTIFY_PATH: &str = "/poke";
 /// Header with the time for which the caller still waits, in milliseconds. Nodes of former versions
@@ -340,20 +333,6 @@
     };
 }
 
-#[derive(Deserialize, Serialize)]
-struct RelayRequest {
-    method: String,
-    path: String,
-    body: String,
-    timeout_ms: u64,
-}
-
-#[derive(Deserialize, Serialize)]
-struct RelayResponse {
-    status: u16,
-    body: String,
-}
-
 /// Client for calls to other nodes.
 #[derive(Debug)]
 pub struct PeerClient {
@@ -380,6 +359,8 @@
                 connect_timeout: Duration::from_millis(400),
                 max_idle: Duration::from_secs(8),
                 max_connections: 16,
+                max_body: MAX_RESPONSE,
+                min_rate: Some(MIN_TRANSFER_RATE),
                 ..PoolLimits::default()
             };
             Arc::new(ClientPool::new(address, limits))
@@ -463,44 +444,6 @@
         }
     }
 
-    /// Sends a call to the store through another node.
-    ///
-    /// # Errors
-    ///
-    /// [`ErrorKind::NotSent`] if the store certainly did not receive the call.
-    pub async fn relay(
-        &self,
-        address: SocketAddr,
-        request: &HttpRequest,
-        timeout: Duration,
-    ) -> TanagerResult<RelayReply> {
-        let wire = RelayRequest {
-            method: request.method.to_string(),
-            path: request.path.clone(),
-            body: STANDARD.encode(&request.body),
-            timeout_ms: timeout.as_millis() as u64,
-        };
-        let call = encode_call(address, RELAY_PATH, &wire)?;
-        let response = self.exchange(address, &call, timeout).await?;
-        if response.status == StatusCode::SERVICE_UNAVAILABLE {
-            let millis = std::str::from_utf8(&response.body)
-                .ok()
-                .and_then(|text| text.parse().ok());
-            // An overloaded peer responds without a time.
-            let millis = millis.unwrap_or(0);
-            return Ok(RelayReply::Unserved(Duration::from_millis(millis)));
-        }
-        let response: RelayResponse = decode_response(address, &response)?;
-        let unknown = |error: String| {
-            TanagerError::new(ErrorKind::Unknown, "relay", address.to_string(), error)
-        };
-        let status = StatusCode::from_u16(response.status).map_err(|e| unknown(e.to_string()))?;
-        let body = STANDARD
-            .decode(response.body)
-            .map_err(|error| unknown(error.to_string()))?;
-        Ok(RelayReply::Response(HttpResponse::new(status, body)))
-    }
-
     async fn call<Q: Serialize, A: for<'a> Deserialize<'a>>(
         &self,
         address: SocketAddr,
@@ -513,7 +456,8 @@
         decode_response(address, &response)
     }
 
-    async fn exchange(
+    /// Sends an encoded call to another node.
+    pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
         request: &HttpRequest,
@@ -529,7 +473,7 @@
     }
 }
 
-fn encode_call(
+pub(crate) fn encode_call(
     address: SocketAddr,
     path: &str,
     body: &impl Serialize,
@@ -543,7 +487,7 @@
     TanagerError::new(kind, "call peer", address.to_string(), error)
 }
 
-fn decode_response<A: for<'a> Deserialize<'a>>(
+pub(crate) fn decode_response<A: for<'a> Deserialize<'a>>(
     address: SocketAddr,
     response: &HttpResponse,
 ) -> TanagerResult<A> {
@@ -616,29 +560,3 @@
         Err(error) => HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
     }
 }
-
-/// Decodes a call to the store that this node relays, and its time limit.
-///
-/// # Errors
-///
-/// [`ErrorKind::Invalid`] if it is malformed.
-pub fn decode_relay_request(body: &[u8]) -> TanagerResult<(HttpRequest, Duration)> {
-    let invalid =
-        |error: String| TanagerError::new(ErrorKind::Invalid, "decode relayed call", "peer", error);
-    let wire: RelayRequest = decode_request(body)?;
-    let method = Method::from_bytes(wire.method.as_bytes()).map_err(|e| invalid(e.to_string()))?;
-    let body = STANDARD
-        .decode(wire.body)
-        .map_err(|e| invalid(e.to_string()))?;
-    let mut request = HttpRequest::new(method, wire.path, Bytes::from(body));
-    tanager_site::job_api::set_json_content_type(&mut request.headers);
-    Ok((request, Duration::from_millis(wire.timeout_ms)))
-}
-
-/// Encodes the store's response to a relayed call.
-pub fn encode_relay_response(response: &HttpResponse) -> HttpResponse {
-    encode_response(&RelayResponse {
-        status: response.status.as_u16(),
-        body: STANDARD.encode(&response.body),
-    })
-}
--- a/crates/tanager-service/src/store_access.rs
+++ b/crates/tanager-service/src/store_access.rs
@@ -18,8 +18,11 @@
 
 use crate::clock::NodeClock;
 use crate::metrics::NodeMetrics;
+use crate::peers::MAX_RESPONSE;
+use crate::peers::MIN_TRANSFER_RATE;
 use crate::peers::PeerClient;
-use crate::peers::RelayReply;
+use crate::relay_calls::RelayReply;
+use crate::relay_calls::RelayedCall;
 use crate::relay_state::OutageReport;
 use crate::relay_state::RelayOutcome;
 use crate::relay_state::RelayState;
@@ -29,13 +32,6 @@
 /// Maximum number of relays tried for one call.
 const MAX_RELAY_ATTEMPTS: usize = 3;
 
-/// Rate in bytes per second at which the body of a response must arrive, beyond the time limit of the
-/// call: an eighth of the slowest link of an entry VM, since several transfers may share it.
-const MIN_TRANSFER_RATE: u32 = 32_000;
-/// Largest response of the store, in bytes. A row of the operator is not limited; this one takes a third
-/// of the memory of the smallest entry VM while it is decoded.
-const MAX_RESPONSE: usize = 16 << 20;
-
 /// Sends calls to the store, directly or through relays.
 pub struct StoreAccess {
     clock: NodeClock,
@@ -101,6 +97,7 @@
         request: HttpRequest,
         timeout: Duration,
     ) -> TanagerResult<HttpResponse> {
+        let call = RelayedCall::new(request, timeout);
         for _ in 0..MAX_RELAY_ATTEMPTS {
             let relay = self.lock().pick_relay(self.clock.now());
             let Some(relay) = relay else {
@@ -108,7 +105,7 @@
             };
             self.metrics.store_relayed.increment();
             let sent_at = self.clock.now();
-            let result = self.peers.relay(relay, &request, timeout).await;
+            let result = call.send(&self.peers, relay).await;
             self.record_relay(relay, &result, sent_at);
             match result {
                 // The peer did not forward the call; try the next one.
@@ -118,7 +115,7 @@
                 Err(error) => return Err(error),
             }
         }
-        self.send_direct(&request, timeout).await
+        self.send_direct(&call.request, timeout).await
     }
 
     /// Records the result of a relayed call.
