Read the operator's rows from peers where the store takes too long

What callers saw: old configurations at nodes that the store did not serve for a while, for up to 14 s, and for 1.8 to 2.4 s on links of 10 Mbit/s even without faults. At 2 Mbit/s 5,600 routes take 5.7 s, which is not in time.

Cause: every node reads the whole row, 1.5 MB and more in the store's encoding, over its own link, and while calls are relayed it passes two links one after the other. The relay has no byte to pass on before it has all of them, so the reader gives up first, and each try fills the relay's link again.

Change: a node keeps the operator's rows as it read them (OperatorCopy) and gives those that are newer than a version to peers, compressed (deflate, a tenth of the size), with the age of its read. Nodes ask peers first while their calls are relayed, and if their link (limits.link_mbps of the settings) would need over 0.25 s for the largest row. A copy of at most 0.7 s replaces the read. Of an older one the rows are taken, and the store is read for what is newer: an empty answer mostly. While calls are relayed and the peer is reading itself, the node asks again instead of relaying the same row. What a copy verifies is counted from the peer's read, so keys and metrics see its true age.

Other ways weighed: only a longer limit for relayed reads fails at the next size, and delays the notice of a dead relay; streaming relays need a server with streams and still carry the row twice; differences between versions need a format of their own, and are needed most by nodes that have no version.

--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -73,6 +73,21 @@
         Self::spawn_with_settings(ports, &settings.to_string(), "")
     }
 
+    /// Starts a node on a VM whose link has a rate in bits per second, which the settings name; `store` is the
+    /// address of such a link to the store.
+    pub(crate) fn spawn_with_link(
+        standin: &SiteStandin,
+        name: &str,
+        store: SocketAddr,
+        rate: f64,
+    ) -> Self {
+        let ports = NodePorts::find();
+        let text = standin.settings_with_store(name, ports, store);
+        let mut settings: Value = serde_json::from_str(&text).expect("settings");
+        settings["limits"] = json!({"link_mbps": rate / 1e6});
+        Self::spawn_with_settings(ports, &settings.to_string(), "")
+    }
+
     /// Like [`Self::spawn_with_store`], but the node also accesses the machine API at an address.
     pub(crate) fn spawn_with_addresses(
         standin: &SiteStandin,
--- a/crates/tanager-node/tests/jobs/slow_link.rs
+++ b/crates/tanager-node/tests/jobs/slow_link.rs
@@ -11,10 +11,13 @@
 use crate::harness::JobSite;
 use crate::harness::NodeProcess;
 use crate::harness::pool;
+use crate::link::LinkMode;
 use crate::link::NetworkLink;
 
 /// Slowest link of an entry VM, in bits per second.
 const SLOW_LINK: f64 = 10e6;
+/// Fastest link of an entry VM with slow ones beside it, in bits per second.
+const FAST_LINK: f64 = 200e6;
 /// Slowest link of an entry VM in a small deployment, in bits per second.
 const SLOWEST_LINK: f64 = 2e6;
 /// Time within which a new configuration must be in force.
@@ -22,17 +25,23 @@
 /// Time after its start from which a node must be ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// Starts a node whose link to the store has a rate in bits per second.
-async fn slow_site(rate: f64) -> (JobSite, NetworkLink) {
+/// Starts nodes whose links to the store have these rates in bits per second.
+async fn slow_site(rates: &[f64]) -> (JobSite, Vec<NetworkLink>) {
     let pools = [pool(POOL, 2)];
     let standin = SiteStandin::spawn(&pools).await.expect("stand-in");
     standin.put_config(1, &pools);
-    let link = NetworkLink::bind_with_rate(standin.store_address(), rate).await;
-    let node = NodeProcess::spawn_with_store(&standin, "node-0", link.address, "");
-    let nodes = vec![node];
+    let mut links = Vec::new();
+    let mut nodes = Vec::new();
+    for (number, rate) in rates.iter().enumerate() {
+        let link = NetworkLink::bind_with_rate(standin.store_address(), *rate).await;
+        let name = format!("node-{number}");
+        let node = NodeProcess::spawn_with_link(&standin, &name, link.address, *rate);
+        links.push(link);
+        nodes.push(node);
+    }
     let site = JobSite { standin, nodes };
     site.wait_until_owned(&pools).await;
-    (site, link)
+    (site, links)
 }
 
 async fn config_version(site: &JobSite) -> Option<u64> {
@@ -59,7 +68,7 @@
             #[tokio::test(flavor = "multi_thread")]
             async fn $case() {
                 let pools = [pool(POOL, 2)];
-                let (site, _link) = slow_site($rate).await;
+                let (site, _links) = slow_site(&[$rate]).await;
                 for (number, count) in $counts.into_iter().enumerate() {
                     let version = 2 + number as u64;
                     site.standin.put_config_with_routes(version, &pools, count);
@@ -81,7 +90,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn restarted_node_reads_a_large_configuration() {
     let pools = [pool(POOL, 2)];
-    let (mut site, _link) = slow_site(SLOW_LINK).await;
+    let (mut site, _links) = slow_site(&[SLOW_LINK]).await;
     site.standin.put_config_with_routes(2, &pools, 5_600);
     site.nodes[0].kill();
     site.nodes[0].restart();
@@ -93,7 +102,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn wave_beside_a_large_configuration_is_seen() {
     let pools = [pool(POOL, 2)];
-    let (site, _link) = slow_site(SLOW_LINK).await;
+    let (site, _links) = slow_site(&[SLOW_LINK]).await;
     site.standin.put_config_with_routes(2, &pools, 5_600);
     let vms = site.standin.vms(POOL);
     let wave = json!({"wave": 1, "machines": vms, "duration_s": 60.0, "cap": 1});
@@ -107,3 +116,37 @@
         time::sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against a configuration that is late wherever a link to the store is slow, although a node nearby
+/// has it.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_configuration_comes_from_a_peer() {
+    let pools = [pool(POOL, 2)];
+    let (site, _links) = slow_site(&[SLOWEST_LINK, FAST_LINK, FAST_LINK]).await;
+    // At 2 Mbit/s the first takes 1.4 s from the store and the others 5.7 s.
+    for (version, count) in [(2, 1_400), (3, 5_600), (4, 5_601)] {
+        site.standin.put_config_with_routes(version, &pools, count);
+        let time = time_to_force(&site, version, APPLY_LIMIT).await;
+        assert!(
+            time.is_some(),
+            "{count} routes are not in force after {APPLY_LIMIT:?}"
+        );
+    }
+}
+
+/// Guards against a node without the store that has an old configuration because its relays need longer to
+/// read the new one than it waits for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_without_the_store_follows_the_configuration() {
+    let pools = [pool(POOL, 2)];
+    let (site, links) = slow_site(&[SLOW_LINK; 3]).await;
+    links[0].set_mode(LinkMode::HoldResponses);
+    for (version, count) in [(2, 1_400), (3, 4_200), (4, 5_600)] {
+        site.standin.put_config_with_routes(version, &pools, count);
+        let time = time_to_force(&site, version, APPLY_LIMIT).await;
+        assert!(
+            time.is_some(),
+            "{count} routes are not in force after {APPLY_LIMIT:?}"
+        );
+    }
+}
--- a/crates/tanager-service/src/config_reads.rs
+++ b/crates/tanager-service/src/config_reads.rs
@@ -46,9 +46,10 @@
     /// Records the result of a read that began at `started`.
     pub fn record(&self, started: Duration, is_successful: bool) {
         self.times.send_modify(|times| {
-            times.attempted_at = Some(started);
+            // A read of a peer that answers this one may be older than the last one of this node.
+            times.attempted_at = times.attempted_at.max(Some(started));
             if is_successful {
-                times.verified_at = Some(started);
+                times.verified_at = times.verified_at.max(Some(started));
             }
         });
     }
--- a/crates/tanager-service/src/context.rs
+++ b/crates/tanager-service/src/context.rs
@@ -35,6 +35,7 @@
 use crate::membership::NODE_DEATH_TIMEOUT;
 use crate::membership::UNCONFIRMED_LEASE_LIMIT;
 use crate::metrics::NodeMetrics;
+use crate::operator_copy::OperatorCopy;
 use crate::peers::PeerClient;
 use crate::queue_pools::QueuePools;
 use crate::records::Incarnation;
@@ -93,6 +94,8 @@
     pub owner_read_requested: Notify,
     /// Reads of the operator's table.
     pub(crate) config_reads: Arc<ConfigReads>,
+    /// Rows of the operator's table, for peers.
+    operator_copy: Mutex<OperatorCopy>,
     /// Which pools may have jobs of each queue.
     pub(crate) queue_pools: QueuePools,
     /// Wakes the task that acquires cells.
@@ -151,6 +154,7 @@
             peers,
             owner_read_requested: Notify::new(),
             config_reads,
+            operator_copy: Mutex::default(),
             queue_pools: QueuePools::default(),
             owners_changed: Notify::new(),
             skipped_rows: SkippedRows::default(),
@@ -167,6 +171,11 @@
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the rows of the operator's table that peers get.
+    pub(crate) fn operator_copy(&self) -> MutexGuard<'_, OperatorCopy> {
+        (self.operator_copy.lock()).unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the time on the clock of this process.
     pub(crate) fn node_time(&self) -> NodeTime {
         NodeTime::new(self.incarnation, self.clock.now())
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -121,6 +121,7 @@
     CountMetric store_calls "Calls to the store";
     CountMetric store_failures "Calls to the store that failed";
     CountMetric reads_failed "Regular reads of tables of the store that failed";
+    CountMetric copies_read "Reads of the operator's table that peers answered from what they had read";
     CountMetric store_relayed "Calls to the store made through a peer";
     CountMetric transactions_rejected "Transactions of ledgers that the store rejected as they were";
     CountMetric rows_set_aside "Rows of ledgers that the store rejected alone and that are not written for a while";
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -20,6 +20,8 @@
 use crate::allowance_exchange;
 use crate::call_guard;
 use crate::context::NodeContext;
+use crate::copied_reads;
+use crate::copied_reads::COPY_PATH;
 use crate::job_api;
 use crate::loop_lag;
 use crate::peers;
@@ -197,6 +199,10 @@
             Ok(call) => relay(&context, &call).await,
             Err(error) => invalid(error),
         },
+        COPY_PATH => match copied_reads::answer(&context, &request.body) {
+            Ok(response) => response,
+            Err(error) => invalid(error),
+        },
         peers::DRAIN_PATH => match peers::decode_request::<DrainRequest>(&request.body) {
             Ok(call) => match context.cell(&call.cell) {
                 Some(cell) if call.home.as_ref().is_none_or(|home| cell.is_home(home)) => {
--- a/crates/tanager-service/src/operator_watch.rs
+++ b/crates/tanager-service/src/operator_watch.rs
@@ -14,12 +14,15 @@
 
 use crate::config_report;
 use crate::context::NodeContext;
+use crate::copied_reads::CopyReader;
+use crate::copied_reads::NextRead;
+use crate::copied_reads::PeerRead;
 use crate::table_watch::READ_PERIOD;
 use crate::table_watch::TableRead;
 use crate::table_watch::WatchedTable;
 
-/// Interval between a failed read and the next one in a deployment with workspaces: a withdrawn key
-/// must be refused within 2 s, and the first reads through a peer may fail too.
+/// Interval between a failed read and the next one while calls to the store are relayed: peers answer from
+/// memory. It also holds in a deployment with workspaces: a withdrawn key must be refused within 2 s.
 const RETRY_PERIOD: Duration = Duration::from_millis(150);
 
 impl NodeContext {
@@ -49,24 +52,18 @@
 /// Reads the table regularly, and at once when a request asks for it.
 pub(crate) async fn watch_operator(context: Arc<NodeContext>) -> Infallible {
     let mut table = WatchedTable::new(OPERATOR_TABLE, true);
+    let mut copies = CopyReader::default();
     let mut had_refused_keys = false;
     loop {
-        let started = context.clock.now();
-        let read = table.read(&context).await;
-        let is_successful = read.is_some();
-        if let Some(TableRead::Full(rows) | TableRead::Changed(rows)) = read {
-            for row in rows {
-                apply_operator_row(&context, &row, started);
-            }
-        }
-        context.config_reads.record(started, is_successful);
+        let is_successful = read_operator_rows(&context, &mut table, &mut copies).await;
         let refuses_keys = context.refuses_keys();
         if refuses_keys != had_refused_keys {
             had_refused_keys = refuses_keys;
             let age = (context.config_reads).verified_age(context.clock.now());
             log::warn!("event=config_unverified refuses_keys={refuses_keys} age={age:?}");
         }
-        let pause = match !is_successful && context.has_workspaces() {
+        let is_urgent = context.has_workspaces() || context.store_access.is_relaying();
+        let pause = match !is_successful && is_urgent {
             true => RETRY_PERIOD,
             false => READ_PERIOD,
         };
@@ -74,6 +71,53 @@
     }
 }
 
+/// Reads the table from a peer or from the store, and applies what is new. Returns whether that succeeded.
+async fn read_operator_rows(
+    context: &Arc<NodeContext>,
+    table: &mut WatchedTable,
+    copies: &mut CopyReader,
+) -> bool {
+    let started = context.clock.now();
+    if let Some(read) = copies.read(context, table.version()).await {
+        let PeerRead {
+            copy,
+            complete_at,
+            next,
+        } = read;
+        let is_current = next == NextRead::None;
+        table.advance(copy.version, is_current.then(|| context.clock.now()));
+        apply_rows(context, &copy.rows, started);
+        (context.operator_copy()).record(copy.rows, copy.version, complete_at);
+        context.config_reads.record(complete_at, true);
+        if next != NextRead::Store {
+            return is_current;
+        }
+    }
+    let started = context.clock.now();
+    let read = table.read(context).await;
+    let is_successful = read.is_some();
+    if let Some(read) = read {
+        let (rows, is_full) = match read {
+            TableRead::Full(rows) => (rows, true),
+            TableRead::Changed(rows) => (rows, false),
+        };
+        apply_rows(context, &rows, started);
+        let mut copy = context.operator_copy();
+        if is_full {
+            copy.clear();
+        }
+        copy.record(rows, table.version(), started);
+    }
+    context.config_reads.record(started, is_successful);
+    is_successful
+}
+
+fn apply_rows(context: &Arc<NodeContext>, rows: &[TableRow], started: Duration) {
+    for row in rows {
+        apply_operator_row(context, row, started);
+    }
+}
+
 /// Applies a row of a read that began at `started`.
 fn apply_operator_row(context: &Arc<NodeContext>, row: &TableRow, started: Duration) {
     let key = &row.name.key;
--- a/crates/tanager-service/src/relay_state.rs
+++ b/crates/tanager-service/src/relay_state.rs
@@ -173,9 +173,23 @@
         is_probe_due
     }
 
+    /// Returns whether calls are relayed now.
+    pub fn is_relaying(&self, now: Duration) -> bool {
+        now < self.relay_until
+    }
+
+    /// Returns the peers that may be asked for what they have read, the one that worked last first.
+    pub fn usable_peers(&self, now: Duration) -> Vec<SocketAddr> {
+        let others = (self.relays.iter()).filter(|peer| Some(**peer) != self.working_relay);
+        (self.working_relay.iter().chain(others))
+            .filter(|peer| (self.failed_relays.get(*peer)).is_none_or(|until| now >= *until))
+            .copied()
+            .collect()
+    }
+
     /// Returns the peer through which to send a call now; `None` for a direct call.
     pub fn pick_relay(&mut self, now: Duration) -> Option<SocketAddr> {
-        if now >= self.relay_until {
+        if !self.is_relaying(now) {
             return None;
         }
         if self.working_relay.is_some() {
--- a/crates/tanager-service/src/store_access.rs
+++ b/crates/tanager-service/src/store_access.rs
@@ -77,6 +77,16 @@
         self.lock().set_relays(relays);
     }
 
+    /// Returns whether calls are relayed now.
+    pub fn is_relaying(&self) -> bool {
+        self.lock().is_relaying(self.clock.now())
+    }
+
+    /// Returns the peers that may be asked for what they have read; see [`RelayState::usable_peers`].
+    pub fn usable_peers(&self) -> Vec<SocketAddr> {
+        self.lock().usable_peers(self.clock.now())
+    }
+
     /// Returns whether the last direct call failed.
     pub fn is_failing(&self) -> bool {
         self.lock().is_failing()
--- a/crates/tanager-service/src/table_watch.rs
+++ b/crates/tanager-service/src/table_watch.rs
@@ -27,6 +27,7 @@
 use crate::owner_rows::apply_owner_row;
 use crate::queue_pool_rows::watch_queues;
 use crate::read_health::HealthReport;
+use crate::read_health::Outage;
 use crate::read_health::ReadHealth;
 use crate::records::CELL_TABLE;
 use crate::records::NODE_TABLE;
@@ -106,13 +107,7 @@
         let now = context.clock.now();
         let report = self.health.record(started, now, result.is_ok());
         if let Some(HealthReport::Current(outage)) = report {
-            log::info!(
-                "event=table_current table={} after={:?} failures={} row={}",
-                self.name,
-                outage.age,
-                outage.failures,
-                self.version()
-            );
+            self.log_current(&outage);
         }
         let error = match result {
             Ok(read) => return Some(read),
@@ -136,6 +131,26 @@
         None
     }
 
+    /// Takes the version as of which rows that a peer has read are complete. `read_at` is the time of a
+    /// read that replaces one of the store.
+    pub(crate) fn advance(&mut self, version: RowVersion, read_at: Option<Duration>) {
+        self.after = Some(version.max(self.version()));
+        let report = read_at.and_then(|now| self.health.record(now, now, true));
+        if let Some(HealthReport::Current(outage)) = report {
+            self.log_current(&outage);
+        }
+    }
+
+    fn log_current(&self, outage: &Outage) {
+        log::info!(
+            "event=table_current table={} after={:?} failures={} row={}",
+            self.name,
+            outage.age,
+            outage.failures,
+            self.version()
+        );
+    }
+
     async fn try_read(&mut self, context: &NodeContext) -> TanagerResult<TableRead> {
         if let Some(after) = self.after {
             match context.store.feed(self.name, after, READ_TIMEOUT).await? {
