Keep transactions within what the link carries in time

What callers saw, in a test: no job is accepted for 40 s by a node on a link of 2 Mbit/s once some 100 jobs of 4 KB wait (LOST for those that were told nothing).

A transaction of 100 rows of 4 KB has 533 KB on the wire, 2.1 s at 2 Mbit/s. Its call ends after 1.5 s at most, the outcome is taken for uncertain, and the same transaction is sent again and again. Neither its size nor its time limit followed the link.

Change: the size of a transaction's rows is limited to what the link (limits. link_mbps of the settings) carries in 0.2 s, and to the documented size: 37 KB at 2 Mbit/s, 187 KB at 10, 600 KB from 32 Mbit/s on; a larger row goes alone. The limit of a call is longer by the time that the link needs for its rows. Statistics and queues' pools are divided in the same way. A longer time limit alone would leave a dead store unnoticed for seconds, and heartbeats would wait behind each transaction.

The test's link limits requests as well as responses now.

--- a/crates/tanager-node/tests/jobs/link.rs
+++ b/crates/tanager-node/tests/jobs/link.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Rate of a link that all its connections share.
+/// Rate of one direction of a link, which all its connections share.
 struct LinkRate {
     bytes_per_second: f64,
     /// Time at which the bytes sent so far have passed the link.
@@ -54,6 +54,13 @@
 }
 
 impl LinkRate {
+    fn new(bits_per_second: f64) -> Self {
+        Self {
+            bytes_per_second: bits_per_second / 8.0,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
     /// Waits until bytes that are sent now have passed the link.
     async fn pass(&self, bytes: usize) {
         let passed_at = {
@@ -82,7 +89,7 @@
         Self::bind_with_rate(target, f64::INFINITY).await
     }
 
-    /// Binds a link that carries responses at a rate in bits per second.
+    /// Binds a link that carries requests and responses each at a rate in bits per second.
     pub(crate) async fn bind_with_rate(target: SocketAddr, bits_per_second: f64) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("bind");
         let address = listener.local_addr().expect("address");
@@ -91,17 +98,16 @@
         let (subscriber, counter) = (mode.clone(), Arc::clone(&waiting_writes));
         let connections = watch::Sender::new(0);
         let opened = connections.clone();
-        let rate = Arc::new(LinkRate {
-            bytes_per_second: bits_per_second / 8.0,
-            free_at: Mutex::new(Instant::now()),
-        });
+        let [request_rate, response_rate] =
+            [(); 2].map(|()| Arc::new(LinkRate::new(bits_per_second)));
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 opened.send_modify(|count| *count += 1);
                 let connection = LinkConnection {
                     mode: subscriber.subscribe(),
                     waiting_writes: Arc::clone(&counter),
-                    rate: Arc::clone(&rate),
+                    request_rate: Arc::clone(&request_rate),
+                    response_rate: Arc::clone(&response_rate),
                 };
                 tokio::spawn(connection.serve(client, target));
             }
@@ -141,7 +147,8 @@
 struct LinkConnection {
     mode: watch::Receiver<LinkMode>,
     waiting_writes: Arc<AtomicUsize>,
-    rate: Arc<LinkRate>,
+    request_rate: Arc<LinkRate>,
+    response_rate: Arc<LinkRate>,
 }
 
 impl LinkConnection {
@@ -168,6 +175,7 @@
         loop {
             let mode = *self.mode.borrow_and_update();
             if !held.is_empty() && !mode.holds_request(&held) {
+                self.request_rate.pass(held.len()).await;
                 if to.write_all(&held).await.is_err() {
                     return;
                 }
@@ -217,7 +225,7 @@
             if length == 0 || self.mode.wait_for(is_forwarded).await.is_err() {
                 return;
             }
-            self.rate.pass(length).await;
+            self.response_rate.pass(length).await;
             if to.write_all(&buffer[..length]).await.is_err() {
                 return;
             }
--- a/crates/tanager-node/tests/jobs/slow_link.rs
+++ b/crates/tanager-node/tests/jobs/slow_link.rs
@@ -1,5 +1,6 @@
 //! Nodes whose link to the store is slow, with rows that take long to read.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,8 @@
 use crate::POOL;
 use crate::harness::JobSite;
 use crate::harness::NodeProcess;
+use crate::harness::job_of_steps;
+use crate::harness::new_job_id;
 use crate::harness::pool;
 use crate::link::LinkMode;
 use crate::link::NetworkLink;
@@ -25,6 +28,11 @@
 /// Time after its start from which a node must be ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// Number of jobs of 4 KB, which take 3.5 s to store over the slowest link.
+const JOBS: usize = 150;
+/// Time within which these jobs must be accepted. Clients wait up to 3 s and ask again.
+const STORE_LIMIT: Duration = Duration::from_secs(15);
+
 /// Starts nodes whose links to the store have these rates in bits per second.
 async fn slow_site(rates: &[f64]) -> (JobSite, Vec<NetworkLink>) {
     let pools = [pool(POOL, 2)];
@@ -150,3 +158,26 @@
         );
     }
 }
+
+/// Guards against a cell that stores nothing any more because a transaction takes longer to send than its
+/// call may take, and is sent again and again (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn many_large_jobs_are_stored_over_a_slow_link() {
+    let (site, _links) = slow_site(&[SLOWEST_LINK]).await;
+    let site = Arc::new(site);
+    let specification = format!("ms=20 {}", "x".repeat(3_900));
+    let submissions: Vec<_> = (0..JOBS)
+        .map(|_| {
+            let (site, body) = (Arc::clone(&site), job_of_steps(&[1], &specification));
+            tokio::spawn(async move { site.submit(0, POOL, &new_job_id(), &body).await })
+        })
+        .collect();
+    let start = Instant::now();
+    for submission in submissions {
+        assert!(submission.await.expect("no panic"), "a job is not accepted");
+        assert!(
+            start.elapsed() < STORE_LIMIT,
+            "jobs are accepted too slowly"
+        );
+    }
+}
--- a/crates/tanager-service/src/batch_limits.rs
+++ b/crates/tanager-service/src/batch_limits.rs
@@ -2,11 +2,13 @@
 //!
 //! Load: a surge on a cell with hundreds of workers, where the rows that wait to be stored exceed
 //! what the store accepts in one transaction. A transaction that the store rejects for its size is
-//! never applied, so it must be cut, or the cell would store nothing any more.
+//! never applied, so it must be cut, or the cell would store nothing any more. The same holds for one that
+//! a slow link does not carry within the time limit of the call.
 
-use tanager_site::store::MAX_BYTES;
 use tanager_site::store::MAX_ENTRIES;
 
+use crate::transfer_time::max_transaction_bytes;
+
 /// Limits of the next transaction.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BatchLimits {
@@ -14,6 +16,8 @@
     entries: usize,
     /// Maximum size of the row values, in bytes.
     bytes: usize,
+    /// Size that they grow up to.
+    max_bytes: usize,
 }
 
 /// What may still be added to a transaction.
@@ -25,11 +29,15 @@
 }
 
 impl BatchLimits {
-    /// The limits that the platform documents.
-    pub const DOCUMENTED: Self = Self {
-        entries: MAX_ENTRIES,
-        bytes: MAX_BYTES,
-    };
+    /// Returns the limits that the platform documents, or those of a link with a rate in bytes per second.
+    pub fn for_link(link_rate: Option<f64>) -> Self {
+        let bytes = max_transaction_bytes(link_rate);
+        Self {
+            entries: MAX_ENTRIES,
+            bytes,
+            max_bytes: bytes,
+        }
+    }
 
     /// Halves the limits after the store rejected a transaction.
     pub fn shrink(&mut self) {
@@ -37,10 +45,10 @@
         self.bytes = (self.bytes / 2).max(1);
     }
 
-    /// Doubles the limits, up to the documented ones, after a transaction was applied.
+    /// Doubles the limits, up to the initial ones, after a transaction was applied.
     pub fn grow(&mut self) {
-        self.entries = (self.entries * 2).min(Self::DOCUMENTED.entries);
-        self.bytes = (self.bytes * 2).min(Self::DOCUMENTED.bytes);
+        self.entries = (self.entries * 2).min(MAX_ENTRIES);
+        self.bytes = (self.bytes * 2).min(self.max_bytes);
     }
 
     /// Returns the room beside entries that every transaction has. There is always room for one
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -51,6 +51,7 @@
 use crate::sibling_loads::SiblingLoads;
 use crate::statistics_loop;
 use crate::statistics_loop::StatisticsTarget;
+use crate::transfer_time::max_transaction_bytes;
 
 /// Maximum number of concurrent orders to one worker. Each needs a connection, and a worker accepts
 /// 64 connections in total.
@@ -184,6 +185,7 @@
             store: self.context.store.clone(),
             cell: self.name.clone(),
             owner_version: self.token,
+            max_bytes: max_transaction_bytes(self.context.settings.link_rate),
         };
         let cell = Arc::clone(self);
         let read_rows = move || {
--- a/crates/tanager-service/src/independent_rows.rs
+++ b/crates/tanager-service/src/independent_rows.rs
@@ -8,7 +8,6 @@
 use tanager_protocol::error::TanagerError;
 use tanager_protocol::error::TanagerResult;
 use tanager_site::store::ChangeResult;
-use tanager_site::store::MAX_BYTES;
 use tanager_site::store::RowName;
 use tanager_site::store::RowVersion;
 use tanager_site::store::TableChange;
@@ -77,15 +76,16 @@
 }
 
 /// Writes rows under conditions that each transaction repeats. An attempt without an answer is repeated
-/// with the next of `timeouts`. Stops at the first transaction that is neither applied nor rejected.
+/// with the next of `timeouts`. The rows of a transaction have `max_bytes` at most, unless one alone is larger. Stops at the first transaction that is neither applied nor rejected.
 pub async fn write_rows(
     store: &TableStore,
     expect: &[(RowName, RowVersion)],
     rows: Vec<WrittenRow>,
     timeouts: &[Duration],
+    max_bytes: usize,
 ) -> WriteReport {
     let mut report = WriteReport::default();
-    let mut groups = divide(rows);
+    let mut groups = divide(rows, max_bytes);
     groups.reverse();
     while let Some(mut group) = groups.pop() {
         let change = TableChange {
@@ -122,13 +122,13 @@
 }
 
 /// Divides rows among transactions that the store accepts.
-fn divide(rows: Vec<WrittenRow>) -> Vec<Vec<WrittenRow>> {
+fn divide(rows: Vec<WrittenRow>, max_bytes: usize) -> Vec<Vec<WrittenRow>> {
     let mut groups: Vec<Vec<WrittenRow>> = Vec::new();
     let mut bytes = 0;
     for row in rows {
         let size = row.1.len();
         match groups.last_mut() {
-            Some(group) if group.len() < MAX_ROWS && bytes + size <= MAX_BYTES => {
+            Some(group) if group.len() < MAX_ROWS && bytes + size <= max_bytes => {
                 bytes += size;
                 group.push(row);
             }
--- a/crates/tanager-service/src/ledger_loop.rs
+++ b/crates/tanager-service/src/ledger_loop.rs
@@ -34,6 +34,7 @@
 use crate::queue_pools::QueuePoolRecord;
 use crate::records::CELL_TABLE;
 use crate::records::LEDGER_TABLE;
+use crate::transfer_time::transfer_time;
 use crate::unstorable_rows::RejectionResult;
 use crate::unstorable_rows::RowSelection;
 use crate::unstorable_rows::RowUnit;
@@ -82,7 +83,7 @@
             versions,
             sequence: 0,
         },
-        limits: BatchLimits::DOCUMENTED,
+        limits: BatchLimits::for_link(cell.context.settings.link_rate),
         stored,
         applied_at: None,
         failed_probes: 0,
@@ -316,6 +317,9 @@
     let mut attempts = 0u32;
     let mut unclear_answers = 0u32;
     let mut timeout = cell.ledger.timeout();
+    let puts = &batch.change.puts;
+    let bytes = puts.iter().map(|(_, value)| value.len()).sum();
+    let send_time = transfer_time(bytes, cell.context.settings.link_rate);
     loop {
         if *cell.closed().borrow() {
             return match earlier {
@@ -323,7 +327,8 @@
                 EarlierAttempts::NotApplied => BatchOutcome::NotApplied,
             };
         }
-        let result = cell.context.store.change(&batch.change, timeout).await;
+        let store = &cell.context.store;
+        let result = store.change(&batch.change, timeout + send_time).await;
         timeout = (timeout * 2).min(MAX_TIMEOUT);
         attempts += 1;
         let answer = match &result {
@@ -498,7 +503,7 @@
     return_batch(cell, batch, earlier);
     match result {
         RejectionResult::SetAside { unit, rejections } => {
-            state.limits = BatchLimits::DOCUMENTED;
+            state.limits = BatchLimits::for_link(cell.context.settings.link_rate);
             cell.context.metrics.rows_set_aside.increment();
             log::error!(
                 "event=row_set_aside cell={} token={} unit={unit} bytes={bytes} rejections={rejections}",
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod supervision;
 pub mod table_watch;
 pub mod takeover;
+pub mod transfer_time;
 pub mod unstorable_rows;
 pub mod view;
 mod vm_orders;
--- a/crates/tanager-service/src/operator_copy.rs
+++ b/crates/tanager-service/src/operator_copy.rs
@@ -19,6 +19,8 @@
 use tanager_site::store::RowVersion;
 use tanager_site::store::TableRow;
 
+use crate::transfer_time::transfer_time;
+
 /// Age of a copy up to which it replaces a read of the store. Nodes that read the store every 0.5 s have such
 /// copies; those of nodes that read copies themselves are mostly older.
 pub const MAX_COPY_AGE: Duration = Duration::from_millis(700);
@@ -28,8 +30,6 @@
 /// Time that a transfer of the operator's rows from the store may take before a copy is preferred. Other
 /// calls wait behind it on the link.
 const MAX_DIRECT_TRANSFER: Duration = Duration::from_millis(250);
-/// Size of a row in a response of the store, which encodes it in Base64, relative to the row itself.
-const ENCODED_SIZE: f64 = 4.0 / 3.0;
 
 /// Rows of the operator's table.
 #[derive(Debug, Default)]
@@ -238,6 +238,5 @@
 /// anyway, and if the link of this node carries the largest row too slowly. `link_rate` is in bytes per
 /// second, `None` if it is not known.
 pub fn prefers_copies(is_relaying: bool, link_rate: Option<f64>, largest_row: usize) -> bool {
-    let transfer_s = link_rate.map(|rate| largest_row as f64 * ENCODED_SIZE / rate);
-    is_relaying || transfer_s.is_some_and(|seconds| seconds > MAX_DIRECT_TRANSFER.as_secs_f64())
+    is_relaying || transfer_time(largest_row, link_rate) > MAX_DIRECT_TRANSFER
 }
--- a/crates/tanager-service/src/queue_pool_rows.rs
+++ b/crates/tanager-service/src/queue_pool_rows.rs
@@ -22,6 +22,7 @@
 use crate::table_watch::TableRead;
 use crate::table_watch::WatchedTable;
 use crate::table_watch::read_pools;
+use crate::transfer_time::max_transaction_bytes;
 
 /// Time limits of the attempts to write rows. A transaction takes about 15 ms, and 60 times as long
 /// if the store is slow; the second attempt follows after a lost response.
@@ -76,7 +77,10 @@
             .map(|record| Ok((record.row(), encode_record(record)?)))
             .collect();
         let report = match rows {
-            Ok(rows) => write_rows(&self.store, &[], rows, &WRITE_TIMEOUTS).await,
+            Ok(rows) => {
+                let max_bytes = max_transaction_bytes(self.settings.link_rate);
+                write_rows(&self.store, &[], rows, &WRITE_TIMEOUTS, max_bytes).await
+            }
             Err(error) => {
                 log::error!("event=record_not_encoded error={error:?}");
                 return missing;
--- a/crates/tanager-service/src/statistics_loop.rs
+++ b/crates/tanager-service/src/statistics_loop.rs
@@ -29,6 +29,8 @@
     pub(crate) cell: String,
     /// Version of the owner row: a former owner stores nothing.
     pub(crate) owner_version: RowVersion,
+    /// Maximum size of the rows of a transaction, in bytes.
+    pub(crate) max_bytes: usize,
 }
 
 /// Row as it was last written.
@@ -66,7 +68,7 @@
         let hashes: HashMap<RowName, u64> = (rows.iter())
             .map(|(name, value)| (name.clone(), xxh3_64(value)))
             .collect();
-        let report = write_rows(&target.store, &expect, rows, &TIMEOUTS).await;
+        let report = write_rows(&target.store, &expect, rows, &TIMEOUTS, target.max_bytes).await;
         for name in report.stored {
             let hash = hashes.get(&name).copied().unwrap_or_default();
             last_writes.insert(name, LastWrite { hash, pause: 0 });
