--- a/crates/tanager-http/src/lib.rs
+++ b/crates/tanager-http/src/lib.rs
@@ -20,4 +20,5 @@
 pub use pool::ClientPool;
 pub use server::HttpServer;
 pub use server::ServerLimits;
+pub use transfer_limits::MIN_LINK_RATE;
 pub use transfer_limits::TransferLimits;
--- a/crates/tanager-http/src/transfer_limits.rs
+++ b/crates/tanager-http/src/transfer_limits.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Minimum rate in bytes per second of transfers over the links of entry VMs: an eighth of the slowest link,
+/// 2 Mbit/s, since several transfers may share it.
+pub const MIN_LINK_RATE: u32 = 32_000;
+
 /// Limits of the time of an exchange.
 ///
 /// A time limit for the whole exchange fails for a response that the link cannot carry in that time,
@@ -26,6 +30,11 @@
         }
     }
 
+    /// Returns the time that the transfer of a body may take at the minimum rate of a link.
+    pub fn slowest_transfer(bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / f64::from(MIN_LINK_RATE))
+    }
+
     /// Returns the time since the start of the exchange at which it has failed, unless more bytes arrive
     /// before. So far `received` bytes of the body have arrived, the last of them at `received_at`.
     pub fn deadline(&self, received: u64, received_at: Duration) -> Duration {
--- a/crates/tanager-platform/src/lib.rs
+++ b/crates/tanager-platform/src/lib.rs
@@ -17,6 +17,8 @@
 use tanager_http::ClientPool;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
+use tanager_http::MIN_LINK_RATE;
+use tanager_http::TransferLimits;
 use tanager_http::pool::PoolLimits;
 use tanager_protocol::error::ErrorKind;
 use tanager_protocol::error::TanagerError;
@@ -144,12 +146,13 @@
 impl PlatformClient {
     /// Creates a client; it connects when it is first used.
     ///
-    /// `timeout` limits the whole of each call.
+    /// `timeout` limits each call, and a larger object may take longer by its size.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         let limits = PoolLimits {
             connect_timeout: timeout,
             max_body: 64 << 20,
             max_connections: 16,
+            min_rate: Some(MIN_LINK_RATE),
             ..PoolLimits::default()
         };
         Self {
@@ -291,8 +294,9 @@
         path: &str,
         body: Vec<u8>,
     ) -> TanagerResult<HttpResponse> {
+        let timeout = self.timeout + TransferLimits::slowest_transfer(body.len());
         let request = HttpRequest::new(method, path, body);
-        let result = self.pool.exchange(&request, self.timeout).await;
+        let result = self.pool.exchange(&request, timeout).await;
         result.map_err(|error| TanagerError { step, ..error })
     }
 
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tanager_http::MIN_LINK_RATE;
 use tanager_http::pool::PoolLimits;
 use tanager_jobs::WorkspaceTable;
 use tanager_jobs::ids::CellName;
@@ -371,6 +372,7 @@
                     connect_timeout: Duration::from_millis(300),
                     max_idle: LINK_IDLE_TIMEOUT,
                     max_connections: MAX_PARALLEL_ORDERS + 2,
+                    min_rate: Some(MIN_LINK_RATE),
                     ..PoolLimits::default()
                 };
                 match WorkerLink::new(&worker.entry.worker, worker.entry.address, limits) {
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -21,6 +21,7 @@
 use serde::Serialize;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
+use tanager_http::MIN_LINK_RATE;
 use tanager_http::pool::ClientPool;
 use tanager_http::pool::PoolLimits;
 use tanager_jobs::JobId;
@@ -47,10 +48,6 @@
 use crate::descriptions::JobDescription;
 use crate::descriptions::WorkspaceLoad;
 
-/// Rate in bytes per second at which the body of a response of the store or of another node must arrive,
-/// beyond the time limit of the call: an eighth of the slowest link of an entry VM, since several
-/// transfers may share it.
-pub(crate) const MIN_TRANSFER_RATE: u32 = 32_000;
 /// Largest response of the store or of another node, in bytes. Rows of the operator are not limited; this
 /// is a tenth of the memory of the smallest entry VM, and decoding takes several times as much.
 pub(crate) const MAX_RESPONSE: usize = 16 << 20;
@@ -360,7 +357,7 @@
                 max_idle: Duration::from_secs(8),
                 max_connections: 16,
                 max_body: MAX_RESPONSE,
-                min_rate: Some(MIN_TRANSFER_RATE),
+                min_rate: Some(MIN_LINK_RATE),
                 ..PoolLimits::default()
             };
             Arc::new(ClientPool::new(address, limits))
--- a/crates/tanager-service/src/store_access.rs
+++ b/crates/tanager-service/src/store_access.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use tanager_http::HttpRequest;
 use tanager_http::HttpResponse;
+use tanager_http::MIN_LINK_RATE;
 use tanager_http::pool::ClientPool;
 use tanager_http::pool::PoolLimits;
 use tanager_protocol::error::ErrorKind;
@@ -19,7 +20,6 @@
 use crate::clock::NodeClock;
 use crate::metrics::NodeMetrics;
 use crate::peers::MAX_RESPONSE;
-use crate::peers::MIN_TRANSFER_RATE;
 use crate::peers::PeerClient;
 use crate::relay_calls::RelayReply;
 use crate::relay_calls::RelayedCall;
@@ -54,7 +54,7 @@
             max_idle: Duration::from_secs(8),
             max_connections: 16,
             max_body: MAX_RESPONSE,
-            min_rate: Some(MIN_TRANSFER_RATE),
+            min_rate: Some(MIN_LINK_RATE),
             ..PoolLimits::default()
         };
         let access = Arc::new(Self {
