Refuse requests while other nodes have a newer configuration for too long

What callers saw: a removed route that still answers, or 404 for a new one, at a node that could not read the configuration in time. The node knew neither that it was behind, nor since when: without workspaces only the age of its reads was known, which says the same when the store is away for all.

Change: responses between nodes have a header with the version in force at their sender and for how long (x-config). A node that hears of a newer version reads the table at once, once for each version. If some node has had one for the time within which it must be in force (configuration_apply_ms of the settings), less a second in which that node may have been late itself, this one refuses requests with 503 and Retry-After and is not ready, until it has the version. A client's next try goes to another node, which is likely to have it. While no node has a newer version, as when the store is away for all, all go on by the one that they have.

Other ways weighed: versions in the heartbeat rows are read by nodes of former versions as unusable rows, and arrive up to 1.5 s late; refusing by the age of the last read would stop all nodes when the store is away. The header costs 20 bytes a response. A node without any call to another one learns nothing.

Log: config_behind, begin and end; tanager_requests_outdated.

--- a/crates/tanager-node/tests/jobs/slow_link.rs
+++ b/crates/tanager-node/tests/jobs/slow_link.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::Method;
 use serde_json::json;
 use tanager_standin::site::SiteStandin;
 use tokio::time;
@@ -11,6 +12,7 @@
 use crate::POOL;
 use crate::harness::JobSite;
 use crate::harness::NodeProcess;
+use crate::harness::eventually;
 use crate::harness::job_of_steps;
 use crate::harness::new_job_id;
 use crate::harness::pool;
@@ -21,10 +23,14 @@
 const SLOW_LINK: f64 = 10e6;
 /// Fastest link of an entry VM with slow ones beside it, in bits per second.
 const FAST_LINK: f64 = 200e6;
+/// Rate of a link that is far slower than any that an entry VM has, in bits per second.
+const UNKNOWN_LINK: f64 = 0.6e6;
 /// Slowest link of an entry VM in a small deployment, in bits per second.
 const SLOWEST_LINK: f64 = 2e6;
 /// Time within which a new configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_secs(3);
+/// The same where the settings do not say it.
+const DEFAULT_APPLY_LIMIT: Duration = Duration::from_secs(2);
 /// Time after its start from which a node must be ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
@@ -181,3 +187,43 @@
         );
     }
 }
+
+/// Guards against requests that are handled by an old configuration for as long as the transfer of the new one
+/// takes, although other nodes have it (CONFIG).
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_is_behind_refuses_requests() {
+    let pools = [pool(POOL, 2)];
+    let standin = SiteStandin::spawn(&pools).await.expect("stand-in");
+    standin.put_config(1, &pools);
+    let nodes = vec![NodeProcess::spawn(&standin, "node-0", "")];
+    let mut site = JobSite { standin, nodes };
+    site.wait_until_owned(&pools).await;
+    // The settings do not name the rate, so the node reads the row from the store, for some 20 s.
+    let link = NetworkLink::bind_with_rate(site.standin.store_address(), UNKNOWN_LINK).await;
+    let node = NodeProcess::spawn_with_store(&site.standin, "node-1", link.address, "");
+    site.nodes.push(node);
+    site.wait_until_owned(&pools).await;
+    site.standin.put_config_with_routes(2, &pools, 5_600);
+    let start = Instant::now();
+    let mut refusals = 0;
+    while refusals < 20 {
+        let sent_at = start.elapsed();
+        let response = site.request(1, Method::GET, &format!("/{POOL}/"), "").await;
+        let status = response.expect("a response").status.as_u16();
+        assert!(
+            status == 503 || sent_at < DEFAULT_APPLY_LIMIT,
+            "{status} after {sent_at:?}"
+        );
+        refusals += u32::from(status == 503);
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(!site.nodes[1].is_ready().await, "it takes new connections");
+    eventually("the new configuration is in force", async || {
+        let response = site.request(1, Method::GET, &format!("/{POOL}/"), "").await;
+        response.is_some_and(|response| response.status.as_u16() == 200)
+    })
+    .await;
+    let dump = site.nodes[1].dump().await.expect("a dump");
+    assert_eq!(dump["config_version"], 2);
+    assert!(site.nodes[1].is_ready().await);
+}
--- a/crates/tanager-service/src/config_reads.rs
+++ b/crates/tanager-service/src/config_reads.rs
@@ -1,11 +1,19 @@
 //! When the operator's table was read, which decides whether keys are accepted.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::peer_versions::PeerVersions;
+use crate::peer_versions::VersionInForce;
+
 /// Time since the start of the last read from which requests wait for the next one. A version that was
 /// stored before this time must be in force, within 2 s. Reads start every 0.5 s, so this happens
 /// after a suspension of the process or while each read takes long.
@@ -14,10 +22,13 @@
 /// second while the store is slow.
 const STALL_WAIT: Duration = Duration::from_millis(500);
 
-/// Reads of the operator's table.
+/// Reads of the operator's table, and what other nodes have read.
 #[derive(Debug)]
 pub struct ConfigReads {
     times: watch::Sender<ReadTimes>,
+    peers: Mutex<PeerVersions>,
+    /// Whether requests were refused last because this node is behind.
+    is_behind: AtomicBool,
     /// Asks for a read now.
     pub(crate) requested: Notify,
 }
@@ -29,14 +40,16 @@
     attempted_at: Option<Duration>,
     /// Last successful read.
     verified_at: Option<Duration>,
-    /// Version of the configuration in force.
-    version: Option<u64>,
+    /// Version of the configuration in force, and the time since which it is.
+    version: Option<(u64, Duration)>,
 }
 
 impl Default for ConfigReads {
     fn default() -> Self {
         Self {
             times: watch::Sender::new(ReadTimes::default()),
+            peers: Mutex::default(),
+            is_behind: AtomicBool::new(false),
             requested: Notify::new(),
         }
     }
@@ -54,15 +67,56 @@
         });
     }
 
-    /// Records the version of a configuration that is in force now.
-    pub fn record_version(&self, version: u64) {
+    /// Records the version of a configuration that is in force from now on.
+    pub fn record_version(&self, version: u64, now: Duration) {
         self.times
-            .send_modify(|times| times.version = Some(version));
+            .send_modify(|times| times.version = Some((version, now)));
+        self.peers().take(version);
     }
 
     /// Returns the version of the configuration in force; `None` if there is none yet.
     pub fn version(&self) -> Option<u64> {
-        self.times.borrow().version
+        self.times.borrow().version.map(|(version, _)| version)
+    }
+
+    /// Returns what this node tells others about the configuration in force.
+    pub(crate) fn in_force(&self, now: Duration) -> Option<VersionInForce> {
+        let (version, since) = self.times.borrow().version?;
+        let age = now.saturating_sub(since);
+        Some(VersionInForce { version, age })
+    }
+
+    /// Records what another node has in force. The first time that a version is heard of, the table is
+    /// read at once.
+    pub(crate) fn record_peer(&self, peer: VersionInForce, now: Duration) {
+        let is_newer = self.version().is_none_or(|version| peer.version > version);
+        if is_newer && self.peers().record(peer, now) {
+            self.requested.notify_one();
+        }
+    }
+
+    /// Returns whether this node must not serve by its configuration, because others have had a newer one for
+    /// so long that it must be in force here, within `limit` after the store acknowledged it.
+    pub(crate) fn is_behind(&self, now: Duration, limit: Duration) -> bool {
+        let overdue = self.peers().overdue(now, limit);
+        let is_behind = overdue.is_some();
+        if self.is_behind.swap(is_behind, Ordering::Relaxed) != is_behind {
+            let version = self.version();
+            match overdue {
+                Some(peer) => log::warn!(
+                    "event=config_behind refuses=true version={version:?} newer={} age={:?} verified={:?}",
+                    peer.version,
+                    peer.age,
+                    self.verified_age(now)
+                ),
+                None => log::info!("event=config_behind refuses=false version={version:?}"),
+            }
+        }
+        is_behind
+    }
+
+    fn peers(&self) -> MutexGuard<'_, PeerVersions> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the time since the start of the last successful read; `None` before the first one. A
--- a/crates/tanager-service/src/context.rs
+++ b/crates/tanager-service/src/context.rs
@@ -127,7 +127,7 @@
             clock,
         }));
         let metrics = Arc::new(metrics);
-        let peers = Arc::new(PeerClient::new(clock));
+        let peers = Arc::new(PeerClient::new(clock, Arc::clone(&config_reads)));
         let (store_access, store) = StoreAccess::open(
             settings.store.address,
             clock,
@@ -315,6 +315,9 @@
         let Some(config) = &view.config else {
             return false;
         };
+        if self.is_config_behind() {
+            return false;
+        }
         let has_pools = (config.pools.values())
             .filter(|pool| !pool.spare)
             .all(|pool| view.pools.contains_key(&pool.name));
--- a/crates/tanager-service/src/job_api.rs
+++ b/crates/tanager-service/src/job_api.rs
@@ -56,6 +56,11 @@
 pub async fn handle(context: Arc<NodeContext>, request: HttpRequest) -> HttpResponse {
     let deadline = context.clock.now() + client_timeout(&request);
     context.wait_for_config_read().await;
+    if context.is_config_behind() {
+        context.metrics.requests_outdated.increment();
+        let reason = "a newer configuration is in force on other nodes";
+        return refusal(StatusCode::SERVICE_UNAVAILABLE, 1, reason);
+    }
     // Another node may accept a job that this one would let wait; nobody but the client asks again for
     // the others.
     if request.method != Method::POST {
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod operator_watch;
 mod order_gate;
 mod owner_rows;
+pub mod peer_versions;
 pub mod peers;
 pub mod progress_rows;
 pub mod question_log;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -129,6 +129,7 @@
     CountMetric cells_taken "Cells taken";
     CountMetric cells_merged "Cells of this node that were merged into another one of their pool";
     CountMetric cells_lost "Cells lost to another node or given up";
+    CountMetric requests_outdated "Requests refused because other nodes have had a newer configuration for too long";
     CountMetric keys_rejected "Requests without a key, or with one that no workspace has";
     CountMetric keys_unverified "Requests with a key that came while the configuration was unverified";
     CountMetric access_refused "Requests about a job of another workspace";
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -164,6 +164,13 @@
 
 /// Handles a call of another node.
 async fn handle_peer(context: Arc<NodeContext>, request: HttpRequest) -> HttpResponse {
+    let mut response = handle_call(&context, &request).await;
+    let now = context.clock.now();
+    peers::insert_version(&mut response, context.config_reads.in_force(now));
+    response
+}
+
+async fn handle_call(context: &NodeContext, request: &HttpRequest) -> HttpResponse {
     let invalid = |error: tanager_protocol::error::TanagerError| {
         log::warn!(
             "event=peer_call_invalid path={} error={error:?}",
@@ -174,9 +181,9 @@
     match request.path.as_str() {
         peers::CELL_PATH => {
             // Before the call is decoded, since a node that is late has no time to spare.
-            let remaining = peers::remaining_time(&request);
+            let remaining = peers::remaining_time(request);
             let age = largest_age(
-                peers::sent_after(&request),
+                peers::sent_after(request),
                 context.node_time(),
                 context.recent_lag(),
             );
@@ -196,10 +203,10 @@
             peers::encode_cell_response(&response, context.node_time())
         }
         RELAY_PATH => match RelayedCall::decode(&request.body) {
-            Ok(call) => relay(&context, &call).await,
+            Ok(call) => relay(context, &call).await,
             Err(error) => invalid(error),
         },
-        COPY_PATH => match copied_reads::answer(&context, &request.body) {
+        COPY_PATH => match copied_reads::answer(context, &request.body) {
             Ok(response) => response,
             Err(error) => invalid(error),
         },
@@ -213,7 +220,7 @@
             Err(error) => invalid(error),
         },
         peers::ALLOWANCE_PATH => match peers::decode_request::<AllowanceReport>(&request.body) {
-            Ok(report) => peers::encode_response(&allowance_exchange::answer(&context, &report)),
+            Ok(report) => peers::encode_response(&allowance_exchange::answer(context, &report)),
             Err(error) => invalid(error),
         },
         peers::NOTIFY_PATH => {
--- a/crates/tanager-service/src/operator_watch.rs
+++ b/crates/tanager-service/src/operator_watch.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Returns whether requests are refused because other nodes have had a newer configuration for too long.
+    pub(crate) fn is_config_behind(&self) -> bool {
+        let limit = self.settings.durations.config_limit;
+        self.config_reads.is_behind(self.clock.now(), limit)
+    }
+
     /// Returns whether the configuration in force has workspaces.
     pub(crate) fn has_workspaces(&self) -> bool {
         let view = self.view();
@@ -131,7 +137,9 @@
             let is_applied = context.view().apply_config(config);
             if is_applied {
                 context.queue_pools.request_read();
-                context.config_reads.record_version(version);
+                context
+                    .config_reads
+                    .record_version(version, context.clock.now());
                 log::info!(
                     "event=config_taken version={version} row={} bytes={} after={:?}",
                     row.version,
--- a/crates/tanager-service/src/peers.rs
+++ b/crates/tanager-service/src/peers.rs
@@ -43,10 +43,12 @@
 
 use crate::authentication::Caller;
 use crate::clock::NodeClock;
+use crate::config_reads::ConfigReads;
 use crate::cpu_time;
 use crate::cpu_time::Duty;
 use crate::descriptions::JobDescription;
 use crate::descriptions::WorkspaceLoad;
+use crate::peer_versions::VersionInForce;
 
 /// Largest response of the store or of another node, in bytes. Rows of the operator are not limited; this
 /// is a tenth of the memory of the smallest entry VM, and decoding takes several times as much.
@@ -61,6 +63,9 @@
 /// Header of a call with the time that the clock of its receiver had reached when it was sent, and of a
 /// response with the time on the clock of its sender; see [`NodeTime`].
 const CLOCK_HEADER: HeaderName = HeaderName::from_static("x-node-time");
+/// Header of a response with the version of the configuration in force at its sender; see
+/// [`VersionInForce`].
+const CONFIG_HEADER: HeaderName = HeaderName::from_static("x-config");
 /// Path of requests to drain a worker.
 pub const DRAIN_PATH: &str = "/empty";
 /// Path of reports to the allocator.
@@ -334,6 +339,7 @@
 #[derive(Debug)]
 pub struct PeerClient {
     clock: NodeClock,
+    config_reads: Arc<ConfigReads>,
     pools: Mutex<HashMap<SocketAddr, Arc<ClientPool>>>,
     /// Times that the last responses of nodes carried.
     times: Mutex<HashMap<SocketAddr, PeerTime>>,
@@ -341,9 +347,10 @@
 
 impl PeerClient {
     /// Creates a client without connections.
-    pub fn new(clock: NodeClock) -> Self {
+    pub fn new(clock: NodeClock, config_reads: Arc<ConfigReads>) -> Self {
         Self {
             clock,
+            config_reads,
             pools: Mutex::default(),
             times: Mutex::default(),
         }
@@ -462,9 +469,15 @@
     ) -> TanagerResult<HttpResponse> {
         let pool = self.pool(address);
         let result = pool.exchange(request, timeout).await;
-        if result.is_err() {
+        match &result {
+            Ok(response) => {
+                let text = response.header(CONFIG_HEADER.as_str());
+                if let Some(peer) = text.and_then(|text| text.parse().ok()) {
+                    self.config_reads.record_peer(peer, self.clock.now());
+                }
+            }
             // The peer may no longer respond on the other idle connections, either.
-            pool.clear();
+            Err(_) => pool.clear(),
         }
         result
     }
@@ -543,6 +556,15 @@
     }
 }
 
+/// Adds the version of the configuration in force to a response to another node.
+pub(crate) fn insert_version(response: &mut HttpResponse, in_force: Option<VersionInForce>) {
+    // Digits and a space are valid in a header.
+    let value = in_force.and_then(|version| HeaderValue::try_from(version.to_string()).ok());
+    if let Some(value) = value {
+        response.headers.insert(CONFIG_HEADER, value);
+    }
+}
+
 /// Encodes the response to a call to the owner of a cell, at a time on the clock of this node.
 pub fn encode_cell_response(response: &CellResponse, time: NodeTime) -> HttpResponse {
     let mut response = encode_response(response);
--- a/crates/tanager-service/tests/relay_calls.rs
+++ b/crates/tanager-service/tests/relay_calls.rs
@@ -32,7 +32,7 @@
 }
 
 async fn relay(peer: SocketAddr) -> HttpResponse {
-    let peers = PeerClient::new(NodeClock::start());
+    let peers = PeerClient::new(NodeClock::start(), Arc::default());
     let reply = store_call().send(&peers, peer).await;
     match reply.expect("a reply") {
         RelayReply::Response(response) => response,
