--- a/crates/tanager-control/tests/retention.rs
+++ b/crates/tanager-control/tests/retention.rs
@@ -114,13 +114,13 @@
     let platform = FakePlatform::bind().await;
     let cluster = Cluster::default();
     let service = start(&platform, &cluster).await;
-    // Entries past their retention accumulate only while the home cannot verify a snapshot.
-    platform
-        .faults
-        .blocked_object_reads
-        .store(1, Ordering::SeqCst);
+    // Entries past their retention accumulate only while the home cannot verify a snapshot. On a busy machine
+    // a blocked read times out meanwhile, and the next one must be blocked as well.
+    let blocked_reads = &platform.faults.blocked_object_reads;
+    blocked_reads.store(u32::MAX, Ordering::SeqCst);
     append_until(&platform, &service, 260).await;
-    platform.read_permits.add_permits(1);
+    let blocked = u32::MAX - blocked_reads.swap(0, Ordering::SeqCst);
+    platform.read_permits.add_permits(blocked as usize);
     wait_trimmed(&platform, 256).await;
     let versions = stored_versions(&platform);
     assert!(
