Release runs of an incarnation that never reports

Cause: leases count as expired by the worker's clock, which is only known from a report. A run that the new incarnation may have carried out was kept without end.

This owner grants no lease before the first report, so all others are older than the slot.

--- a/crates/tanager-schedule/src/incarnations.rs
+++ b/crates/tanager-schedule/src/incarnations.rs
@@ -111,7 +111,8 @@
             true => self.settings.max_lease,
             false => self.settings.lease,
         };
-        let mut slot = WorkerSlot::new(entry.clone(), assumed_lease);
+        let orders_until = now + self.settings.stale_owner_limit;
+        let mut slot = WorkerSlot::new(entry.clone(), assumed_lease, orders_until);
         slot.incarnation = incarnation;
         let key = self.workers.insert(slot);
         self.caps.expire_cores();
@@ -160,7 +161,8 @@
             self.unconfirmed_workers.insert(id.clone(), end);
             self.await_worker_again(&id, self.settings.max_lease, now);
         }
-        let mut slot = WorkerSlot::new(entry, self.settings.max_lease);
+        let orders_until = now + self.settings.stale_owner_limit;
+        let mut slot = WorkerSlot::new(entry, self.settings.max_lease, orders_until);
         slot.incarnation = self.number_incarnation(&id);
         // A third incarnation may start before these orders are certain to be lost.
         slot.unconfirmed_starts.clone_from(&unconfirmed_starts);
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -133,6 +133,8 @@
     /// Lease that orders before the first report may have granted: orders of a former owner, or
     /// orders to a former incarnation, which had a different clock.
     pub assumed_lease: Duration,
+    /// Time by which these leases have expired if the incarnation never reports.
+    pub unreported_until: Duration,
     /// Time of the last response.
     pub last_contact: Option<Duration>,
     /// Whether the last lease renewal had no response.
@@ -182,8 +184,9 @@
 }
 
 impl WorkerSlot {
-    /// Creates the state of a worker that has not reported yet.
-    pub fn new(entry: WorkerEntry, assumed_lease: Duration) -> Self {
+    /// Creates the state of a worker that has not reported yet. Former orders to it, with leases of up to
+    /// `assumed_lease`, were sent until `orders_until`.
+    pub fn new(entry: WorkerEntry, assumed_lease: Duration, orders_until: Duration) -> Self {
         Self {
             entry,
             incarnation: 0,
@@ -192,6 +195,9 @@
             lease_sent_ms: 0,
             lease_assumed_ms: 0,
             assumed_lease,
+            unreported_until: orders_until
+                + MAX_EXECUTION_DELAY
+                + assumed_lease.mul_f64(1.0 / MIN_CLOCK_RATE),
             last_contact: None,
             renewal_unanswered: false,
             unanswered_orders: 0,
@@ -237,8 +243,11 @@
 
     /// Returns whether all leases granted so far have expired for certain.
     pub fn leases_expired(&self, now: Duration) -> bool {
-        self.min_clock_ms(now)
-            .is_some_and(|clock| clock > self.lease_sent_ms.max(self.lease_assumed_ms))
+        match self.min_clock_ms(now) {
+            Some(clock) => clock > self.lease_sent_ms.max(self.lease_assumed_ms),
+            // Orders that grant a lease follow the first report, so all others are older than this slot.
+            None => now > self.unreported_until,
+        }
     }
 
     /// Returns whether the last lease renewal had no response, for whatever reason.
