Separate the choice of peers for copies from asking them

CopyReader chose peers, judged the age of their copies and paused after failures in the functions that call them, with the node's context. An older copy of the same version no longer makes the rows of a node look older than they are (age_of_a_copy_counts_from_the_read_of_the_store): peers would have read the store once more.

--- a/crates/tanager-service/src/copied_reads.rs
+++ b/crates/tanager-service/src/copied_reads.rs
@@ -15,8 +15,9 @@
 use tokio::time;
 
 use crate::context::NodeContext;
+use crate::copy_sources::CopySources;
+use crate::copy_sources::CopyStatus;
 use crate::operator_copy::CopiedRead;
-use crate::operator_copy::MAX_AWAITED_AGE;
 use crate::operator_copy::prefers_copies;
 use crate::peers::MAX_RESPONSE;
 use crate::peers::PeerClient;
@@ -27,13 +28,8 @@
 pub(crate) const COPY_PATH: &str = "/operator";
 /// Time limit of a call to a peer, which answers from memory.
 const COPY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum number of peers that are asked for one read.
-const MAX_SOURCES: usize = 3;
 /// Time after which peers are asked for what a read of the store has not returned yet, and again.
 const OVERTAKE_PERIOD: Duration = Duration::from_millis(400);
-/// Time for which the store is read after none of them had a current copy.
-const FAILURE_PAUSE: Duration = Duration::from_secs(2);
-
 #[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct CopyRequest {
@@ -44,11 +40,7 @@
 /// Reads rows from peers where that is preferred to reads of the store.
 #[derive(Debug, Default)]
 pub(crate) struct CopyReader {
-    /// Peer that had a current copy last.
-    source: Option<SocketAddr>,
-    /// Number of peers that had none since then. The next ones are asked first.
-    outdated_sources: usize,
-    paused_until: Duration,
+    sources: CopySources,
 }
 
 /// Rows that a peer has read.
@@ -58,19 +50,8 @@
     pub(crate) copy: CopiedRead,
     /// Latest time on the clock of this node as of which the rows are complete for certain.
     pub(crate) complete_at: Duration,
-    /// What remains to be done for a current state.
-    pub(crate) next: NextRead,
-}
-
-/// How a read goes on after a peer has answered it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum NextRead {
-    /// The copy is current.
-    None,
-    /// The store is read for what is newer than the copy.
-    Store,
-    /// The peer is reading the store, which takes long; a read that it relayed would delay its own.
-    Peer,
+    /// What the copy is worth.
+    pub(crate) status: CopyStatus,
 }
 
 impl CopyReader {
@@ -84,7 +65,7 @@
         let largest_row = context.operator_copy().largest_row();
         let is_relaying = context.store_access.is_relaying();
         let is_preferred = prefers_copies(is_relaying, context.settings.link_rate, largest_row);
-        let is_paused = !is_relaying && context.clock.now() < self.paused_until;
+        let is_paused = !is_relaying && self.sources.is_paused(context.clock.now());
         if !is_preferred || is_paused {
             return None;
         }
@@ -111,7 +92,7 @@
         is_relaying: bool,
     ) -> Option<PeerRead> {
         let mut newest: Option<PeerRead> = None;
-        for peer in self.choose_sources(context.store_access.usable_peers()) {
+        for peer in self.sources.choose(context.store_access.usable_peers()) {
             let sent_at = context.clock.now();
             let copy = match request_copy(&context.peers, peer, after).await {
                 Ok(copy) => copy,
@@ -120,54 +101,29 @@
                     continue;
                 }
             };
-            if copy.version < after {
+            let (version, age) = (copy.version, copy.age);
+            if version < after {
                 continue;
             }
-            let is_current = copy.is_current();
-            let next = match is_current {
-                true => NextRead::None,
-                false if is_relaying && copy.age <= MAX_AWAITED_AGE => NextRead::Peer,
-                false => NextRead::Store,
-            };
             let read = PeerRead {
-                complete_at: sent_at.saturating_sub(copy.age),
                 copy,
-                next,
+                complete_at: sent_at.saturating_sub(age),
+                status: CopyStatus::of(age, is_relaying),
             };
-            if is_current {
+            if read.status == CopyStatus::Current {
                 context.metrics.copies_read.increment();
-                self.source = Some(peer);
-                self.outdated_sources = 0;
+                self.sources.record_current(peer);
                 return Some(read);
             }
-            log::debug!(
-                "event=copy_outdated peer={peer} row={} age={:?} after={after}",
-                read.copy.version,
-                read.copy.age
-            );
+            log::debug!("event=copy_outdated peer={peer} row={version} age={age:?} after={after}");
             let newest_version = newest.as_ref().map(|other| other.copy.version);
-            if newest_version < Some(read.copy.version) {
+            if newest_version < Some(version) {
                 newest = Some(read);
             }
         }
-        self.source = None;
-        self.outdated_sources += MAX_SOURCES;
-        if !is_relaying {
-            self.paused_until = context.clock.now() + FAILURE_PAUSE;
-        }
+        (self.sources).record_outdated(is_relaying, context.clock.now());
         newest
     }
-
-    /// Returns the peers to ask, the one that had a current copy last first.
-    fn choose_sources(&self, mut peers: Vec<SocketAddr>) -> Vec<SocketAddr> {
-        if !peers.is_empty() {
-            let offset = self.outdated_sources % peers.len();
-            peers.rotate_left(offset);
-        }
-        peers.sort_by_key(|peer| Some(*peer) != self.source);
-        peers.truncate(MAX_SOURCES);
-        peers
-    }
 }
 
 async fn request_copy(
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -30,6 +30,7 @@
 mod coordinator_records;
 mod coordinator_waves;
 mod copied_reads;
+pub mod copy_sources;
 pub mod cpu_time;
 mod decision_loop;
 mod delegated_jobs;
--- a/crates/tanager-service/src/operator_copy.rs
+++ b/crates/tanager-service/src/operator_copy.rs
@@ -21,12 +21,6 @@
 
 use crate::transfer_time::transfer_time;
 
-/// Age of a copy up to which it replaces a read of the store. Nodes that read the store every 0.5 s have such
-/// copies; those of nodes that read copies themselves are mostly older.
-pub const MAX_COPY_AGE: Duration = Duration::from_millis(700);
-/// Age of a copy up to which its peer is taken to be reading the store, which takes seconds over a slow link. A
-/// read that such a peer relayed would only delay its own.
-pub const MAX_AWAITED_AGE: Duration = Duration::from_secs(4);
 /// Time that a transfer of the operator's rows from the store may take before a copy is preferred. Other
 /// calls wait behind it on the link.
 const MAX_DIRECT_TRANSFER: Duration = Duration::from_millis(250);
@@ -103,7 +97,8 @@
             self.rows.insert(row.name.key, copied);
         }
         self.version = Some(version);
-        self.read_at = read_at;
+        // A copy that is as new may have been read earlier than the last one.
+        self.read_at = self.read_at.max(read_at);
     }
 
     /// Forgets all rows before all are read again.
@@ -160,11 +155,6 @@
 }
 
 impl CopiedRead {
-    /// Returns whether the copy replaces a read of the store.
-    pub fn is_current(&self) -> bool {
-        self.age <= MAX_COPY_AGE
-    }
-
     /// Decodes the response of a peer with rows of a table, which together have at most `max_bytes`.
     ///
     /// # Errors
--- a/crates/tanager-service/src/operator_watch.rs
+++ b/crates/tanager-service/src/operator_watch.rs
@@ -15,8 +15,8 @@
 use crate::config_report;
 use crate::context::NodeContext;
 use crate::copied_reads::CopyReader;
-use crate::copied_reads::NextRead;
 use crate::copied_reads::PeerRead;
+use crate::copy_sources::CopyStatus;
 use crate::table_watch::READ_PERIOD;
 use crate::table_watch::TableRead;
 use crate::table_watch::WatchedTable;
@@ -85,10 +85,10 @@
 ) -> bool {
     let started = context.clock.now();
     if let Some(read) = copies.read(context, table.version()).await {
-        let next = read.next;
+        let status = read.status;
         apply_peer_read(context, table, read, started);
-        if next != NextRead::Store {
-            return next == NextRead::None;
+        if status != CopyStatus::Outdated {
+            return status == CopyStatus::Current;
         }
     }
     let started = context.clock.now();
@@ -96,9 +96,9 @@
     let read = tokio::select! {
         read = table.read(context) => read,
         read = copies.overtake(context, after) => {
-            let is_current = read.next == NextRead::None;
+            let status = read.status;
             apply_peer_read(context, table, read, started);
-            return is_current;
+            return status == CopyStatus::Current;
         }
     };
     let is_successful = read.is_some();
@@ -128,9 +128,9 @@
     let PeerRead {
         copy,
         complete_at,
-        next,
+        status,
     } = read;
-    let is_current = next == NextRead::None;
+    let is_current = status == CopyStatus::Current;
     table.advance(copy.version, is_current.then(|| context.clock.now()));
     apply_rows(context, &copy.rows, started);
     (context.operator_copy()).record(copy.rows, copy.version, complete_at);
--- a/crates/tanager-service/tests/operator_copy.rs
+++ b/crates/tanager-service/tests/operator_copy.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use tanager_service::operator_copy::CopiedRead;
-use tanager_service::operator_copy::MAX_COPY_AGE;
 use tanager_service::operator_copy::OperatorCopy;
 use tanager_service::operator_copy::prefers_copies;
 use tanager_site::store::RowName;
@@ -77,18 +76,20 @@
 /// Guards against an old configuration that nodes take from each other as verified while none of them reads
 /// the store.
 #[test]
-fn outdated_copies_are_told_apart() {
+fn age_of_a_copy_counts_from_the_read_of_the_store() {
     let mut copy = OperatorCopy::default();
     assert_eq!(read(&mut copy, 0, seconds(1.0)), None);
     copy.record([row("config", 5, b"x")], 9, seconds(1.0));
-    let is_current = |copy: &mut OperatorCopy, now| {
-        let read = read(copy, 0, now).expect("a copy");
-        assert_eq!(read.age, now - seconds(1.0));
-        read.is_current()
-    };
-    let last = seconds(1.0) + MAX_COPY_AGE;
-    assert!(is_current(&mut copy, last));
-    assert!(!is_current(&mut copy, last + seconds(0.001)));
+    // The reader has it from a peer, which had read the store half a second before.
+    let mut second = OperatorCopy::default();
+    let first = read(&mut copy, 0, seconds(1.5)).expect("a copy");
+    second.record(first.rows, first.version, seconds(1.5) - first.age);
+    let after_two = read(&mut second, 0, seconds(3.0)).expect("a copy");
+    assert_eq!(after_two.age, seconds(2.0));
+    // An older read of the same version does not make it older.
+    second.record([], 9, seconds(0.5));
+    let again = read(&mut second, 0, seconds(3.0)).expect("a copy");
+    assert_eq!(again.age, seconds(2.0));
 }
 
 /// Guards against deleted rows that live on in copies.
