Soak: configurations that grow, slow links, and the last version everywhere

Each version has 500 queues more than the one before now, a proxy may carry 250 KB/s on each connection, and at the end all nodes must have the last version within 5 s. The other checks are unchanged.

--- a/crates/tanager-node/tests/soak/main.rs
+++ b/crates/tanager-node/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! submit jobs. Nodes get signals and are killed and restarted, proxies delay, block, stall and
 //! reset their connections to the store, and the store and the workers fail. At the end the test
 //! verifies that accepted jobs ended as expected, that no task ran twice at a time or again after it
-//! was done, and that jobs of which every attempt was refused never ran.
+//! was done, that jobs of which every attempt was refused never ran, and that all nodes have the last
+//! configuration, which grows.
 //!
 //! CI runs the seeds in `SEEDS`: one arbitrary seed and every seed that has ever failed.
 //! `SOAK_SEEDS=50 cargo test -p tanager-node --test soak` runs seeds 0 to 49 instead.
@@ -58,6 +59,10 @@
 /// Longest time after the load until all jobs have ended. Covers the expiry of leases, failure
 /// detection and late responses.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time after all jobs have ended until the last configuration is in force.
+const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of queues that each configuration has more than the one before.
+const ADDED_QUEUES: usize = 500;
 /// Numbers of tasks of the two steps of each job.
 const TASK_COUNTS: [u32; 2] = [3, 2];
 
@@ -160,7 +165,9 @@
             FaultStep::Configure => {
                 self.version += 1;
                 let pools = [pool(POOL, worker_count())];
-                self.site.standin.put_config(self.version, &pools);
+                let queues = self.version as usize * ADDED_QUEUES;
+                let standin = &self.site.standin;
+                standin.put_config_with_routes(self.version, &pools, queues);
             }
             FaultStep::Wave => {
                 self.wave += 1;
@@ -281,8 +288,12 @@
     };
     driver.apply_steps(&steps).await;
     load.await.expect("the load ends");
+    let version = driver.version;
     let records = records.lock().expect("submission records").clone();
-    let result = verify_jobs(&site, &records).await;
+    let result = match verify_jobs(&site, &records).await {
+        Ok(()) => verify_configuration(&site, version).await,
+        error => error,
+    };
     result.map_err(|error| {
         let logs: Vec<_> = site.nodes.iter().map(|node| node.log.clone()).collect();
         format!("seed {seed}: {error}\nsteps: {steps:?}\nlogs: {logs:?}")
@@ -335,6 +346,26 @@
     }
 }
 
+/// Waits until all nodes have the last configuration.
+async fn verify_configuration(site: &JobSite, version: u64) -> Result<(), String> {
+    let end = Instant::now() + CONFIGURATION_TIMEOUT;
+    for node in &site.nodes {
+        loop {
+            let in_force = node.dump().await.map(|dump| dump["config_version"].clone());
+            if in_force.as_ref().and_then(serde_json::Value::as_u64) == Some(version) {
+                break;
+            }
+            if Instant::now() > end {
+                return Err(format!(
+                    "CONFIG: {in_force:?} instead of {version} is in force"
+                ));
+            }
+            time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    Ok(())
+}
+
 fn verify_runs(
     runs: &[ObservedRun],
     records: &BTreeMap<String, SubmissionRecord>,
--- a/crates/tanager-node/tests/soak/plan.rs
+++ b/crates/tanager-node/tests/soak/plan.rs
@@ -8,6 +8,9 @@
 
 use crate::proxy::ProxyMode;
 
+/// Rate of a link of 2 Mbit/s, in bytes per second.
+const SLOW_LINK: u32 = 250_000;
+
 /// Faults of the store and the workers of the stand-in.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SiteFault {
@@ -99,6 +102,7 @@
             9 | 10 => {
                 let modes = [
                     ProxyMode::Delay(Duration::from_millis(150)),
+                    ProxyMode::Limit(SLOW_LINK),
                     ProxyMode::BlockRequests,
                     ProxyMode::BlockResponses,
                     ProxyMode::Reset,
--- a/crates/tanager-node/tests/soak/proxy.rs
+++ b/crates/tanager-node/tests/soak/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback proxy that delays, blocks, stalls and resets connections.
+//! A loopback proxy that delays, slows, blocks, stalls and resets connections.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,6 +22,8 @@
     Forward,
     /// Forwards them after a delay.
     Delay(Duration),
+    /// Forwards them at a rate in bytes per second on each connection.
+    Limit(u32),
     /// Holds requests back until the mode changes.
     BlockRequests,
     /// Holds responses back until the mode changes.
@@ -116,6 +118,10 @@
                     time::sleep(delay).await;
                     false
                 }
+                ProxyMode::Limit(rate) => {
+                    time::sleep(Duration::from_secs_f64(length as f64 / f64::from(rate))).await;
+                    false
+                }
                 ProxyMode::Forward => false,
             };
             if !is_blocked && epoch == current {
