--- a/crates/tanager-service/src/independent_rows.rs
+++ b/crates/tanager-service/src/independent_rows.rs
@@ -76,7 +76,8 @@
 }
 
 /// Writes rows under conditions that each transaction repeats. An attempt without an answer is repeated
-/// with the next of `timeouts`. The rows of a transaction have `max_bytes` at most, unless one alone is larger. Stops at the first transaction that is neither applied nor rejected.
+/// with the next of `timeouts`. The rows of a transaction have `max_bytes` at most, unless one alone is
+/// larger. Stops at the first transaction that is neither applied nor rejected.
 pub async fn write_rows(
     store: &TableStore,
     expect: &[(RowName, RowVersion)],
