Show the memory of a node beside its limit, and what its cells keep

Nothing read memory_mb of the settings, and no log line or metric told occurrences, tasks, runs and calls apart as users of the memory.

The settings have the limit now. Each node logs memory_high when its resident memory reaches a further eighth of the limit, exports both as gauges, and cell_load has the numbers of occurrences and tasks that the cell keeps beside its runs, with the memory.

--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -367,6 +367,18 @@
         (self.open_jobs.len(), self.ready.len(), runs)
     }
 
+    /// Returns the numbers of occurrences that are kept of open jobs, and of their tasks.
+    pub fn open_tasks(&self) -> (usize, usize) {
+        let jobs = (self.open_jobs.iter()).filter_map(|id| self.jobs.get(id));
+        (jobs.flat_map(|job| job.occurrences.values())).fold(
+            (0, 0),
+            |(occurrences, tasks), occurrence| {
+                let own: usize = (occurrence.steps.iter()).map(|step| step.tasks.len()).sum();
+                (occurrences + 1, tasks + own)
+            },
+        )
+    }
+
     /// Returns the work of the decisions since the cell was created.
     pub fn decision_work(&self) -> DecisionWork {
         self.work.get()
--- a/crates/tanager-service/src/cell_load.rs
+++ b/crates/tanager-service/src/cell_load.rs
@@ -14,6 +14,7 @@
 use crate::cell::CellHandle;
 use crate::cpu_time::CpuTimes;
 use crate::cpu_time::Duty;
+use crate::memory_use::resident_bytes;
 use crate::peers::CellResponse;
 
 /// Time between two lines about a cell.
@@ -185,10 +186,15 @@
         let span = now.saturating_sub(self.ended_at);
         let counts = cell.load.counts();
         let cpu = CpuTimes::read();
-        let ((open, waiting, runs), work, recovery) = {
+        let ((open, waiting, runs), (occurrences, tasks), work, recovery) = {
             let core = cell.core();
             let recovery = core.recovery_state(now);
-            (core.sizes(), core.decision_work(), recovery)
+            (
+                core.sizes(),
+                core.open_tasks(),
+                core.decision_work(),
+                recovery,
+            )
         };
         let done = counts.since(&self.counts);
         cell.context.metrics.count_work(&self.work, &work);
@@ -232,7 +238,8 @@
                  dropped={} uncertain={} started={} ended={} open={open} waiting={waiting} \
                  runs={runs} lag={:.3} decisions={} cpu={} admission={} reports={} renewals={} \
                  ledger={} peer_calls={} log_lines={} log_writer={} steps={} cap_checks={} \
-                 compared={} visited_runs={} visited_tasks={}",
+                 compared={} visited_runs={} visited_tasks={} occurrences={occurrences} tasks={tasks} \
+                 memory={}",
                 cell.name,
                 cell.token,
                 span.as_secs_f64(),
@@ -258,6 +265,7 @@
                 work.workers - self.work.workers,
                 work.runs - self.work.runs,
                 work.tasks - self.work.tasks,
+                resident_bytes().unwrap_or_default() >> 20,
             );
         }
         if let Some(change) = change {
--- a/crates/tanager-service/src/context.rs
+++ b/crates/tanager-service/src/context.rs
@@ -34,6 +34,7 @@
 use crate::membership::HEARTBEAT_PERIOD;
 use crate::membership::NODE_DEATH_TIMEOUT;
 use crate::membership::UNCONFIRMED_LEASE_LIMIT;
+use crate::memory_use::MemoryCollector;
 use crate::metrics::NodeMetrics;
 use crate::operator_copy::OperatorCopy;
 use crate::peers::PeerClient;
@@ -126,6 +127,9 @@
             reads: Arc::clone(&config_reads),
             clock,
         }));
+        metrics.register_collector(Box::new(MemoryCollector {
+            limit: settings.memory_limit,
+        }));
         let metrics = Arc::new(metrics);
         let peers = Arc::new(PeerClient::new(clock, Arc::clone(&config_reads)));
         let (store_access, store) = StoreAccess::open(
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod logging;
 pub mod loop_lag;
 pub mod membership;
+pub mod memory_use;
 mod merging;
 pub mod metrics;
 pub mod node;
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -24,6 +24,7 @@
 use crate::copied_reads::COPY_PATH;
 use crate::job_api;
 use crate::loop_lag;
+use crate::memory_use;
 use crate::peers;
 use crate::peers::CellRequest;
 use crate::peers::CellResponse;
@@ -67,6 +68,8 @@
         spawn_loop("refused_calls", move || {
             log_refused_calls(Arc::clone(&shared))
         });
+        let shared = Arc::clone(&node.context);
+        spawn_loop("memory", move || memory_use::watch(Arc::clone(&shared)));
         log::info!(
             "event=started incarnation={incarnation} client={} peer={} zone={} version={version}",
             node.context.settings.client_address,
