Reject responses above the limit before they are transferred

Callers saw nothing; a read whose response is larger than the client accepts was transferred up to the limit, failed, and was repeated as before. Cause: the limit was only compared with what had arrived. The announced length is compared first now, and memory is reserved for no more than that.

--- a/crates/tanager-http/src/response_body.rs
+++ b/crates/tanager-http/src/response_body.rs
@@ -45,6 +45,11 @@
     pub(crate) async fn read(&self, mut body: Incoming, max_body: usize) -> Result<Bytes, String> {
         let announced = body.size_hint().exact().unwrap_or(0);
         self.announced.store(announced, Ordering::Relaxed);
+        let too_large = || format!("it exceeds the limit of {max_body} bytes");
+        // A transfer that must fail would be repeated in vain.
+        if announced > max_body as u64 {
+            return Err(too_large());
+        }
         let mut whole = Bytes::new();
         let mut parts = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -55,14 +60,14 @@
             };
             let received = self.add(data.len());
             if received > max_body as u64 {
-                return Err(format!("it exceeds the limit of {max_body} bytes"));
+                return Err(too_large());
             }
             if received == data.len() as u64 {
                 whole = data;
                 continue;
             }
             if parts.is_empty() {
-                parts.reserve(max_body.min((announced as usize).max(received as usize)));
+                parts.reserve((announced as usize).max(received as usize));
                 parts.extend_from_slice(&whole);
             }
             parts.extend_from_slice(&data);
--- a/crates/tanager-http/tests/transfers.rs
+++ b/crates/tanager-http/tests/transfers.rs
@@ -120,6 +120,24 @@
     assert_eq!(error.kind, ErrorKind::Timeout);
 }
 
+/// Guards against a response that is transferred, perhaps again and again, although it is larger than what
+/// the client accepts.
+#[tokio::test]
+async fn response_above_the_limit_is_not_transferred() {
+    let (address, _events) = serve(|mut stream, _| {
+        read_request(&mut stream);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", 5 << 20);
+        stream.write_all(head.as_bytes()).unwrap();
+        thread::sleep(HANG_TIMEOUT);
+    });
+    // Without the announced length it would only end with the time limit.
+    let error = exchange(address, HANG_TIMEOUT, Some(1_000))
+        .await
+        .unwrap_err();
+    assert_eq!(error.kind, ErrorKind::Unknown);
+    assert!(error.message.contains("0 of 5242880 bytes"), "{error}");
+}
+
 /// Guards against limits that do not follow the size of the transfer, or that outlast a dead server.
 #[test]
 fn limits_follow_the_bytes_received() {
