Let orders to a worker wait without a call in flight for each

Callers saw: one accepted job of 19,000 small tasks that all fit at once stopped its pool for good.

Cause: each start, stop and change of pace was a task of its own from its decision on, with the job's specification, a prepared order and a call that waited for one of six permits. Ruled out: the tasks themselves (144 bytes each), occurrences (one), rows.

Orders now wait as entries of a queue of their worker, which has six senders for starts and stops and two for changes of pace. A sender builds the order when it sends it. Order and number of calls in flight are those of before; changes of pace, which had no limit, still do not wait behind starts. It works because what waits is some hundred bytes for each task, and what is in flight is bounded by the number of workers.

The stand-in's workers find the log entry of a run by its position, so that this load ends in seconds, and tasks may use less than a core there.

--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -73,6 +73,16 @@
         Self::spawn_with_settings(ports, &settings.to_string(), "")
     }
 
+    /// Starts a node on a VM whose platform kills processes above `megabytes` of resident memory. The test does that
+    /// with a [`MemoryLimit`].
+    pub(crate) fn spawn_with_memory(standin: &SiteStandin, name: &str, megabytes: u64) -> Self {
+        let ports = NodePorts::find();
+        let text = standin.settings_with_store(name, ports, standin.store_address());
+        let mut settings: Value = serde_json::from_str(&text).expect("settings");
+        settings["limits"] = json!({"memory_mb": megabytes});
+        Self::spawn_with_settings(ports, &settings.to_string(), "")
+    }
+
     /// Starts a node on a VM whose link has a rate in bits per second, which the settings name; `store` is the
     /// address of such a link to the store.
     pub(crate) fn spawn_with_link(
@@ -172,6 +182,18 @@
         self.child.try_wait().expect("wait").is_none()
     }
 
+    /// Returns the resident memory; 0 if the process has ended.
+    pub(crate) fn resident_megabytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let kilobytes = status.ok().and_then(|status| {
+            let line = status
+                .lines()
+                .find_map(|line| line.strip_prefix("VmRSS:"))?;
+            line.split_whitespace().next()?.parse::<u64>().ok()
+        });
+        kilobytes.unwrap_or(0) / 1_024
+    }
+
     /// Waits until the process has ended and returns its exit code.
     pub(crate) async fn wait_for_exit(&mut self) -> Option<i32> {
         let mut code = None;
@@ -201,6 +223,54 @@
     }
 }
 
+/// Kills processes whose resident memory exceeds a limit and starts them again after a short delay, as the
+/// platform does.
+pub(crate) struct MemoryLimit {
+    megabytes: u64,
+    /// Times at which killed nodes are started again.
+    restarts: BTreeMap<usize, Instant>,
+    /// Number of processes that were killed.
+    pub(crate) kills: usize,
+    /// Largest memory seen, in megabytes.
+    pub(crate) peak: u64,
+}
+
+impl MemoryLimit {
+    /// Delay after which a killed process is started again.
+    const RESTART_DELAY: Duration = Duration::from_millis(500);
+
+    pub(crate) fn new(megabytes: u64) -> Self {
+        Self {
+            megabytes,
+            restarts: BTreeMap::new(),
+            kills: 0,
+            peak: 0,
+        }
+    }
+
+    /// Looks at all nodes once.
+    pub(crate) fn enforce(&mut self, nodes: &mut [NodeProcess]) {
+        for (number, node) in nodes.iter_mut().enumerate() {
+            match self.restarts.get(&number) {
+                Some(at) if Instant::now() < *at => continue,
+                Some(_) => {
+                    self.restarts.remove(&number);
+                    node.restart();
+                }
+                None => {}
+            }
+            let resident = node.resident_megabytes();
+            self.peak = self.peak.max(resident);
+            if resident > self.megabytes {
+                node.kill();
+                self.kills += 1;
+                let restart_at = Instant::now() + Self::RESTART_DELAY;
+                self.restarts.insert(number, restart_at);
+            }
+        }
+    }
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         // Both fail when the process has ended.
@@ -281,6 +351,31 @@
         }
     }
 
+    /// Waits until a condition is true, and enforces a memory limit meanwhile.
+    ///
+    /// # Panics
+    ///
+    /// If the condition is not true within [`WAIT_TIMEOUT`].
+    pub(crate) async fn eventually_within(
+        &mut self,
+        limit: &mut MemoryLimit,
+        description: &str,
+        mut condition: impl AsyncFnMut(&Self) -> bool,
+    ) {
+        let end = Instant::now() + WAIT_TIMEOUT;
+        while Instant::now() < end {
+            limit.enforce(&mut self.nodes);
+            if condition(self).await {
+                return;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!(
+            "timed out: {description}; {} processes above {} MB were killed",
+            limit.kills, limit.megabytes
+        );
+    }
+
     /// Returns the number of usable workers of a pool, over all its cells.
     async fn usable_workers(&self, pool: &str) -> usize {
         let prefix = format!("{pool}/");
--- a/crates/tanager-node/tests/jobs/main.rs
+++ b/crates/tanager-node/tests/jobs/main.rs
@@ -13,6 +13,7 @@
 mod late_calls;
 mod link;
 mod logs;
+mod memory;
 mod merging;
 mod moved_queues;
 mod odd_rows;
--- /dev/null
+++ b/crates/tanager-node/tests/jobs/memory.rs
@@ -0,0 +1,68 @@
+//! Nodes whose platform kills processes that exceed their memory, with jobs that need much of it.
+
+use serde_json::Value;
+use serde_json::json;
+use tanager_standin::site::SiteStandin;
+
+use super::POOL;
+use super::harness::JobSite;
+use super::harness::MemoryLimit;
+use super::harness::NodeProcess;
+use super::harness::assert_single_runs;
+use super::harness::job_of_steps;
+use super::harness::new_job_id;
+use super::harness::pool;
+
+/// Memory of a node of the first deployments, in megabytes.
+const MEMORY_MB: u64 = 260;
+const WORKERS: usize = 6;
+
+async fn site_with_memory(nodes: usize, megabytes: u64) -> JobSite {
+    let pools = [pool(POOL, WORKERS)];
+    let standin = SiteStandin::spawn(&pools).await.expect("stand-in");
+    standin.put_config(1, &pools);
+    let nodes = (0..nodes)
+        .map(|number| {
+            NodeProcess::spawn_with_memory(&standin, &format!("node-{number}"), megabytes)
+        })
+        .collect();
+    let site = JobSite { standin, nodes };
+    site.wait_until_owned(&pools).await;
+    site
+}
+
+/// Returns a job of small tasks: a thousandth of a core and 1 MB each.
+fn job_of_small_tasks(count: u32, specification: &str) -> Value {
+    let step = json!({"count": count, "cpu": 1, "memory_request_mb": 1, "estimated_ms": 500});
+    json!({"specification": format!("{specification} cpu=1"), "steps": [step]})
+}
+
+async fn all_completed(site: &JobSite, ids: &[String]) -> bool {
+    for id in ids {
+        if site.job_state(0, POOL, id).await.as_deref() != Some("completed") {
+            return false;
+        }
+    }
+    true
+}
+
+/// Guards against a call in flight for each of thousands of tasks that start at once, whose memory kills the owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn thousands_of_tasks_that_start_at_once_fit_into_the_memory() {
+    let mut site = site_with_memory(1, MEMORY_MB).await;
+    let mut limit = MemoryLimit::new(MEMORY_MB);
+    let ids: Vec<String> = (0..3).map(|_| new_job_id()).collect();
+    for (number, id) in ids.iter().enumerate() {
+        let job = match number {
+            1 => job_of_small_tasks(19_000, "ms=500"),
+            _ => job_of_steps(&[2, 2], "ms=250"),
+        };
+        assert!(site.submit(0, POOL, id, &job).await);
+    }
+    site.eventually_within(&mut limit, "the jobs are done", async |site| {
+        all_completed(site, &ids).await
+    })
+    .await;
+    assert_eq!(limit.kills, 0, "peak {} MB", limit.peak);
+    assert_single_runs(&site.standin.runs());
+}
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod missed_response;
 pub mod oldest_first;
 pub mod order_lease;
+pub mod order_queue;
 pub mod order_token;
 pub mod orders;
 pub mod overload;
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -24,7 +24,6 @@
 use tanager_schedule::worker_health::StartLimit;
 use tanager_site::worker::WorkerLink;
 use tokio::sync::Notify;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
 use crate::absorbed_rows::Absorption;
@@ -53,10 +52,13 @@
 use crate::statistics_loop;
 use crate::statistics_loop::StatisticsTarget;
 use crate::transfer_time::max_transaction_bytes;
+use crate::worker_orders::SharedOrders;
 
-/// Maximum number of concurrent orders to one worker. Each needs a connection, and a worker accepts
-/// 64 connections in total.
+/// Maximum number of concurrent starts and stops to one worker. Each needs a connection, and a worker
+/// accepts 64 connections in total.
 const MAX_PARALLEL_ORDERS: usize = 6;
+/// Maximum number of concurrent changes of pace to one worker. They do not wait behind starts.
+const MAX_PARALLEL_PACES: usize = 2;
 /// Idle time after which a connection to a worker is closed.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -114,13 +116,15 @@
     pub(crate) order_gate: Option<Arc<OrderGate>>,
 }
 
-/// Connections to a worker, with the limit on concurrent orders.
+/// Connections to a worker, with the orders that wait for one.
 #[derive(Clone, Debug)]
 pub struct WorkerConnection {
     /// Connections to the worker.
     pub link: Arc<WorkerLink>,
-    /// Limits the number of concurrent orders.
-    pub(crate) order_permits: Arc<Semaphore>,
+    /// Starts and stops.
+    pub(crate) orders: SharedOrders,
+    /// Changes of pace.
+    pub(crate) paces: SharedOrders,
     /// Id of the worker, for the log; the worker may have been removed when a call returns.
     pub(crate) worker: Arc<str>,
 }
@@ -371,7 +375,7 @@
                 let limits = PoolLimits {
                     connect_timeout: Duration::from_millis(300),
                     max_idle: LINK_IDLE_TIMEOUT,
-                    max_connections: MAX_PARALLEL_ORDERS + 2,
+                    max_connections: MAX_PARALLEL_ORDERS + MAX_PARALLEL_PACES,
                     min_rate: Some(MIN_LINK_RATE),
                     ..PoolLimits::default()
                 };
@@ -379,7 +383,8 @@
                     Ok(link) => {
                         let connection = WorkerConnection {
                             link: Arc::new(link),
-                            order_permits: Arc::new(Semaphore::new(MAX_PARALLEL_ORDERS)),
+                            orders: SharedOrders::new(MAX_PARALLEL_ORDERS),
+                            paces: SharedOrders::new(MAX_PARALLEL_PACES),
                             worker: Arc::from(worker.entry.worker.as_str()),
                         };
                         links.insert(key, connection);
--- a/crates/tanager-service/src/worker_orders.rs
+++ b/crates/tanager-service/src/worker_orders.rs
@@ -2,6 +2,9 @@
 //! `CellCore` decided and passes the results back to it.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use tanager_jobs::OrderAnswer;
@@ -15,11 +18,13 @@
 use tanager_schedule::WorkerKey;
 use tanager_schedule::core::StepKey;
 use tanager_schedule::missed_response::MissedResponse;
+use tanager_schedule::order_queue::OrderQueue;
 use tanager_schedule::orders::OrderResult;
 use tanager_site::worker::OrderReply;
 use tanager_site::worker::StartOrder;
 
 use crate::cell::CellHandle;
+use crate::cell::WorkerConnection;
 use crate::run_log::SentStart;
 
 /// Time limit of an order to a worker; workers reply within a few milliseconds.
@@ -27,9 +32,57 @@
 /// Time limit of a request for advice: many times what the service needs for 30 workers.
 const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// An order that waits for a connection to its worker.
+#[derive(Clone, Debug)]
+pub(crate) enum WorkerOrder {
+    Start(QueuedStart),
+    Stop {
+        task: TaskKey,
+        run: RunNumber,
+    },
+    Pace {
+        task: TaskKey,
+        run: RunNumber,
+        percent: u32,
+    },
+}
+
+/// A start that waits for a connection. The job's specification is added when it is sent, since thousands
+/// of tasks of one job may wait.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedStart {
+    task: TaskKey,
+    run: RunNumber,
+    lease_until_ms: u64,
+    checkpoint: String,
+    ticket: Option<String>,
+    queued_at: Duration,
+}
+
+/// Orders to one worker that its senders share.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedOrders(Arc<Mutex<OrderQueue<WorkerOrder>>>);
+
+impl SharedOrders {
+    pub(crate) fn new(max_senders: usize) -> Self {
+        Self(Arc::new(Mutex::new(OrderQueue::new(max_senders))))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, OrderQueue<WorkerOrder>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn push(&self, order: WorkerOrder) -> bool {
+        self.lock().push(order)
+    }
+
+    fn take(&self) -> Option<WorkerOrder> {
+        self.lock().take()
+    }
+}
+
 impl CellHandle {
     pub(crate) fn execute(self: &Arc<Self>, action: CellAction) {
-        let cell = Arc::clone(self);
         match action {
             CellAction::Start {
                 worker,
@@ -39,48 +92,32 @@
                 checkpoint,
                 ticket,
             } => {
-                let (specification, token) = {
-                    let core = self.core();
-                    let specification =
-                        (core.record(task.job)).map(|record| record.spec.specification.clone());
-                    // Without a record or a worker, nothing waits for the result.
-                    let (Some(specification), Some(token)) =
-                        (specification, core.order_token(worker, self.token))
-                    else {
-                        return;
-                    };
-                    (specification, token)
-                };
-                let order = StartOrder {
+                let start = QueuedStart {
                     task,
                     run,
-                    specification,
                     lease_until_ms,
-                    token,
                     checkpoint,
                     ticket,
+                    queued_at: self.context.clock.now(),
                 };
-                self.spawn_task("start", async move { cell.start(worker, order).await });
+                self.enqueue(worker, WorkerOrder::Start(start));
             }
             CellAction::Stop { worker, task, run } => {
-                self.spawn_task("stop", async move { cell.stop(worker, task, run).await });
+                self.enqueue(worker, WorkerOrder::Stop { task, run });
             }
             CellAction::Pace {
                 worker,
                 task,
                 run,
                 percent,
-            } => {
-                self.spawn_task("pace", async move {
-                    cell.pace(worker, task, run, percent).await;
-                });
-            }
+            } => self.enqueue(worker, WorkerOrder::Pace { task, run, percent }),
             CellAction::RequestAdvice {
                 job,
                 occurrence,
                 step,
                 workers,
             } => {
+                let cell = Arc::clone(self);
                 let key = (job, occurrence, step);
                 self.spawn_task("advice", async move {
                     cell.request_advice(key, workers).await;
@@ -90,39 +127,90 @@
         }
     }
 
-    async fn start(self: Arc<Self>, worker: WorkerKey, order: StartOrder) {
-        let (task, run) = (order.task, order.run);
+    /// Lets an order wait for a connection to its worker, and starts a sender if there are too few.
+    fn enqueue(self: &Arc<Self>, worker: WorkerKey, order: WorkerOrder) {
         let Some(connection) = self.connection(worker) else {
-            // A worker that was just replaced is not connected yet; nothing was sent.
-            let now = self.context.clock.now();
-            self.core()
-                .apply_start_result(worker, task, run, OrderResult::NotSent, now);
+            self.record_unsent(worker, &order);
             return;
         };
-        let started = self.context.clock.now();
-        let permit = connection.order_permits.acquire().await;
-        if self.is_closed() {
-            return;
+        let orders = match order {
+            WorkerOrder::Start(_) | WorkerOrder::Stop { .. } => connection.orders.clone(),
+            WorkerOrder::Pace { .. } => connection.paces.clone(),
+        };
+        if orders.push(order) {
+            let cell = Arc::clone(self);
+            self.spawn_task("orders", async move {
+                while let Some(order) = orders.take() {
+                    if cell.is_closed() {
+                        return;
+                    }
+                    cell.send(worker, &connection, order).await;
+                }
+            });
+        }
+    }
+
+    /// Records that an order was not sent because its worker was just replaced and is not connected yet.
+    /// Stops and changes of pace will be repeated.
+    fn record_unsent(&self, worker: WorkerKey, order: &WorkerOrder) {
+        let (now, result) = (self.context.clock.now(), OrderResult::NotSent);
+        match order {
+            WorkerOrder::Start(start) => {
+                let (task, run) = (start.task, start.run);
+                (self.core()).apply_start_result(worker, task, run, result, now);
+            }
+            WorkerOrder::Stop { task, run } => {
+                (self.core()).apply_stop_result(worker, *task, *run, result, now);
+            }
+            WorkerOrder::Pace { .. } => {}
+        }
+    }
+
+    async fn send(&self, worker: WorkerKey, connection: &WorkerConnection, order: WorkerOrder) {
+        match order {
+            WorkerOrder::Start(start) => self.start(worker, connection, start).await,
+            WorkerOrder::Stop { task, run } => self.stop(worker, connection, task, run).await,
+            WorkerOrder::Pace { task, run, percent } => {
+                self.pace(worker, connection, (task, run), percent).await;
+            }
         }
+    }
+
+    async fn start(&self, worker: WorkerKey, connection: &WorkerConnection, start: QueuedStart) {
+        let (task, run) = (start.task, start.run);
         let may_start = self.context.may_start_runs(self.context.clock.now());
-        let started_ms = {
+        let (order, started_ms) = {
             let mut core = self.core();
             if !core.confirm_start(worker, task, run, may_start) {
                 return;
             }
-            core.worker(worker).map_or(0, |slot| slot.entry.started_ms)
+            let specification =
+                (core.record(task.job)).map(|record| record.spec.specification.clone());
+            // Without a record or a worker, nothing waits for the result.
+            let (Some(specification), Some(token)) =
+                (specification, core.order_token(worker, self.token))
+            else {
+                return;
+            };
+            let started_ms = core.worker(worker).map_or(0, |slot| slot.entry.started_ms);
+            let order = StartOrder {
+                task,
+                run,
+                specification,
+                lease_until_ms: start.lease_until_ms,
+                token,
+                checkpoint: start.checkpoint,
+                ticket: start.ticket,
+            };
+            (order, started_ms)
         };
         let sent_at = self.context.clock.now();
         self.context.metrics.runs_started.increment();
         self.load.add_starts(1);
         let result = connection.link.start(&order, ORDER_TIMEOUT).await;
-        drop(permit);
         let result = self.order_result(result, sent_at);
         let now = self.context.clock.now();
-        self.context
-            .metrics
-            .start_seconds
-            .observe(now.saturating_sub(started));
+        (self.context.metrics.start_seconds).observe(now.saturating_sub(start.queued_at));
         if result != OrderResult::Answered(OrderAnswer::Accepted) {
             self.context.metrics.runs_refused.increment();
         }
@@ -139,15 +227,13 @@
         self.request_decisions();
     }
 
-    async fn stop(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: RunNumber) {
-        let Some(connection) = self.connection(worker) else {
-            // A worker that was just replaced is not connected yet; the stop will be repeated.
-            let now = self.context.clock.now();
-            self.core()
-                .apply_stop_result(worker, task, run, OrderResult::NotSent, now);
-            return;
-        };
-        let permit = connection.order_permits.acquire().await;
+    async fn stop(
+        &self,
+        worker: WorkerKey,
+        connection: &WorkerConnection,
+        task: TaskKey,
+        run: RunNumber,
+    ) {
         // A worker that was replaced meanwhile needs no order.
         let Some(token) = self.core().order_token(worker, self.token) else {
             return;
@@ -155,7 +241,6 @@
         let started_ms = self.started_ms(worker);
         let sent_at = self.context.clock.now();
         let result = connection.link.stop(task, run, token, ORDER_TIMEOUT).await;
-        drop(permit);
         let result = self.order_result(result, sent_at);
         log::info!(
             "event=run_stopped job={} task={task} run={run} worker={} born={started_ms} \
@@ -171,10 +256,13 @@
         self.request_decisions();
     }
 
-    async fn pace(self: Arc<Self>, worker: WorkerKey, task: TaskKey, run: RunNumber, percent: u32) {
-        let Some(connection) = self.connection(worker) else {
-            return;
-        };
+    async fn pace(
+        &self,
+        worker: WorkerKey,
+        connection: &WorkerConnection,
+        (task, run): (TaskKey, RunNumber),
+        percent: u32,
+    ) {
         let Some(token) = self.core().order_token(worker, self.token) else {
             return;
         };
--- a/crates/tanager-standin/src/site/worker.rs
+++ b/crates/tanager-standin/src/site/worker.rs
@@ -1,5 +1,6 @@
 //! Workers of the stand-in. The specification of a job gives the duration of its tasks and whether
-//! they fail: `ms=300`, `ms=300 fail`, or `lasts` for tasks that run until they are stopped.
+//! they fail: `ms=300`, `ms=300 fail`, or `lasts` for tasks that run until they are stopped; `cpu=10` gives the
+//! thousandths of a core that a task uses instead of a whole one.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
 const MAX_LEASE_MS: u64 = 6_000;
 /// Duration of a task whose specification has none.
 const DEFAULT_TASK_DURATION: Duration = Duration::from_millis(200);
+/// Thousandths of a core that a task uses whose specification has none.
+const DEFAULT_TASK_CPU: u64 = 1_000;
 /// Capacity of a worker: thousandths of a core, and memory in MB.
 const CPU_MILLICORES: u64 = 16_000;
 const MEMORY_MB: u64 = 65_536;
@@ -65,6 +68,18 @@
     duration: Option<Duration>,
     should_fail: bool,
     cpu: u64,
+    /// Position in the log.
+    logged_at: usize,
+}
+
+#[derive(Debug)]
+struct RunEnd {
+    number: u64,
+    task: String,
+    run: u64,
+    cause: &'static str,
+    /// Position of the run in the log.
+    logged_at: usize,
 }
 
 /// One worker, across all its incarnations.
@@ -90,7 +105,7 @@
     token: u64,
     lease_until_ms: u64,
     running: BTreeMap<String, RunState>,
-    unacknowledged_ends: Vec<(u64, String, u64, &'static str)>,
+    unacknowledged_ends: Vec<RunEnd>,
     next_end_number: u64,
     /// Newest run of each task that ended or was stopped; it and older runs cannot start.
     closed_runs: BTreeMap<String, u64>,
@@ -221,37 +236,25 @@
             return;
         };
         self.closed_runs.insert(task.to_owned(), run.run);
-        self.unacknowledged_ends
-            .push((self.next_end_number, task.to_owned(), run.run, cause));
-        self.next_end_number += 1;
-        let observed_run = (log.runs.iter_mut().rev()).find(|observed_run| {
-            observed_run.task == task
-                && observed_run.run == run.run
-                && observed_run.worker == self.index
+        self.unacknowledged_ends.push(RunEnd {
+            number: self.next_end_number,
+            task: task.to_owned(),
+            run: run.run,
+            cause,
+            logged_at: run.logged_at,
         });
-        if let Some(observed_run) = observed_run {
-            observed_run.ended = Some((now, cause));
-        }
+        self.next_end_number += 1;
+        log.runs[run.logged_at].ended = Some((now, cause));
     }
 
     /// Records the ends up to `cursor` as acknowledged and stops reporting them.
     fn acknowledge(&mut self, cursor: u64, log: &mut RunLog) {
-        for (_, task, run, _) in self
-            .unacknowledged_ends
-            .iter()
-            .filter(|end| end.0 <= cursor)
-        {
-            let observed_run = (log.runs.iter_mut().rev()).find(|observed_run| {
-                observed_run.task == *task
-                    && observed_run.run == *run
-                    && observed_run.worker == self.index
-            });
-            if let Some(observed_run) = observed_run {
-                observed_run.acknowledged = true;
+        for end in &self.unacknowledged_ends {
+            if end.number <= cursor {
+                log.runs[end.logged_at].acknowledged = true;
             }
         }
-        self.unacknowledged_ends
-            .retain(|(number, _, _, _)| *number > cursor);
+        self.unacknowledged_ends.retain(|end| end.number > cursor);
     }
 
     fn extend_lease(&mut self, until_ms: Option<u64>, now: Duration) {
@@ -293,21 +296,24 @@
             return (409, "old");
         }
         let specification = body["specification"].as_str().unwrap_or_default();
-        let cpu = 1_000;
+        let number_of = |prefix| {
+            (specification.split_whitespace())
+                .find_map(|word| word.strip_prefix(prefix))
+                .and_then(|number| number.parse().ok())
+        };
+        let cpu = number_of("cpu=").unwrap_or(DEFAULT_TASK_CPU);
         let used: u64 = self.running.values().map(|run| run.cpu).sum();
         if used + cpu > CPU_MILLICORES {
             return (409, "room");
         }
-        let duration = (specification.split_whitespace())
-            .find_map(|word| word.strip_prefix("ms="))
-            .and_then(|ms| ms.parse().ok())
-            .map_or(DEFAULT_TASK_DURATION, Duration::from_millis);
+        let duration = number_of("ms=").map_or(DEFAULT_TASK_DURATION, Duration::from_millis);
         let run_state = RunState {
             run: number,
             started_at: now,
             duration: (!specification.contains("lasts")).then_some(duration),
             should_fail: should_fail || specification.contains("fail"),
             cpu,
+            logged_at: log.runs.len(),
         };
         self.running.insert(task.clone(), run_state);
         log.runs.push(ObservedRun {
@@ -350,7 +356,7 @@
             })
             .collect();
         let mut ended: Vec<Value> = (self.unacknowledged_ends.iter().take(MAX_LISTED_ENDS))
-            .map(|(number, task, run, cause)| json!([number, task, run, cause, ""]))
+            .map(|end| json!([end.number, end.task, end.run, end.cause, ""]))
             .collect();
         if has_odd_entries {
             let task = "00000000000000ff.0.0.0";
