Do not refuse or delay jobs for occurrences that were missed

Callers saw: after one job whose first run lies far in the past, every later job of the pool was refused with 429 'too much work waits', for as long as the schedule would have taken (hours to months).

Cause: an occurrence was due when its schedule says, but its lateness was counted from the start of the process at most, so what was missed long ago ranked as on time; and all open occurrences counted as work before a new job.

An occurrence that can only end after three times its objective, the time before the process's clock included, has a rank of its own now, after all others. Such occurrences take turns among the jobs that have them, start only while theirs use less than half of the cell's cores, and are no backlog for admission, delegation or moves of VMs. Weighed: all cores while nobody else asks (each new job then waits for a task to end), and a smaller share (a job that waits while under half of the capacity is in use counts as lost).

Why it works: whoever waits for an answer comes before work that is late beyond use, and the latter always has half of the cell to go on.

--- a/crates/tanager-schedule/src/job.rs
+++ b/crates/tanager-schedule/src/job.rs
@@ -51,8 +51,10 @@
 /// An occurrence of a job.
 #[derive(Debug)]
 pub struct OccurrenceEntry {
-    /// Due time on the process's clock.
+    /// Due time on the process's clock; zero if it was due before that clock began.
     pub due: Duration,
+    /// Time from the due time to the beginning of the process's clock; zero if it was due later.
+    pub due_before_clock: Duration,
     /// Steps.
     pub steps: Vec<StepEntry>,
 }
@@ -172,12 +174,19 @@
     }
 
     /// Opens an occurrence with what is stored of it.
-    pub(crate) fn open_occurrence(&mut self, number: u32, due: Duration) {
+    pub(crate) fn open_occurrence(&mut self, number: u32, now: Duration, wall_ms: u64) {
+        let overdue = (self.record.spec.due_ms(number))
+            .map(|due_ms| Duration::from_millis(wall_ms.saturating_sub(due_ms)));
+        let due = overdue.map_or(self.accepted_at, |overdue| now.saturating_sub(overdue));
         let specs = &self.record.spec.steps;
         let steps = (specs.iter())
             .map(|spec| StepEntry::new(spec, spec.after.is_empty()))
             .collect();
-        let mut occurrence = OccurrenceEntry { due, steps };
+        let mut occurrence = OccurrenceEntry {
+            due,
+            due_before_clock: overdue.map_or(Duration::ZERO, |overdue| overdue.saturating_sub(now)),
+            steps,
+        };
         if let Some(stored) = self.stored_progress.remove(&number) {
             occurrence.restore(&stored, specs);
         }
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod report;
 pub mod rounds;
 pub mod settings;
+pub mod start_limits;
 pub mod unconfirmed_usage;
 mod unheld_steps;
 pub mod unstored_ends;
--- a/crates/tanager-schedule/src/occurrences.rs
+++ b/crates/tanager-schedule/src/occurrences.rs
@@ -54,11 +54,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return 0;
         };
-        let due = match job.record.spec.due_ms(number) {
-            None => job.accepted_at,
-            Some(due) => now.saturating_sub(Duration::from_millis(wall_ms.saturating_sub(due))),
-        };
-        job.open_occurrence(number, due);
+        job.open_occurrence(number, now, wall_ms);
         if number < job.formerly_due {
             let suspects = job.mark_unaccounted(number);
             self.crashes.suspects.extend(suspects);
--- a/crates/tanager-schedule/src/placement.rs
+++ b/crates/tanager-schedule/src/placement.rs
@@ -19,6 +19,7 @@
 use crate::job::AvoidedWorker;
 use crate::job::TaskPhase;
 use crate::ranking::RankedStep;
+use crate::start_limits::StartLimits;
 use crate::worker::RunSlot;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerSlot;
@@ -103,17 +104,26 @@
         let has_last_resort =
             (candidates.iter()).any(|candidate| candidate.standing == WorkerStanding::LastResort);
         let workspaces = self.ranking.workspaces.len();
+        let limits = self.start_limits(now);
         self.round.begin(workspaces, has_last_resort);
+        self.round.starts = limits;
         self.place_oldest(&mut candidates, now);
         let mut steps = std::mem::take(&mut self.ranking.steps);
         // In a surge hundreds of steps wait and few workers have room: most steps are skipped by
         // this bound alone.
         let mut largest_free = largest_free(&candidates);
         self.work.add_steps(steps.len());
-        for RankedStep { key, need, .. } in &mut steps {
+        for step in &mut steps {
+            self.round.starts.is_missed = step.is_missed();
+            let RankedStep { key, need, .. } = step;
             // Advice is requested before a worker has room.
             let may_fit = need.needs_advice || largest_free.can_fit(&need.reserved);
-            if !may_fit || !self.ready.contains(key) || self.round.skip_refused(need) {
+            let is_held_back = self.round.starts.limit(need.reserved.cpu) == 0;
+            if !may_fit
+                || is_held_back
+                || !self.ready.contains(key)
+                || self.round.skip_refused(need)
+            {
                 continue;
             }
             self.round.was_refused = false;
@@ -125,6 +135,7 @@
             }
             need.idle = self.step(*key).map_or(0, |step| step.idle);
         }
+        self.round.starts.is_missed = false;
         self.ranking.steps = steps;
         for (index, tasks) in self.round.skipped() {
             let workspace = &self.ranking.workspaces[index];
@@ -132,6 +143,22 @@
         }
     }
 
+    /// Returns the limits of the starts in a round.
+    fn start_limits(&self, now: Duration) -> StartLimits {
+        // Only a ranking with missed occurrences needs the sums.
+        if !self.ranking.steps.last().is_some_and(RankedStep::is_missed) {
+            return StartLimits::default();
+        }
+        let usable = (self.workers.values())
+            .filter(|worker| worker.responded_recently(now) && !worker.entry.draining);
+        let cell_cpu = usable.map(|worker| worker.entry.capacity.cpu).sum();
+        let runs = (self.workers.values()).flat_map(|worker| worker.runs.values());
+        let missed_cpu = (runs.filter(|run| run.is_missed))
+            .map(|run| run.amount.cpu)
+            .sum();
+        StartLimits::new(missed_cpu, cell_cpu)
+    }
+
     fn candidates(&self, now: Duration) -> Vec<Candidate> {
         self.work.add_workers(self.workers.len());
         (self.workers.iter())
@@ -251,9 +278,10 @@
             }
         }
         // A gang starts only when all its members are idle.
-        let waiting = match spec.gang && (step.idle as usize) < step.tasks.len() {
-            true => 0,
-            false => step.idle as usize,
+        let waiting = match spec.gang {
+            true if (step.idle as usize) < step.tasks.len() => 0,
+            true => step.idle as usize,
+            false => (step.idle as usize).min(self.round.starts.limit(spec.reserved().cpu)),
         };
         let startable = self.count_allowed_starts(key, waiting, now);
         if startable == 0 && waiting > 0 {
@@ -275,6 +303,7 @@
         let idle: Vec<(usize, Option<AvoidedWorker>, bool)> = (step.tasks.iter().enumerate())
             .filter(|(_, task)| task.phase == TaskPhase::Idle && !task.needs_isolation(spec.gang))
             .map(|(index, task)| (index, task.avoided, task.crashes > 0))
+            .take(startable)
             .collect();
         let demand = |avoided: Option<AvoidedWorker>, is_suspect| TaskDemand {
             spec,
@@ -297,7 +326,7 @@
             }
             return is_placed;
         }
-        for (index, avoided, is_suspect) in idle.into_iter().take(startable) {
+        for (index, avoided, is_suspect) in idle {
             let demand = demand(avoided, is_suspect);
             let Some(position) = self.choose_worker(&demand, candidates, &used) else {
                 // A worker that this task must not use may have room for the next one.
@@ -618,7 +647,12 @@
             entry.suspect_run = run;
             self.mark_dirty(task.job);
         }
-        self.add_run(key, task, RunSlot::starting(run, amount, now));
+        let slot = RunSlot {
+            is_missed: self.round.starts.is_missed,
+            ..RunSlot::starting(run, amount, now)
+        };
+        self.round.starts.record(amount.cpu);
+        self.add_run(key, task, slot);
         self.record_cap_start(task);
         self.actions.push(CellAction::Start {
             worker: key,
--- a/crates/tanager-schedule/src/placement_round.rs
+++ b/crates/tanager-schedule/src/placement_round.rs
@@ -10,6 +10,7 @@
 use crate::allowance::add;
 use crate::allowance::larger;
 use crate::allowance::multiply;
+use crate::start_limits::StartLimits;
 
 /// Maximum number of refused amounts that are remembered of a workspace or of the workers; more
 /// only save checks of requests that differ in several resources.
@@ -56,12 +57,15 @@
     has_last_resort: bool,
     /// Whether the cap refused all tasks of the step that was considered last.
     pub was_refused: bool,
+    /// Limits of the starts in the round.
+    pub starts: StartLimits,
 }
 
 impl PlacementRound {
     /// Begins a round. `has_last_resort` tells whether there are workers that are only used for what
     /// the others could never hold.
     pub fn begin(&mut self, workspaces: usize, has_last_resort: bool) {
+        self.starts = StartLimits::default();
         self.refused.iter_mut().for_each(Vec::clear);
         self.refused.resize_with(workspaces, Vec::new);
         self.skipped.clear();
--- a/crates/tanager-schedule/src/planning.rs
+++ b/crates/tanager-schedule/src/planning.rs
@@ -105,7 +105,7 @@
                 continue;
             }
             for (&number, occurrence) in &job.occurrences {
-                let Some(entry) = self.waiting_job(job, number, occurrence) else {
+                let Some(entry) = self.waiting_job(job, number, occurrence, now) else {
                     continue;
                 };
                 let amount = waiting.entry(job.record.workspace.as_ref()).or_default();
@@ -147,7 +147,11 @@
         job: &JobEntry,
         number: u32,
         occurrence: &OccurrenceEntry,
+        now: Duration,
     ) -> Option<WaitingJob> {
+        if self.is_missed(job, occurrence, now) {
+            return None;
+        }
         let work = self.remaining_work(job, occurrence);
         if work.unplaced <= 0.0 {
             return None;
--- a/crates/tanager-schedule/src/ranking.rs
+++ b/crates/tanager-schedule/src/ranking.rs
@@ -48,6 +48,9 @@
     Excess,
     /// The job no longer has value to its client, but was accepted and must end.
     Overdue,
+    /// An occurrence that was due so long ago that no later one would have waited for it. These take turns
+    /// among the jobs, use only a part of the cell, and new jobs do not wait behind them.
+    Missed,
 }
 
 /// Rank of a step.
@@ -101,6 +104,13 @@
     pub total: f64,
 }
 
+impl RankedStep {
+    /// Returns whether the step is of an occurrence that was missed.
+    pub(crate) fn is_missed(&self) -> bool {
+        self.rank.class == RankClass::Missed
+    }
+}
+
 impl StepRank {
     fn compare(&self, other: &Self) -> Ordering {
         self.class
@@ -247,6 +257,15 @@
             };
             return Some((rank, 0.0));
         }
+        if self.is_missed(job, occurrence, now) {
+            let rank = StepRank {
+                class: RankClass::Missed,
+                priority: policy.priority,
+                value_density: 0.0,
+                due: Duration::from_millis(u64::from(number - job.done.first_missing())),
+            };
+            return Some((rank, 0.0));
+        }
         let work = self.remaining_work(job, occurrence);
         let objective = objective(policy, work.total_critical_path);
         if self.settings.plans_overload {
@@ -281,6 +300,22 @@
         Some((rank, work.unplaced))
     }
 
+    /// Returns whether an occurrence of a repeated job can only end when it has no value any more.
+    pub(crate) fn is_missed(
+        &self,
+        job: &JobEntry,
+        occurrence: &OccurrenceEntry,
+        now: Duration,
+    ) -> bool {
+        if job.record.spec.repetitions == 0 || job.record.spec.is_long_running() {
+            return false;
+        }
+        let critical_path = self.total_critical_path(&job.record);
+        let objective = objective(&self.policy(&job.record.queue), critical_path);
+        let end = now + occurrence.due_before_clock + critical_path;
+        end > occurrence.due + objective.mul_f64(MAX_LATENESS_FACTOR)
+    }
+
     /// Returns the work that an occurrence still needs.
     pub(crate) fn remaining_work(
         &self,
--- a/crates/tanager-schedule/src/worker.rs
+++ b/crates/tanager-schedule/src/worker.rs
@@ -97,6 +97,8 @@
     pub is_overdue: bool,
     /// Whether it is long-running and has been observed for long enough to count as a success.
     pub has_lasted: bool,
+    /// Whether it is of an occurrence that was missed.
+    pub is_missed: bool,
 }
 
 /// Health of a worker.
@@ -440,6 +442,7 @@
             is_isolated: false,
             is_overdue: false,
             has_lasted: false,
+            is_missed: false,
         }
     }
 }
