Keep rounds of placement and reports short beside thousands of small tasks

Callers saw nothing yet: at a full core the owner of 19,000 small runs kept up. At a quarter of a core it would not have: reports took 359 ms of processor time a second, and one round placed all 19,000 tasks, while lease renewals and reports waited.

Cause: each report compared each run of its worker with each listed one, 3,166 x 3,166 here; and a round of placement had no end but that of the waiting tasks. Evidence: reports=359 and visited_runs in cell_load; with tasks of the usual size both are below 10 ms.

A report's runs are looked up in a set now, and a round starts at most 512 tasks; the next one follows after the usual gap. A step looks for as many waiting tasks as it may start, not for all. Gangs still start as a whole.

--- a/crates/tanager-schedule/src/placement.rs
+++ b/crates/tanager-schedule/src/placement.rs
@@ -114,6 +114,9 @@
         let mut largest_free = largest_free(&candidates);
         self.work.add_steps(steps.len());
         for step in &mut steps {
+            if self.round.starts.is_exhausted() {
+                break;
+            }
             self.round.starts.is_missed = step.is_missed();
             let RankedStep { key, need, .. } = step;
             // Advice is requested before a worker has room.
@@ -135,6 +138,7 @@
             }
             need.idle = self.step(*key).map_or(0, |step| step.idle);
         }
+        self.placement_needed |= self.round.starts.is_exhausted();
         self.round.starts.is_missed = false;
         self.ranking.steps = steps;
         for (index, tasks) in self.round.skipped() {
@@ -143,6 +147,11 @@
         }
     }
 
+    /// Returns whether tasks can be placed that the last round left to the next one.
+    pub fn has_more_starts(&self) -> bool {
+        self.placement_needed && self.round.starts.is_exhausted()
+    }
+
     /// Returns the limits of the starts in a round.
     fn start_limits(&self, now: Duration) -> StartLimits {
         // Only a ranking with missed occurrences needs the sums.
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -1,5 +1,6 @@
 //! Worker reports: running and ended runs.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use tanager_jobs::EndCause;
@@ -8,6 +9,7 @@
 use tanager_jobs::RunningRun;
 use tanager_jobs::TaskKey;
 use tanager_jobs::WorkerReport;
+use tanager_jobs::ids::RunNumber;
 
 use crate::action::CellEvent;
 use crate::action::ReleaseCause;
@@ -416,10 +418,13 @@
         let Some(worker) = self.workers.get(key) else {
             return;
         };
+        // A worker may list thousands of small tasks.
+        let listed: HashSet<(TaskKey, RunNumber)> = (report.running.iter())
+            .map(|running| (running.task, running.run))
+            .collect();
         let mut dropped = Vec::new();
         for (task, slot) in &worker.runs {
-            let listed = (report.running.iter())
-                .any(|running| running.task == *task && running.run == slot.run);
+            let listed = listed.contains(&(*task, slot.run));
             let was_confirmed = match slot.stage {
                 RunStage::Running => slot.confirmed_at.is_some_and(|at| at < sent_at),
                 RunStage::Stopped(at) => at < sent_at,
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -424,7 +424,7 @@
             return;
         }
         let clock = &self.context.clock;
-        let (actions, events, has_work, awaits_allowance) = {
+        let (actions, events, has_work, awaits_allowance, has_more_starts) = {
             let mut core = self.core();
             let now = clock.now();
             let may_start = !self.is_paused() && self.context.may_start_runs(now);
@@ -434,8 +434,12 @@
             let has_work = core.has_dirty() || core.has_unstored_ends();
             let awaits_allowance = core.awaits_allowance();
             let (actions, events) = (core.take_actions(), core.take_events());
-            (actions, events, has_work, awaits_allowance)
+            let has_more_starts = core.has_more_starts();
+            (actions, events, has_work, awaits_allowance, has_more_starts)
         };
+        if has_more_starts {
+            self.request_decisions();
+        }
         if awaits_allowance {
             self.allowance_awaited.notify_one();
         }
