Accept and open jobs by the memory of their owner

Cause: nothing bounded what many accepted jobs take together, and nothing read the limit of the platform. Jobs with occurrences or lasting tasks were accepted without a look at anything. An ended job kept all its tasks and its specification until its status was forgotten. A takeover held rows, decoded records and a copy of the progress of all jobs at once.

A job has a cost now, from slopes that the new example memory_cost measures, and a cell a budget that follows from memory_mb. A job is refused with 429 before it is stored if the cost of its record and of one occurrence is not left, including what is being stored, and with 400 if it exceeds the whole budget. Occurrences beyond a job's first one open within three quarters of the budget. What was accepted before, by another version or by a node with more memory, is loaded: the owner opens what fits, knows and answers for all of it, and opens the rest as memory becomes free. Ended jobs give up their tasks and texts; loading drops each row once it is decoded. cell_load and three gauges have the memory reserved, the budget, and the occurrences that are held back, with the job that has most of them.

Why it works: whatever is accepted fits into the memory of its owner, and an owner opens no more than fits, whoever accepted it.

--- a/crates/tanager-node/tests/jobs/memory.rs
+++ b/crates/tanager-node/tests/jobs/memory.rs
@@ -106,3 +106,47 @@
     assert_eq!(limit.kills, 0, "peak {} MB", limit.peak);
     assert_single_runs(&site.standin.runs());
 }
+
+/// Guards against any number of jobs of lasting tasks that are accepted without a look at the memory of their owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_large_jobs_do_not_kill_their_owner() {
+    /// Memory of the smallest node of a deployment, in megabytes.
+    const SMALL_MB: u64 = 160;
+    let mut site = site_with_memory(1, SMALL_MB).await;
+    let mut limit = MemoryLimit::new(SMALL_MB);
+    let mut job = job_of_steps(&[19_000], "lasts");
+    job["steps"][0]["long_running"] = json!(true);
+    let mut accepted = Vec::new();
+    let mut refused = 0;
+    for _ in 0..100 {
+        let id = new_job_id();
+        let path = format!("/{POOL}/{id}");
+        let response = site.request(0, Method::POST, &path, &job.to_string()).await;
+        let status = response.as_ref().map(|response| response.status.as_u16());
+        match status {
+            Some(200) => accepted.push(id),
+            Some(429) => {
+                let response = response.expect("a response");
+                assert!(response.headers.contains_key("retry-after"));
+                refused += 1;
+            }
+            _ => {}
+        }
+        limit.enforce(&mut site.nodes);
+    }
+    assert_eq!(limit.kills, 0, "peak {} MB", limit.peak);
+    assert!(!accepted.is_empty() && accepted.len() + refused == 100);
+    for id in &accepted {
+        let path = format!("/{POOL}/{id}");
+        let response = site.request(0, Method::DELETE, &path, "").await;
+        assert!(response.is_some_and(|response| response.status.is_success()));
+    }
+    let ordinary = new_job_id();
+    let job = job_of_steps(&[2, 2], "ms=250");
+    assert!(site.submit(0, POOL, &ordinary, &job).await);
+    site.eventually_within(&mut limit, "the ordinary job is done", async |site| {
+        all_completed(site, std::slice::from_ref(&ordinary)).await
+    })
+    .await;
+    assert_eq!(limit.kills, 0, "peak {} MB", limit.peak);
+}
--- a/crates/tanager-schedule/src/core.rs
+++ b/crates/tanager-schedule/src/core.rs
@@ -19,6 +19,7 @@
 use crate::action::ReleaseCause;
 use crate::cancellation::EarlyCancellation;
 use crate::caps::CapState;
+use crate::cell_memory::CellMemory;
 use crate::crashes::CrashTable;
 use crate::decision_work::DecisionWork;
 use crate::decision_work::WorkCounters;
@@ -116,6 +117,8 @@
     pub(crate) next_incarnations: HashMap<WorkerId, IncarnationNumber>,
     /// Ended jobs and early cancellations, ordered by the time of their end.
     pub(crate) ended: BTreeSet<(u64, JobId)>,
+    /// Memory of the jobs.
+    pub(crate) memory: CellMemory,
     /// State of the current round of placement.
     pub(crate) round: PlacementRound,
     /// Work of the decisions so far.
@@ -171,6 +174,7 @@
             caps: CapState::default(),
             next_incarnations: HashMap::new(),
             ended: BTreeSet::new(),
+            memory: CellMemory::default(),
             round: PlacementRound::default(),
             work: WorkCounters::default(),
         }
@@ -223,14 +227,23 @@
         self.insert_job(id, entry, now, wall_ms);
     }
 
-    pub(crate) fn insert_job(&mut self, id: JobId, entry: JobEntry, now: Duration, wall_ms: u64) {
+    pub(crate) fn insert_job(
+        &mut self,
+        id: JobId,
+        mut entry: JobEntry,
+        now: Duration,
+        wall_ms: u64,
+    ) {
         if entry.is_ended() {
+            entry.release_tasks();
             self.ended.insert((entry.ended_ms, id));
         } else {
             self.open_jobs.insert(id);
             self.scheduled_jobs.insert(id);
         }
         self.jobs.insert(id, entry);
+        self.release_memory(id);
+        self.update_charge(id);
         self.charge_earlier_runs(id);
         self.open_due_occurrences(id, now, wall_ms);
         self.placement_needed = true;
@@ -281,7 +294,7 @@
         job.state = state;
         job.ended_ms = wall_ms;
         let mut placed = Vec::new();
-        for (&occurrence, entry) in &job.occurrences {
+        for (occurrence, entry) in job.release_tasks() {
             for (step, tasks) in entry.steps.iter().enumerate() {
                 for (index, task) in tasks.tasks.iter().enumerate() {
                     if let TaskPhase::Placed(worker) = task.phase {
@@ -306,6 +319,7 @@
         }
         self.ended.insert((wall_ms, id));
         self.dirty.insert(id);
+        self.update_charge(id);
         for (worker, task) in placed {
             self.order_stop(worker, task);
         }
--- a/crates/tanager-schedule/src/job.rs
+++ b/crates/tanager-schedule/src/job.rs
@@ -16,7 +16,9 @@
 use tanager_jobs::record::encode_done;
 
 use crate::advice::StepAdvice;
+use crate::cell_memory::JobCharge;
 use crate::done_occurrences::DoneOccurrences;
+use crate::memory_cost::JobCost;
 use crate::worker::WorkerKey;
 
 /// In-memory state of a job.
@@ -46,6 +48,10 @@
     pub next_occurrence: u32,
     /// A former owner may have opened the occurrences below this number.
     pub formerly_due: u32,
+    /// Memory of the job.
+    pub(crate) cost: JobCost,
+    /// What of it is counted at present.
+    pub(crate) charge: JobCharge,
 }
 
 /// An occurrence of a job.
@@ -137,6 +143,8 @@
     /// Creates the entry of a newly accepted job.
     pub fn new(record: JobRecord, now: Duration) -> Self {
         Self {
+            cost: JobCost::of(&record),
+            charge: JobCharge::default(),
             record: Arc::new(record),
             state: JobState::Open,
             stored_state: JobState::Open,
@@ -157,6 +165,18 @@
         self.state != JobState::Open
     }
 
+    /// Releases what an ended job needs no more, and returns its open occurrences. The job itself is kept until its
+    /// status is forgotten.
+    pub(crate) fn release_tasks(&mut self) -> BTreeMap<u32, OccurrenceEntry> {
+        self.stored_progress.clear();
+        if !self.record.spec.specification.is_empty() {
+            let mut record = JobRecord::clone(&self.record);
+            record.spec.specification = String::new();
+            self.record = Arc::new(record);
+        }
+        std::mem::take(&mut self.occurrences)
+    }
+
     /// Returns the first occurrence that is neither open nor done.
     pub(crate) fn next_unopened(&self) -> u32 {
         let mut number = self.next_occurrence.max(self.done.first_missing());
--- a/crates/tanager-schedule/src/occurrences.rs
+++ b/crates/tanager-schedule/src/occurrences.rs
@@ -31,7 +31,8 @@
             waiting_tasks: job.waiting_tasks(),
             first_missing: job.done.first_missing(),
         };
-        while number < due && window.may_open(number) {
+        let size = job.cost.occurrence;
+        while number < due && window.may_open(number) && self.memory.may_open(size, window.count) {
             window.count += 1;
             window.waiting_tasks += self.open_occurrence(id, number, now, wall_ms);
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -55,6 +56,10 @@
             return 0;
         };
         job.open_occurrence(number, now, wall_ms);
+        self.update_charge(id);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return 0;
+        };
         if number < job.formerly_due {
             let suspects = job.mark_unaccounted(number);
             self.crashes.suspects.extend(suspects);
--- a/crates/tanager-schedule/src/persistence.rs
+++ b/crates/tanager-schedule/src/persistence.rs
@@ -164,7 +164,9 @@
             // The stored progress of a withheld job is older than its end.
             if self.is_stored(key.1) && !self.withheld.contains(key.1) {
                 self.ended.remove(&key);
-                self.jobs.remove(&key.1);
+                if let Some(job) = self.jobs.remove(&key.1) {
+                    self.remove_charge(&job);
+                }
                 self.early_cancellations.remove(&key.1);
                 ids.push(key.1);
             }
--- a/crates/tanager-schedule/src/plan_admission.rs
+++ b/crates/tanager-schedule/src/plan_admission.rs
@@ -260,6 +260,7 @@
 
     /// Forgets an admitted job that was not stored.
     pub fn forget_pending(&mut self, id: JobId) {
+        self.release_memory(id);
         self.plan.pending.remove(&id);
     }
 }
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -276,6 +276,7 @@
             job.done.insert(task.occurrence);
         }
         let is_complete = job.done.count() >= record.spec.occurrences() as usize;
+        self.update_charge(task.job);
         self.ready.remove(&(task.job, task.occurrence, task.step));
         for other in others {
             self.order_stop(other, task);
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -94,6 +95,8 @@
     /// Loads of the other cells of the pool.
     pub(crate) siblings: SiblingLoads,
     core: Mutex<CellCore>,
+    /// Memory in bytes that the jobs of the cell took at the last round of decisions.
+    memory_used: AtomicU64,
     links: Mutex<HashMap<WorkerKey, WorkerConnection>>,
     closed: watch::Sender<bool>,
     /// Set when a handover begins: no task is started and no job is accepted any more.
@@ -162,6 +165,7 @@
             intake: Mutex::default(),
             refusals: RefusalCounts::default(),
             siblings: SiblingLoads::default(),
+            memory_used: AtomicU64::new(core.memory().0),
             core: Mutex::new(core),
             links: Mutex::default(),
             closed: watch::Sender::new(false),
@@ -279,6 +283,11 @@
         is_replaced
     }
 
+    /// Returns the memory in bytes that the jobs of the cell took at the last round of decisions.
+    pub(crate) fn memory_used(&self) -> u64 {
+        self.memory_used.load(Ordering::Relaxed)
+    }
+
     /// Returns whether tasks wait for room on a worker.
     pub fn has_waiting_tasks(&self) -> bool {
         let (_, waiting_steps, _) = self.core().sizes();
@@ -424,13 +433,17 @@
             return;
         }
         let clock = &self.context.clock;
+        // Reads what the other cells take, so this one must not be locked.
+        let memory_budget = self.context.cell_memory_budget(&self.name);
         let (actions, events, has_work, awaits_allowance, has_more_starts) = {
             let mut core = self.core();
             let now = clock.now();
+            core.set_memory_budget(memory_budget);
             let may_start = !self.is_paused() && self.context.may_start_runs(now);
             let tick = || core.tick(now, clock.wall_ms(), may_start);
             let ((), spent) = cpu_time::measure(Duty::Decisions, tick);
             self.load.add_decisions(spent);
+            self.memory_used.store(core.memory().0, Ordering::Relaxed);
             let has_work = core.has_dirty() || core.has_unstored_ends();
             let awaits_allowance = core.awaits_allowance();
             let (actions, events) = (core.take_actions(), core.take_events());
--- a/crates/tanager-service/src/cell_load.rs
+++ b/crates/tanager-service/src/cell_load.rs
@@ -12,9 +12,9 @@
 use tokio::time;
 
 use crate::cell::CellHandle;
+use crate::cell_sizes::CellSizes;
 use crate::cpu_time::CpuTimes;
 use crate::cpu_time::Duty;
-use crate::memory_use::resident_bytes;
 use crate::peers::CellResponse;
 
 /// Time between two lines about a cell.
@@ -174,6 +174,7 @@
         // The last second of an ownership is often the one to be explained.
         reporter.report(&cell);
         if is_closed {
+            cell.context.metrics.cells.remove(&cell.name);
             return;
         }
     }
@@ -186,16 +187,14 @@
         let span = now.saturating_sub(self.ended_at);
         let counts = cell.load.counts();
         let cpu = CpuTimes::read();
-        let ((open, waiting, runs), (occurrences, tasks), work, recovery) = {
-            let core = cell.core();
-            let recovery = core.recovery_state(now);
-            (
-                core.sizes(),
-                core.open_tasks(),
-                core.decision_work(),
-                recovery,
-            )
-        };
+        let sizes = CellSizes::read(cell);
+        let CellSizes {
+            jobs: (open, waiting, runs),
+            work,
+            ..
+        } = sizes;
+        let recovery = cell.core().recovery_state(now);
+        cell.context.metrics.cells.set(&cell.name, &sizes);
         let done = counts.since(&self.counts);
         cell.context.metrics.count_work(&self.work, &work);
         if let Some(recovery) = recovery {
@@ -238,8 +237,7 @@
                  dropped={} uncertain={} started={} ended={} open={open} waiting={waiting} \
                  runs={runs} lag={:.3} decisions={} cpu={} admission={} reports={} renewals={} \
                  ledger={} peer_calls={} log_lines={} log_writer={} steps={} cap_checks={} \
-                 compared={} visited_runs={} visited_tasks={} occurrences={occurrences} tasks={tasks} \
-                 memory={}",
+                 compared={} visited_runs={} visited_tasks={} {sizes}",
                 cell.name,
                 cell.token,
                 span.as_secs_f64(),
@@ -265,7 +263,6 @@
                 work.workers - self.work.workers,
                 work.runs - self.work.runs,
                 work.tasks - self.work.tasks,
-                resident_bytes().unwrap_or_default() >> 20,
             );
         }
         if let Some(change) = change {
--- a/crates/tanager-service/src/cell_rows.rs
+++ b/crates/tanager-service/src/cell_rows.rs
@@ -215,7 +215,7 @@
     }
     let mut unsaved = BTreeSet::new();
     for (job, names) in &progress.absorbed {
-        let is_readable = progress.jobs.contains_key(job);
+        let is_readable = progress.readable.contains(job);
         match job.parse() {
             Ok(id) if is_readable && core.mark_unsaved(id) => _ = unsaved.insert(id),
             _ => kept.extend(names.iter().cloned()),
@@ -229,16 +229,17 @@
     Absorption::new(copies, unsaved, obsolete)
 }
 
-/// Loads the jobs; returns the number of loaded jobs and of rows that could not be decoded.
+/// Loads the jobs; returns the number of loaded jobs and of rows that could not be decoded. Rows and progress that
+/// are not needed any more are dropped on the way, since they take as much memory as the jobs.
 pub(crate) fn load_jobs(
     core: &mut CellCore,
-    rows: &CellRows,
+    rows: &mut CellRows,
     absorbed: &[CellName],
     now: Duration,
     wall_ms: u64,
 ) -> (usize, usize) {
     let mut skipped = 0;
-    let mut progress = rows.progress.jobs.clone();
+    let mut progress = rows.progress.take_jobs();
     for (job, problem) in &rows.progress.unreadable {
         skipped += 1;
         log::error!("event=row_skipped table={PROGRESS_TABLE} key={job:?} error={problem:?}");
@@ -264,8 +265,13 @@
         progress
     };
     let mut loaded = 0;
-    for row in &rows.jobs.current {
-        match decode_record::<JobRecord>(&row.name.key, &row.value) {
+    let own = rows.jobs.own;
+    for (position, row) in rows.jobs.current.iter_mut().enumerate() {
+        let record = decode_record::<JobRecord>(&row.name.key, &row.value);
+        if position < own && record.is_ok() {
+            row.value = Vec::new();
+        }
+        match record {
             Ok(record) => {
                 let progress = take_progress(&row.name.key, Some(&record.spec));
                 core.load_job(record, &progress, now, wall_ms);
--- a/crates/tanager-service/src/context.rs
+++ b/crates/tanager-service/src/context.rs
@@ -11,6 +11,7 @@
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::FencingToken;
 use tanager_schedule::call_age::NodeTime;
+use tanager_schedule::memory_budget;
 use tanager_schedule::order_lease::ORDER_LEASE;
 use tanager_schedule::ownership;
 use tanager_schedule::ownership::OwnershipConfirmations;
@@ -103,6 +104,8 @@
     pub owners_changed: Notify,
     /// Rows of other writers that cannot be used.
     pub(crate) skipped_rows: SkippedRows,
+    /// Memory that the jobs of all cells of this node may take, in bytes.
+    memory_budget: u64,
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
     confirmations: Mutex<NodeConfirmations>,
@@ -162,6 +165,7 @@
             queue_pools: QueuePools::default(),
             owners_changed: Notify::new(),
             skipped_rows: SkippedRows::default(),
+            memory_budget: memory_budget::jobs_budget(settings.memory_limit),
             view: Mutex::default(),
             cells: Mutex::default(),
             confirmations: Mutex::default(),
@@ -203,6 +207,16 @@
         }
     }
 
+    /// Returns the memory in bytes that the jobs of a cell may take, whether or not it is registered yet.
+    pub(crate) fn cell_memory_budget(&self, name: &str) -> u64 {
+        let cells = self.lock_cells();
+        let others = cells.values().filter(|cell| cell.name != name);
+        let (count, used) = others.fold((0, 0), |(count, used), cell| {
+            (count + 1, used + cell.memory_used())
+        });
+        memory_budget::cell_budget(self.memory_budget, used, count + 1)
+    }
+
     /// Registers an acquired cell.
     pub(crate) fn insert_cell(&self, cell: Arc<CellHandle>) {
         self.lock_cells().insert(cell.name.clone(), cell);
--- a/crates/tanager-service/src/lib.rs
+++ b/crates/tanager-service/src/lib.rs
@@ -19,6 +19,7 @@
 mod cell_calls;
 pub mod cell_load;
 mod cell_rows;
+pub mod cell_sizes;
 pub mod clock;
 pub mod commit_outcome;
 mod config_metrics;
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::registry::Registry;
 use tanager_schedule::decision_work::DecisionWork;
 
+use crate::cell_sizes::CellGauges;
 use crate::cpu_time::CpuCollector;
 use crate::question_log::FailedQuestions;
 use crate::workspace_metrics::WorkspaceMetrics;
@@ -24,6 +25,8 @@
             pub workspaces: WorkspaceMetrics,
             /// Failed questions by reason.
             pub failed_questions: FailedQuestions,
+            /// What the cells keep in memory.
+            pub cells: CellGauges,
             $(#[doc = $text] pub $name: $kind,)*
         }
 
@@ -37,8 +40,9 @@
                 )*
                 let workspaces = WorkspaceMetrics::register(&mut registry);
                 let failed_questions = FailedQuestions::register(&mut registry);
+                let cells = CellGauges::register(&mut registry);
                 registry.register_collector(Box::new(CpuCollector));
-                Self { registry, workspaces, failed_questions, $($name,)* }
+                Self { registry, workspaces, failed_questions, cells, $($name,)* }
             }
         }
     };
@@ -95,6 +99,7 @@
     CountMetric refused_displaced "Jobs refused in favour of one of higher value";
     CountMetric refused_cap "Jobs refused because a gang exceeds the cap of its workspace";
     CountMetric refused_no_worker "Jobs refused because a task fits on no worker";
+    CountMetric refused_memory "Jobs refused because the jobs of their cell take all memory";
     CountMetric refused_store "Jobs refused because the store is away";
     CountMetric refused_intake "Submissions refused before the job was decoded because too many waited for the store";
     CountMetric jobs_planned "Jobs admitted by a plan in which they end in time";
--- a/crates/tanager-service/src/progress_rows.rs
+++ b/crates/tanager-service/src/progress_rows.rs
@@ -8,6 +8,7 @@
 //! first time, the header comes last; until then it has everything.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
@@ -392,6 +393,18 @@
     pub absorbed: BTreeMap<String, Vec<RowName>>,
     /// All rows of absorbed cells.
     pub absorbed_rows: Vec<RowName>,
+    /// Jobs among `absorbed` whose progress was taken.
+    pub readable: BTreeSet<String>,
+}
+
+impl LoadedProgress {
+    /// Takes the progress of all jobs.
+    pub fn take_jobs(&mut self) -> BTreeMap<String, ProgressRecord> {
+        let jobs = std::mem::take(&mut self.jobs);
+        let readable = (self.absorbed.keys()).filter(|job| jobs.contains_key(*job));
+        self.readable = readable.cloned().collect();
+        jobs
+    }
 }
 
 /// Loads the progress of a cell, whose rows come first, and of the cells that it absorbed. The first cell
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -16,6 +16,7 @@
 use tanager_schedule::AdmissionDecision;
 use tanager_schedule::CancelResult;
 use tanager_schedule::call_intake;
+use tanager_schedule::cell_memory::MemoryDecision;
 use tanager_schedule::core::JobPhase;
 use tanager_site::job_api::JobStatus;
 use tokio::sync::oneshot;
@@ -321,7 +322,7 @@
             return Some(store_refusal());
         }
         match self.decide_admission(record, now) {
-            AdmissionDecision::Accept => None,
+            AdmissionDecision::Accept => self.check_memory(record, now),
             AdmissionDecision::Overloaded(after) => {
                 Some(overload_refusal(after, "too much work waits"))
             }
@@ -335,6 +336,27 @@
         }
     }
 
+    /// Returns the refusal of a job for which this node has no memory.
+    fn check_memory(&self, record: &JobRecord, now: Duration) -> Option<CellResponse> {
+        let mut core = self.core();
+        let decision = core.reserve_memory(record, now);
+        if decision == MemoryDecision::Accept {
+            return None;
+        }
+        core.forget_pending(record.id);
+        drop(core);
+        self.context.metrics.refused_memory.increment();
+        Some(match decision {
+            MemoryDecision::Never { needed, budget } => CellResponse::Invalid(format!(
+                "the job takes {needed} bytes of memory; at most {budget} are available for jobs"
+            )),
+            MemoryDecision::Full(after) => {
+                overload_refusal(after, "the jobs of the cell take all memory")
+            }
+            MemoryDecision::Accept => return None,
+        })
+    }
+
     /// Handles a cancellation that came together with others. The future is boxed, because it is part
     /// of the one that handles the request for all of them.
     fn cancel_one<'a>(
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -114,7 +114,8 @@
     let now = context.clock.now();
     let wall_ms = context.clock.wall_ms();
     let mut core = CellCore::new(cell_settings(context));
-    let (jobs, skipped) = load_jobs(&mut core, &rows, &absorbed, now, wall_ms);
+    core.set_memory_budget(context.cell_memory_budget(name));
+    let (jobs, skipped) = load_jobs(&mut core, &mut rows, &absorbed, now, wall_ms);
     let absorption = plan_absorption(&mut core, &rows);
     for (queue, statistics) in &rows.learned {
         let duration = QueueDuration {
