Refuse jobs at once for which long-running tasks leave no room

Callers saw: a job, or many, of more long-running tasks than a pool has cores for were accepted without a bound, and every job accepted after them waited for good: 17 of 19 behind 60 jobs of 19,000 lasting tasks, 18 of 20 beside 2,000 overdue occurrences of ten lasting tasks.

Cause: admit_without_load accepted each job with long-running tasks or occurrences without a look at the load; other jobs were admitted by the backlog, of which tasks that never end are no part. Evidence: cell_load shows runs that fill all cores, waiting steps, and no end.

A job with long-running tasks is refused with 429 if these, with all occurrences and those of the open jobs, want more than three quarters of the cell's cores, or more than its memory or accelerators. Any job that runs at once is refused if long-running tasks take the room of one of its steps on every worker that could hold it; a worker that does not respond may have room. The rule counts what jobs want, not what runs, so it refuses before the room is taken. Running long-running tasks keep all their rights: one that waits starts where there is room.

Tests: long_running_room.rs; before, both kinds of jobs are accepted. The match in two tests of admission names the new decision.

Why it works: what cannot run is known at its submission, since long-running tasks end only when their jobs are cancelled.

--- a/crates/tanager-schedule/src/admission.rs
+++ b/crates/tanager-schedule/src/admission.rs
@@ -29,6 +29,9 @@
 /// Retry time of a job for which the pool has no suitable worker at present.
 const NO_WORKER_RETRY: Duration = Duration::from_secs(5);
 
+/// Retry time of a job for which long-running tasks leave no room; they end only when their jobs are cancelled.
+const NO_ROOM_RETRY: Duration = Duration::from_secs(5);
+
 /// Decision on a job that requests admission.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AdmissionDecision {
@@ -40,6 +43,8 @@
     ExceedsCap,
     /// One of its tasks fits on no worker of the pool; retry after this time.
     NoWorker(Duration),
+    /// Long-running tasks leave no room for it; retry after this time.
+    NoRoom(Duration),
 }
 
 impl CellCore {
@@ -125,7 +130,17 @@
             self.record_refused_step(step, now);
             return Some(AdmissionDecision::NoWorker(NO_WORKER_RETRY));
         }
-        (spec.is_long_running() || spec.repetitions > 0).then_some(AdmissionDecision::Accept)
+        if self.wants_too_much_room(spec) {
+            return Some(AdmissionDecision::NoRoom(NO_ROOM_RETRY));
+        }
+        if spec.repetitions > 0 {
+            return Some(AdmissionDecision::Accept);
+        }
+        let is_taken = (spec.steps.iter()).any(|step| self.is_taken_by_long_running(step, now));
+        match is_taken {
+            true => Some(AdmissionDecision::NoRoom(NO_ROOM_RETRY)),
+            false => spec.is_long_running().then_some(AdmissionDecision::Accept),
+        }
     }
 
     /// Adds a job to the statistics of arrivals; returns its expected critical path and its
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod health_rates;
 pub mod incarnations;
 pub mod job;
+pub mod long_running_room;
 pub mod memory_budget;
 pub mod memory_cost;
 pub mod merging;
--- a/crates/tanager-schedule/src/unheld_steps.rs
+++ b/crates/tanager-schedule/src/unheld_steps.rs
@@ -146,7 +146,7 @@
             .collect()
     }
 
-    fn long_running_use(&self, worker: &WorkerSlot) -> ResourceAmount {
+    pub(crate) fn long_running_use(&self, worker: &WorkerSlot) -> ResourceAmount {
         (worker.runs.iter())
             .filter(|(task, _)| self.spec(**task).is_some_and(|spec| spec.long_running))
             .fold(ResourceAmount::default(), |sum, (_, run)| {
--- a/crates/tanager-schedule/tests/cell.rs
+++ b/crates/tanager-schedule/tests/cell.rs
@@ -396,9 +396,9 @@
                 assert!(accepted >= 4);
                 return;
             }
-            AdmissionDecision::NoWorker(_) | AdmissionDecision::ExceedsCap => {
-                panic!("the job fits")
-            }
+            AdmissionDecision::NoWorker(_)
+            | AdmissionDecision::NoRoom(_)
+            | AdmissionDecision::ExceedsCap => panic!("the job fits"),
         }
     }
     panic!("nothing was refused");
--- a/crates/tanager-schedule/tests/starved_owner/owner.rs
+++ b/crates/tanager-schedule/tests/starved_owner/owner.rs
@@ -304,7 +304,9 @@
                 self.unstored.push((record, call));
                 return;
             }
-            AdmissionDecision::Overloaded(after) | AdmissionDecision::NoWorker(after) => after,
+            AdmissionDecision::Overloaded(after)
+            | AdmissionDecision::NoWorker(after)
+            | AdmissionDecision::NoRoom(after) => after,
             AdmissionDecision::ExceedsCap => RETRY_AFTER.1,
         };
         let answer = Answer::Refused(after.clamp(RETRY_AFTER.0, RETRY_AFTER.1));
--- a/crates/tanager-service/src/admission.rs
+++ b/crates/tanager-service/src/admission.rs
@@ -39,6 +39,7 @@
             AdmissionDecision::Overloaded(_) => metrics.refused_late.increment(),
             AdmissionDecision::ExceedsCap => metrics.refused_cap.increment(),
             AdmissionDecision::NoWorker(_) => metrics.refused_no_worker.increment(),
+            AdmissionDecision::NoRoom(_) => metrics.refused_no_room.increment(),
         }
         if report.outcome.is_some() {
             self.log_admission(record, &report);
--- a/crates/tanager-service/src/metrics.rs
+++ b/crates/tanager-service/src/metrics.rs
@@ -99,6 +99,7 @@
     CountMetric refused_displaced "Jobs refused in favour of one of higher value";
     CountMetric refused_cap "Jobs refused because a gang exceeds the cap of its workspace";
     CountMetric refused_no_worker "Jobs refused because a task fits on no worker";
+    CountMetric refused_no_room "Jobs refused because long-running tasks leave no room for them";
     CountMetric refused_memory "Jobs refused because the jobs of their cell take all memory";
     CountMetric refused_store "Jobs refused because the store is away";
     CountMetric refused_intake "Submissions refused before the job was decoded because too many waited for the store";
--- a/crates/tanager-service/src/requests.rs
+++ b/crates/tanager-service/src/requests.rs
@@ -333,6 +333,10 @@
                 after,
                 "no worker of the pool can hold a task of the job",
             )),
+            AdmissionDecision::NoRoom(after) => Some(overload_refusal(
+                after,
+                "long-running tasks leave no room for the job",
+            )),
         }
     }
 
