Break the circle of owners that end soon after they acquire a cell

Cause: a cell whose row names a node is acquired by it at once, whatever became of its processes before, and nothing remembers that.

The owner row counts the owners in a row that ended early: within 10 s of the start of their process, which the incarnation in the row contains, or of their acquisition if the same process acquires the cell again (after a panic). The count is written with the acquisition, before anything is loaded, so it costs no call and survives whatever the load does; a release or an end that is not early resets it, and a row without early ends is the same as before, which nodes of earlier versions read. From the third early end on the other nodes come first, by the usual order; the memory budget of the cell halves with each further one, down to a sixteenth; and another job gets its memory first each time. All jobs are known and answered for meanwhile, and cancellations are taken.

Weighed: longer pauses (they stop the cell as well, and the first two acquisitions must be as fast as now), and a row of attempts in a table of its own (one more read and write in each takeover). Not covered: which job is the cause is not found out; a budget of a sixteenth may still open it.

Tests: early_ends.rs, membership.rs, and cell_that_ends_its_owner_again_and_again_goes_to_another_node with two real nodes, which fails on the code before (the same node is the owner after six kills).

--- a/crates/tanager-node/tests/jobs/memory.rs
+++ b/crates/tanager-node/tests/jobs/memory.rs
@@ -11,6 +11,7 @@
 use super::harness::MemoryLimit;
 use super::harness::NodeProcess;
 use super::harness::assert_single_runs;
+use super::harness::eventually;
 use super::harness::job_of_steps;
 use super::harness::new_job_id;
 use super::harness::pool;
@@ -150,3 +151,28 @@
     .await;
     assert_eq!(limit.kills, 0, "peak {} MB", limit.peak);
 }
+
+/// Guards against a node that acquires a cell again at each start although each of its processes ends with it: no other
+/// node, which may have more memory, gets the cell.
+#[tokio::test(flavor = "multi_thread")]
+async fn cell_that_ends_its_owner_again_and_again_goes_to_another_node() {
+    let mut site = site_with_memory(2, MEMORY_MB).await;
+    let id = new_job_id();
+    let job = job_of_steps(&[2, 2], "ms=250");
+    assert!(site.submit(0, POOL, &id, &job).await);
+    let first = site.owner(CELL).await.expect("an owner");
+    for _ in 0..6 {
+        if site.owner(CELL).await != Some(first) {
+            break;
+        }
+        site.nodes[first].kill();
+        site.nodes[first].restart();
+        eventually("the cell has an owner", async || {
+            site.owner(CELL).await.is_some()
+        })
+        .await;
+    }
+    assert_eq!(site.owner(CELL).await, Some(1 - first));
+    site.wait_for_state(POOL, &id, "completed").await;
+    assert_single_runs(&site.standin.runs());
+}
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod done_occurrences;
 pub mod drain;
 pub mod durations;
+pub mod early_ends;
 pub mod ejection;
 pub mod fair_share;
 pub mod health_rates;
--- a/crates/tanager-schedule/src/memory_budget.rs
+++ b/crates/tanager-schedule/src/memory_budget.rs
@@ -3,6 +3,8 @@
 //! The platform kills a process above its limit. Load: jobs of up to 20,000 tasks, each of which any node may
 //! get to own with all other jobs of its cell.
 
+use crate::early_ends::TOLERATED_ENDS;
+
 /// Limit that is assumed where the platform names none, in bytes: the one that the service is designed for.
 const DEFAULT_LIMIT: u64 = 256_000_000;
 /// Bytes that a node takes without jobs: 12 MB when idle, up to 30 MB with the connections and copies of the largest
@@ -13,10 +15,8 @@
 const JOBS_SHARE: f64 = 0.5;
 /// Least budget in bytes: enough for the largest job that is accepted.
 const MIN_BUDGET: u64 = 24_000_000;
-/// Ownerships that ended early from which on the next one gets less memory. A few ends in a row are not unusual.
-const TOLERATED_ENDS: u32 = 3;
-/// Most halvings of the budget.
-const MAX_HALVINGS: u32 = 8;
+/// Most halvings of the budget of a cell whose owners keep ending early.
+const MAX_HALVINGS: u32 = 4;
 
 /// Returns the budget of the jobs of a node in bytes, from the limit of its platform.
 pub fn jobs_budget(limit: Option<u64>) -> u64 {
--- a/crates/tanager-service/src/absorbed_rows.rs
+++ b/crates/tanager-service/src/absorbed_rows.rs
@@ -132,6 +132,18 @@
     pub(crate) obsolete: Vec<RowName>,
 }
 
+impl AbsorbedRows {
+    /// Lets another row of the cell itself come first for each number, so that the first jobs, which get memory first, are
+    /// not always the same.
+    pub(crate) fn rotate(&mut self, number: u32) {
+        let own = &mut self.current[..self.own];
+        if !own.is_empty() {
+            let offset = number as usize % own.len();
+            own.rotate_left(offset);
+        }
+    }
+}
+
 /// Combines the rows of a table of a cell and of the cells that it absorbed: the first row with a key
 /// supersedes the others.
 pub(crate) fn combine_rows(tables: Vec<Vec<TableRow>>) -> AbsorbedRows {
--- a/crates/tanager-service/src/cell.rs
+++ b/crates/tanager-service/src/cell.rs
@@ -95,6 +95,8 @@
     /// Loads of the other cells of the pool.
     pub(crate) siblings: SiblingLoads,
     core: Mutex<CellCore>,
+    /// Number of owners in a row before this one that ended early.
+    early_ends: u32,
     /// Memory in bytes that the jobs of the cell took at the last round of decisions.
     memory_used: AtomicU64,
     links: Mutex<HashMap<WorkerKey, WorkerConnection>>,
@@ -117,6 +119,8 @@
     pub(crate) stored: StoredRows,
     /// Permission to send orders to VMs, if this is the coordinator's cell.
     pub(crate) order_gate: Option<Arc<OrderGate>>,
+    /// Number of owners in a row that ended early.
+    pub(crate) early_ends: u32,
 }
 
 /// Connections to a worker, with the orders that wait for one.
@@ -147,6 +151,7 @@
             absorption,
             stored,
             order_gate,
+            early_ends,
         } = loaded;
         let allocator = (name == ALLOCATOR_CELL).then(|| Allocator::new(&context, token));
         let cell = Arc::new(Self {
@@ -165,6 +170,7 @@
             intake: Mutex::default(),
             refusals: RefusalCounts::default(),
             siblings: SiblingLoads::default(),
+            early_ends,
             memory_used: AtomicU64::new(core.memory().0),
             core: Mutex::new(core),
             links: Mutex::default(),
@@ -434,7 +440,7 @@
         }
         let clock = &self.context.clock;
         // Reads what the other cells take, so this one must not be locked.
-        let memory_budget = self.context.cell_memory_budget(&self.name);
+        let memory_budget = (self.context).cell_memory_budget(&self.name, self.early_ends);
         let (actions, events, has_work, awaits_allowance, has_more_starts) = {
             let mut core = self.core();
             let now = clock.now();
--- a/crates/tanager-service/src/context.rs
+++ b/crates/tanager-service/src/context.rs
@@ -41,6 +41,7 @@
 use crate::peers::PeerClient;
 use crate::queue_pools::QueuePools;
 use crate::records::Incarnation;
+use crate::records::new_incarnation;
 use crate::skipped_rows::SkipReport;
 use crate::skipped_rows::SkippedRows;
 use crate::store_access::StoreAccess;
@@ -108,6 +109,8 @@
     memory_budget: u64,
     view: Mutex<FleetView>,
     cells: Mutex<BTreeMap<CellName, Arc<CellHandle>>>,
+    /// Times at which this process last acquired cells.
+    acquisitions: Mutex<BTreeMap<CellName, Duration>>,
     confirmations: Mutex<NodeConfirmations>,
     stopping: watch::Sender<bool>,
 }
@@ -141,8 +144,7 @@
             Arc::clone(&peers),
             Arc::clone(&metrics),
         );
-        // The random bits keep two processes of a node apart even if their clocks agree.
-        let incarnation = (clock.wall_ms() << 16) | u64::from(rand::random::<u16>());
+        let incarnation = new_incarnation(clock.wall_ms(), rand::random());
         Self {
             advice: settings.advice_address.map(AdviceClient::new),
             advice_lock: tokio::sync::Mutex::new(()),
@@ -168,6 +170,7 @@
             memory_budget: memory_budget::jobs_budget(settings.memory_limit),
             view: Mutex::default(),
             cells: Mutex::default(),
+            acquisitions: Mutex::default(),
             confirmations: Mutex::default(),
             stopping: watch::Sender::new(false),
             settings,
@@ -207,14 +210,31 @@
         }
     }
 
-    /// Returns the memory in bytes that the jobs of a cell may take, whether or not it is registered yet.
-    pub(crate) fn cell_memory_budget(&self, name: &str) -> u64 {
+    /// Returns the memory in bytes that the jobs of a cell may take, whether or not it is registered yet; less after
+    /// repeated early ends of its owners.
+    pub(crate) fn cell_memory_budget(&self, name: &str, early_ends: u32) -> u64 {
         let cells = self.lock_cells();
         let others = cells.values().filter(|cell| cell.name != name);
         let (count, used) = others.fold((0, 0), |(count, used), cell| {
             (count + 1, used + cell.memory_used())
         });
-        memory_budget::cell_budget(self.memory_budget, used, count + 1)
+        let budget = memory_budget::cell_budget(self.memory_budget, used, count + 1);
+        memory_budget::reduced_budget(budget, early_ends)
+    }
+
+    /// Records that this process acquired a cell.
+    pub(crate) fn record_acquisition(&self, name: &CellName) {
+        let now = self.clock.now();
+        self.lock_acquisitions().insert(name.clone(), now);
+    }
+
+    /// Returns when this process last acquired a cell.
+    pub(crate) fn last_acquisition(&self, name: &str) -> Option<Duration> {
+        self.lock_acquisitions().get(name).copied()
+    }
+
+    fn lock_acquisitions(&self) -> MutexGuard<'_, BTreeMap<CellName, Duration>> {
+        (self.acquisitions.lock()).unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Registers an acquired cell.
--- a/crates/tanager-service/src/membership.rs
+++ b/crates/tanager-service/src/membership.rs
@@ -9,6 +9,7 @@
 
 use tanager_jobs::ids::CellName;
 use tanager_jobs::ids::NodeName;
+use tanager_schedule::early_ends;
 use tanager_schedule::ownership;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,7 +42,7 @@
 ///
 /// A cell whose row names this node although it does not run the cell is acquired at once: an
 /// earlier process owned it, or the store carried out the acquiring write after the node had
-/// abandoned it. Other cells are acquired only if `may_acquire_others`, and those of an owner whose
+/// abandoned it; after repeated early ends of its owners the other nodes come first. Other cells are acquired only if `may_acquire_others`, and those of an owner whose
 /// node's row is missing only after the time for which a known node may be unresponsive. Rows of nodes
 /// that were read too long ago do not show that a node is unresponsive: it may have come back. A cell
 /// whose owner row cannot be decoded is left to the unknown owner.
@@ -107,16 +108,19 @@
     let mut cells_to_acquire = Vec::new();
     for (cell, orphaned_for) in orphans {
         let owner_record = &view.owners[&cell].record;
-        if owner_record.node == own_node {
+        let may_reacquire = early_ends::may_reacquire_at_once(owner_record.early_ends);
+        if owner_record.node == own_node && may_reacquire {
             cells_to_acquire.push(cell);
             continue;
         }
+        let comes_last = |node: &NodeName| !may_reacquire && *node == owner_record.node;
         let released_by = owner_record.released_by.clone();
-        let mut order: Vec<(u64, u64, NodeName)> = (loads.iter())
+        let mut order: Vec<(bool, u64, u64, NodeName)> = (loads.iter())
             .filter(|(node, _)| **node != released_by)
             .map(|(node, load)| {
                 let hash = xxh3_64(format!("{cell} {node}").as_bytes());
-                (load.load_with(weights[&cell]), hash, node.clone())
+                let load = load.load_with(weights[&cell]);
+                (comes_last(node), load, hash, node.clone())
             })
             .collect();
         order.sort();
@@ -124,11 +128,11 @@
         let is_candidate = order
             .iter()
             .take(candidates)
-            .any(|(_, _, node)| node == own_node);
+            .any(|(_, _, _, node)| node == own_node);
         if may_acquire_others && is_candidate {
             cells_to_acquire.push(cell.clone());
         }
-        if let Some((_, _, first)) = order.first()
+        if let Some((_, _, _, first)) = order.first()
             && let Some(load) = loads.get_mut(first)
         {
             load.assigned_weight += weights[&cell];
--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -48,9 +48,23 @@
 /// among the cells. It exists only where a workspace has a cap.
 pub const ALLOCATOR_CELL: &str = "workspaces";
 
-/// Number that identifies a process of a node.
+/// Number that identifies a process of a node; see [`new_incarnation`].
 pub type Incarnation = u64;
 
+/// Number of random bits of an incarnation.
+const RANDOM_BITS: u32 = 16;
+
+/// Returns the incarnation of a process that starts at a time in milliseconds since 1970. The random bits keep two
+/// processes of a node apart even if their clocks agree.
+pub fn new_incarnation(started_ms: u64, random: u16) -> Incarnation {
+    (started_ms << RANDOM_BITS) | u64::from(random)
+}
+
+/// Returns the start of a process in milliseconds since 1970.
+pub fn start_of(incarnation: Incarnation) -> u64 {
+    incarnation >> RANDOM_BITS
+}
+
 /// Row of a node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -83,6 +97,9 @@
     /// may not have outlasted them.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub awaits_predecessor: bool,
+    /// Number of owners in a row, before this one, that ended soon after they had acquired the cell.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub early_ends: u32,
     /// Cell that this one was merged into, with its jobs and workers; empty if it is one of its own.
     /// A cell that was merged is not acquired any more, and its rows no longer change, but that the
     /// owner of the other cell removes them.
@@ -90,6 +107,10 @@
     pub merged_into: CellName,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 /// Ledger row of a cell.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -12,6 +12,7 @@
 use tanager_schedule::CellCore;
 use tanager_schedule::CellSettings;
 use tanager_schedule::durations::QueueDuration;
+use tanager_schedule::early_ends::FormerOwnership;
 use tanager_schedule::order_lease;
 use tanager_schedule::ownership;
 use tanager_schedule::recovery::FormerOwner;
@@ -39,6 +40,7 @@
 use crate::records::cell_row;
 use crate::records::former_capacities;
 use crate::records::pool_of;
+use crate::records::start_of;
 use crate::table_watch;
 
 /// Time limit of a call to the store.
@@ -61,6 +63,7 @@
     match acquire_cell(context, name).await {
         Ok(cell) => {
             context.insert_cell(Arc::clone(&cell));
+            context.record_acquisition(name);
             // Until now, reads of the owner rows did not close the cell, and closing did not
             // remove it.
             cell.close_if_replaced();
@@ -90,7 +93,8 @@
         (previous, view.absorbed_cells(name))
     };
     let former_owner = former_owner_of_all(context, &previous.record, &absorbed);
-    let record = own_owner_record(context, former_owner);
+    let early_ends = former_ownership(context, name, &previous.record).early_ends();
+    let record = own_owner_record(context, former_owner, early_ends);
     let version = write_owner(context, name, &record, previous.version).await?;
     let started = context.clock.now();
     let order_gate = (name == COORDINATOR_CELL).then(|| {
@@ -100,7 +104,8 @@
         OrderGate::new(context.clock, opens_at)
     });
     log::info!(
-        "event=cell_taken cell={name} token={version} before={:?} before_version={}",
+        "event=cell_taken cell={name} token={version} before={:?} before_version={} \
+         early_ends={early_ends}",
         previous.record,
         previous.version
     );
@@ -114,7 +119,8 @@
     let now = context.clock.now();
     let wall_ms = context.clock.wall_ms();
     let mut core = CellCore::new(cell_settings(context));
-    core.set_memory_budget(context.cell_memory_budget(name));
+    core.set_memory_budget(context.cell_memory_budget(name, early_ends));
+    rows.jobs.rotate(early_ends);
     let (jobs, skipped) = load_jobs(&mut core, &mut rows, &absorbed, now, wall_ms);
     let absorption = plan_absorption(&mut core, &rows);
     for (queue, statistics) in &rows.learned {
@@ -164,6 +170,7 @@
         absorption,
         stored: take_stored(&mut rows, now),
         order_gate,
+        early_ends,
     };
     let cell = CellHandle::spawn(Arc::clone(context), name.clone(), version, loaded);
     cell.sync_queues();
@@ -220,8 +227,35 @@
     }
 }
 
-fn own_owner_record(context: &NodeContext, former_owner: FormerOwner) -> OwnerRecord {
+/// Describes the ownership that ends with this acquisition. The owner row has no time of its own, but the
+/// incarnation of a process contains its start.
+fn former_ownership(
+    context: &NodeContext,
+    name: &CellName,
+    record: &OwnerRecord,
+) -> FormerOwnership {
+    let is_own_process = record.incarnation == context.incarnation;
+    let age = match context.last_acquisition(name).filter(|_| is_own_process) {
+        Some(acquired_at) => context.clock.now().saturating_sub(acquired_at),
+        None => {
+            let started_ms = start_of(record.incarnation);
+            Duration::from_millis(context.clock.wall_ms().saturating_sub(started_ms))
+        }
+    };
+    FormerOwnership {
+        early_ends: record.early_ends,
+        is_released: record.node.is_empty(),
+        age,
+    }
+}
+
+fn own_owner_record(
+    context: &NodeContext,
+    former_owner: FormerOwner,
+    early_ends: u32,
+) -> OwnerRecord {
     OwnerRecord {
+        early_ends,
         node: context.settings.node.clone(),
         incarnation: context.incarnation,
         awaits_predecessor: former_owner == FormerOwner::Unresponsive,
--- a/crates/tanager-service/tests/membership.rs
+++ b/crates/tanager-service/tests/membership.rs
@@ -9,6 +9,7 @@
 use tanager_jobs::PoolConfig;
 use tanager_jobs::ResourceAmount;
 use tanager_jobs::record::decode_record;
+use tanager_jobs::record::encode_record;
 use tanager_service::membership::NODE_DEATH_TIMEOUT;
 use tanager_service::membership::choose_cell_to_release;
 use tanager_service::membership::choose_cells_to_acquire;
@@ -18,6 +19,8 @@
 use tanager_service::records::OwnerRecord;
 use tanager_service::records::PoolRecord;
 use tanager_service::records::former_capacities;
+use tanager_service::records::new_incarnation;
+use tanager_service::records::start_of;
 use tanager_service::table_watch::ReadSituation;
 use tanager_service::table_watch::worker_period;
 use tanager_service::view::FleetView;
@@ -502,3 +505,48 @@
     };
     assert!(worker_period(relayed) > worker_period(owner));
 }
+
+/// Guards against a node that acquires a cell again at each start although the cell ends each of its processes, so that no
+/// other node gets it.
+#[test]
+fn node_whose_processes_keep_ending_lets_others_come_first() {
+    for (early_ends, own_first) in [(0, true), (2, true), (3, false), (9, false)] {
+        let mut view = view(&[("strong", 0.5), ("weak", 0.12)]);
+        for cell in ALL {
+            set_owner(&mut view, cell, "weak", 10);
+        }
+        let row = OwnerRecord {
+            node: "strong".to_owned(),
+            // The process has ended; a later one of the node asks.
+            incarnation: 5,
+            early_ends,
+            ..OwnerRecord::default()
+        };
+        view.apply_owner("beta/0", row, 900);
+        let at_once = cells_chosen_at(&mut view, "strong", Duration::ZERO);
+        assert_eq!(at_once.contains("beta/0"), own_first, "{early_ends}");
+        if !own_first {
+            let chosen =
+                choose_cells_to_acquire(&mut view, "weak", &names(&ALL), true, Duration::ZERO);
+            assert!(chosen.contains(&"beta/0".to_owned()));
+            // Without another one it still gets the cell.
+            let later = cells_chosen_at(&mut view, "strong", Duration::from_millis(700));
+            assert!(later.contains("beta/0"));
+        }
+    }
+}
+
+/// Guards against rows of owners that nodes of earlier versions cannot read, and against rows of theirs.
+#[test]
+fn early_ends_are_absent_from_ordinary_owner_rows() {
+    let row = OwnerRecord {
+        node: "a".to_owned(),
+        incarnation: new_incarnation(1_700_000_000_000, 7),
+        ..OwnerRecord::default()
+    };
+    let text = String::from_utf8(encode_record(&row).expect("encoded")).expect("text");
+    assert!(!text.contains("early_ends"), "{text}");
+    assert_eq!(start_of(row.incarnation), 1_700_000_000_000);
+    let decoded: OwnerRecord = decode_record("owner", text.as_bytes()).expect("decoded");
+    assert_eq!(decoded, row);
+}
