Do not refuse small jobs for one job that they go before

Cause: admission adds up all work that waits, whatever its rank. Ruled out: the wait is real; with the change each later job is done in time.

An occurrence that alone would take all cores until the arriving job has no value any more, and has at least four times its work, is no backlog for that job; for one of its own size it is. Of a job's occurrences only the 32 after the last one that all are done are ranked by their due times; the others wait for these in any case and rank with those that were missed.

Tests: two more in missed_occurrences.rs; without the change the first small job is refused.

Why it works: admission and ranking agree about what goes first.

--- a/crates/tanager-schedule/src/admission.rs
+++ b/crates/tanager-schedule/src/admission.rs
@@ -29,6 +29,8 @@
 /// Retry time of a job for which the pool has no suitable worker at present.
 const NO_WORKER_RETRY: Duration = Duration::from_secs(5);
 
+/// Factor by which an occurrence has more work than a job that goes before it for certain: estimates are off by a lot.
+const LARGER_FACTOR: f64 = 4.0;
 /// Retry time of a job for which long-running tasks leave no room; they end only when their jobs are cancelled.
 const NO_ROOM_RETRY: Duration = Duration::from_secs(5);
 
@@ -66,7 +68,7 @@
         }
         self.refresh_ranking(now);
         let policy = self.policy(queue);
-        let (critical_path, _) = self.record_arrival(workspace, queue, spec, now);
+        let (critical_path, work) = self.record_arrival(workspace, queue, spec, now);
         self.work.add_workers(self.workers.len());
         let cores: f64 = (self.workers.values())
             .filter(|worker| worker.responded_recently(now) && !worker.entry.draining)
@@ -76,17 +78,32 @@
             // Workers may return within a moment; the stored job waits until then.
             return AdmissionDecision::Accept;
         }
-        let wait = self.wait_behind_backlog(workspace, cores);
         let latest = objective(&policy, critical_path).mul_f64(MAX_LATENESS_FACTOR);
+        let wait = self.wait_behind_backlog(workspace, cores, (work, latest));
         match wait + critical_path > latest {
             true => AdmissionDecision::Overloaded(wait),
             false => AdmissionDecision::Accept,
         }
     }
 
-    /// Returns for how long a job of a workspace waits behind the backlog of the cell.
-    fn wait_behind_backlog(&self, workspace: Option<&str>, cores: f64) -> Duration {
+    /// Returns for how long a job of a workspace with `work` core-seconds waits behind the backlog of the cell. A
+    /// larger occurrence that would take all cores until after `latest`, the time from now at which the job has no
+    /// value any more, is no backlog for it: the ranking lets the smaller one go first.
+    fn wait_behind_backlog(
+        &self,
+        workspace: Option<&str>,
+        cores: f64,
+        (work, latest): (f64, Duration),
+    ) -> Duration {
         let ranking = &self.ranking;
+        let limit = (cores * latest.as_secs_f64()).max(work * LARGER_FACTOR);
+        let passed = |name: Option<&str>| -> f64 {
+            let large = ranking.large.iter().filter(|(_, work)| *work > limit);
+            large
+                .filter(|(owner, _)| name.is_none() || owner.as_deref() == name)
+                .map(|(_, work)| work)
+                .sum()
+        };
         // The limit of the workspace in this cell may be lower than its cap, but changes all the time.
         let usable = |workspace: &str| match self.workspace_policy(workspace) {
             Some(policy) if policy.cap.cpu > 0 => cores.min(policy.cap.cpu as f64 / 1e3),
@@ -94,19 +111,21 @@
         };
         let mut all: Vec<_> = (ranking.backlog_by_workspace.iter())
             .map(|(name, &work)| WorkspaceBacklog {
-                work,
+                work: (work - passed(Some(name))).max(0.0),
                 cores: usable(name),
             })
             .collect();
         let without_workspace = WorkspaceBacklog {
-            work: (ranking.backlog - all.iter().map(|backlog| backlog.work).sum::<f64>()).max(0.0),
+            work: (ranking.backlog
+                - passed(None)
+                - all.iter().map(|backlog| backlog.work).sum::<f64>())
+            .max(0.0),
             cores,
         };
         all.push(without_workspace);
         let own = workspace.map_or(without_workspace, |name| WorkspaceBacklog {
             work: (ranking.backlog_by_workspace.get(name))
-                .copied()
-                .unwrap_or_default(),
+                .map_or(0.0, |work| (work - passed(Some(name))).max(0.0)),
             cores: usable(name),
         });
         expected_wait(&own, &all, cores)
--- a/crates/tanager-schedule/src/planning.rs
+++ b/crates/tanager-schedule/src/planning.rs
@@ -149,7 +149,7 @@
         occurrence: &OccurrenceEntry,
         now: Duration,
     ) -> Option<WaitingJob> {
-        if self.is_missed(job, occurrence, now) {
+        if self.is_missed(job, number, now) {
             return None;
         }
         let work = self.remaining_work(job, occurrence);
--- a/crates/tanager-schedule/src/ranking.rs
+++ b/crates/tanager-schedule/src/ranking.rs
@@ -32,6 +32,11 @@
 pub(crate) const LONGEST_TASK_FACTOR: f64 = 1.25;
 /// A job that takes longer than this multiple of its target has no value to its client.
 pub(crate) const MAX_LATENESS_FACTOR: f64 = 3.0;
+/// Number of occurrences of a job from its first one that is not done which are ranked by their due times. When
+/// more of them wait, they come one after the other in any case, and behind the jobs of others.
+const MAX_TIMELY_OCCURRENCES: u32 = 32;
+/// Unplaced processor time of an occurrence from which it may be no backlog for smaller jobs, in core-seconds.
+const LARGE_WORK: f64 = 50.0;
 /// Share of a job's value that does not depend on its size, as documented by the platform.
 const FIXED_VALUE: f64 = 0.3;
 
@@ -48,8 +53,9 @@
     Excess,
     /// The job no longer has value to its client, but was accepted and must end.
     Overdue,
-    /// An occurrence that was due so long ago that no later one would have waited for it. These take turns
-    /// among the jobs, use only a part of the cell, and new jobs do not wait behind them.
+    /// An occurrence of a repeated job that was due so long ago that its end has no value, or that many others of
+    /// its job come before. These take turns among the jobs, use only a part of the cell, and new jobs do not
+    /// wait behind them.
     Missed,
 }
 
@@ -85,6 +91,8 @@
     pub backlog: f64,
     /// The part of each workspace, without jobs that have none.
     pub(crate) backlog_by_workspace: BTreeMap<WorkspaceName, f64>,
+    /// Parts of single large occurrences, with the workspaces of their jobs.
+    pub(crate) large: Vec<(Option<WorkspaceName>, f64)>,
     /// Occurrences whose unplaced processor time is included in `backlog`.
     counted: HashSet<(JobId, u32)>,
     /// Time at which all steps were ranked.
@@ -131,6 +139,9 @@
             return;
         }
         self.backlog += unplaced;
+        if unplaced > LARGE_WORK {
+            self.large.push((workspace.cloned(), unplaced));
+        }
         let Some(workspace) = workspace else {
             return;
         };
@@ -191,6 +202,7 @@
             ranking.counted.clear();
             ranking.backlog = 0.0;
             ranking.backlog_by_workspace.clear();
+            ranking.large.clear();
             ranking.computed_at = now;
             self.work.add_steps(self.ready.len());
             for &key in &self.ready {
@@ -257,7 +269,7 @@
             };
             return Some((rank, 0.0));
         }
-        if self.is_missed(job, occurrence, now) {
+        if self.is_missed(job, number, now) {
             let rank = StepRank {
                 class: RankClass::Missed,
                 priority: policy.priority,
@@ -300,16 +312,18 @@
         Some((rank, work.unplaced))
     }
 
-    /// Returns whether an occurrence of a repeated job can only end when it has no value any more.
-    pub(crate) fn is_missed(
-        &self,
-        job: &JobEntry,
-        occurrence: &OccurrenceEntry,
-        now: Duration,
-    ) -> bool {
+    /// Returns whether an open occurrence of a repeated job can only end when it has no value any more, or waits for
+    /// many others of its job.
+    pub(crate) fn is_missed(&self, job: &JobEntry, number: u32, now: Duration) -> bool {
+        let Some(occurrence) = job.occurrences.get(&number) else {
+            return false;
+        };
         if job.record.spec.repetitions == 0 || job.record.spec.is_long_running() {
             return false;
         }
+        if number - job.done.first_missing() >= MAX_TIMELY_OCCURRENCES {
+            return true;
+        }
         let critical_path = self.total_critical_path(&job.record);
         let objective = objective(&self.policy(&job.record.queue), critical_path);
         let end = now + occurrence.due_before_clock + critical_path;
--- a/crates/tanager-schedule/src/report.rs
+++ b/crates/tanager-schedule/src/report.rs
@@ -362,10 +362,8 @@
         slot.in_flight = false;
         // The former owner may have changed its pace.
         slot.pace_confirmed = false;
-        slot.is_missed = (self.jobs.get(&task.job)).is_some_and(|job| {
-            let occurrence = job.occurrences.get(&task.occurrence);
-            occurrence.is_some_and(|occurrence| self.is_missed(job, occurrence, now))
-        });
+        slot.is_missed =
+            (self.jobs.get(&task.job)).is_some_and(|job| self.is_missed(job, task.occurrence, now));
         slot.record_listed(running, now);
         self.add_run(key, task, slot);
         if let Some(worker) = self.workers.get(key) {
--- a/crates/tanager-schedule/tests/missed_occurrences.rs
+++ b/crates/tanager-schedule/tests/missed_occurrences.rs
@@ -154,3 +154,56 @@
     limits.is_missed = false;
     assert_eq!(limits.limit(16_000), MAX_STARTS - 1);
 }
+
+/// Guards against a schedule whose occurrences are all due at this moment and that closes the queue until they are late.
+#[test]
+fn jobs_are_accepted_beside_occurrences_that_are_due_at_the_same_time() {
+    let mut cell = cell_of_four();
+    let mut record = missed_schedule(1, 2);
+    record.spec.first_run_ms = cell.wall_ms();
+    cell.accept(record);
+    cell.tick();
+    let spec = job(100, vec![step(8)]).spec;
+    assert_eq!(
+        cell.core.admit(QUEUE, &spec, cell.now),
+        AdmissionDecision::Accept
+    );
+}
+
+/// Guards against one job of thousands of tasks that closes the queue for all smaller ones, which the ranking lets go
+/// first.
+#[test]
+fn small_jobs_are_accepted_and_done_in_time_beside_a_job_of_thousands_of_tasks() {
+    let mut cell = cell_of_four();
+    let mut ages = BTreeMap::new();
+    cell.accept(job(1, vec![step(19_000)]));
+    for _ in 0..20 {
+        run_round(&mut cell, &mut ages);
+    }
+    for id in 100..120 {
+        let record = job(id, vec![step(8)]);
+        let decision = cell.core.admit(QUEUE, &record.spec, cell.now);
+        assert_eq!(decision, AdmissionDecision::Accept, "job {id}");
+        cell.accept(record);
+        for _ in 0..10 {
+            run_round(&mut cell, &mut ages);
+        }
+        let phase = cell.core.job_phase(JobId(id));
+        assert_eq!(
+            phase,
+            Some(JobPhase::Ended(JobState::Completed)),
+            "job {id}"
+        );
+    }
+    // Others of its size wait for it.
+    for id in 200..260 {
+        let record = job(id, vec![step(19_000)]);
+        if cell.core.admit(QUEUE, &record.spec, cell.now) != AdmissionDecision::Accept {
+            return;
+        }
+        cell.accept(record);
+        cell.advance_time(millis(100));
+        cell.report_all();
+    }
+    panic!("nothing was refused");
+}
