--- a/crates/tanager-schedule/src/waiting.rs
+++ b/crates/tanager-schedule/src/waiting.rs
@@ -47,6 +47,27 @@
             .then_some(WaitCause::Workers)
     }
 
+    /// Describes what a job waits for, for operators; `None` if nothing waits, or for an unknown job.
+    pub fn describe_wait(&self, id: JobId, wall_ms: u64) -> Option<String> {
+        let cause = self.wait_cause(id).map(|cause| cause.to_string());
+        let job = self.jobs.get(&id).filter(|job| !job.is_ended())?;
+        let due = job.record.spec.due_occurrences(wall_ms);
+        let held_back = due.saturating_sub(job.next_unopened());
+        let cause = match job.occurrences.is_empty() && held_back > 0 {
+            true => Some("memory of the owner".to_owned()),
+            false => cause,
+        };
+        match held_back {
+            0 => cause,
+            _ => {
+                let cause = cause.unwrap_or_else(|| "earlier occurrences".to_owned());
+                Some(format!(
+                    "{cause}; {held_back} due occurrences are held back"
+                ))
+            }
+        }
+    }
+
     /// Returns the number of each workspace's jobs for which no task has started.
     pub fn waiting_by_workspace(&self) -> BTreeMap<WorkspaceName, u64> {
         let mut waiting = BTreeMap::new();
--- a/crates/tanager-schedule/tests/waiting.rs
+++ b/crates/tanager-schedule/tests/waiting.rs
@@ -58,6 +58,28 @@
     assert_eq!(core.wait_cause(JobId(1)), Some(WaitCause::Workers));
 }
 
+/// Guards against due occurrences that are held back for a reason that no operator can see.
+#[test]
+fn held_back_occurrences_are_described() {
+    let mut cell = TestCell::new(vec![entry("i-1")]);
+    let mut schedule = job(1, vec![step(64)]);
+    schedule.spec.repetitions = 1_000;
+    cell.accept(schedule);
+    cell.tick();
+    let wall_ms = cell.wall_ms();
+    let text = cell.core.describe_wait(JobId(1), wall_ms);
+    let expected = "a worker with free capacity; 984 due occurrences are held back";
+    assert_eq!(text.as_deref(), Some(expected));
+    assert_eq!(cell.core.held_back(wall_ms), Some((984, JobId(1))));
+    // Without memory only one occurrence of the cell is open.
+    cell.core.set_memory_budget(1);
+    cell.accept(job(2, vec![step(64)]));
+    let text = cell.core.describe_wait(JobId(2), wall_ms);
+    let expected = "memory of the owner; 1 due occurrences are held back";
+    assert_eq!(text.as_deref(), Some(expected));
+    assert_eq!(cell.core.describe_wait(JobId(3), wall_ms), None);
+}
+
 /// Guards against jobs that are counted for another workspace, or after they started.
 #[test]
 fn waiting_jobs_are_counted_by_workspace() {
--- a/crates/tanager-service/src/access.rs
+++ b/crates/tanager-service/src/access.rs
@@ -104,12 +104,13 @@
     pub(crate) fn describe_job(&self, id: JobId) -> CellResponse {
         match self.job_status(id) {
             CellResponse::State(state) => {
-                let now = self.context.clock.now();
+                let clock = &self.context.clock;
+                let (now, wall_ms) = (clock.now(), clock.wall_ms());
                 let core = self.core();
                 CellResponse::Description(JobDescription {
                     state,
                     workspace: core.record(id).and_then(|record| record.workspace.clone()),
-                    waits_for: core.wait_cause(id).map(|cause| cause.to_string()),
+                    waits_for: core.describe_wait(id, wall_ms),
                     plan: core.describe_plan(id, now),
                 })
             }
