--- a/crates/tanager-node/tests/jobs/memory.rs
+++ b/crates/tanager-node/tests/jobs/memory.rs
@@ -176,3 +176,28 @@
     site.wait_for_state(POOL, &id, "completed").await;
     assert_single_runs(&site.standin.runs());
 }
+
+/// Guards against a cell that no node can load, because a page of its rows is larger than what a node accepts as a
+/// response.
+#[tokio::test(flavor = "multi_thread")]
+async fn cell_with_many_large_rows_is_loaded() {
+    let mut site = site_with_memory(1, MEMORY_MB).await;
+    let mut limit = MemoryLimit::new(MEMORY_MB);
+    let mut job = job_of_steps(&[1], &format!("ms=250 {}", "x".repeat(40_000)));
+    job["repetitions"] = json!(1);
+    job["first_run_ms"] = json!(u64::MAX >> 12);
+    let mut ids = Vec::new();
+    for _ in 0..450 {
+        let id = new_job_id();
+        assert!(site.submit(0, POOL, &id, &job).await);
+        ids.push(id);
+    }
+    site.nodes[0].kill();
+    site.nodes[0].restart();
+    site.eventually_within(&mut limit, "the jobs are known", async |site| {
+        let state = site.job_state(0, POOL, &ids[449]).await;
+        site.owner(CELL).await.is_some() && state.as_deref() == Some("queued")
+    })
+    .await;
+    assert_eq!(limit.kills, 0, "peak {} MB", limit.peak);
+}
