Soak: processes above their memory are killed, and jobs that need much of it

Nodes have 160 MB now, the smallest limit of the deployments; a process above it is killed and started again after 0.5 s, as the platform does; one in 25 jobs is a schedule of which a year was missed or has 6,000 small tasks. Heavy jobs are cancelled in the end, each must be answered, and no process may have been killed. The other checks hold for their runs as well.

--- a/crates/tanager-node/tests/jobs/harness.rs
+++ b/crates/tanager-node/tests/jobs/harness.rs
@@ -76,11 +76,23 @@
     /// Starts a node on a VM whose platform kills processes above `megabytes` of resident memory. The test does that
     /// with a [`MemoryLimit`].
     pub(crate) fn spawn_with_memory(standin: &SiteStandin, name: &str, megabytes: u64) -> Self {
+        let store = standin.store_address();
+        Self::spawn_with_store_and_memory(standin, name, store, megabytes, "")
+    }
+
+    /// Like [`Self::spawn_with_memory`], but the node accesses the store at the address `store`.
+    pub(crate) fn spawn_with_store_and_memory(
+        standin: &SiteStandin,
+        name: &str,
+        store: SocketAddr,
+        megabytes: u64,
+        features: &'static str,
+    ) -> Self {
         let ports = NodePorts::find();
-        let text = standin.settings_with_store(name, ports, standin.store_address());
+        let text = standin.settings_with_store(name, ports, store);
         let mut settings: Value = serde_json::from_str(&text).expect("settings");
         settings["limits"] = json!({"memory_mb": megabytes});
-        Self::spawn_with_settings(ports, &settings.to_string(), "")
+        Self::spawn_with_settings(ports, &settings.to_string(), features)
     }
 
     /// Starts a node on a VM whose link has a rate in bits per second, which the settings name; `store` is the
@@ -255,10 +267,16 @@
                 Some(at) if Instant::now() < *at => continue,
                 Some(_) => {
                     self.restarts.remove(&number);
-                    node.restart();
+                    // The test may have started it meanwhile.
+                    if !node.is_running() {
+                        node.restart();
+                    }
                 }
                 None => {}
             }
+            if !node.is_running() {
+                continue;
+            }
             let resident = node.resident_megabytes();
             self.peak = self.peak.max(resident);
             if resident > self.megabytes {
--- a/crates/tanager-node/tests/soak/main.rs
+++ b/crates/tanager-node/tests/soak/main.rs
@@ -7,6 +7,10 @@
 //!
 //! CI runs the seeds in `SEEDS`: one arbitrary seed and every seed that has ever failed.
 //! `SOAK_SEEDS=50 cargo test -p tanager-node --test soak` runs seeds 0 to 49 instead.
+//! Like the platform, the test kills processes that exceed the memory limit of their settings and starts them again. Some
+//! clients submit jobs that need much of it: schedules with a first run long ago, and thousands of small tasks.
+//! They are cancelled in the end.
+//!
 //! `SOAK_NODES` and `SOAK_WORKERS` set the size of each site: `SOAK_SEEDS=1 SOAK_NODES=200` starts
 //! a few hundred processes. `SOAK_FEATURES=balance` enables features; a pool needs more than 13 workers for
 //! two cells.
@@ -39,6 +43,7 @@
 use tokio::time;
 
 use harness::JobSite;
+use harness::MemoryLimit;
 use harness::NodeProcess;
 use harness::job_of_steps;
 use harness::pool;
@@ -63,6 +68,10 @@
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of queues that each configuration has more than the one before.
 const ADDED_QUEUES: usize = 500;
+/// Memory of a node, in megabytes.
+const MEMORY_MB: u64 = 160;
+/// One in how many jobs is heavy.
+const HEAVY_PERIOD: u64 = 25;
 /// Numbers of tasks of the two steps of each job.
 const TASK_COUNTS: [u32; 2] = [3, 2];
 
@@ -73,6 +82,8 @@
     /// An attempt got no response, or one that does not say whether the job was accepted.
     unconfirmed: bool,
     cancelled: bool,
+    /// The job needs much memory and does not end by itself before the test does.
+    is_heavy: bool,
 }
 
 fn environment_value(name: &str, default: usize) -> usize {
@@ -103,6 +114,7 @@
     terminating: BTreeSet<usize>,
     version: u64,
     wave: u64,
+    memory: &'a mut MemoryLimit,
 }
 
 impl FaultDriver<'_> {
@@ -112,6 +124,7 @@
             while started_at.elapsed() < *at {
                 time::sleep(Duration::from_millis(20)).await;
                 self.restart_terminated();
+                self.memory.enforce(&mut self.site.nodes);
             }
             self.apply_step(*step);
         }
@@ -207,7 +220,13 @@
 ) {
     let mut rng = SmallRng::seed_from_u64(seed * 1_000 + number);
     let id = format!("{:016x}", (seed << 32) + number);
-    let body = job_of_steps(&TASK_COUNTS, "ms=250").to_string();
+    let is_heavy = number % HEAVY_PERIOD == 3;
+    let body = match is_heavy {
+        true => heavy_job(number / HEAVY_PERIOD),
+        false => job_of_steps(&TASK_COUNTS, "ms=250"),
+    };
+    let body = body.to_string();
+    update_record(records, &id, |record| record.is_heavy = is_heavy);
     for _ in 0..4 {
         let address = addresses[rng.random_range(0..addresses.len())];
         let path = format!("/{POOL}/{id}");
@@ -223,7 +242,7 @@
         }
         time::sleep(Duration::from_millis(300)).await;
     }
-    if rng.random_bool(0.1) {
+    if rng.random_bool(0.1) && !is_heavy {
         let address = addresses[rng.random_range(0..addresses.len())];
         let path = format!("/{POOL}/{id}");
         let response = harness::send_request(address, Method::DELETE, &path, "").await;
@@ -235,6 +254,37 @@
     }
 }
 
+/// Returns a job that needs much memory: a schedule of which a year was missed, or thousands of small tasks.
+fn heavy_job(number: u64) -> serde_json::Value {
+    match number % 2 {
+        0 => {
+            let mut job = job_of_steps(&[2], "ms=250");
+            job["repetitions"] = json!(525_600);
+            job["interval_ms"] = json!(60_000);
+            job
+        }
+        _ => {
+            let mut job = job_of_steps(&[6_000], "ms=2000 cpu=1");
+            job["steps"][0]["cpu"] = json!(1);
+            job["steps"][0]["memory_request_mb"] = json!(1);
+            job
+        }
+    }
+}
+
+/// Cancels all heavy jobs that may have been accepted.
+async fn cancel_heavy_jobs(site: &JobSite, records: &BTreeMap<String, SubmissionRecord>) {
+    for (id, _) in records.iter().filter(|(_, record)| record.is_heavy) {
+        let path = format!("/{POOL}/{id}");
+        harness::eventually("a heavy job is cancelled", async || {
+            let response = site.request(0, Method::DELETE, &path, "").await;
+            // 410 if it was never accepted.
+            response.is_some_and(|response| matches!(response.status.as_u16(), 200 | 410))
+        })
+        .await;
+    }
+}
+
 /// Returns the features that `SOAK_FEATURES` names, for `--enable`.
 fn features() -> &'static str {
     static FEATURES: OnceLock<String> = OnceLock::new();
@@ -251,10 +301,11 @@
     for number in 0..node_count() {
         let proxy = FaultProxy::bind(standin.store_address()).await;
         let name = format!("node-{number}");
-        nodes.push(NodeProcess::spawn_with_store(
+        nodes.push(NodeProcess::spawn_with_store_and_memory(
             &standin,
             &name,
             proxy.address,
+            MEMORY_MB,
             features(),
         ));
         proxies.push(proxy);
@@ -279,7 +330,9 @@
         while clients.join_next().await.is_some() {}
     });
     let steps = generate_steps(seed, LOAD_DURATION, node_count(), worker_count());
+    let mut memory = MemoryLimit::new(MEMORY_MB);
     let mut driver = FaultDriver {
+        memory: &mut memory,
         site: &mut site,
         proxies: &proxies,
         terminating: BTreeSet::new(),
@@ -290,10 +343,19 @@
     load.await.expect("the load ends");
     let version = driver.version;
     let records = records.lock().expect("submission records").clone();
+    cancel_heavy_jobs(&site, &records).await;
+    memory.enforce(&mut site.nodes);
     let result = match verify_jobs(&site, &records).await {
         Ok(()) => verify_configuration(&site, version).await,
         error => error,
     };
+    let result = result.and_then(|()| match memory.kills {
+        0 => Ok(()),
+        kills => Err(format!(
+            "MEMORY: {kills} processes above {MEMORY_MB} MB were killed, the largest had {}",
+            memory.peak
+        )),
+    });
     result.map_err(|error| {
         let logs: Vec<_> = site.nodes.iter().map(|node| node.log.clone()).collect();
         format!("seed {seed}: {error}\nsteps: {steps:?}\nlogs: {logs:?}")
@@ -306,7 +368,7 @@
     records: &BTreeMap<String, SubmissionRecord>,
 ) -> Result<(), String> {
     let mut pending: BTreeSet<&String> = (records.iter())
-        .filter(|(_, record)| record.accepted)
+        .filter(|(_, record)| record.accepted && !record.is_heavy)
         .map(|(id, _)| id)
         .collect();
     let accepted = pending.len();
