--- a/crates/tanager-schedule/src/memory_cost.rs
+++ b/crates/tanager-schedule/src/memory_cost.rs
@@ -12,7 +12,7 @@
 pub const OCCURRENCE_BYTES: u64 = 300;
 /// Bytes of a step of an open occurrence beside its tasks.
 pub const STEP_BYTES: u64 = 200;
-/// Bytes of a task of an open occurrence: 126 while it waits, 567 while it runs, as much again for its entry in reports
+/// Bytes of a task of an open occurrence: some 130 while it waits, 570 while it runs, as much again for its entry in reports
 /// and for its progress on the way to the store.
 pub const TASK_BYTES: u64 = 1_000;
 /// Bytes that each step takes in the row of a job, and in the job when it is loaded.
