Count the members of a step once in a drain

Cause: for each such task on the worker, all tasks of its step were checked for their availability, at each scan.

The unavailable members of a step are counted once for all tasks to be stopped, and each stop adds one.

--- a/crates/tanager-schedule/src/drain.rs
+++ b/crates/tanager-schedule/src/drain.rs
@@ -1,6 +1,7 @@
 //! Draining of workers that shut down or whose VMs are maintained or moved, and restarts of stalled
 //! tasks.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tanager_jobs::TaskKey;
@@ -8,6 +9,7 @@
 
 use crate::action::CellEvent;
 use crate::core::CellCore;
+use crate::core::StepKey;
 use crate::job::AvoidedWorker;
 use crate::job::TaskPhase;
 use crate::worker::RunSlot;
@@ -74,9 +76,24 @@
         for (key, task) in evictions {
             self.order_stop(key, task);
         }
+        // The members of a step are counted once, not for each of those that are to be stopped.
+        let mut unavailable: HashMap<StepKey, usize> = HashMap::new();
         for (key, task, draining) in stops {
+            let step = (task.job, task.occurrence, task.step);
+            let phase = self.task(task).map_or(TaskPhase::Done, |entry| entry.phase);
+            let was_available = self.is_member_available(task, phase, now);
             let are_stops_visible = now >= self.stops_visible_from;
-            if draining || (are_stops_visible && self.can_stop_member(task, now)) {
+            if !draining && !are_stops_visible {
+                continue;
+            }
+            let count = match unavailable.get(&step) {
+                Some(count) => *count,
+                None => self.count_unavailable_members(step, now),
+            };
+            let others = count.saturating_sub(usize::from(!was_available));
+            let is_stopped = draining || others < self.may_miss(task);
+            unavailable.insert(step, count + usize::from(is_stopped && was_available));
+            if is_stopped {
                 self.order_stop(key, task);
             }
         }
@@ -100,24 +117,31 @@
         left > self.settings.max_stop_time + EVICT_MARGIN
     }
 
-    /// Returns whether a long-running task may be stopped without making more of its step
-    /// unavailable than the client allows.
-    fn can_stop_member(&self, task: TaskKey, now: Duration) -> bool {
-        let Some(spec) = self.spec(task) else {
-            return true;
+    /// Returns how many long-running tasks of the step of a task may be unavailable, this one included, for it to be
+    /// stopped.
+    fn may_miss(&self, task: TaskKey) -> usize {
+        (self.spec(task)).map_or(usize::MAX, |spec| spec.may_miss.max(1) as usize)
+    }
+
+    /// Returns how many tasks of a step are not known to be available.
+    fn count_unavailable_members(&self, key: StepKey, now: Duration) -> usize {
+        let Some(step) = self.step(key) else {
+            return 0;
         };
-        let step = (self.jobs.get(&task.job))
-            .and_then(|job| job.occurrences.get(&task.occurrence))
-            .and_then(|occurrence| occurrence.steps.get(usize::from(task.step)));
-        let Some(step) = step else { return true };
-        let unavailable = (step.tasks.iter().enumerate())
-            .filter(|(index, _)| *index != task.index as usize)
+        self.work.add_tasks(step.tasks.len());
+        let (job, occurrence, step_number) = key;
+        let members = step.tasks.iter().enumerate();
+        members
             .filter(|(index, entry)| {
-                let index = *index as u32;
-                !self.is_member_available(TaskKey { index, ..task }, entry.phase, now)
+                let task = TaskKey {
+                    job,
+                    occurrence,
+                    step: step_number,
+                    index: *index as u32,
+                };
+                !self.is_member_available(task, entry.phase, now)
             })
-            .count();
-        unavailable < spec.may_miss.max(1) as usize
+            .count()
     }
 
     /// Returns whether a long-running task is known to be available. A task on an unresponsive
--- a/crates/tanager-schedule/tests/drain.rs
+++ b/crates/tanager-schedule/tests/drain.rs
@@ -184,3 +184,26 @@
     }
     assert!(stopped);
 }
+
+/// Guards against a drain that counts all members of a step for each of those on the worker, which takes the owner of
+/// thousands of small tasks seconds.
+#[test]
+fn drain_counts_the_members_of_a_step_once() {
+    const TASKS: u32 = 4_000;
+    let mut cell = two_workers();
+    let mut member = step(TASKS);
+    (member.request.cpu, member.request.memory_mb) = (1, 1);
+    (member.long_running, member.may_miss) = (true, 3);
+    cell.accept(job(1, vec![member]));
+    while cell.running.len() < TASKS as usize {
+        cell.tick();
+    }
+    cell.advance_time(millis(100));
+    cell.report_all();
+    cell.core
+        .drain_worker(&"a".to_owned(), millis(10_000), false);
+    let before = cell.core.decision_work().tasks;
+    assert_eq!(stops(&cell.tick()).len(), 3);
+    let visited = cell.core.decision_work().tasks - before;
+    assert_eq!(visited, u64::from(TASKS));
+}
