Bound the starts that wait at a worker, and the reports of one with thousands of runs

Cause: orders to a worker are sent in turn, and a round placed as many tasks as had room. Thousands of starts of missed occurrences waited at each worker, and a start that goes first by its rank waited behind them. Evidence: 48,000 runs, started=91 in a second while 43 steps waited; cpu below half a core.

A worker gets no further starts while 32 have no result; each result lets a round follow. Gangs, which start together, do not count. The pause between renewals grows with the listed runs, up to 300 ms, but not while a report has as many ends as it may list. Both change nothing for a worker with up to 32 tasks.

Tests: starts_that_wait_at_a_worker_are_bounded (the code before orders all 3,000) and period_grows_with_the_listed_runs (new function). round_starts_a_bounded_number_of_tasks has 40 workers now, since four get no more than 128 starts a round.

--- a/crates/tanager-schedule/src/orders.rs
+++ b/crates/tanager-schedule/src/orders.rs
@@ -69,6 +69,7 @@
         result: OrderResult,
         now: Duration,
     ) {
+        self.placement_needed |= self.round.awaits_starts;
         self.record_start_observation(key, task, result, now);
         let has_expired = (self.workers.get(key)).is_some_and(|worker| worker.leases_expired(now));
         let Some(slot) = self.apply_order_result(key, task, run, result, now) else {
--- a/crates/tanager-schedule/src/placement.rs
+++ b/crates/tanager-schedule/src/placement.rs
@@ -21,6 +21,7 @@
 use crate::ranking::RankedStep;
 use crate::start_limits::StartLimits;
 use crate::worker::RunSlot;
+use crate::worker::RunStage;
 use crate::worker::WorkerKey;
 use crate::worker::WorkerSlot;
 
@@ -33,6 +34,10 @@
 /// be at fault. It bounds how fast a worker that no other can replace uses up the task's attempts,
 /// and is below the 3 s after which users count a job as lost that has nothing running.
 const AVOID_TIME: Duration = Duration::from_millis(2_000);
+/// Number of starts without a result from which a worker gets no further ones. Orders are sent in turn, so tasks that go
+/// first would otherwise wait behind thousands of small ones that were placed before. Members of gangs do not
+/// count, because they start together.
+const MAX_UNCONFIRMED_STARTS: usize = 32;
 /// A gang that prefers a single rack is spread over several if no rack had room for this long.
 const RACK_WAIT_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -52,6 +57,8 @@
     borrowed: bool,
     /// Number of runs of suspects; see `crashes`.
     suspects: usize,
+    /// Number of starts that may still be ordered; see `MAX_UNCONFIRMED_STARTS`.
+    starts_left: usize,
 }
 
 /// Requirements of one task for a worker.
@@ -73,6 +80,12 @@
     now.saturating_sub(since) < AVOID_TIME
 }
 
+/// Returns the number of starts on a worker that have no result yet.
+fn unconfirmed_starts(worker: &WorkerSlot) -> usize {
+    let runs = worker.runs.values();
+    runs.filter(|run| run.stage == RunStage::Starting).count()
+}
+
 /// Returns the largest room of any candidate, in each resource.
 fn largest_free(candidates: &[Candidate]) -> ResourceAmount {
     (candidates.iter()).fold(ResourceAmount::default(), |largest, candidate| {
@@ -139,6 +152,7 @@
             need.idle = self.step(*key).map_or(0, |step| step.idle);
         }
         self.placement_needed |= self.round.starts.is_exhausted();
+        self.round.awaits_starts = (candidates.iter()).any(|candidate| candidate.starts_left == 0);
         self.round.starts.is_missed = false;
         self.ranking.steps = steps;
         for (index, tasks) in self.round.skipped() {
@@ -188,6 +202,7 @@
                 is_slow: worker.health.slowness > SLOW_WORKER_FACTOR,
                 borrowed: worker.entry.borrowed,
                 suspects: self.suspect_count(worker),
+                starts_left: MAX_UNCONFIRMED_STARTS.saturating_sub(unconfirmed_starts(worker)),
             })
             .collect()
     }
@@ -351,6 +366,7 @@
             let candidate = &mut candidates[position];
             candidate.free = candidate.free.minus(&demand.amount);
             candidate.runs += 1;
+            candidate.starts_left -= 1;
             candidate.suspects += usize::from(is_suspect);
             is_placed = true;
             let worker = candidate.key;
@@ -460,6 +476,7 @@
                 && is_included(candidate)
                 && candidate.free.can_fit(&demand.amount)
                 && candidate.runs < candidate.max_runs
+                && (spec.gang || candidate.starts_left > 0)
                 && rack.is_none_or(|rack| candidate.rack.as_deref() == Some(rack))
                 && self.may_run(demand, candidate, used)
         };
--- a/crates/tanager-schedule/src/placement_round.rs
+++ b/crates/tanager-schedule/src/placement_round.rs
@@ -57,6 +57,8 @@
     has_last_resort: bool,
     /// Whether the cap refused all tasks of the step that was considered last.
     pub was_refused: bool,
+    /// Whether a worker gets no further starts until one of its starts has a result.
+    pub awaits_starts: bool,
     /// Limits of the starts in the round.
     pub starts: StartLimits,
 }
@@ -65,6 +67,7 @@
     /// Begins a round. `has_last_resort` tells whether there are workers that are only used for what
     /// the others could never hold.
     pub fn begin(&mut self, workspaces: usize, has_last_resort: bool) {
+        self.awaits_starts = false;
         self.starts = StartLimits::default();
         self.refused.iter_mut().for_each(Vec::clear);
         self.refused.resize_with(workspaces, Vec::new);
--- a/crates/tanager-schedule/src/renewal_timing.rs
+++ b/crates/tanager-schedule/src/renewal_timing.rs
@@ -23,6 +23,11 @@
 const MAX_MARGIN: Duration = Duration::from_millis(1_000);
 /// Time limit beyond the wait as a multiple of the smoothed delay of replies.
 const MARGIN_FACTOR: u32 = 4;
+/// Number of listed runs from which the pause before the next renewal grows: by as much again for each further ones.
+const RUNS_PER_PAUSE: usize = 256;
+/// Maximum pause because of the runs that a worker lists. Together with the wait and the margin it is below the time
+/// after which a worker without contact gets no tasks.
+const MAX_LISTING_PAUSE: Duration = Duration::from_millis(300);
 /// Weight of a new sample of the delay is one over this.
 const DELAY_SMOOTHING: u32 = 8;
 /// Pause after the second and later failures in a row; a single lost reply needs none.
@@ -59,6 +64,18 @@
         }
     }
 
+    /// Returns the minimum time from a renewal to the next one, given that of a small report. Each report lists all runs of
+    /// its worker, so one with thousands of small tasks would take the worker and the owner all their time. With
+    /// ends that may be followed by more, the next report does not wait longer.
+    pub fn period(smallest: Duration, listed_runs: usize, omits_ends: bool) -> Duration {
+        if omits_ends {
+            return smallest;
+        }
+        let pauses = u32::try_from(listed_runs / RUNS_PER_PAUSE).unwrap_or(u32::MAX);
+        let longest = MAX_LISTING_PAUSE.max(smallest);
+        (smallest.saturating_mul(pauses.saturating_add(1))).min(longest)
+    }
+
     /// Returns the time limit of a renewal with this wait. The part beyond the wait doubles with
     /// each failure, so that a slow connection does not fail for ever.
     pub fn timeout(&self, wait: Duration) -> Duration {
--- a/crates/tanager-schedule/tests/missed_occurrences.rs
+++ b/crates/tanager-schedule/tests/missed_occurrences.rs
@@ -9,8 +9,10 @@
 use tanager_jobs::JobId;
 use tanager_jobs::JobRecord;
 use tanager_jobs::JobState;
+use tanager_jobs::OrderAnswer;
 use tanager_schedule::AdmissionDecision;
 use tanager_schedule::core::JobPhase;
+use tanager_schedule::orders::OrderResult;
 use tanager_schedule::start_limits::MAX_STARTS;
 use tanager_schedule::start_limits::StartLimits;
 
@@ -19,6 +21,7 @@
 use support::entry;
 use support::job;
 use support::millis;
+use support::starts;
 use support::step;
 
 /// Cores of a worker of the tests.
@@ -127,7 +130,8 @@
 /// Guards against a round of placement that lets reports and lease renewals wait for thousands of starts.
 #[test]
 fn round_starts_a_bounded_number_of_tasks() {
-    let mut cell = cell_of_four();
+    let workers = (0..40).map(|number| entry(&format!("w{number}")));
+    let mut cell = TestCell::new(workers.collect());
     let mut small = step(3_000);
     (small.request.cpu, small.request.memory_mb) = (1, 1);
     cell.accept(job(100, vec![small]));
@@ -142,6 +146,33 @@
     assert_eq!(rounds, 3_000usize.div_ceil(MAX_STARTS));
 }
 
+/// Guards against tasks that go first and wait at their worker behind thousands of starts that were ordered before.
+#[test]
+fn starts_that_wait_at_a_worker_are_bounded() {
+    let mut cell = cell_of_four();
+    let small = |id, count| {
+        let mut small = step(count);
+        (small.request.cpu, small.request.memory_mb) = (1, 1);
+        job(id, vec![small])
+    };
+    cell.accept(small(1, 3_000));
+    let wall_ms = cell.wall_ms();
+    let mut waiting = Vec::new();
+    // The workers answer nothing for a while.
+    for _ in 0..20 {
+        cell.core.tick(cell.now, wall_ms, true);
+        waiting.extend(starts(&cell.core.take_actions()));
+    }
+    assert_eq!(waiting.len(), WORKERS * 32);
+    // Each result makes room for another start, at once.
+    for (worker, task, run) in waiting.drain(..10) {
+        let accepted = OrderResult::Answered(OrderAnswer::Accepted);
+        (cell.core).apply_start_result(worker, task, run, accepted, cell.now);
+    }
+    cell.core.tick(cell.now, wall_ms, true);
+    assert_eq!(starts(&cell.core.take_actions()).len(), 10);
+}
+
 /// Guards against a task larger than half of its cell that is never started.
 #[test]
 fn largest_task_of_a_missed_occurrence_may_start() {
--- a/crates/tanager-schedule/tests/renewal_timing.rs
+++ b/crates/tanager-schedule/tests/renewal_timing.rs
@@ -69,3 +69,16 @@
     }
     assert!(timing.timeout(wait) <= JOB_SLACK);
 }
+
+/// Guards against a worker with thousands of small tasks that lists them all forty times a second, and against a worker with
+/// a usual number of tasks that is heard less often than before.
+#[test]
+fn period_grows_with_the_listed_runs() {
+    let smallest = Duration::from_millis(25);
+    let period = |listed| RenewalTiming::period(smallest, listed, false);
+    assert_eq!([0, 20, 255].map(period), [smallest; 3]);
+    assert_eq!(period(256), 2 * smallest);
+    assert_eq!(period(3_166), 12 * smallest);
+    assert_eq!(period(100_000), Duration::from_millis(300));
+    assert_eq!(RenewalTiming::period(smallest, 100_000, true), smallest);
+}
--- a/crates/tanager-service/src/lease_renewal.rs
+++ b/crates/tanager-service/src/lease_renewal.rs
@@ -112,7 +112,12 @@
                 // A renewal that extends no lease is followed at once by one that does.
                 if lease_until_ms.is_some() {
                     let elapsed = clock.now().saturating_sub(sent_at);
-                    time::sleep(RENEWAL_PERIOD.saturating_sub(elapsed)).await;
+                    let period = RenewalTiming::period(
+                        RENEWAL_PERIOD,
+                        report.running.len(),
+                        report.omits_ends,
+                    );
+                    time::sleep(period.saturating_sub(elapsed)).await;
                 }
             }
             // The owner itself has contacted a later incarnation of the worker.
