--- a/crates/tanager-node/tests/jobs/memory.rs
+++ b/crates/tanager-node/tests/jobs/memory.rs
@@ -115,7 +115,7 @@
     const SMALL_MB: u64 = 160;
     let mut site = site_with_memory(1, SMALL_MB).await;
     let mut limit = MemoryLimit::new(SMALL_MB);
-    let mut job = job_of_steps(&[19_000], "lasts");
+    let mut job = job_of_small_tasks(19_000, "lasts");
     job["steps"][0]["long_running"] = json!(true);
     let mut accepted = Vec::new();
     let mut refused = 0;
