--- a/crates/tanager-schedule/src/admission.rs
+++ b/crates/tanager-schedule/src/admission.rs
@@ -8,6 +8,7 @@
 
 use tanager_jobs::JobRecord;
 use tanager_jobs::JobSpec;
+use tanager_jobs::ResourceAmount;
 use tanager_jobs::StepSpec;
 
 use crate::backlog::WorkspaceBacklog;
@@ -15,6 +16,10 @@
 use crate::capacity::PoolLoad;
 use crate::core::CellCore;
 use crate::durations::MAX_QUEUES;
+use crate::long_running_room::SuitableWorker;
+use crate::long_running_room::is_taken;
+use crate::long_running_room::long_running_demand;
+use crate::long_running_room::may_want;
 use crate::ranking::LONGEST_TASK_FACTOR;
 use crate::ranking::MAX_LATENESS_FACTOR;
 use crate::ranking::objective;
@@ -162,6 +167,39 @@
         }
     }
 
+    /// Returns whether a job has long-running tasks which, with those of the open jobs, would want too much of the cell.
+    fn wants_too_much_room(&self, spec: &JobSpec) -> bool {
+        if !spec.is_long_running() {
+            return false;
+        }
+        let jobs = (self.open_jobs.iter()).filter_map(|id| self.jobs.get(id));
+        let demand = jobs.fold(long_running_demand(spec), |sum, job| {
+            sum.plus(&long_running_demand(&job.record.spec))
+        });
+        let capacity = (self.workers.values())
+            .filter(|worker| !worker.entry.draining)
+            .fold(ResourceAmount::default(), |sum, worker| {
+                sum.plus(&worker.entry.capacity)
+            });
+        // Workers may register within a moment.
+        capacity != ResourceAmount::default() && !may_want(&demand, &capacity)
+    }
+
+    /// Returns whether long-running tasks take the room of a step on each worker that could hold one of its tasks.
+    fn is_taken_by_long_running(&self, step: &StepSpec, now: Duration) -> bool {
+        let reserved = step.reserved();
+        let suitable = (self.workers.values()).filter(|worker| {
+            let is_labelled =
+                (step.requirement.as_ref()).is_none_or(|label| worker.entry.labels.contains(label));
+            is_labelled && !worker.entry.draining && worker.entry.capacity.can_fit(&reserved)
+        });
+        let workers = suitable.map(|worker| SuitableWorker {
+            left: worker.entry.capacity.minus(&self.long_running_use(worker)),
+            responds: worker.responded_recently(now),
+        });
+        is_taken(workers, &reserved)
+    }
+
     /// Adds a job to the statistics of arrivals; returns its expected critical path and its
     /// processor time in core-seconds.
     pub(crate) fn record_arrival(
--- a/crates/tanager-schedule/src/lib.rs
+++ b/crates/tanager-schedule/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod health_rates;
 pub mod incarnations;
 pub mod job;
+mod job_memory;
 pub mod long_running_room;
 pub mod memory_budget;
 pub mod memory_cost;
--- a/crates/tanager-service/src/cell_load.rs
+++ b/crates/tanager-service/src/cell_load.rs
@@ -187,7 +187,7 @@
         let span = now.saturating_sub(self.ended_at);
         let counts = cell.load.counts();
         let cpu = CpuTimes::read();
-        let sizes = CellSizes::read(cell);
+        let sizes = read_sizes(cell);
         let CellSizes {
             jobs: (open, waiting, runs),
             work,
@@ -275,6 +275,18 @@
     }
 }
 
+fn read_sizes(cell: &CellHandle) -> CellSizes {
+    let wall_ms = cell.context.clock.wall_ms();
+    let core = cell.core();
+    CellSizes {
+        jobs: core.sizes(),
+        tasks: core.open_tasks(),
+        held_back: core.held_back(wall_ms),
+        memory: core.memory(),
+        work: core.decision_work(),
+    }
+}
+
 fn log_overload(cell: &CellHandle, change: OverloadChange, period: &OwnerPeriod) {
     let (phase, lasted) = match change {
         OverloadChange::Begun => ("begun", Duration::ZERO),
--- a/crates/tanager-service/src/cell_sizes.rs
+++ b/crates/tanager-service/src/cell_sizes.rs
@@ -9,7 +9,6 @@
 use tanager_jobs::JobId;
 use tanager_schedule::decision_work::DecisionWork;
 
-use crate::cell::CellHandle;
 use crate::memory_use::resident_bytes;
 
 type CellLabel = [(&'static str, String); 1];
@@ -29,21 +28,6 @@
     pub work: DecisionWork,
 }
 
-impl CellSizes {
-    /// Reads the sizes of a cell.
-    pub fn read(cell: &CellHandle) -> Self {
-        let wall_ms = cell.context.clock.wall_ms();
-        let core = cell.core();
-        Self {
-            jobs: core.sizes(),
-            tasks: core.open_tasks(),
-            held_back: core.held_back(wall_ms),
-            memory: core.memory(),
-            work: core.decision_work(),
-        }
-    }
-}
-
 impl fmt::Display for CellSizes {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (occurrences, tasks) = self.tasks;
--- a/crates/tanager-service/src/memory_use.rs
+++ b/crates/tanager-service/src/memory_use.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::fs;
-use std::sync::Arc;
 use std::time::Duration;
 
 use prometheus_client::collector::Collector;
@@ -13,8 +12,6 @@
 use prometheus_client::registry::Unit;
 use tokio::time;
 
-use crate::context::NodeContext;
-
 /// Interval between two readings.
 const READ_PERIOD: Duration = Duration::from_secs(1);
 /// Share of the limit from which the memory is logged, and again for each further step of this size.
@@ -50,22 +47,24 @@
     }
 }
 
-/// Logs memory that comes near the limit, without end.
-pub(crate) async fn watch(context: Arc<NodeContext>) -> Infallible {
+/// Logs memory that comes near the limit in bytes, without end. `count_cells` returns the number of cells that the node
+/// owns.
+pub(crate) async fn watch(
+    limit: Option<u64>,
+    count_cells: impl Fn() -> usize + Send,
+) -> Infallible {
     let mut watch = MemoryWatch::default();
     loop {
         time::sleep(READ_PERIOD).await;
-        let Some(limit) = context.settings.memory_limit else {
+        let Some(limit) = limit else {
             continue;
         };
         let Some(resident) = resident_bytes() else {
             continue;
         };
         if watch.observe(resident, limit) {
-            log::warn!(
-                "event=memory_high resident={resident} limit={limit} cells={}",
-                context.cells().len()
-            );
+            let cells = count_cells();
+            log::warn!("event=memory_high resident={resident} limit={limit} cells={cells}");
         }
     }
 }
--- a/crates/tanager-service/src/node.rs
+++ b/crates/tanager-service/src/node.rs
@@ -69,7 +69,10 @@
             log_refused_calls(Arc::clone(&shared))
         });
         let shared = Arc::clone(&node.context);
-        spawn_loop("memory", move || memory_use::watch(Arc::clone(&shared)));
+        spawn_loop("memory", move || {
+            let cells = Arc::clone(&shared);
+            memory_use::watch(shared.settings.memory_limit, move || cells.cells().len())
+        });
         log::info!(
             "event=started incarnation={incarnation} client={} peer={} zone={} version={version}",
             node.context.settings.client_address,
