Use the later address of a worker in a takeover

Cause: in a takeover a listed worker kept the address of the node's own copy of the list, also where the ledger row, just read, names a later start at another address. The worker that has the old address now refused the renewal, and that ends the wait for the former worker.

The entries of a takeover take address and start from whichever of list and ledger names the later start. It works because an owner uses a worker only once its row is stored, so the ledger has the address of each incarnation that may run a task of the cell.

--- a/crates/tanager-service/src/records.rs
+++ b/crates/tanager-service/src/records.rs
@@ -197,6 +197,28 @@
     }
 }
 
+/// Returns the entries of the workers of a cell in a takeover: the listed ones, and those that only the ledger names,
+/// so that their reports reveal their runs. Of an incarnation that is later in the ledger than in the list, which this
+/// node may have read before it, the ledger has the address. A worker at the former address is another one.
+pub fn entries_at_takeover(
+    listed: Vec<WorkerEntry>,
+    ledger: &[LedgerWorker],
+    pool: &PoolName,
+) -> Vec<WorkerEntry> {
+    let mut entries = listed;
+    for row in ledger {
+        match entries.iter_mut().find(|entry| entry.worker == row.worker) {
+            None => entries.push(row.placeholder_entry(pool)),
+            Some(entry) if row.started_ms > entry.started_ms => {
+                entry.address = row.address;
+                entry.started_ms = row.started_ms;
+            }
+            Some(_) => {}
+        }
+    }
+    entries
+}
+
 /// Returns the capacities of the workers of a ledger. `fleet` has the capacities of all listed workers:
 /// one of the ledger without a capacity is at most as large as the largest of all.
 pub fn former_capacities(
--- a/crates/tanager-service/src/takeover.rs
+++ b/crates/tanager-service/src/takeover.rs
@@ -38,6 +38,7 @@
 use crate::records::OWNER_KEY;
 use crate::records::OwnerRecord;
 use crate::records::cell_row;
+use crate::records::entries_at_takeover;
 use crate::records::former_capacities;
 use crate::records::pool_of;
 use crate::records::start_of;
@@ -144,14 +145,7 @@
         (view.workers_in(&homes), capacities)
     };
     core.set_former_capacities(capacities);
-    let unlisted: Vec<_> = (ledger_workers.iter())
-        .filter(|entry| !listed.iter().any(|other| other.worker == entry.worker))
-        .cloned()
-        .collect();
-    // Workers that the ledger names but that are not listed are added too, so that their reports
-    // reveal their runs.
-    let mut workers = listed;
-    workers.extend(unlisted);
+    let workers = entries_at_takeover(listed, &rows.workers, &pool);
     core.sync_workers(&workers, now);
     log::info!(
         "event=cell_loaded cell={name} token={version} absorbed={absorbed:?} jobs={jobs} skipped={skipped} \
--- a/crates/tanager-service/tests/worker_rows.rs
+++ b/crates/tanager-service/tests/worker_rows.rs
@@ -1,6 +1,10 @@
 //! Rows of workers, and rows that cannot be used. Each test names the failure that it guards against.
 
+use std::net::SocketAddr;
+
 use tanager_jobs::WorkerEntry;
+use tanager_service::records::LedgerWorker;
+use tanager_service::records::entries_at_takeover;
 use tanager_service::skipped_rows::SkipReport;
 use tanager_service::skipped_rows::SkippedRows;
 use tanager_service::view::FleetView;
@@ -86,3 +90,38 @@
     assert_eq!(logged, 1_000);
     assert_eq!(rows.record("t", "4999", 1, "a"), SkipReport::Count);
 }
+
+/// Guards against a takeover that asks for a worker at the address of an earlier incarnation, where another worker
+/// refuses, although the ledger has the address of the later one: the task that runs there started again (TWICE).
+#[test]
+fn takeover_uses_the_later_address_of_a_worker() {
+    let ledger_row = |worker: &str, born: u64, port: u16| LedgerWorker {
+        address: SocketAddr::from(([10, 0, 0, 2], port)),
+        ..LedgerWorker::from_entry(&entry(worker, born), None)
+    };
+    let listed = vec![
+        entry("restarted", 1_000),
+        entry("same", 1_000),
+        entry("newer", 5_000),
+    ];
+    let old = listed[0].address;
+    let ledger = [
+        ledger_row("restarted", 2_000, 1),
+        ledger_row("same", 1_000, 2),
+        ledger_row("newer", 4_000, 3),
+        ledger_row("gone", 1_000, 4),
+    ];
+    let entries = entries_at_takeover(listed, &ledger, &"entry".to_owned());
+    let found: Vec<_> = (entries.iter())
+        .map(|entry| (entry.worker.as_str(), entry.started_ms, entry.address))
+        .collect();
+    let expected = [
+        ("restarted", 2_000, ledger[0].address),
+        ("same", 1_000, old),
+        ("newer", 5_000, old),
+        ("gone", 1_000, ledger[3].address),
+    ];
+    assert_eq!(found, expected);
+    // Its capacity is that of its entry.
+    assert_ne!(entries[0].capacity, entries[3].capacity);
+}
